--- /dev/null
+++ b/berylstep_wire/src/codec.rs
@@ -0,0 +1,62 @@
+//! Length-delimited framing of prost messages.
+
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::Frame;
+
+/// Largest accepted frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, Display)]
+pub enum CodecError {
+    /// peer link: {0}
+    Io(std::io::Error),
+    /// peer frame is not a valid message: {0}
+    Decode(prost::DecodeError),
+}
+
+impl std::error::Error for CodecError {}
+
+impl From<std::io::Error> for CodecError {
+    fn from(err: std::io::Error) -> Self {
+        Self::Io(err)
+    }
+}
+
+/// Codec for [`Frame`]s: a 4-byte big-endian length, then the encoded message.
+#[derive(Debug)]
+pub struct FrameCodec {
+    lengths: LengthDelimitedCodec,
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        let lengths = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        Self { lengths }
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = CodecError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, CodecError> {
+        match self.lengths.decode(src)? {
+            Some(payload) => Frame::decode(payload).map(Some).map_err(CodecError::Decode),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = CodecError;
+
+    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), CodecError> {
+        let payload = Bytes::from(frame.encode_to_vec());
+        Ok(self.lengths.encode(payload, dst)?)
+    }
+}
