Add the core's first tables: configuration, members, upstreams

Cause: decisions have to be testable without sockets and clocks. Change: entities with a versioned apply that never steps back, member and upstream tables, key hashes, refusals with what they say about execution, rendezvous ranking. Before: nothing. Conclusion: time is an argument everywhere in this crate.

--- /dev/null
+++ b/berylstep_core/src/collections.rs
@@ -0,0 +1,12 @@
+//! Aliases for collections and shared names.
+
+use std::sync::Arc;
+
+/// Hash map with a fast, non-cryptographic hasher.
+pub type HashMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with a fast, non-cryptographic hasher.
+pub type HashSet<T> = rustc_hash::FxHashSet<T>;
+
+/// Immutable string shared between tables.
+pub type SharedName = Arc<str>;
--- /dev/null
+++ b/berylstep_core/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions of the berylstep router.
+//!
+//! Everything here is free of I/O: entities stand in tables, systems run over them each tick, and
+//! the current time is an argument.
+
+pub mod collections;
+pub mod config;
+pub mod key;
+pub mod member;
+pub mod refusal;
+pub mod rendezvous;
+pub mod upstream;
