Add HTTP connections that check what async-h1 does not

Cause: async-h1 takes truncated bodies, conflicting lengths and unframed answers as whole. Ruled out: a fork; another HTTP library (house style names this one). Change: heads are read and checked first; async-h1 reads from a stream that ends exactly with the message and fails where the peer breaks off; answers are tied to requests by X-Request-Id; a connection is given back only after its answer was read whole. Before: nothing. Conclusion: an answer whose end can't be told is a failure, not an empty success.

--- /dev/null
+++ b/berylstep_http/src/client.rs
@@ -0,0 +1,204 @@
+//! Client side of one connection.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use displaydoc::Display;
+use http_types::{Body, Method, Request, Response};
+use smol::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
+use smol::net::TcpStream;
+
+use crate::framed::{FramedStream, MessageEnd};
+use crate::head::{check_response, read_head, BodyFraming, HeadError, ResponseHead};
+use crate::socket;
+
+/// Header that ties an answer to its request.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+const COPY_BYTES: usize = 8 * 1024;
+const SWITCHING_PROTOCOLS: u16 = 101;
+
+/// Why an exchange failed.
+#[derive(Debug, Display)]
+pub enum ExchangeError {
+    /// cannot connect: {0}
+    Connect(std::io::Error),
+    /// cannot encode the request: {0}
+    Encode(std::io::Error),
+    /// connection failed after the request was sent in part or whole: {0}
+    Broken(std::io::Error),
+    /// answer is not acceptable: {0}
+    Head(HeadError),
+    /// answer has neither a length nor chunks, so its end can't be told
+    Unframed,
+    /// answer belongs to another request
+    Crossed,
+    /// answer cannot be decoded: {0}
+    Decode(String),
+}
+
+impl std::error::Error for ExchangeError {}
+
+impl ExchangeError {
+    /// Whether the peer can have received any byte of the request.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, Self::Connect(_) | Self::Encode(_))
+    }
+}
+
+/// A connection that is ready for one request.
+#[derive(Debug)]
+pub struct ClientConnection {
+    stream: TcpStream,
+}
+
+/// An answer whose head was received.
+#[derive(Debug)]
+pub struct ClientAnswer {
+    /// Answer; its body fails where the peer breaks off.
+    pub response: Response,
+    /// Gives the connection back once the body was read.
+    pub reuse: ConnectionReuse,
+}
+
+/// Connection of an answer that is being read.
+#[derive(Debug)]
+pub struct ConnectionReuse {
+    stream: TcpStream,
+    framed: FramedStream,
+    body_read: Arc<AtomicBool>,
+    keep_alive: bool,
+}
+
+impl ConnectionReuse {
+    /// Returns the connection if the answer was read whole and nothing follows it.
+    pub fn into_connection(self) -> Option<ClientConnection> {
+        let whole = self.body_read.load(Ordering::Acquire) && self.framed.is_complete();
+        let clean = whole && self.keep_alive && socket::is_idle_and_open(&self.stream);
+        clean.then_some(ClientConnection { stream: self.stream })
+    }
+}
+
+impl ClientConnection {
+    /// Connects to `address`.
+    pub async fn connect(address: SocketAddr) -> Result<Self, ExchangeError> {
+        let stream = TcpStream::connect(address).await.map_err(ExchangeError::Connect)?;
+        socket::configure(&stream).map_err(ExchangeError::Connect)?;
+        Ok(Self { stream })
+    }
+
+    /// Whether the idle connection is still open.
+    pub fn is_open(&self) -> bool {
+        socket::is_idle_and_open(&self.stream)
+    }
+
+    /// Sends `request` and receives the head of its answer.
+    ///
+    /// An answer that carries another `X-Request-Id` than the request is an error.
+    pub async fn exchange(mut self, request: Request) -> Result<ClientAnswer, ExchangeError> {
+        let method = request.method();
+        let request_id = header_value(request.header(REQUEST_ID_HEADER));
+        self.write_request(request).await?;
+        let mut buffer = Vec::new();
+        let head = self.read_final_head(&mut buffer).await?;
+        let end = message_end(&head, method)?;
+        let mut prefix = head.bytes;
+        prefix.extend_from_slice(&buffer);
+        let framed = FramedStream::new(prefix, end, self.stream.clone());
+        let decoded = async_h1::client::decode(framed.clone()).await;
+        let mut response = decoded.map_err(|err| ExchangeError::Decode(err.to_string()))?;
+        let answer_id = header_value(response.header(REQUEST_ID_HEADER));
+        if answer_id.is_some() && request_id.is_some() && answer_id != request_id {
+            return Err(ExchangeError::Crossed);
+        }
+        let body_read = Arc::new(AtomicBool::new(false));
+        watch_body(&mut response, body_read.clone());
+        let keep_alive = head.keep_alive;
+        let reuse = ConnectionReuse { stream: self.stream, framed, body_read, keep_alive };
+        Ok(ClientAnswer { response, reuse })
+    }
+
+    async fn write_request(&mut self, request: Request) -> Result<(), ExchangeError> {
+        let mut encoder = async_h1::client::Encoder::new(request);
+        let mut chunk = vec![0; COPY_BYTES];
+        let mut sent = false;
+        loop {
+            let count = match encoder.read(&mut chunk).await {
+                Ok(0) => return Ok(()),
+                Ok(count) => count,
+                Err(err) if sent => return Err(ExchangeError::Broken(err)),
+                Err(err) => return Err(ExchangeError::Encode(err)),
+            };
+            sent = true;
+            self.stream.write_all(&chunk[..count]).await.map_err(ExchangeError::Broken)?;
+        }
+    }
+
+    async fn read_final_head(
+        &mut self,
+        buffer: &mut Vec<u8>,
+    ) -> Result<ResponseHead, ExchangeError> {
+        loop {
+            let bytes = read_head(&mut self.stream, buffer).await.map_err(ExchangeError::Head)?;
+            let Some(bytes) = bytes else {
+                return Err(ExchangeError::Broken(std::io::ErrorKind::UnexpectedEof.into()));
+            };
+            let head = check_response(&bytes).map_err(ExchangeError::Head)?;
+            let is_interim = head.status < 200 && head.status != SWITCHING_PROTOCOLS;
+            if !is_interim {
+                return Ok(head);
+            }
+        }
+    }
+}
+
+fn message_end(head: &ResponseHead, method: Method) -> Result<MessageEnd, ExchangeError> {
+    let head_bytes = head.bytes.len() as u64;
+    let bodiless = method == Method::Head || head.status == 204 || head.status == 304;
+    match head.framing {
+        _ if bodiless => Ok(MessageEnd::After(head_bytes)),
+        BodyFraming::Length(length) => Ok(MessageEnd::After(head_bytes + length)),
+        BodyFraming::Chunked => Ok(MessageEnd::Chunked),
+        BodyFraming::Unframed => Err(ExchangeError::Unframed),
+    }
+}
+
+fn header_value(values: Option<&http_types::headers::HeaderValues>) -> Option<String> {
+    values.map(|values| values.last().as_str().to_owned())
+}
+
+/// Wraps the body so that `body_read` tells when its end was reached.
+fn watch_body(response: &mut Response, body_read: Arc<AtomicBool>) {
+    let content_type = header_value(response.header("content-type"));
+    let inner = response.take_body();
+    let length = inner.len();
+    let watched = BufReader::new(WatchedBody { inner, body_read });
+    response.set_body(Body::from_reader(watched, length));
+    match content_type {
+        Some(content_type) => drop(response.insert_header("content-type", content_type)),
+        None => drop(response.remove_header("content-type")),
+    }
+}
+
+#[derive(Debug)]
+struct WatchedBody {
+    inner: Body,
+    body_read: Arc<AtomicBool>,
+}
+
+impl AsyncRead for WatchedBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if matches!(result, Poll::Ready(Ok(0))) && !buf.is_empty() {
+            self.body_read.store(true, Ordering::Release);
+        }
+        result
+    }
+}
--- /dev/null
+++ b/berylstep_http/src/head.rs
@@ -0,0 +1,204 @@
+//! Message heads: reading one from a socket and checking its framing.
+
+use displaydoc::Display;
+use smol::io::{AsyncRead, AsyncReadExt};
+
+/// Longest accepted message head, in bytes; `async-h1` takes no longer ones.
+pub const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
+
+const MAX_HEADERS: usize = 128;
+const READ_BYTES: usize = 4 * 1024;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Why a message head was not accepted.
+#[derive(Debug, Display)]
+pub enum HeadError {
+    /// message head is 8 KiB or larger
+    TooLarge,
+    /// malformed message head: {0}
+    Malformed(&'static str),
+    /// only HTTP/1.1 is supported
+    Version,
+    /// connection closed inside a message head
+    Truncated,
+    /// connection: {0}
+    Io(std::io::Error),
+}
+
+impl std::error::Error for HeadError {}
+
+impl From<std::io::Error> for HeadError {
+    fn from(err: std::io::Error) -> Self {
+        Self::Io(err)
+    }
+}
+
+/// How the end of a message body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body is sent in chunks.
+    Chunked,
+    /// The head gives neither a length nor chunks.
+    Unframed,
+}
+
+/// A checked request head.
+#[derive(Debug)]
+pub struct RequestHead {
+    /// Head to hand to `async-h1`, without `Expect`.
+    pub bytes: Vec<u8>,
+    /// Framing of the body; [`BodyFraming::Unframed`] is an empty body.
+    pub framing: BodyFraming,
+    /// Whether the peer accepts another request on the connection.
+    pub keep_alive: bool,
+    /// Whether the peer waits for `100 Continue`.
+    pub expects_continue: bool,
+}
+
+/// A checked response head.
+#[derive(Debug)]
+pub struct ResponseHead {
+    /// Head as received.
+    pub bytes: Vec<u8>,
+    /// HTTP status.
+    pub status: u16,
+    /// Framing of the body.
+    pub framing: BodyFraming,
+    /// Whether the peer accepts another request on the connection.
+    pub keep_alive: bool,
+}
+
+/// Reads up to and including the blank line; bytes after it stay in `buffer`.
+///
+/// Returns `None` where the stream ends before the first byte.
+pub async fn read_head<R>(
+    stream: &mut R,
+    buffer: &mut Vec<u8>,
+) -> Result<Option<Vec<u8>>, HeadError>
+where
+    R: AsyncRead + Unpin,
+{
+    let mut searched = 0;
+    loop {
+        if let Some(end) = find_head_end(buffer, searched) {
+            if end > MAX_HEAD_BYTES {
+                return Err(HeadError::TooLarge);
+            }
+            let rest = buffer.split_off(end);
+            return Ok(Some(std::mem::replace(buffer, rest)));
+        }
+        if buffer.len() > MAX_HEAD_BYTES {
+            return Err(HeadError::TooLarge);
+        }
+        searched = buffer.len().saturating_sub(HEAD_END.len() - 1);
+        let filled = buffer.len();
+        buffer.resize(filled + READ_BYTES, 0);
+        let count = stream.read(&mut buffer[filled..]).await;
+        buffer.truncate(filled + *count.as_ref().unwrap_or(&0));
+        match (count?, filled) {
+            (0, 0) => return Ok(None),
+            (0, _) => return Err(HeadError::Truncated),
+            _ => {}
+        }
+    }
+}
+
+/// Checks a request head.
+pub fn check_request(bytes: &[u8]) -> Result<RequestHead, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
+    if status.is_partial() {
+        return Err(HeadError::Malformed("incomplete"));
+    }
+    if request.version != Some(1) {
+        return Err(HeadError::Version);
+    }
+    let (method, path) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+    if !path.starts_with('/') && !path.starts_with("http://") {
+        return Err(HeadError::Malformed("request target is not a path"));
+    }
+    if request.headers.iter().filter(|h| h.name.eq_ignore_ascii_case("host")).count() != 1 {
+        return Err(HeadError::Malformed("not exactly one Host header"));
+    }
+    let framing = body_framing(request.headers)?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\n").into_bytes();
+    for header in request.headers.iter().filter(|h| !h.name.eq_ignore_ascii_case("expect")) {
+        std::str::from_utf8(header.value).map_err(|_| HeadError::Malformed("header not UTF-8"))?;
+        head.extend_from_slice(header.name.as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(header.value);
+        head.extend_from_slice(b"\r\n");
+    }
+    head.extend_from_slice(b"\r\n");
+    Ok(RequestHead {
+        bytes: head,
+        framing,
+        keep_alive: !has_token(request.headers, "connection", "close"),
+        expects_continue: has_token(request.headers, "expect", "100-continue"),
+    })
+}
+
+/// Checks a response head.
+pub fn check_response(bytes: &[u8]) -> Result<ResponseHead, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let status = response.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
+    if status.is_partial() {
+        return Err(HeadError::Malformed("incomplete"));
+    }
+    if response.version != Some(1) {
+        return Err(HeadError::Version);
+    }
+    let status = response.code.unwrap_or_default();
+    let framing = body_framing(response.headers)?;
+    let keep_alive = !has_token(response.headers, "connection", "close");
+    Ok(ResponseHead { bytes: bytes.to_vec(), status, framing, keep_alive })
+}
+
+fn find_head_end(buffer: &[u8], from: usize) -> Option<usize> {
+    let found = buffer[from..].windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
+    Some(from + found + HEAD_END.len())
+}
+
+fn body_framing(headers: &[httparse::Header<'_>]) -> Result<BodyFraming, HeadError> {
+    let mut length: Option<u64> = None;
+    let mut chunked = false;
+    for header in headers {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let value = parse_length(header.value)?;
+            if length.is_some_and(|other| other != value) {
+                return Err(HeadError::Malformed("conflicting content lengths"));
+            }
+            length = Some(value);
+        }
+        if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if chunked || !header.value.eq_ignore_ascii_case(b"chunked") {
+                return Err(HeadError::Malformed("unsupported transfer encoding"));
+            }
+            chunked = true;
+        }
+    }
+    match (length, chunked) {
+        (Some(_), true) => Err(HeadError::Malformed("content length with transfer encoding")),
+        (Some(length), false) => Ok(BodyFraming::Length(length)),
+        (None, true) => Ok(BodyFraming::Chunked),
+        (None, false) => Ok(BodyFraming::Unframed),
+    }
+}
+
+fn parse_length(value: &[u8]) -> Result<u64, HeadError> {
+    let digits = std::str::from_utf8(value).unwrap_or_default();
+    if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HeadError::Malformed("content length is not a number"));
+    }
+    digits.parse().map_err(|_| HeadError::Malformed("content length is out of range"))
+}
+
+fn has_token(headers: &[httparse::Header<'_>], name: &str, token: &str) -> bool {
+    let named = headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
+    let mut values = named.filter_map(|header| std::str::from_utf8(header.value).ok());
+    values.any(|value| value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token)))
+}
--- /dev/null
+++ b/berylstep_http/src/lib.rs
@@ -0,0 +1,17 @@
+//! HTTP/1.1 connections on `async-h1`, with the checks that a router needs.
+//!
+//! `async-h1` accepts truncated bodies, conflicting lengths and answers without framing. The
+//! connections here read and check each message head first, and hand `async-h1` a stream that ends
+//! exactly where the message ends and fails where the peer breaks off.
+
+pub mod body;
+pub mod client;
+pub mod framed;
+pub mod head;
+pub mod server;
+pub mod socket;
+
+pub use body::{produced_body, BodySender};
+pub use client::{ClientAnswer, ClientConnection, ExchangeError};
+pub use head::HeadError;
+pub use server::{ReceiveError, ReceivedRequest, ServerConnection};
