Add the node: caller, peer, operator and platform edges

Cause: the whole path comes first, as separate processes. Ruled out: smol's timers directly (tests can't pause them); one process holding the site together. Change: serve with checked settings, membership rows and pulses over authenticated links, a followed change log, forwarding with retries for idempotent work only, refusals that say what ran. Slots are taken on the least loaded upstream as each node sees it: the baseline for the arbiter. Conclusion: the thin path stands; arbiter, leases, usage and claims have their places.

--- /dev/null
+++ b/berylstep/src/cli.rs
@@ -0,0 +1,195 @@
+//! Command line.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::config::NodeSettings;
+use crate::{logging, node};
+
+/// Exit code for errors of the command line and settings.
+const EXIT_USAGE: u8 = 2;
+
+/// Flags of `serve`, each with a `BERYLSTEP_` variable.
+pub const SERVE_FLAGS: &[&str] = &[
+    "node",
+    "cluster",
+    "region",
+    "zone",
+    "listen",
+    "advertise",
+    "peer-listen",
+    "peer-advertise",
+    "operator-listen",
+    "platform",
+    "site-secret-file",
+    "operator-key-file",
+    "max-body-bytes",
+    "max-connections",
+    "entries-ttl-ms",
+    "slot-policy",
+];
+
+/// Options of the whole command.
+#[derive(Debug, Options)]
+struct CommandOptions {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Subcommand>,
+}
+
+/// What to do.
+// Parsed once in a process, so the size of a variant does not matter.
+#[allow(clippy::large_enum_variant)]
+#[derive(Debug, Options)]
+enum Subcommand {
+    #[options(help = "run a node")]
+    Serve(ServeOptions),
+    #[options(help = "print the version")]
+    Version(VersionOptions),
+}
+
+/// Options of `version`.
+#[derive(Debug, Options)]
+struct VersionOptions {
+    #[options(help = "print help")]
+    help: bool,
+}
+
+/// Options of `serve`; absent ones come from variables, then from defaults.
+#[derive(Debug, Default, Options)]
+pub struct ServeOptions {
+    /// Prints help.
+    #[options(help = "print help")]
+    pub help: bool,
+    /// See [`NodeSettings::node`].
+    #[options(no_short, meta = "NAME", help = "name of the node [BERYLSTEP_NODE]")]
+    pub node: Option<String>,
+    /// See [`NodeSettings::cluster`].
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "name of the cluster [BERYLSTEP_CLUSTER, default berylstep]"
+    )]
+    pub cluster: Option<String>,
+    /// See [`NodeSettings::region`].
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "region of the VM [BERYLSTEP_REGION, default local]"
+    )]
+    pub region: Option<String>,
+    /// See [`NodeSettings::zone`].
+    #[options(no_short, meta = "NAME", help = "availability zone of the VM [BERYLSTEP_ZONE]")]
+    pub zone: Option<String>,
+    /// See [`NodeSettings::listen`].
+    #[options(no_short, meta = "ADDRESS", help = "listen for callers [BERYLSTEP_LISTEN]")]
+    pub listen: Option<String>,
+    /// See [`NodeSettings::advertise`].
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "address named to callers [BERYLSTEP_ADVERTISE, default --listen]"
+    )]
+    pub advertise: Option<String>,
+    /// See [`NodeSettings::peer_listen`].
+    #[options(no_short, meta = "ADDRESS", help = "listen for other nodes [BERYLSTEP_PEER_LISTEN]")]
+    pub peer_listen: Option<String>,
+    /// See [`NodeSettings::peer_advertise`].
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "address named to other nodes [BERYLSTEP_PEER_ADVERTISE, default --peer-listen]"
+    )]
+    pub peer_advertise: Option<String>,
+    /// See [`NodeSettings::operator_listen`].
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "listen for operators and metrics [BERYLSTEP_OPERATOR_LISTEN]"
+    )]
+    pub operator_listen: Option<String>,
+    /// See [`NodeSettings::platform`].
+    #[options(no_short, meta = "ADDRESS", help = "address of the platform [BERYLSTEP_PLATFORM]")]
+    pub platform: Option<String>,
+    /// See [`NodeSettings::site_secret`].
+    #[options(
+        no_short,
+        meta = "PATH",
+        help = "file with the site secret [BERYLSTEP_SITE_SECRET_FILE, or the secret in BERYLSTEP_SITE_SECRET]"
+    )]
+    pub site_secret_file: Option<String>,
+    /// See [`NodeSettings::operator_key`].
+    #[options(
+        no_short,
+        meta = "PATH",
+        help = "file with the operators' key [BERYLSTEP_OPERATOR_KEY_FILE, or the key in BERYLSTEP_OPERATOR_KEY]"
+    )]
+    pub operator_key_file: Option<String>,
+    /// See [`NodeSettings::max_body_bytes`].
+    #[options(
+        no_short,
+        meta = "BYTES",
+        help = "largest request body in bytes [BERYLSTEP_MAX_BODY_BYTES, default 4194304]"
+    )]
+    pub max_body_bytes: Option<String>,
+    /// See [`NodeSettings::max_connections`].
+    #[options(
+        no_short,
+        meta = "COUNT",
+        help = "most caller connections at once [BERYLSTEP_MAX_CONNECTIONS, default 4096]"
+    )]
+    pub max_connections: Option<String>,
+    /// See [`NodeSettings::entries_ttl`].
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "milliseconds for which callers keep the list of entries [BERYLSTEP_ENTRIES_TTL_MS, default 5000]"
+    )]
+    pub entries_ttl_ms: Option<String>,
+    /// See [`NodeSettings::slot_policy`].
+    #[options(
+        no_short,
+        meta = "POLICY",
+        help = "arbiter, or alone as a baseline for measurements [BERYLSTEP_SLOT_POLICY, default arbiter]"
+    )]
+    pub slot_policy: Option<String>,
+}
+
+/// Parses the command line and runs the command.
+pub fn run() -> ExitCode {
+    let options = CommandOptions::parse_args_default_or_exit();
+    match options.command {
+        Some(Subcommand::Serve(options)) => serve(&options),
+        Some(Subcommand::Version(_)) => {
+            println!("berylstep {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        None => {
+            eprintln!("no command given, see --help");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn serve(options: &ServeOptions) -> ExitCode {
+    let variables: Vec<_> = std::env::vars().collect();
+    let settings = match NodeSettings::resolve(options, &variables) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            for err in errors {
+                eprintln!("error: {err}");
+            }
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    logging::initialize();
+    match smol::block_on(node::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("node stopped: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/berylstep/src/config.rs
@@ -0,0 +1,5 @@
+//! Settings of the process, from flags and environment variables.
+
+pub mod settings;
+
+pub use settings::{NodeSettings, SettingError, SlotPolicy};
--- /dev/null
+++ b/berylstep/src/connections.rs
@@ -0,0 +1,107 @@
+//! Idle connections to upstreams and to the platform.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use berylstep_core::collections::HashMap;
+use berylstep_http::client::ConnectionReuse;
+use berylstep_http::{ClientAnswer, ClientConnection, ExchangeError};
+use http_types::Request;
+
+use crate::clock::RuntimeClock;
+
+/// Longest time a connection stays idle; below common connection-tracking limits.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+
+/// Idle connections kept for one address.
+const MAX_IDLE_PER_ADDRESS: usize = 64;
+
+/// Whether an exchange may use an idle connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// An idle connection or a new one.
+    Any,
+    /// A new connection, which the peer can't have closed before the request was sent.
+    Fresh,
+}
+
+/// Idle connections by address.
+#[derive(Debug)]
+pub struct ConnectionPool {
+    clock: RuntimeClock,
+    connect_timeout: Duration,
+    idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: ClientConnection,
+    idle_since: Duration,
+}
+
+impl ConnectionPool {
+    /// Makes an empty pool.
+    pub fn new(clock: RuntimeClock, connect_timeout: Duration) -> Self {
+        Self { clock, connect_timeout, idle: Mutex::default() }
+    }
+
+    /// Sends `request` to `address` and receives the head of the answer.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        choice: ConnectionChoice,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        let connection = match choice {
+            ConnectionChoice::Any => self.take_idle(address),
+            ConnectionChoice::Fresh => None,
+        };
+        let connection = match connection {
+            Some(connection) => connection,
+            None => self.connect(address).await?,
+        };
+        connection.exchange(request).await
+    }
+
+    /// Takes the connection of an answer back if the answer was read whole and clean.
+    pub fn give_back(&self, address: SocketAddr, reuse: ConnectionReuse) {
+        let Some(connection) = reuse.into_connection() else { return };
+        let idle_since = self.clock.now();
+        let mut idle = self.idle.lock().expect("connection pool lock");
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_PER_ADDRESS {
+            connections.push(IdleConnection { connection, idle_since });
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn close_expired(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().expect("connection pool lock");
+        idle.retain(|_, connections| {
+            connections.retain(|idle| now.saturating_sub(idle.idle_since) < MAX_IDLE);
+            !connections.is_empty()
+        });
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<ClientConnection, ExchangeError> {
+        let connecting = ClientConnection::connect(address);
+        let connected = self.clock.timeout(self.connect_timeout, connecting).await;
+        let timed_out = || ExchangeError::Connect(std::io::ErrorKind::TimedOut.into());
+        connected.unwrap_or_else(|| Err(timed_out()))
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<ClientConnection> {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().expect("connection pool lock");
+        let connections = idle.get_mut(&address)?;
+        while let Some(candidate) = connections.pop() {
+            let fresh = now.saturating_sub(candidate.idle_since) < MAX_IDLE;
+            if fresh && candidate.connection.is_open() {
+                return Some(candidate.connection);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/berylstep/src/entry.rs
@@ -0,0 +1,109 @@
+//! Listener for callers.
+
+pub mod endpoints;
+pub mod forward;
+pub mod relay;
+pub mod request;
+pub mod response;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylstep_core::refusal::{RefusalReason, RequestRefusal};
+use berylstep_http::server::ServeOutcome;
+use berylstep_http::{socket, ReceiveError, ReceivedRequest, ServerConnection};
+use http_types::{Method, Response};
+use smol::net::{TcpListener, TcpStream};
+
+use crate::node::{InFlightGuard, NodeContext};
+
+/// Longest wait for a whole request on an idle connection.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Wait after a failed accept, which is most often a lack of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Serves callers.
+pub async fn listen(node: Arc<NodeContext>, listener: TcpListener) {
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = ConnectionGuard::new(open.clone());
+                if connection.count > node.settings.max_connections {
+                    log::warn!("caller turned away: too many connections");
+                    continue;
+                }
+                smol::spawn(serve(node.clone(), stream, connection)).detach();
+            }
+            Err(err) => {
+                log::warn!("cannot accept a caller: {err}");
+                node.clock.sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Counts one open connection until dropped.
+struct ConnectionGuard {
+    open: Arc<AtomicUsize>,
+    count: usize,
+}
+
+impl ConnectionGuard {
+    fn new(open: Arc<AtomicUsize>) -> Self {
+        let count = open.fetch_add(1, Ordering::Relaxed) + 1;
+        Self { open, count }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(node: Arc<NodeContext>, stream: TcpStream, _guard: ConnectionGuard) {
+    if socket::configure(&stream).is_err() {
+        return;
+    }
+    let mut connection = ServerConnection::new(stream);
+    while connection.is_reusable() {
+        let receiving = connection.receive(node.settings.max_body_bytes);
+        match node.clock.timeout(RECEIVE_TIMEOUT, receiving).await {
+            Some(Ok(Some(received))) => serve_request(&node, &mut connection, received).await,
+            Some(Ok(None)) | None => return,
+            Some(Err(err)) => {
+                refuse_malformed(&mut connection, &err).await;
+                return;
+            }
+        }
+    }
+}
+
+async fn serve_request(
+    node: &Arc<NodeContext>,
+    connection: &mut ServerConnection,
+    received: ReceivedRequest,
+) {
+    let _in_flight = InFlightGuard::new(node.clone());
+    let method = received.request.method();
+    let path = received.request.url().path().to_owned();
+    let outcome = connection.serve(method, endpoints::respond(node, received)).await;
+    if outcome != ServeOutcome::Sent {
+        log::info!("answer not sent: path={path} outcome={outcome:?}");
+    }
+}
+
+async fn refuse_malformed(connection: &mut ServerConnection, err: &ReceiveError) {
+    let Some(status) = err.status() else { return };
+    let reason = match err {
+        ReceiveError::BodyTooLarge(_) => RefusalReason::BodyTooLarge,
+        _ => RefusalReason::BadRequest,
+    };
+    let refusal = RequestRefusal::not_run(reason, err.to_string());
+    let mut answer: Response = response::refusal(&refusal);
+    answer.set_status(http_types::StatusCode::try_from(status).expect("known status"));
+    connection.serve(Method::Post, async { answer }).await;
+}
--- /dev/null
+++ b/berylstep/src/entry/request.rs
@@ -0,0 +1,127 @@
+//! Finding out what a caller asks for: organisation, route and class.
+
+use std::sync::Arc;
+
+use berylstep_core::collections::SharedName;
+use berylstep_core::config::{ClassEntity, ConfigTable, RouteEntity};
+use berylstep_core::key::KeyHash;
+use berylstep_core::refusal::{RefusalReason, RequestRefusal};
+use berylstep_http::ReceivedRequest;
+use http_types::Request;
+use serde::Deserialize;
+
+use crate::node::NodeContext;
+
+/// Header by which a caller names one of the route's classes.
+pub const CLASS_HEADER: &str = "berylstep-class";
+
+/// Paths of the OpenAI-compatible model endpoints.
+const MODEL_PATHS: &[&str] = &["/v1/chat/completions", "/v1/completions"];
+
+/// Scheme of the `Authorization` header.
+const BEARER: &str = "Bearer ";
+
+/// The fields of a model request that routing needs.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct ModelFields {
+    /// Model.
+    #[serde(default)]
+    pub model: String,
+    /// Whether the answer is to be streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most output tokens.
+    #[serde(default)]
+    pub max_tokens: Option<u32>,
+}
+
+/// A caller's request with everything that was looked up for it.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Head of the request.
+    pub head: Request,
+    /// Whole body.
+    pub body: Arc<[u8]>,
+    /// Organisation whose key came with the request; `None` without a key, on open routes only.
+    pub organisation: Option<SharedName>,
+    /// Hash of the key that came with the request.
+    pub key: Option<KeyHash>,
+    /// Route.
+    pub route: Arc<RouteEntity>,
+    /// Class of work.
+    pub class: Arc<ClassEntity>,
+    /// Fields of a model request; `None` for plain services.
+    pub model: Option<ModelFields>,
+}
+
+/// Looks up organisation, route and class.
+pub fn resolve(
+    node: &NodeContext,
+    received: ReceivedRequest,
+) -> Result<CallerRequest, RequestRefusal> {
+    let ReceivedRequest { request, body } = received;
+    let config = node.config.read().expect("config lock");
+    let presented = presented_key(&request);
+    let key = presented.map(|key| KeyHash::of(&node.settings.site_secret, key));
+    let organisation = match &key {
+        Some(hash) => Some(config.organisation_of(hash).cloned().ok_or_else(bad_key)?),
+        None => None,
+    };
+    let (route, model) = find_route(&config, &request, &body)?;
+    if organisation.is_none() && !route.open {
+        return Err(bad_key());
+    }
+    let class = find_class(&config, &request, &route)?;
+    Ok(CallerRequest { head: request, body: body.into(), organisation, key, route, class, model })
+}
+
+/// Key in the request's headers.
+pub fn presented_key(request: &Request) -> Option<&str> {
+    if let Some(values) = request.header("authorization") {
+        return values.last().as_str().strip_prefix(BEARER).map(str::trim);
+    }
+    request.header("x-api-key").map(|values| values.last().as_str())
+}
+
+fn bad_key() -> RequestRefusal {
+    RequestRefusal::not_run(RefusalReason::BadKey, "the key is missing, unknown or withdrawn")
+}
+
+fn find_route(
+    config: &ConfigTable,
+    request: &Request,
+    body: &[u8],
+) -> Result<(Arc<RouteEntity>, Option<ModelFields>), RequestRefusal> {
+    let path = request.url().path();
+    if !MODEL_PATHS.contains(&path) {
+        let route = config.path_route(path).cloned();
+        let no_route = || RequestRefusal::not_run(RefusalReason::NoRoute, "no route for the path");
+        return Ok((route.ok_or_else(no_route)?, None));
+    }
+    let fields: ModelFields = serde_json::from_slice(body).map_err(|err| {
+        let message = format!("the body is not a valid model request: {err}");
+        RequestRefusal::not_run(RefusalReason::BadRequest, message)
+    })?;
+    let route = config.model_route(&fields.model).cloned().ok_or_else(|| {
+        let message = format!("there is no model {:?}", fields.model);
+        RequestRefusal::not_run(RefusalReason::NoRoute, message)
+    })?;
+    Ok((route, Some(fields)))
+}
+
+fn find_class(
+    config: &ConfigTable,
+    request: &Request,
+    route: &RouteEntity,
+) -> Result<Arc<ClassEntity>, RequestRefusal> {
+    let named = request.header(CLASS_HEADER).map(|values| values.last().as_str());
+    let name = match named {
+        Some(name) => route.classes.iter().find(|class| &***class == name),
+        None => route.classes.first(),
+    };
+    let class = name.and_then(|name| config.class(name)).cloned();
+    class.ok_or_else(|| {
+        let message = "the route has no such class";
+        RequestRefusal::not_run(RefusalReason::ClassNotAllowed, message)
+    })
+}
--- /dev/null
+++ b/berylstep/src/lib.rs
@@ -0,0 +1,18 @@
+//! The berylstep process: its command line, settings and the edges around the core's decisions.
+
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod connections;
+pub mod entry;
+pub mod logging;
+pub mod member;
+pub mod node;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod shutdown;
+pub mod slots;
+pub mod store;
+pub mod tail;
+pub mod upstream;
--- /dev/null
+++ b/berylstep/src/peer.rs
@@ -0,0 +1,122 @@
+//! Links between nodes: listening, dialling, pulses and dispatch.
+
+pub mod handshake;
+pub mod link;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylstep_core::collections::HashSet;
+use berylstep_core::member::PULSE_INTERVAL;
+use berylstep_wire::frame::Body;
+use berylstep_wire::Pulse;
+use smol::net::{TcpListener, TcpStream};
+
+pub use link::PeerMesh;
+
+use crate::node::NodeContext;
+
+/// Longest time to connect and authenticate.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between looks for members without a link.
+const DIAL_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Accepts links from other nodes.
+pub async fn listen(node: Arc<NodeContext>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => smol::spawn(accept(node.clone(), stream)).detach(),
+            Err(err) => {
+                log::warn!("cannot accept a peer link: {err}");
+                node.clock.sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn accept(node: Arc<NodeContext>, stream: TcpStream) {
+    let handshake = handshake::accept(&node, stream);
+    match node.clock.timeout(HANDSHAKE_TIMEOUT, handshake).await {
+        Some(Ok(session)) => link::run(node, session).await,
+        Some(Err(err)) => log::warn!("peer turned away: {err}"),
+        None => log::warn!("peer turned away: handshake timed out"),
+    }
+}
+
+/// Keeps one link to each member; the node with the lower name dials.
+pub async fn dial_members(node: Arc<NodeContext>) {
+    loop {
+        let linked: HashSet<_> = node.peers.connected().into_iter().collect();
+        let now = node.clock.now();
+        let targets: Vec<_> = {
+            let members = node.members();
+            let missing = members.all().filter(|member| {
+                member.row.node > node.settings.node && !linked.contains(&member.row.node)
+            });
+            missing.filter(|member| member.is_row_fresh(now)).map(|m| m.row.clone()).collect()
+        };
+        let dials =
+            targets.into_iter().map(|row| smol::spawn(dial(node.clone(), row.peer_address)));
+        let dials: Vec<_> = dials.collect();
+        for dial in dials {
+            dial.await;
+        }
+        node.clock.sleep(DIAL_INTERVAL).await;
+    }
+}
+
+async fn dial(node: Arc<NodeContext>, address: std::net::SocketAddr) {
+    let handshake = async {
+        let stream = TcpStream::connect(address).await?;
+        handshake::dial(&node, stream).await
+    };
+    match node.clock.timeout(HANDSHAKE_TIMEOUT, handshake).await {
+        Some(Ok(session)) => smol::spawn(link::run(node.clone(), session)).detach(),
+        Some(Err(err)) => log::debug!("cannot link: address={address} error={err}"),
+        None => log::debug!("cannot link: address={address} error=timeout"),
+    }
+}
+
+/// Sends a pulse on every link, for as long as the node runs.
+pub async fn send_pulses(node: Arc<NodeContext>) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        node.peers.broadcast(&Body::Pulse(pulse(&node, sequence)));
+        node.clock.sleep(PULSE_INTERVAL).await;
+    }
+}
+
+fn pulse(node: &NodeContext, sequence: u64) -> Pulse {
+    Pulse {
+        sequence,
+        leaving: node.state() == berylstep_core::member::MemberState::Leaving,
+        config_version: node.config.read().expect("config lock").version(),
+        in_flight: node.in_flight(),
+        store_age_ms: node.store_age().map_or(u64::MAX, |age| age.as_millis() as u64),
+        pools: Vec::new(),
+        upstreams: Vec::new(),
+    }
+}
+
+/// Hands a message from `from` to the part that it is for.
+pub fn dispatch(node: &Arc<NodeContext>, from: &str, body: Body) {
+    match body {
+        Body::Pulse(pulse) => {
+            let now = node.clock.now();
+            node.members().observe_pulse(now, from, pulse.leaving, pulse.in_flight);
+        }
+        Body::Challenge(_) | Body::Hello(_) => {
+            log::warn!("handshake message on an open link: peer={from}");
+        }
+        Body::SlotAsk(_)
+        | Body::SlotAnswer(_)
+        | Body::SlotReturn(_)
+        | Body::SlotRecall(_)
+        | Body::SlotReport(_)
+        | Body::ConfigEntries(_)
+        | Body::ConfigRequest(_)
+        | Body::UsageCopy(_) => {}
+    }
+}
--- /dev/null
+++ b/berylstep/src/upstream.rs
@@ -0,0 +1,90 @@
+//! The platform's list of upstreams, and their load reports.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylstep_core::upstream::{LoadReport, UpstreamEntry};
+use http_types::{Method, Request, Url};
+use serde::Deserialize;
+
+use crate::connections::ConnectionChoice;
+use crate::node::NodeContext;
+use crate::platform::{VmEntry, VmRole, VmState};
+
+/// Time between reads of the VM list.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between reads of an upstream's load.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest time for one read of an upstream's load.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Load as an upstream reports it.
+#[derive(Debug, Deserialize)]
+struct LoadMessage {
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    tokens_per_second: f64,
+}
+
+/// Keeps the table of upstreams up with the VM list, for as long as the node runs.
+pub async fn watch_list(node: Arc<NodeContext>) {
+    loop {
+        match node.platform.vms().await {
+            Ok(vms) => {
+                let listed = vms.into_iter().filter_map(upstream_entry).collect();
+                node.upstreams().observe_list(listed);
+            }
+            Err(err) => log::debug!("cannot read the VM list: {err}"),
+        }
+        node.clock.sleep(LIST_INTERVAL).await;
+    }
+}
+
+/// Reads the load of every upstream, for as long as the node runs.
+pub async fn poll_loads(node: Arc<NodeContext>) {
+    loop {
+        let listed: Vec<UpstreamEntry> = node.upstreams().all().cloned().collect();
+        for entry in listed {
+            smol::spawn(poll_load(node.clone(), entry)).detach();
+        }
+        node.connections.close_expired();
+        node.clock.sleep(LOAD_INTERVAL).await;
+    }
+}
+
+async fn poll_load(node: Arc<NodeContext>, entry: UpstreamEntry) {
+    let report = node.clock.timeout(LOAD_TIMEOUT, read_load(&node, &entry)).await;
+    if let Some(Some(report)) = report {
+        let now = node.clock.now();
+        node.upstreams().observe_load(now, &entry.id, report);
+    }
+}
+
+async fn read_load(node: &NodeContext, entry: &UpstreamEntry) -> Option<LoadReport> {
+    let url = Url::parse(&format!("http://{}/load", entry.address)).ok()?;
+    let request = Request::new(Method::Get, url);
+    let exchanged = node.connections.exchange(entry.address, request, ConnectionChoice::Any);
+    let mut answer = exchanged.await.ok()?;
+    let body = answer.response.body_bytes().await.ok()?;
+    node.connections.give_back(entry.address, answer.reuse);
+    let LoadMessage { running, waiting, tokens_per_second } = serde_json::from_slice(&body).ok()?;
+    Some(LoadReport { running, waiting, tokens_per_second })
+}
+
+fn upstream_entry(vm: VmEntry) -> Option<UpstreamEntry> {
+    if vm.role == VmRole::Entry {
+        return None;
+    }
+    Some(UpstreamEntry {
+        id: vm.id,
+        address: vm.address,
+        zone: vm.zone,
+        pool: vm.pool,
+        slots: vm.slots.max(1),
+        leaving: vm.state == VmState::Leaving,
+        load: None,
+    })
+}
