--- /dev/null
+++ b/berylstep_standins/src/lib.rs
@@ -0,0 +1,9 @@
+//! Small stand-ins for the systems around berylstep, for tests and for trying it out.
+
+pub mod client;
+pub mod engine;
+pub mod platform;
+pub mod process;
+pub mod serve;
+pub mod service;
+pub mod site;
--- /dev/null
+++ b/berylstep_standins/src/platform.rs
@@ -0,0 +1,237 @@
+//! Stand-in for the platform: table service, object store, VM list, orders and usage reports.
+//!
+//! Speaks the protocol of docs/PLATFORM.md. `POST /control/faults` sets faults, `POST /control/vms`
+//! replaces the VM list, and `GET /control/log` returns every order and usage report received.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use berylstep_http::ReceivedRequest;
+use http_types::{Method, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::serve;
+
+/// Faults in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlatformFaults {
+    /// Every call fails with status 503 and without effect.
+    pub down: bool,
+    /// Delay of each call, in milliseconds.
+    pub slow_ms: u64,
+    /// Number of writing calls that take effect and whose answers are lost.
+    pub lose_answers: u32,
+    /// Age of the VM list that callers see, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Whether orders and reports with an old fencing number are accepted.
+    pub ignore_fencing: bool,
+    /// Most VMs granted in one availability zone, pool and kind.
+    pub order_limit: Option<u32>,
+}
+
+/// A row with its version and the token of the write.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct TableRow {
+    key: String,
+    value: String,
+    version: u64,
+    token: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    token: String,
+    writes: Vec<RowWrite>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RowWrite {
+    key: String,
+    expect: Option<u64>,
+    value: Option<String>,
+}
+
+/// One order or usage report as received.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EffectRecord {
+    /// `order` or `usage`.
+    pub kind: String,
+    /// Message as received.
+    pub message: Value,
+    /// Whether it was accepted.
+    pub accepted: bool,
+}
+
+#[derive(Debug, Default)]
+struct PlatformState {
+    rows: BTreeMap<String, TableRow>,
+    revision: u64,
+    objects: BTreeMap<String, Vec<u8>>,
+    vms: VecDeque<(Instant, Value)>,
+    orders: BTreeMap<String, Value>,
+    newest_fencing: BTreeMap<String, u64>,
+    effects: Vec<EffectRecord>,
+    faults: PlatformFaults,
+}
+
+/// Serves the platform on `address`.
+pub async fn run(address: SocketAddr) -> std::io::Result<()> {
+    let state = Arc::new(Mutex::new(PlatformState::default()));
+    serve::serve(address, move |received| respond(state.clone(), received)).await
+}
+
+async fn respond(state: Arc<Mutex<PlatformState>>, received: ReceivedRequest) -> Response {
+    let path = received.request.url().path().to_owned();
+    let is_control = path.starts_with("/control/");
+    let faults = lock(&state).faults.clone();
+    if !is_control && faults.slow_ms > 0 {
+        smol::Timer::after(Duration::from_millis(faults.slow_ms)).await;
+    }
+    if !is_control && faults.down {
+        return serve::status(503);
+    }
+    let is_write = received.request.method() != Method::Get;
+    let response = lock(&state).handle(&path, &received);
+    if !is_control && is_write && lock(&state).take_lost_answer() {
+        return serve::status(504);
+    }
+    response.unwrap_or_else(|refusal| *refusal)
+}
+
+fn lock(state: &Mutex<PlatformState>) -> std::sync::MutexGuard<'_, PlatformState> {
+    state.lock().expect("platform lock")
+}
+
+impl PlatformState {
+    fn handle(
+        &mut self,
+        path: &str,
+        received: &ReceivedRequest,
+    ) -> Result<Response, Box<Response>> {
+        let request = &received.request;
+        let body = &received.body;
+        match (request.method(), path) {
+            (Method::Get, "/table/row") => {
+                Ok(serve::json(&json!({ "row": self.rows.get(&serve::query(request, "key")) })))
+            }
+            (Method::Get, "/table/scan") => Ok(self.scan(request)),
+            (Method::Post, "/table/transact") => Ok(self.transact(serve::parse(body)?)),
+            (Method::Get, "/vms") => Ok(serve::json(&self.listed_vms())),
+            (Method::Post, "/orders") => Ok(self.order(serve::parse(body)?)),
+            (Method::Get, "/orders") => {
+                Ok(serve::json(&self.orders.get(&serve::query(request, "order"))))
+            }
+            (Method::Post, "/usage") => Ok(self.usage(serve::parse(body)?)),
+            (Method::Post, "/control/faults") => {
+                self.faults = serve::parse(body)?;
+                Ok(serve::json(&self.faults))
+            }
+            (Method::Post, "/control/vms") => {
+                let vms = serve::parse(body)?;
+                self.vms.push_back((Instant::now(), vms));
+                Ok(serve::status(204))
+            }
+            (Method::Get, "/control/log") => Ok(serve::json(&self.effects)),
+            _ => Ok(self.object(received)),
+        }
+    }
+
+    fn object(&mut self, received: &ReceivedRequest) -> Response {
+        let path = received.request.url().path();
+        let Some(name) = path.strip_prefix("/objects/") else { return serve::status(404) };
+        if received.request.method() == Method::Put {
+            self.objects.insert(name.to_owned(), received.body.clone());
+            return serve::status(204);
+        }
+        let Some(content) = self.objects.get(name) else { return serve::status(404) };
+        let mut response = serve::status(200);
+        response.set_body(&content[..]);
+        response
+    }
+
+    fn scan(&self, request: &http_types::Request) -> Response {
+        let prefix = serve::query(request, "prefix");
+        let after = serve::query(request, "after");
+        let limit = serve::query(request, "limit").parse().unwrap_or(usize::MAX);
+        let start = std::cmp::max(&prefix, &after).clone();
+        let following = self.rows.range(start..).map(|(_, row)| row);
+        let inside = following.take_while(|row| row.key.starts_with(&prefix));
+        let rows: Vec<_> = inside.filter(|row| row.key > after).take(limit).collect();
+        serve::json(&json!({ "rows": rows }))
+    }
+
+    fn transact(&mut self, transaction: Transaction) -> Response {
+        let version_of = |key: &str| self.rows.get(key).map_or(0, |row| row.version);
+        let unexpected = transaction.writes.iter().filter(|write| {
+            write.expect.is_some_and(|expected| expected != version_of(&write.key))
+        });
+        let conflicts: Vec<_> = unexpected
+            .map(|write| json!({ "key": write.key, "row": self.rows.get(&write.key) }))
+            .collect();
+        if !conflicts.is_empty() {
+            return serve::json(&json!({ "committed": false, "conflicts": conflicts }));
+        }
+        self.revision += 1;
+        let version = self.revision;
+        for write in transaction.writes {
+            match write.value {
+                Some(value) => {
+                    let token = transaction.token.clone();
+                    let row = TableRow { key: write.key.clone(), value, version, token };
+                    self.rows.insert(write.key, row);
+                }
+                None => drop(self.rows.remove(&write.key)),
+            }
+        }
+        serve::json(&json!({ "committed": true }))
+    }
+
+    fn listed_vms(&mut self) -> Value {
+        let lag = Duration::from_millis(self.faults.list_lag_ms);
+        let is_visible = |listed: &(Instant, Value)| listed.0.elapsed() >= lag;
+        while self.vms.len() > 1 && is_visible(&self.vms[1]) {
+            self.vms.pop_front();
+        }
+        self.vms.front().map_or_else(|| json!([]), |(_, vms)| vms.clone())
+    }
+
+    fn order(&mut self, message: Value) -> Response {
+        let accepted = self.check_fencing("order", &message);
+        if !accepted {
+            return serve::status(409);
+        }
+        let order = message["order"].as_str().unwrap_or_default().to_owned();
+        let wanted = message["count"].as_u64().unwrap_or_default();
+        let limit = self.faults.order_limit.map_or(u64::MAX, u64::from);
+        let receipt = json!({ "order": order, "granted": wanted.min(limit) });
+        serve::json(self.orders.entry(order).or_insert(receipt))
+    }
+
+    fn usage(&mut self, message: Value) -> Response {
+        match self.check_fencing("usage", &message) {
+            true => serve::json(&Value::Null),
+            false => serve::status(409),
+        }
+    }
+
+    /// Records the message and says whether its fencing number is accepted.
+    fn check_fencing(&mut self, kind: &str, message: &Value) -> bool {
+        let fencing = message["fencing"].as_u64().unwrap_or_default();
+        let newest = self.newest_fencing.entry(kind.to_owned()).or_default();
+        let accepted = self.faults.ignore_fencing || fencing >= *newest;
+        *newest = fencing.max(*newest);
+        let record = EffectRecord { kind: kind.to_owned(), message: message.clone(), accepted };
+        self.effects.push(record);
+        accepted
+    }
+
+    fn take_lost_answer(&mut self) -> bool {
+        let lost = self.faults.lose_answers > 0;
+        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+        lost
+    }
+}
--- /dev/null
+++ b/berylstep_standins/src/serve.rs
@@ -0,0 +1,73 @@
+//! HTTP serving shared by the stand-ins.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use berylstep_http::{ReceivedRequest, ServerConnection};
+use http_types::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use smol::net::{TcpListener, TcpStream};
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Serves requests on `address`, each answered by `respond`; prints the bound address first.
+pub async fn serve<R, F>(address: SocketAddr, respond: R) -> std::io::Result<()>
+where
+    R: Fn(ReceivedRequest) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    println!("listening {}", listener.local_addr()?);
+    let respond = Arc::new(respond);
+    loop {
+        let (stream, _) = listener.accept().await?;
+        smol::spawn(serve_connection(stream, respond.clone())).detach();
+    }
+}
+
+async fn serve_connection<R, F>(stream: TcpStream, respond: Arc<R>)
+where
+    R: Fn(ReceivedRequest) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut connection = ServerConnection::new(stream);
+    while connection.is_reusable() {
+        let Ok(Some(received)) = connection.receive(MAX_BODY_BYTES).await else { return };
+        let method = received.request.method();
+        connection.serve(method, respond(received)).await;
+    }
+}
+
+/// Makes an answer with a JSON body.
+pub fn json(message: &impl Serialize) -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(serde_json::to_vec(message).expect("messages are valid JSON"));
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+/// Makes an answer without content.
+pub fn status(status: u16) -> Response {
+    Response::new(StatusCode::try_from(status).expect("known status"))
+}
+
+/// Parses a JSON body, or makes the answer that refuses it.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Response>> {
+    serde_json::from_slice(body).map_err(|err| {
+        let mut response = status(400);
+        response.set_body(err.to_string());
+        Box::new(response)
+    })
+}
+
+/// Value of a query parameter; empty where it is absent.
+pub fn query(request: &Request, name: &str) -> String {
+    let mut pairs = request.url().query_pairs();
+    pairs.find(|(key, _)| key == name).map_or(String::new(), |(_, value)| value.into_owned())
+}
