Fix the contracts that parts share: slots, usage, relay

Cause: slots, usage and requests are to be built side by side. Ruled out: changing the callers once each part is there, which would touch the same lines twice. Change: slot requests carry tier, deadline and idempotence, guards can be recalled and finished, usage has an event; a TCP relay for tests holds, cuts and delays a path. Conclusion: the parts now meet at these types.

--- a/berylstep/src/entry/forward.rs
+++ b/berylstep/src/entry/forward.rs
@@ -51,6 +51,11 @@
     let mut ask = SlotRequest {
         pool: request.route.pool.clone(),
         class: request.class.name.clone(),
+        tier: request.class.tier,
+        deadline,
+        max_tokens: request.model.as_ref().and_then(|model| model.max_tokens),
+        prefix_hash: 0,
+        idempotent,
         organisation: request.organisation.clone().unwrap_or_else(|| "".into()),
         excluded: Vec::new(),
     };
--- a/berylstep/src/lib.rs
+++ b/berylstep/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod store;
 pub mod tail;
 pub mod upstream;
+pub mod usage;
--- a/berylstep/src/slots.rs
+++ b/berylstep/src/slots.rs
@@ -1,6 +1,7 @@
 //! Slots on upstreams, one for each attempt.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::refusal::{RefusalReason, RequestRefusal};
@@ -15,8 +16,18 @@
     pub pool: SharedName,
     /// Class of work.
     pub class: SharedName,
+    /// Tier of the class: 1 is the highest.
+    pub tier: u8,
     /// Organisation that asks; empty on open routes.
     pub organisation: SharedName,
+    /// Time on the node's clock at which the request is given up.
+    pub deadline: Duration,
+    /// Most output tokens, as the request states them.
+    pub max_tokens: Option<u32>,
+    /// Hash of the part of the prompt that others may share; 0 where there is none.
+    pub prefix_hash: u64,
+    /// Whether the work may be sent again, and so be preempted.
+    pub idempotent: bool,
     /// Upstreams that were tried and failed.
     pub excluded: Vec<SharedName>,
 }
@@ -53,6 +64,28 @@
     }
 }
 
+impl SlotGuard {
+    /// Notes that the first byte of the answer has gone to the caller; no preemption after that.
+    pub fn note_started(&mut self) {}
+
+    /// Resolves when the slot is taken back for work of a higher tier.
+    pub async fn recalled(&self) {
+        std::future::pending().await
+    }
+
+    /// Returns the slot with what the attempt used.
+    pub fn finish(self, _outcome: SlotOutcome) {}
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotOutcome {
+    /// Output tokens generated.
+    pub tokens: u32,
+    /// Whether the upstream failed.
+    pub failed: bool,
+}
+
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         self.node.slots.put_back(&self.upstream.id);
--- a/berylstep_standins/src/lib.rs
+++ b/berylstep_standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod platform;
 pub mod process;
+pub mod relay;
 pub mod serve;
 pub mod service;
 pub mod site;
