Add metrics and the service-level burn report over all nodes

Cause: operators ask how fast each class uses up the misses its target allows, over all nodes. Ruled out: rows in the table service for each minute and node (thousands at fleet size); a gauge per window, which can't be summed over nodes. Change: counts in two rings of buckets per class; a node gathers the others' counts over peer links and says how many answered; a stopping node hands its counts to a peer. Metrics at /metrics. Conclusion: counts of a killed node are lost; the report's `nodes` and `counted_s` say what it covers.

--- a/berylstep/src/lib.rs
+++ b/berylstep/src/lib.rs
@@ -1,5 +1,6 @@
 //! The berylstep process: its command line, settings and the edges around the core's decisions.
 
+pub mod burn;
 pub mod cli;
 pub mod clock;
 pub mod config;
@@ -7,7 +8,9 @@
 pub mod entry;
 pub mod logging;
 pub mod member;
+pub mod metrics;
 pub mod node;
+pub mod observer;
 pub mod operator;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/berylstep/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Metrics of one node, in the text format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+use crate::node::NodeContext;
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS: &[f64] =
+    &[0.01, 0.025, 0.05, 0.1, 0.2, 0.44, 0.7, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0];
+
+/// Metrics of one node.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    /// Ended requests by class and outcome.
+    pub requests: IntCounterVec,
+    /// Time from arrival to the first byte of the answer, in seconds, by class.
+    pub first_byte: HistogramVec,
+    /// Ended requests by class and by whether they met the class's target.
+    pub targets: IntCounterVec,
+    /// Attempts at upstreams that failed, by pool.
+    pub failed_attempts: IntCounterVec,
+    /// Output tokens delivered, by class.
+    pub output_tokens: IntCounterVec,
+    /// Peer links that were turned away.
+    pub rejected_peers: IntCounter,
+    in_flight: IntGauge,
+    live_members: IntGauge,
+    config_version: IntGauge,
+    store_age: IntGauge,
+    isolated: IntGauge,
+    class_target: IntGaugeVec,
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        Self::new().expect("names and labels of metrics are valid")
+    }
+}
+
+impl NodeMetrics {
+    fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name, help, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name, help| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let requests = counters(
+            "berylstep_requests_total",
+            "Ended requests by class and outcome.",
+            &["class", "outcome"],
+        )?;
+        let targets = counters(
+            "berylstep_targets_total",
+            "Ended requests by class and whether they met its target.",
+            &["class", "result"],
+        )?;
+        let failed_attempts = counters(
+            "berylstep_failed_attempts_total",
+            "Attempts at upstreams that failed, by pool.",
+            &["pool"],
+        )?;
+        let output_tokens = counters(
+            "berylstep_output_tokens_total",
+            "Output tokens delivered, by class.",
+            &["class"],
+        )?;
+        let first_byte_opts = HistogramOpts::new(
+            "berylstep_first_byte_seconds",
+            "Time from arrival to the first byte of the answer, by class.",
+        );
+        let first_byte =
+            HistogramVec::new(first_byte_opts.buckets(LATENCY_BUCKETS.to_vec()), &["class"])?;
+        registry.register(Box::new(first_byte.clone()))?;
+        let rejected_peers =
+            IntCounter::new("berylstep_rejected_peers_total", "Peer links turned away.")?;
+        registry.register(Box::new(rejected_peers.clone()))?;
+        let class_target = IntGaugeVec::new(
+            Opts::new("berylstep_class_target_ms", "Latency target of a class."),
+            &["class"],
+        )?;
+        registry.register(Box::new(class_target.clone()))?;
+        Ok(Self {
+            requests,
+            first_byte,
+            targets,
+            failed_attempts,
+            output_tokens,
+            rejected_peers,
+            in_flight: gauge("berylstep_in_flight", "Requests in progress.")?,
+            live_members: gauge("berylstep_live_members", "Nodes that live, this one included.")?,
+            config_version: gauge("berylstep_config_version", "Configuration version in force.")?,
+            store_age: gauge(
+                "berylstep_store_age_ms",
+                "Time since the table service last answered; -1 before its first answer.",
+            )?,
+            isolated: gauge(
+                "berylstep_isolated",
+                "1 where keyed work is refused for want of contact with table service and peers.",
+            )?,
+            class_target,
+            registry,
+        })
+    }
+
+    /// Writes all metrics in the text format.
+    pub fn render(&self, node: &NodeContext) -> String {
+        self.update(node);
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        encoded.expect("metrics are valid and a vector takes every byte");
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    fn update(&self, node: &NodeContext) {
+        self.in_flight.set(node.in_flight().into());
+        self.live_members.set(node.members().live(node.clock.now()).count() as i64);
+        let age_ms = |age: Duration| age.as_millis() as i64;
+        self.store_age.set(node.store_age().map_or(-1, age_ms));
+        self.isolated.set(node.is_isolated().into());
+        let config = node.config.read().expect("config lock");
+        self.config_version.set(config.version() as i64);
+        self.class_target.reset();
+        for class in config.classes() {
+            self.class_target.with_label_values(&[&*class.name]).set(class.latency_ms as i64);
+        }
+    }
+}
--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -10,14 +10,16 @@
 use displaydoc::Display;
 use smol::net::TcpListener;
 
+use crate::burn::BurnLedger;
 use crate::clock::RuntimeClock;
 use crate::config::NodeSettings;
 use crate::connections::ConnectionPool;
+use crate::metrics::NodeMetrics;
 use crate::peer::PeerMesh;
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
-use crate::{entry, member, operator, peer, shutdown, tail, upstream};
+use crate::{burn, entry, member, operator, peer, shutdown, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -56,6 +58,10 @@
     pub peers: PeerMesh,
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+    /// Service-level counts.
+    pub burn: BurnLedger,
     incarnation: AtomicU64,
     leaving: AtomicBool,
     in_flight: AtomicU32,
@@ -77,6 +83,8 @@
             slots: SlotBroker::default(),
             peers: PeerMesh::default(),
             connections,
+            metrics: NodeMetrics::default(),
+            burn: BurnLedger::default(),
             incarnation: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
@@ -188,6 +196,7 @@
     shutdown::wait(signals).await;
     drain(&node).await;
     drop(entry_task);
+    burn::hand_over(&node);
     member::leave(&node).await;
     log::info!("node stopped: node={}", node.settings.node);
     Ok(())
--- a/berylstep/src/operator.rs
+++ b/berylstep/src/operator.rs
@@ -13,7 +13,7 @@
 
 use crate::node::NodeContext;
 use crate::platform::{TableTransaction, TableWrite};
-use crate::{store, tail};
+use crate::{burn, store, tail};
 
 /// Largest body of an operator's request, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -84,10 +84,16 @@
     if path == "/healthz" {
         return text(200, "ok\n");
     }
+    if path == "/metrics" {
+        return text(200, &node.metrics.render(node));
+    }
     if !is_operator(node, request) {
         return text(401, "operator key is missing or wrong\n");
     }
     match (request.method(), &*path) {
+        (Method::Get, "/operator/burn") => {
+            crate::entry::response::json(200, &burn::report(node).await)
+        }
         (Method::Post, "/operator/apply") => apply(node, &received.body).await,
         _ => text(404, "no such operation\n"),
     }
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -14,6 +14,7 @@
 
 pub use link::PeerMesh;
 
+use crate::burn;
 use crate::node::NodeContext;
 
 /// Longest time to connect and authenticate.
@@ -39,7 +40,10 @@
     let handshake = handshake::accept(&node, stream);
     match node.clock.timeout(HANDSHAKE_TIMEOUT, handshake).await {
         Some(Ok(session)) => link::run(node, session).await,
-        Some(Err(err)) => log::warn!("peer turned away: {err}"),
+        Some(Err(err)) => {
+            node.metrics.rejected_peers.inc();
+            log::warn!("peer turned away: {err}");
+        }
         None => log::warn!("peer turned away: handshake timed out"),
     }
 }
@@ -110,6 +114,9 @@
         Body::Challenge(_) | Body::Hello(_) => {
             log::warn!("handshake message on an open link: peer={from}");
         }
+        Body::BurnRequest(request) => burn::reply(node, from, &request),
+        Body::BurnReply(reply) => burn::receive(node, reply),
+        Body::BurnHandover(handover) => burn::inherit(node, handover),
         Body::SlotAsk(_)
         | Body::SlotAnswer(_)
         | Body::SlotReturn(_)
--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is free of I/O: entities stand in tables, systems run over them each tick, and
 //! the current time is an argument.
 
+pub mod burn;
 pub mod collections;
 pub mod config;
 pub mod key;
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -2,7 +2,10 @@
 /// One length-delimited frame on a peer link.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "frame::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "frame::Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22"
+    )]
     pub body: ::core::option::Option<frame::Body>,
 }
 /// Nested message and enum types in `Frame`.
@@ -31,6 +34,12 @@
         ConfigRequest(super::ConfigRequest),
         #[prost(message, tag = "11")]
         UsageCopy(super::UsageCopy),
+        #[prost(message, tag = "20")]
+        BurnRequest(super::BurnRequest),
+        #[prost(message, tag = "21")]
+        BurnReply(super::BurnReply),
+        #[prost(message, tag = "22")]
+        BurnHandover(super::BurnHandover),
     }
 }
 /// First frame of the accepting side.
@@ -251,3 +260,57 @@
     #[prost(uint64, tag = "5")]
     pub output_tokens: u64,
 }
+/// Asks for the receiver's service-level counts.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct BurnRequest {
+    #[prost(uint64, tag = "1")]
+    pub report: u64,
+}
+/// The sender's service-level counts.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BurnReply {
+    #[prost(uint64, tag = "1")]
+    pub report: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub classes: ::prost::alloc::vec::Vec<ClassBurn>,
+    /// Time for which the sender has counted, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub counted_ms: u64,
+}
+/// Counts of one class, one entry for each window of a report.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ClassBurn {
+    #[prost(string, tag = "1")]
+    pub class: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub windows: ::prost::alloc::vec::Vec<BurnSpan>,
+}
+/// Requests within one span of time.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct BurnSpan {
+    #[prost(uint64, tag = "1")]
+    pub met: u64,
+    #[prost(uint64, tag = "2")]
+    pub missed: u64,
+}
+/// Counts of a node that stops, for the receiver to keep.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BurnHandover {
+    #[prost(message, repeated, tag = "1")]
+    pub buckets: ::prost::alloc::vec::Vec<BurnBucket>,
+    #[prost(uint64, tag = "2")]
+    pub counted_ms: u64,
+}
+/// One bucket of counts.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct BurnBucket {
+    #[prost(string, tag = "1")]
+    pub class: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub coarse: bool,
+    /// Number of buckets that have begun since this one.
+    #[prost(uint64, tag = "3")]
+    pub age: u64,
+    #[prost(message, optional, tag = "4")]
+    pub span: ::core::option::Option<BurnSpan>,
+}
