--- a/berylstep/src/cli.rs
+++ b/berylstep/src/cli.rs
@@ -157,6 +157,13 @@
     pub slot_policy: Option<String>,
 }
 
+impl ServeOptions {
+    /// Help text of the flags.
+    pub fn usage_text() -> &'static str {
+        Self::usage()
+    }
+}
+
 /// Parses the command line and runs the command.
 pub fn run() -> ExitCode {
     let options = CommandOptions::parse_args_default_or_exit();
--- a/berylstep_core/src/refusal.rs
+++ b/berylstep_core/src/refusal.rs
@@ -58,6 +58,24 @@
 }
 
 impl RefusalReason {
+    /// All reasons.
+    pub const ALL: [Self; 14] = [
+        Self::BadRequest,
+        Self::BadKey,
+        Self::ClassNotAllowed,
+        Self::NoRoute,
+        Self::BodyTooLarge,
+        Self::OverLimit,
+        Self::QueueFull,
+        Self::Deadline,
+        Self::NoUpstream,
+        Self::Isolated,
+        Self::StoreDown,
+        Self::Duplicate,
+        Self::UpstreamFailed,
+        Self::Stopping,
+    ];
+
     /// Machine-readable code, the `code` field of an error body.
     pub fn code(self) -> &'static str {
         match self {
