--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod collections;
 pub mod config;
 pub mod key;
+pub mod lease;
 pub mod member;
 pub mod refusal;
 pub mod rendezvous;
