Make the engine stand-in batch, cache, cancel and resume

Cause: the policy, resuming and the measurements need engines that behave like engines. Ruled out: generating from the engine's name, since no other engine could then continue an answer; counting positions, since completions append the text to the prompt without saying where it begins. Change: one iteration loop for all running sequences, whose time grows with the batch and with uncached prompt tokens; each token follows from all text before it, so any engine continues any answer; queue by priority; prefix cache of limited blocks; lagging load reports; faults (slow, silent, crash, break, errors, late, crossed). Services take faults too (late, lost answer, errors, crash). Conclusion: failures of engines can now be produced by tests.

--- a/berylstep_standins/src/bin/standin.rs
+++ b/berylstep_standins/src/bin/standin.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use berylstep_standins::engine::EngineSettings;
+use berylstep_standins::service::ServiceSettings;
 use berylstep_standins::{engine, platform, service};
 use gumdrop::Options;
 
@@ -41,8 +42,24 @@
     listen: Option<SocketAddr>,
     #[options(no_short, help = "name, which answers carry", default = "engine")]
     name: String,
-    #[options(no_short, help = "milliseconds for a token", default = "5")]
+    #[options(no_short, help = "milliseconds for an iteration of one sequence", default = "5")]
     token_ms: u64,
+    #[options(no_short, help = "microseconds that each further sequence adds", default = "100")]
+    batch_us: u64,
+    #[options(no_short, help = "microseconds for an uncached prompt token", default = "20")]
+    prefill_us: u64,
+    #[options(no_short, help = "largest batch", default = "8")]
+    slots: usize,
+    #[options(no_short, help = "blocks of 128 bytes in the prefix cache", default = "4096")]
+    cache_blocks: usize,
+    #[options(no_short, help = "mean output length in tokens, 0 for the limit", default = "0")]
+    mean_tokens: u64,
+    #[options(no_short, help = "seed of output lengths and errors", default = "0")]
+    seed: u64,
+    #[options(no_short, help = "age of load reports in milliseconds", default = "0")]
+    load_lag_ms: u64,
+    #[options(no_short, help = "answers can't be continued")]
+    no_resume: bool,
 }
 
 #[derive(Debug, Options)]
@@ -52,6 +69,8 @@
     listen: Option<SocketAddr>,
     #[options(no_short, help = "name, which answers carry", default = "service")]
     name: String,
+    #[options(no_short, help = "milliseconds for a call", default = "0")]
+    delay_ms: u64,
 }
 
 fn main() -> ExitCode {
@@ -73,12 +92,28 @@
             platform::run(options.listen.expect("address is required")).await
         }
         Standin::Engine(options) => {
-            let EngineOptions { listen, name, token_ms, .. } = options;
-            engine::run(listen.expect("address is required"), EngineSettings { name, token_ms })
-                .await
+            let listen = options.listen.expect("address is required");
+            engine::run(listen, engine_settings(options)).await
         }
         Standin::Service(options) => {
-            service::run(options.listen.expect("address is required"), options.name).await
+            let ServiceOptions { listen, name, delay_ms, .. } = options;
+            let listen = listen.expect("address is required");
+            service::run(listen, ServiceSettings { name, delay_ms }).await
         }
     }
 }
+
+fn engine_settings(options: EngineOptions) -> EngineSettings {
+    EngineSettings {
+        name: options.name,
+        token_ms: options.token_ms,
+        batch_us: options.batch_us,
+        prefill_us: options.prefill_us,
+        slots: options.slots.max(1),
+        cache_blocks: options.cache_blocks,
+        mean_tokens: options.mean_tokens,
+        seed: options.seed,
+        load_lag_ms: options.load_lag_ms,
+        resumable: !options.no_resume,
+    }
+}
--- a/berylstep_standins/src/engine.rs
+++ b/berylstep_standins/src/engine.rs
@@ -1,64 +1,134 @@
-//! Stand-in for a model engine.
+//! Stand-in for a model engine: continuous batching, prefix cache, priorities, cancel and resume.
+//!
+//! `POST /control/faults` sets faults, `GET /control/requests` returns every request received, and
+//! `GET /control/stats` returns counts.
 
+mod answer;
+mod batch;
+mod cache;
+mod call;
+mod text;
+
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use berylstep_http::{produced_body, BodySender, ReceivedRequest};
 use http_types::{Method, Response};
 use serde::{Deserialize, Serialize};
-use serde_json::{json, Value};
+use serde_json::json;
+
+pub use self::batch::{EngineLoad, EngineStats};
+pub use crate::record::{record, ReceivedRecord};
 
+use self::answer::AnswerFrame;
+use self::batch::{EngineBatch, SequenceEvent, SequenceHandle};
+use self::call::{CompletionBody, CompletionCall, CompletionKind};
 use crate::serve;
 
-/// Output tokens where the request names no limit.
-const DEFAULT_TOKENS: u64 = 16;
+/// Header that ties an answer to its request.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Header that tells whether a broken answer can be continued.
+const RESUMABLE_HEADER: &str = "x-resumable";
+
+/// Time between the samples from which lagging load reports are made.
+const LOAD_SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Settings of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
-    /// Name, which answers carry.
+    /// Name, which `/control/stats` carries.
     pub name: String,
-    /// Time for one token, in milliseconds.
+    /// Time of one iteration with one sequence, in milliseconds.
     pub token_ms: u64,
+    /// Time that each further sequence adds to an iteration, in microseconds.
+    pub batch_us: u64,
+    /// Time to compute one prompt token that is not cached, in microseconds.
+    pub prefill_us: u64,
+    /// Largest batch.
+    pub slots: usize,
+    /// Blocks of prompt text kept in the prefix cache.
+    pub cache_blocks: usize,
+    /// Mean output length, in tokens; 0 generates as many as the request allows.
+    pub mean_tokens: u64,
+    /// Seed of output lengths and errors.
+    pub seed: u64,
+    /// Age of load reports, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Whether answers can be continued.
+    pub resumable: bool,
 }
 
-/// A request as the engine received it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ReceivedRecord {
-    /// Path.
-    pub path: String,
-    /// Headers.
-    pub headers: Vec<(String, String)>,
-    /// Body.
-    pub body: String,
+/// Faults in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Factor by which iterations take longer.
+    pub slow_factor: f64,
+    /// Completions and load reports stand still, new and old, while connections stay open.
+    pub silent: bool,
+    /// The process ends once it has generated this many tokens since its start.
+    pub crash_after_tokens: Option<u64>,
+    /// Each stream breaks off after this many tokens, while the process goes on.
+    pub break_after_tokens: Option<u64>,
+    /// Share of completions answered with status 500, from 0 to 1.
+    pub error_rate: f64,
+    /// Delay before the head of each completion, in milliseconds.
+    pub late_ms: u64,
+    /// Answers carry another request's identifier.
+    pub crossed: bool,
 }
 
-/// Makes the record of a request.
-pub fn record(received: &ReceivedRequest) -> ReceivedRecord {
-    let request = &received.request;
-    let headers = request.iter().map(|(name, values)| {
-        (name.as_str().to_owned(), values.iter().map(|v| v.as_str()).collect::<Vec<_>>().join(","))
-    });
-    ReceivedRecord {
-        path: request.url().path().to_owned(),
-        headers: headers.collect(),
-        body: String::from_utf8_lossy(&received.body).into_owned(),
+impl Default for EngineFaults {
+    fn default() -> Self {
+        Self {
+            slow_factor: 1.0,
+            silent: false,
+            crash_after_tokens: None,
+            break_after_tokens: None,
+            error_rate: 0.0,
+            late_ms: 0,
+            crossed: false,
+        }
+    }
+}
+
+impl EngineFaults {
+    fn crash_due(&self, generated: u64) -> bool {
+        self.crash_after_tokens.is_some_and(|limit| generated >= limit)
     }
 }
 
 #[derive(Debug)]
 struct EngineState {
     settings: EngineSettings,
-    running: AtomicU32,
+    faults: Arc<Mutex<EngineFaults>>,
+    batch: EngineBatch,
     records: Mutex<Vec<ReceivedRecord>>,
+    random: Mutex<fastrand::Rng>,
+    reports: Mutex<VecDeque<(Instant, EngineLoad)>>,
+    answers: AtomicU64,
 }
 
 /// Serves an engine on `address`.
 pub async fn run(address: SocketAddr, settings: EngineSettings) -> std::io::Result<()> {
-    let running = AtomicU32::new(0);
-    let state = Arc::new(EngineState { settings, running, records: Mutex::default() });
+    let faults = Arc::new(Mutex::new(EngineFaults::default()));
+    let state = Arc::new(EngineState {
+        batch: EngineBatch::new(settings.clone(), faults.clone()),
+        random: Mutex::new(fastrand::Rng::with_seed(settings.seed)),
+        settings,
+        faults,
+        records: Mutex::default(),
+        reports: Mutex::default(),
+        answers: AtomicU64::new(1),
+    });
+    let batch_state = state.clone();
+    let _batch_task = smol::spawn(async move { batch_state.batch.run().await });
+    let sample_state = state.clone();
+    let _sample_task = smol::spawn(async move { sample_state.sample_loads().await });
     serve::serve(address, move |received| respond(state.clone(), received)).await
 }
 
@@ -66,90 +136,158 @@
     let path = received.request.url().path();
     match (received.request.method(), path) {
         (Method::Get, "/load") => {
-            let running = state.running.load(Ordering::Relaxed);
-            serve::json(&json!({ "running": running, "waiting": 0 }))
+            state.wait_while_silent().await;
+            serve::json(&state.reported_load())
         }
         (Method::Get, "/control/requests") => {
             serve::json(&*state.records.lock().expect("record lock"))
         }
-        (Method::Post, "/v1/chat/completions" | "/v1/completions") => {
-            state.records.lock().expect("record lock").push(record(&received));
-            complete(state, received).await
+        (Method::Get, "/control/stats") => serve::json(&state.batch.stats()),
+        (Method::Post, "/control/faults") => state.set_faults(&received.body),
+        (Method::Post, "/v1/chat/completions") => {
+            complete(state, CompletionKind::Chat, received).await
         }
+        (Method::Post, "/v1/completions") => complete(state, CompletionKind::Text, received).await,
         _ => serve::status(404),
     }
 }
 
-async fn complete(state: Arc<EngineState>, received: ReceivedRequest) -> Response {
-    let body: Value = match serve::parse(&received.body) {
+async fn complete(
+    state: Arc<EngineState>,
+    kind: CompletionKind,
+    received: ReceivedRequest,
+) -> Response {
+    state.records.lock().expect("record lock").push(record(&received));
+    let body: CompletionBody = match serve::parse(&received.body) {
         Ok(body) => body,
         Err(refusal) => return *refusal,
     };
-    let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
-    let request_id = received.request.header("x-request-id").map(|v| v.last().to_string());
-    let streamed = body["stream"].as_bool().unwrap_or_default();
-    let running = RunningGuard::new(state);
-    let mut response = match streamed {
-        true => {
-            let mut response = serve::status(200);
-            response.set_body(produced_body(None, move |sender| stream(running, sender, tokens)));
-            response.insert_header("content-type", "text/event-stream");
-            response
-        }
-        false => {
-            running.generate(tokens).await;
-            let text: String = (0..tokens).map(|index| running.token(index)).collect();
-            let message = json!({ "role": "assistant", "content": text });
-            let choice = json!({ "index": 0, "message": message, "finish_reason": "length" });
-            let usage = json!({ "prompt_tokens": 1, "completion_tokens": tokens });
-            serve::json(&json!({ "choices": [choice], "usage": usage }))
-        }
+    let call = CompletionCall::new(kind, body);
+    state.wait_while_silent().await;
+    let faults = state.faults();
+    if faults.late_ms > 0 {
+        smol::Timer::after(Duration::from_millis(faults.late_ms)).await;
+    }
+    if state.random.lock().expect("random lock").f64() < faults.error_rate {
+        return serve::status(500);
+    }
+    if call.continues && !state.settings.resumable {
+        return serve::status(400);
+    }
+    let handle = state.batch.submit(&call);
+    let number = state.answers.fetch_add(1, Ordering::Relaxed);
+    let frame = AnswerFrame::new(&call, number, handle.cached_tokens);
+    let mut response = match call.stream {
+        true => streamed(frame, handle, faults.break_after_tokens),
+        false => whole(&frame, &handle).await,
     };
-    if let Some(request_id) = request_id {
-        response.insert_header("x-request-id", request_id);
+    if let Some(values) = received.request.header(REQUEST_ID_HEADER) {
+        let id = values.last().as_str();
+        match faults.crossed {
+            true => response.insert_header(REQUEST_ID_HEADER, format!("{id}-other")),
+            false => response.insert_header(REQUEST_ID_HEADER, id),
+        };
     }
+    response.insert_header(RESUMABLE_HEADER, state.settings.resumable.to_string());
     response
 }
 
-async fn stream(running: RunningGuard, sender: BodySender, tokens: u64) {
-    for index in 0..tokens {
-        running.generate(1).await;
-        let delta = json!({ "index": 0, "delta": { "content": running.token(index) } });
-        let event = format!("data: {}\n\n", json!({ "choices": [delta] }));
-        if sender.send(event.into_bytes()).await.is_err() {
-            return;
+async fn whole(frame: &AnswerFrame, handle: &SequenceHandle) -> Response {
+    let (mut text, mut tokens) = (String::new(), 0);
+    while let Ok(event) = handle.events.recv().await {
+        match event {
+            SequenceEvent::Token(token) => {
+                text.push_str(&token);
+                tokens += 1;
+            }
+            SequenceEvent::Finished(reason) => {
+                return serve::json(&frame.whole(&text, reason, tokens));
+            }
         }
     }
-    let usage = json!({ "prompt_tokens": 1, "completion_tokens": tokens });
-    let last = format!("data: {}\n\ndata: [DONE]\n\n", json!({ "choices": [], "usage": usage }));
-    if sender.send(last.into_bytes()).await.is_ok() {
-        sender.finish();
-    }
+    serve::status(500)
 }
 
-/// Counts one running request until dropped.
-struct RunningGuard {
-    state: Arc<EngineState>,
+fn streamed(frame: AnswerFrame, handle: SequenceHandle, break_after: Option<u64>) -> Response {
+    let mut response = serve::status(200);
+    let body = produced_body(None, move |sender| stream(frame, handle, sender, break_after));
+    response.set_body(body);
+    response.insert_header("content-type", "text/event-stream");
+    response
 }
 
-impl RunningGuard {
-    fn new(state: Arc<EngineState>) -> Self {
-        state.running.fetch_add(1, Ordering::Relaxed);
-        Self { state }
+async fn stream(
+    frame: AnswerFrame,
+    handle: SequenceHandle,
+    sender: BodySender,
+    break_after: Option<u64>,
+) {
+    let mut tokens = 0;
+    while let Ok(event) = handle.events.recv().await {
+        if break_after.is_some_and(|limit| tokens >= limit) {
+            return;
+        }
+        let bytes = match event {
+            SequenceEvent::Token(token) => frame.token_event(&token, tokens == 0),
+            SequenceEvent::Finished(reason) => {
+                if sender.send(frame.end_events(reason, tokens).into_bytes()).await.is_ok() {
+                    sender.finish();
+                }
+                return;
+            }
+        };
+        tokens += 1;
+        if sender.send(bytes.into_bytes()).await.is_err() {
+            return;
+        }
     }
+}
 
-    async fn generate(&self, tokens: u64) {
-        let wait = Duration::from_millis(self.state.settings.token_ms * tokens);
-        smol::Timer::after(wait).await;
+impl EngineState {
+    fn faults(&self) -> EngineFaults {
+        self.faults.lock().expect("fault lock").clone()
     }
 
-    fn token(&self, index: u64) -> String {
-        format!("{}-{index} ", self.state.settings.name)
+    fn set_faults(&self, body: &[u8]) -> Response {
+        let faults: EngineFaults = match serve::parse(body) {
+            Ok(faults) => faults,
+            Err(refusal) => return *refusal,
+        };
+        *self.faults.lock().expect("fault lock") = faults.clone();
+        serve::json(&json!({ "name": self.settings.name, "faults": faults }))
+    }
+
+    async fn wait_while_silent(&self) {
+        while self.faults().silent {
+            smol::Timer::after(LOAD_SAMPLE_INTERVAL).await;
+        }
+    }
+
+    /// Load as it stood one lag ago.
+    fn reported_load(&self) -> EngineLoad {
+        if self.settings.load_lag_ms == 0 {
+            return self.batch.load();
+        }
+        let reports = self.reports.lock().expect("report lock");
+        reports.front().map_or(EngineLoad::default(), |(_, load)| *load)
     }
-}
 
-impl Drop for RunningGuard {
-    fn drop(&mut self) {
-        self.state.running.fetch_sub(1, Ordering::Relaxed);
+    /// Keeps the samples of the last lag, the oldest first.
+    async fn sample_loads(&self) {
+        let lag = Duration::from_millis(self.settings.load_lag_ms);
+        while !lag.is_zero() {
+            self.sample_load(lag);
+            smol::Timer::after(LOAD_SAMPLE_INTERVAL).await;
+        }
+    }
+
+    fn sample_load(&self, lag: Duration) {
+        let now = Instant::now();
+        let load = self.batch.load();
+        let mut reports = self.reports.lock().expect("report lock");
+        reports.push_back((now, load));
+        while reports.get(1).is_some_and(|(taken, _)| now - *taken >= lag) {
+            reports.pop_front();
+        }
     }
 }
--- a/berylstep_standins/src/lib.rs
+++ b/berylstep_standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod platform;
 pub mod process;
+pub mod record;
 pub mod relay;
 pub mod serve;
 pub mod service;
--- a/berylstep_standins/src/serve.rs
+++ b/berylstep_standins/src/serve.rs
@@ -1,7 +1,7 @@
 //! HTTP serving shared by the stand-ins.
 
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 
 use berylstep_http::{ReceivedRequest, ServerConnection};
@@ -13,6 +13,9 @@
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// Marks an answer that is to be lost.
+const LOST_ANSWER_HEADER: &str = "x-standin-lost";
+
 /// Serves requests on `address`, each answered by `respond`; prints the bound address first.
 pub async fn serve<R, F>(address: SocketAddr, respond: R) -> std::io::Result<()>
 where
@@ -36,14 +39,28 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let mut connection = ServerConnection::new(stream);
+    let mut connection = ServerConnection::new(stream.clone());
     while connection.is_reusable() {
         let Ok(Some(received)) = connection.receive(MAX_BODY_BYTES).await else { return };
         let method = received.request.method();
-        connection.serve(method, respond(received)).await;
+        let answering = async {
+            let response = respond(received).await;
+            if response.header(LOST_ANSWER_HEADER).is_some() {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            response
+        };
+        connection.serve(method, answering).await;
     }
 }
 
+/// Makes an answer that is never written: the connection closes in its place.
+pub fn lost_answer() -> Response {
+    let mut response = status(500);
+    response.insert_header(LOST_ANSWER_HEADER, "true");
+    response
+}
+
 /// Makes an answer with a JSON body.
 pub fn json(message: &impl Serialize) -> Response {
     let mut response = Response::new(StatusCode::Ok);
--- a/berylstep_standins/src/service.rs
+++ b/berylstep_standins/src/service.rs
@@ -1,38 +1,146 @@
 //! Stand-in for a plain service, which records every call so that doubles show.
+//!
+//! `POST /control/faults` sets faults and `GET /control/requests` returns every call that took effect.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use berylstep_http::ReceivedRequest;
 use http_types::{Method, Response};
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::engine::{record, ReceivedRecord};
+use crate::record::{record, ReceivedRecord};
 use crate::serve;
 
+/// Exit code of a crash that was asked for.
+const CRASH_EXIT_CODE: i32 = 70;
+
+/// Settings of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Name, which answers carry.
+    pub name: String,
+    /// Time to serve one call, in milliseconds.
+    pub delay_ms: u64,
+}
+
+/// Faults in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceFaults {
+    /// Further delay of each answer, after the call took effect, in milliseconds.
+    pub late_ms: u64,
+    /// Number of calls that take effect and whose connection closes without an answer.
+    pub lose_answers: u32,
+    /// Share of calls answered with status 500 without effect, from 0 to 1.
+    pub error_rate: f64,
+    /// The process ends after the effect of this many further calls, before it answers.
+    pub crash_after_calls: Option<u32>,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    settings: ServiceSettings,
+    faults: Mutex<ServiceFaults>,
+    records: Mutex<Vec<ReceivedRecord>>,
+    random: Mutex<fastrand::Rng>,
+    running: AtomicUsize,
+}
+
 /// Serves a plain service on `address`.
-pub async fn run(address: SocketAddr, name: String) -> std::io::Result<()> {
-    let records = Arc::new(Mutex::new(Vec::new()));
-    serve::serve(address, move |received| respond(records.clone(), name.clone(), received)).await
+pub async fn run(address: SocketAddr, settings: ServiceSettings) -> std::io::Result<()> {
+    let state = Arc::new(ServiceState {
+        settings,
+        faults: Mutex::default(),
+        records: Mutex::default(),
+        random: Mutex::new(fastrand::Rng::with_seed(0)),
+        running: AtomicUsize::new(0),
+    });
+    serve::serve(address, move |received| respond(state.clone(), received)).await
 }
 
-async fn respond(
-    records: Arc<Mutex<Vec<ReceivedRecord>>>,
-    name: String,
-    received: ReceivedRequest,
-) -> Response {
+async fn respond(state: Arc<ServiceState>, received: ReceivedRequest) -> Response {
     let path = received.request.url().path();
     match (received.request.method(), path) {
-        (Method::Get, "/load") => serve::json(&json!({ "running": 0, "waiting": 0 })),
-        (Method::Get, "/control/requests") => serve::json(&*records.lock().expect("record lock")),
-        _ => {
-            let mut records = records.lock().expect("record lock");
-            records.push(record(&received));
-            let mut response = serve::json(&json!({ "confirmed": records.len(), "service": name }));
-            if let Some(id) = received.request.header("x-request-id") {
-                response.insert_header("x-request-id", id.last().as_str());
+        (Method::Get, "/load") => {
+            let running = state.running.load(Ordering::Relaxed);
+            serve::json(&json!({ "running": running, "waiting": 0 }))
+        }
+        (Method::Get, "/control/requests") => {
+            serve::json(&*state.records.lock().expect("record lock"))
+        }
+        (Method::Post, "/control/faults") => state.set_faults(&received.body),
+        _ => state.confirm(&received).await,
+    }
+}
+
+impl ServiceState {
+    fn set_faults(&self, body: &[u8]) -> Response {
+        let faults: ServiceFaults = match serve::parse(body) {
+            Ok(faults) => faults,
+            Err(refusal) => return *refusal,
+        };
+        *self.faults.lock().expect("fault lock") = faults.clone();
+        serve::json(&faults)
+    }
+
+    async fn confirm(&self, received: &ReceivedRequest) -> Response {
+        let _running = RunningGuard::new(&self.running);
+        smol::Timer::after(Duration::from_millis(self.settings.delay_ms)).await;
+        let error_rate = self.faults.lock().expect("fault lock").error_rate;
+        if self.random.lock().expect("random lock").f64() < error_rate {
+            return serve::status(500);
+        }
+        let confirmed = {
+            let mut records = self.records.lock().expect("record lock");
+            records.push(record(received));
+            records.len()
+        };
+        let (late, is_lost) = self.take_fault();
+        smol::Timer::after(late).await;
+        if is_lost {
+            return serve::lost_answer();
+        }
+        let message = json!({ "confirmed": confirmed, "service": self.settings.name });
+        let mut response = serve::json(&message);
+        if let Some(id) = received.request.header("x-request-id") {
+            response.insert_header("x-request-id", id.last().as_str());
+        }
+        response
+    }
+
+    /// Delay of this answer, and whether it is lost; ends the process where a crash is due.
+    fn take_fault(&self) -> (Duration, bool) {
+        let mut faults = self.faults.lock().expect("fault lock");
+        if let Some(calls) = &mut faults.crash_after_calls {
+            *calls = calls.saturating_sub(1);
+            if *calls == 0 {
+                std::process::exit(CRASH_EXIT_CODE);
             }
-            response
         }
+        let is_lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        (Duration::from_millis(faults.late_ms), is_lost)
+    }
+}
+
+/// Counts one running call until dropped.
+struct RunningGuard<'a> {
+    running: &'a AtomicUsize,
+}
+
+impl<'a> RunningGuard<'a> {
+    fn new(running: &'a AtomicUsize) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self { running }
+    }
+}
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/berylstep_standins/src/site.rs
+++ b/berylstep_standins/src/site.rs
@@ -18,6 +18,9 @@
 /// Time within which a condition has to come true.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
+/// Slots of an upstream whose flags name none.
+const DEFAULT_SLOTS: u32 = 8;
+
 /// One node's process and addresses.
 #[derive(Debug)]
 pub struct SiteNode {
@@ -98,7 +101,7 @@
         let (process, address) = ChildProcess::start_listener(&mut command)?;
         let vm = json!({
             "id": id, "address": address, "zone": zone, "role": role, "pool": pool,
-            "kind": "dependable", "slots": 8, "state": "live",
+            "kind": "dependable", "slots": slots_argument(arguments), "state": "live",
         });
         self.upstreams.push(SiteUpstream { process, address, vm });
         self.publish_vms();
@@ -200,6 +203,13 @@
     }
 }
 
+/// Slots that the flags of an engine give it.
+fn slots_argument(arguments: &[&str]) -> u32 {
+    let mut pairs = arguments.windows(2);
+    let given = pairs.find(|pair| pair[0] == "--slots").and_then(|pair| pair[1].parse().ok());
+    given.unwrap_or(DEFAULT_SLOTS)
+}
+
 fn standin(role: &str) -> Command {
     let mut command = Command::new(binary("standin"));
     command.args([role, "--listen", "127.0.0.1:0"]);
