Add the arbiter of a pool's slots, limits and output estimates

Cause: every node decided alone from lagging load reports, first in first out, without tiers, fairness or limits.

Ruled out: deficit round robin as such, because a quantum below a request's cost needs several rounds over all organisations; the virtual-time form used here serves the same shares with a sorted set, in O(log n). Ordering missed targets first among classes, because a class that is late anyway would then make the others late too.

Change: berylstep_core::arbiter holds requests, classes, organisations, replicas and nodes in tables and runs expiry, grants, preemption and clean-up over them each tick. limits and estimate are tables of their own.

Test: tests/arbiter_twin.rs compares the arbiter with a plain scheduler that scans and sorts everything, over random traces with shrinking, and checks properties. While it was written, lower_tiers_make_way_first and two others did not end: a slot on an ejected replica was taken back again and again for a request that this replica may not serve; victims are now sought only where the slot helps.

--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -3,9 +3,12 @@
 //! Everything here is free of I/O: entities stand in tables, systems run over them each tick, and
 //! the current time is an argument.
 
+pub mod arbiter;
 pub mod collections;
 pub mod config;
+pub mod estimate;
 pub mod key;
+pub mod limits;
 pub mod member;
 pub mod refusal;
 pub mod rendezvous;
