--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -4,10 +4,12 @@
 //! the current time is an argument.
 
 pub mod arbiter;
+pub mod burn;
 pub mod collections;
 pub mod config;
 pub mod estimate;
 pub mod key;
+pub mod lease;
 pub mod limits;
 pub mod member;
 pub mod refusal;
