Apply whole changes once, spread them over peers, and drain

Cause: a change was spread over log rows that nodes could apply by halves, a lost commit answer stayed open, peers handed nothing on, and SIGTERM dropped idle connections. Ruled out: one row for each entity in the log (a reader may stop between them); a token without a row of its own (a delayed commit could land after it was told as not stored); a peer's word as a replacement for the table service at start-up, since a new VM knows no peers without it. Change: a revision is one log row and one version step; a token row makes a change have effect once and settles lost answers; a few watchers in each zone read the version row and hand revisions on;

--- a/berylstep/src/entry.rs
+++ b/berylstep/src/entry.rs
@@ -16,6 +16,7 @@
 use http_types::{Method, Response};
 use smol::net::{TcpListener, TcpStream};
 
+use crate::drain;
 use crate::node::{InFlightGuard, NodeContext};
 
 /// Longest wait for a whole request on an idle connection.
@@ -68,8 +69,13 @@
     if socket::configure(&stream).is_err() {
         return;
     }
-    let mut connection = ServerConnection::new(stream);
+    let _open = node.drain.open_connection();
+    let mut connection = ServerConnection::new(stream.clone());
     while connection.is_reusable() {
+        let ahead = connection.has_buffered_bytes();
+        if !ahead && !drain::request_arrives(&node, &stream, RECEIVE_TIMEOUT).await {
+            break;
+        }
         let receiving = connection.receive(node.settings.max_body_bytes);
         match node.clock.timeout(RECEIVE_TIMEOUT, receiving).await {
             Some(Ok(Some(received))) => serve_request(&node, &mut connection, received).await,
@@ -80,6 +86,7 @@
             }
         }
     }
+    drain::close_gracefully(&node, stream).await;
 }
 
 async fn serve_request(
@@ -88,6 +95,9 @@
     received: ReceivedRequest,
 ) {
     let _in_flight = InFlightGuard::new(node.clone());
+    if node.drain.is_closing() {
+        connection.close_after_response();
+    }
     let method = received.request.method();
     let path = received.request.url().path().to_owned();
     let outcome = connection.serve(method, endpoints::respond(node, received)).await;
--- a/berylstep/src/lib.rs
+++ b/berylstep/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod config;
 pub mod connections;
+pub mod drain;
 pub mod entry;
 pub mod logging;
 pub mod member;
--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -4,20 +4,25 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
+use berylstep_core::collections::SharedName;
 use berylstep_core::config::ConfigTable;
 use berylstep_core::member::{MemberState, MemberTable};
 use berylstep_core::upstream::UpstreamTable;
 use displaydoc::Display;
+use smol::future;
 use smol::net::TcpListener;
 
 use crate::clock::RuntimeClock;
 use crate::config::NodeSettings;
 use crate::connections::ConnectionPool;
+use crate::drain::DrainSignal;
+use crate::member::MemberRegistration;
 use crate::peer::PeerMesh;
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
-use crate::{entry, member, operator, peer, shutdown, tail, upstream};
+use crate::tail::ConfigFollower;
+use crate::{drain, entry, member, operator, peer, shutdown, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,6 +37,8 @@
     Listen(std::net::SocketAddr, std::io::Error),
     /// cannot wait for signals: {0}
     Signals(std::io::Error),
+    /// another process runs as node {0}: node names are unique, and the newer process goes on
+    Displaced(SharedName),
 }
 
 impl std::error::Error for NodeError {}
@@ -46,6 +53,12 @@
     pub platform: Arc<dyn Platform>,
     /// Configuration in force.
     pub config: RwLock<ConfigTable>,
+    /// Progress of this node's configuration.
+    pub follower: ConfigFollower,
+    /// This node's row.
+    pub registration: MemberRegistration,
+    /// Progress of a planned stop.
+    pub drain: DrainSignal,
     /// Known nodes.
     pub members: Mutex<MemberTable>,
     /// Known upstreams.
@@ -57,6 +70,7 @@
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
     incarnation: AtomicU64,
+    serving: AtomicBool,
     leaving: AtomicBool,
     in_flight: AtomicU32,
     next_request: AtomicU64,
@@ -72,12 +86,16 @@
             clock,
             platform,
             config: RwLock::default(),
+            follower: ConfigFollower::default(),
+            registration: MemberRegistration::default(),
+            drain: DrainSignal::default(),
             members: Mutex::default(),
             upstreams: Mutex::default(),
             slots: SlotBroker::default(),
             peers: PeerMesh::default(),
             connections,
             incarnation: AtomicU64::new(0),
+            serving: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             next_request: AtomicU64::new(1),
@@ -97,12 +115,24 @@
 
     /// Announced state of this node.
     pub fn state(&self) -> MemberState {
+        let serving = self.serving.load(Ordering::Relaxed);
         match self.leaving.load(Ordering::Relaxed) {
             true => MemberState::Leaving,
-            false => MemberState::Serving,
+            false if serving => MemberState::Serving,
+            false => MemberState::Joining,
         }
     }
 
+    /// Announces that the node takes requests.
+    pub fn set_serving(&self) {
+        self.serving.store(true, Ordering::Relaxed);
+    }
+
+    /// Announces that the node is leaving.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Requests in progress.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
@@ -115,7 +145,15 @@
 
     /// Notes a successful answer of the table service.
     pub fn note_store_heard(&self) {
-        *self.store_heard.lock().expect("store lock") = Some(self.clock.now());
+        self.note_store_answer(self.clock.now());
+    }
+
+    /// Notes that the table service answered a call that was made at `asked`.
+    ///
+    /// A process that was stopped in between must not take the answer for a recent one.
+    pub fn note_store_answer(&self, asked: Duration) {
+        let mut heard = self.store_heard.lock().expect("store lock");
+        *heard = (*heard).max(Some(asked));
     }
 
     /// Age of the last successful answer of the table service.
@@ -124,13 +162,21 @@
         heard.map(|heard| self.clock.now().saturating_sub(heard))
     }
 
-    /// Whether neither the table service nor any peer was heard within [`ISOLATION_LIMIT`].
+    /// Whether the node must not trust its configuration: neither the table service nor any peer
+    /// was heard within [`ISOLATION_LIMIT`], a newer version has been known for too long, or
+    /// another process has taken the node's name.
     pub fn is_isolated(&self) -> bool {
         let now = self.clock.now();
         let store_silent = self.store_age().is_none_or(|age| age > ISOLATION_LIMIT);
+        let is_cut_off = store_silent && self.are_peers_silent();
+        is_cut_off || self.follower.is_overdue(now) || self.registration.is_displaced()
+    }
+
+    /// Whether no peer was heard within [`ISOLATION_LIMIT`].
+    pub fn are_peers_silent(&self) -> bool {
+        let now = self.clock.now();
         let heard = self.members().last_heard();
-        let peers_silent = heard.is_none_or(|heard| now.saturating_sub(heard) > ISOLATION_LIMIT);
-        store_silent && peers_silent
+        heard.is_none_or(|heard| now.saturating_sub(heard) > ISOLATION_LIMIT)
     }
 
     /// Locks the known nodes.
@@ -170,7 +216,7 @@
     let callers = bind(settings.listen).await?;
     let peers = bind(settings.peer_listen).await?;
     let operators = bind(settings.operator_listen).await?;
-    let signals = shutdown::signals().map_err(NodeError::Signals)?;
+    let mut signals = shutdown::signals().map_err(NodeError::Signals)?;
     let node = Arc::new(NodeContext::new(settings, clock, platform));
     let _operator_task = smol::spawn(operator::listen(node.clone(), operators));
     member::join(&node).await;
@@ -179,34 +225,46 @@
         smol::spawn(peer::listen(node.clone(), peers)),
         smol::spawn(peer::dial_members(node.clone())),
         smol::spawn(peer::send_pulses(node.clone())),
-        smol::spawn(tail::follow(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
     ];
-    let entry_task = smol::spawn(entry::listen(node.clone(), callers));
-    log::info!("node serves: node={} callers={}", node.settings.node, node.settings.listen);
-    shutdown::wait(signals).await;
-    drain(&node).await;
-    drop(entry_task);
-    member::leave(&node).await;
+    let stopping = async {
+        shutdown::wait(&mut signals).await;
+        NodeEnd::Planned
+    };
+    let displacement = async {
+        node.registration.displaced().await;
+        NodeEnd::Displaced
+    };
+    let _serving_task = smol::spawn(serve(node.clone(), callers));
+    let end = future::or(displacement, stopping).await;
+    // The signals stay registered, so that a second one does not end the process.
+    let ended = drain::stop(&node, end).await;
+    drop(signals);
     log::info!("node stopped: node={}", node.settings.node);
-    Ok(())
+    ended
 }
 
-/// Stops being named to callers, serves until every answer that named this node has run out, and
-/// waits for requests in progress.
-async fn drain(node: &NodeContext) {
-    log::info!("node drains: node={}", node.settings.node);
-    node.leaving.store(true, Ordering::Relaxed);
-    member::publish(node).await;
-    node.clock.sleep(member::LEAVING_SPREAD + node.settings.entries_ttl).await;
-    while node.in_flight() > 0 {
-        node.clock.sleep(DRAIN_POLL).await;
-    }
+/// Why a node stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeEnd {
+    /// A signal asked for a planned stop.
+    Planned,
+    /// Another process has taken the node's name.
+    Displaced,
 }
 
-/// Time between looks at the number of requests in progress during a drain.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Learns the configuration, then serves callers and follows the configuration.
+async fn serve(node: Arc<NodeContext>, callers: TcpListener) {
+    tail::catch_up_before_serving(&node).await;
+    node.drain.start_listener(smol::spawn(entry::listen(node.clone(), callers)));
+    node.set_serving();
+    peer::announce(&node);
+    let _snapshot_task = smol::spawn(tail::snapshot::keep(node.clone()));
+    let _publish_task = smol::spawn(member::publish_now(node.clone()));
+    log::info!("node serves: node={} callers={}", node.settings.node, node.settings.listen);
+    tail::follow(node).await;
+}
 
 async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address).await.map_err(|err| NodeError::Listen(address, err))
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -7,14 +7,16 @@
 use std::time::Duration;
 
 use berylstep_core::collections::HashSet;
-use berylstep_core::member::PULSE_INTERVAL;
+use berylstep_core::member::{MemberState, PULSE_INTERVAL};
 use berylstep_wire::frame::Body;
 use berylstep_wire::Pulse;
 use smol::net::{TcpListener, TcpStream};
 
+use handshake::HandshakeError;
 pub use link::PeerMesh;
 
 use crate::node::NodeContext;
+use crate::tail;
 
 /// Longest time to connect and authenticate.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -39,20 +41,30 @@
     let handshake = handshake::accept(&node, stream);
     match node.clock.timeout(HANDSHAKE_TIMEOUT, handshake).await {
         Some(Ok(session)) => link::run(node, session).await,
-        Some(Err(err)) => log::warn!("peer turned away: {err}"),
-        None => log::warn!("peer turned away: handshake timed out"),
+        Some(Err(err)) => refuse(&node, &err),
+        None => refuse(&node, &HandshakeError::Timeout),
     }
 }
 
+fn refuse(node: &NodeContext, err: &HandshakeError) {
+    log::warn!("peer turned away: {err}");
+    node.peers.count_refusal(err.refusal());
+}
+
 /// Keeps one link to each member; the node with the lower name dials.
+///
+/// A node that joins dials all, since the others have not read its row yet.
 pub async fn dial_members(node: Arc<NodeContext>) {
     loop {
         let linked: HashSet<_> = node.peers.connected().into_iter().collect();
         let now = node.clock.now();
         let targets: Vec<_> = {
             let members = node.members();
+            let joins = node.state() == MemberState::Joining;
             let missing = members.all().filter(|member| {
-                member.row.node > node.settings.node && !linked.contains(&member.row.node)
+                let other = &member.row.node;
+                let dials = *other > node.settings.node || joins;
+                dials && *other != node.settings.node && !linked.contains(other)
             });
             missing.filter(|member| member.is_row_fresh(now)).map(|m| m.row.clone()).collect()
         };
@@ -88,10 +100,15 @@
     }
 }
 
+/// Sends a pulse at once, after this node's state changed.
+pub fn announce(node: &NodeContext) {
+    node.peers.broadcast(&Body::Pulse(pulse(node, 0)));
+}
+
 fn pulse(node: &NodeContext, sequence: u64) -> Pulse {
     Pulse {
         sequence,
-        leaving: node.state() == berylstep_core::member::MemberState::Leaving,
+        leaving: node.state() != MemberState::Serving,
         config_version: node.config.read().expect("config lock").version(),
         in_flight: node.in_flight(),
         store_age_ms: node.store_age().map_or(u64::MAX, |age| age.as_millis() as u64),
@@ -105,8 +122,16 @@
     match body {
         Body::Pulse(pulse) => {
             let now = node.clock.now();
-            node.members().observe_pulse(now, from, pulse.leaving, pulse.in_flight);
+            let store_age = Duration::from_millis(pulse.store_age_ms);
+            {
+                let mut members = node.members();
+                members.observe_pulse(now, from, pulse.leaving, pulse.in_flight);
+                members.observe_progress(from, pulse.config_version, store_age);
+            }
+            node.follower.note_newest(node, pulse.config_version);
         }
+        Body::ConfigEntries(entries) => tail::observe_entries(node, entries),
+        Body::ConfigRequest(request) => tail::answer_request(node, from, &request),
         Body::Challenge(_) | Body::Hello(_) => {
             log::warn!("handshake message on an open link: peer={from}");
         }
@@ -115,8 +140,6 @@
         | Body::SlotReturn(_)
         | Body::SlotRecall(_)
         | Body::SlotReport(_)
-        | Body::ConfigEntries(_)
-        | Body::ConfigRequest(_)
         | Body::UsageCopy(_) => {}
     }
 }
--- a/berylstep/src/peer/handshake.rs
+++ b/berylstep/src/peer/handshake.rs
@@ -8,6 +8,7 @@
 use displaydoc::Display;
 use futures_util::{SinkExt, StreamExt};
 use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use smol::net::TcpStream;
 use tokio_util::codec::{FramedRead, FramedWrite};
@@ -37,6 +38,57 @@
     Unauthentic,
     /// peer says that it is this node
     Itself,
+    /// handshake timed out
+    Timeout,
+}
+
+/// Why a link was turned away or dropped, as counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LinkRefusal {
+    /// The other side belongs to another cluster.
+    ForeignCluster,
+    /// The other side does not hold the site secret.
+    Unauthentic,
+    /// The other side speaks a protocol that is too old.
+    Protocol,
+    /// The other side says that it is this node.
+    Itself,
+    /// A frame was larger than accepted.
+    Oversized,
+    /// A frame was no valid message, or not the expected one.
+    Malformed,
+    /// Nothing came in time.
+    Silent,
+    /// The link broke.
+    Broken,
+}
+
+/// How an error of the codec is counted.
+pub fn codec_refusal(err: &CodecError) -> LinkRefusal {
+    match err {
+        CodecError::Io(err) if err.kind() == std::io::ErrorKind::InvalidData => {
+            LinkRefusal::Oversized
+        }
+        CodecError::Io(_) => LinkRefusal::Broken,
+        CodecError::Decode(_) => LinkRefusal::Malformed,
+    }
+}
+
+impl HandshakeError {
+    /// How the error is counted.
+    pub fn refusal(&self) -> LinkRefusal {
+        match self {
+            Self::Codec(err) => codec_refusal(err),
+            Self::Io(_) | Self::Closed => LinkRefusal::Broken,
+            Self::Unexpected => LinkRefusal::Malformed,
+            Self::ForeignCluster(_) => LinkRefusal::ForeignCluster,
+            Self::Protocol(_) => LinkRefusal::Protocol,
+            Self::Unauthentic => LinkRefusal::Unauthentic,
+            Self::Itself => LinkRefusal::Itself,
+            Self::Timeout => LinkRefusal::Silent,
+        }
+    }
 }
 
 impl std::error::Error for HandshakeError {}
@@ -64,8 +116,10 @@
 pub struct PeerSession {
     /// Name of the other node.
     pub peer: SharedName,
-    /// Incarnation of the other node.
-    pub incarnation: u64,
+    /// What the other node said of itself.
+    pub hello: Hello,
+    /// Whether the link was dialled by the node that keeps it: the one with the lower name.
+    pub preferred: bool,
     /// Reading half.
     pub reader: FrameReader,
     /// Writing half.
@@ -90,7 +144,8 @@
     check(node, &theirs, &nonce, LinkSide::Dialler)?;
     let own = hello(node, Vec::new(), &theirs.nonce, LinkSide::Acceptor);
     send(&mut writer, Body::Hello(own)).await?;
-    Ok(session(theirs, reader, writer))
+    let preferred = *theirs.node < *node.settings.node;
+    Ok(session(theirs, preferred, reader, writer))
 }
 
 /// Authenticates to the node that was dialled, and the other way round.
@@ -106,7 +161,8 @@
         return Err(HandshakeError::Unexpected);
     };
     check(node, &theirs, &nonce, LinkSide::Acceptor)?;
-    Ok(session(theirs, reader, writer))
+    let preferred = *node.settings.node < *theirs.node;
+    Ok(session(theirs, preferred, reader, writer))
 }
 
 fn halves(stream: TcpStream) -> std::io::Result<(FrameReader, FrameWriter)> {
@@ -116,8 +172,13 @@
     Ok((reader, writer))
 }
 
-fn session(theirs: Hello, reader: FrameReader, writer: FrameWriter) -> PeerSession {
-    PeerSession { peer: theirs.node.into(), incarnation: theirs.incarnation, reader, writer }
+fn session(
+    theirs: Hello,
+    preferred: bool,
+    reader: FrameReader,
+    writer: FrameWriter,
+) -> PeerSession {
+    PeerSession { peer: theirs.node.as_str().into(), hello: theirs, preferred, reader, writer }
 }
 
 fn hello(node: &NodeContext, nonce: Vec<u8>, their_nonce: &[u8], side: LinkSide) -> Hello {
--- a/berylstep/src/peer/link.rs
+++ b/berylstep/src/peer/link.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::member::{MemberRow, MemberState};
 use berylstep_wire::frame::Body;
-use berylstep_wire::Frame;
+use berylstep_wire::{Frame, Hello};
 use futures_util::{SinkExt, StreamExt};
 use smol::channel::{bounded, Receiver, Sender};
 use smol::future;
 
-use super::handshake::{FrameReader, FrameWriter, PeerSession};
+use super::handshake::{codec_refusal, FrameReader, FrameWriter, LinkRefusal, PeerSession};
 use crate::node::NodeContext;
 
 /// Messages queued for one peer; a slow peer loses what exceeds them.
@@ -25,12 +26,14 @@
 pub struct PeerMesh {
     links: Mutex<HashMap<SharedName, PeerLink>>,
     next_link: AtomicU64,
+    refusals: Mutex<HashMap<LinkRefusal, u64>>,
 }
 
 #[derive(Debug)]
 struct PeerLink {
     link: u64,
     incarnation: u64,
+    preferred: bool,
     queue: Sender<Body>,
 }
 
@@ -55,16 +58,32 @@
         self.links.lock().expect("link lock").keys().cloned().collect()
     }
 
-    /// Registers a link in place of an older one; `None` where a newer incarnation is linked.
+    /// Counts a link that was turned away or dropped.
+    pub fn count_refusal(&self, refusal: LinkRefusal) {
+        *self.refusals.lock().expect("refusal lock").entry(refusal).or_default() += 1;
+    }
+
+    /// Links turned away or dropped, by cause.
+    pub fn refusals(&self) -> HashMap<LinkRefusal, u64> {
+        self.refusals.lock().expect("refusal lock").clone()
+    }
+
+    /// Registers a link in place of an older one; `None` where a newer incarnation is linked, or
+    /// where both nodes dialled and the other link is the one that both keep.
     fn register(&self, session: &PeerSession) -> Option<(u64, Receiver<Body>)> {
         let (queue, messages) = bounded(QUEUE_MESSAGES);
         let link = self.next_link.fetch_add(1, Ordering::Relaxed);
         let mut links = self.links.lock().expect("link lock");
-        let newer = links.get(&session.peer).is_some_and(|l| l.incarnation > session.incarnation);
-        if newer {
+        let incarnation = session.hello.incarnation;
+        let preferred = session.preferred;
+        let outranked = links.get(&session.peer).is_some_and(|open| {
+            let same = open.incarnation == incarnation;
+            open.incarnation > incarnation || (same && open.preferred && !preferred)
+        });
+        if outranked {
             return None;
         }
-        let entry = PeerLink { link, incarnation: session.incarnation, queue };
+        let entry = PeerLink { link, incarnation, preferred, queue };
         links.insert(session.peer.clone(), entry);
         Some((link, messages))
     }
@@ -94,27 +113,54 @@
 /// Runs a link until it fails, is replaced or goes silent.
 pub async fn run(node: Arc<NodeContext>, session: PeerSession) {
     let Some((link, messages)) = node.peers.register(&session) else { return };
-    let PeerSession { peer, reader, writer, .. } = session;
+    let PeerSession { peer, hello, reader, writer, .. } = session;
     log::info!("peer link open: peer={peer}");
+    if let Some(row) = member_row(&hello) {
+        node.members().observe_hello(node.clock.now(), row);
+    }
+    super::announce(&node);
     let _guard = LinkGuard { node: node.clone(), peer: peer.clone(), link };
     future::or(read_messages(&node, &peer, reader), write_messages(messages, writer)).await;
 }
 
+/// Row of a node as its hello tells it, until the row itself is read.
+fn member_row(hello: &Hello) -> Option<MemberRow> {
+    Some(MemberRow {
+        node: hello.node.as_str().into(),
+        incarnation: hello.incarnation,
+        beat: 0,
+        region: hello.region.as_str().into(),
+        zone: hello.zone.as_str().into(),
+        peer_address: hello.peer_address.parse().ok()?,
+        caller_address: hello.caller_address.parse().ok()?,
+        state: MemberState::Joining,
+        config_version: 0,
+    })
+}
+
 async fn read_messages(node: &Arc<NodeContext>, peer: &SharedName, mut reader: FrameReader) {
+    let mut heard = node.clock.now();
     loop {
-        match node.clock.timeout(SILENCE_LIMIT, reader.next()).await {
+        let received = node.clock.timeout(SILENCE_LIMIT, reader.next()).await;
+        let silence = node.clock.now().saturating_sub(heard);
+        heard += silence;
+        // What this process finds after it was stopped has waited in the socket and tells nothing
+        // of the present.
+        if silence >= SILENCE_LIMIT {
+            log::warn!("peer link silent: peer={peer}");
+            node.peers.count_refusal(LinkRefusal::Silent);
+            return;
+        }
+        match received {
             Some(Some(Ok(Frame { body: Some(body) }))) => super::dispatch(node, peer, body),
             // A message of a kind that only newer nodes know.
             Some(Some(Ok(Frame { body: None }))) => {}
             Some(Some(Err(err))) => {
                 log::warn!("peer link failed: peer={peer} error={err}");
+                node.peers.count_refusal(codec_refusal(&err));
                 return;
             }
-            Some(None) => return,
-            None => {
-                log::warn!("peer link silent: peer={peer}");
-                return;
-            }
+            Some(None) | None => return,
         }
     }
 }
--- a/berylstep/src/shutdown.rs
+++ b/berylstep/src/shutdown.rs
@@ -9,7 +9,7 @@
 }
 
 /// Waits for the first signal.
-pub async fn wait(mut signals: Signals) {
+pub async fn wait(signals: &mut Signals) {
     while let Some(signal) = signals.next().await {
         if signal.is_ok() {
             return;
--- a/berylstep_core/src/config.rs
+++ b/berylstep_core/src/config.rs
@@ -1,10 +1,17 @@
 //! Operators' configuration: entities, and the table that applies committed changes in order.
 
 pub mod entity;
+pub mod history;
+pub mod progress;
+pub mod reading;
+pub mod references;
 pub mod table;
 
 pub use entity::{
-    ClassEntity, ConfigChange, ConfigEntity, KeyEntity, OrganisationEntity, OrganisationLimits,
-    RouteEntity, RouteMatch, RouteRepeat,
+    ClassEntity, ConfigChange, ConfigEntity, ConfigRevision, ConfigSnapshot, KeyEntity,
+    OrganisationEntity, OrganisationLimits, RouteEntity, RouteMatch, RouteRepeat,
 };
+pub use history::RevisionHistory;
+pub use progress::ConfigProgress;
+pub use reading::{ChangeReading, ConfigFault};
 pub use table::{ApplyOutcome, ConfigTable};
--- a/berylstep_core/src/config/entity.rs
+++ b/berylstep_core/src/config/entity.rs
@@ -1,4 +1,7 @@
 //! Entities of the configuration, as stored in rows of the table service (JSON).
+//!
+//! Unknown fields are passed over here, so that nodes of two releases read the same rows; what an
+//! operator hands in is checked field by field in [`super::reading`].
 
 use serde::{Deserialize, Serialize};
 
@@ -6,7 +9,6 @@
 
 /// A class of work with its target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ClassEntity {
     /// Name of the class.
     pub name: SharedName,
@@ -22,7 +24,7 @@
 
 /// Limits of an organisation over all nodes; absent limits do not apply.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 pub struct OrganisationLimits {
     /// Requests a second.
     pub requests_per_second: Option<u32>,
@@ -34,7 +36,6 @@
 
 /// An organisation that holds keys.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct OrganisationEntity {
     /// Name of the organisation.
     pub name: SharedName,
@@ -45,7 +46,6 @@
 
 /// A caller's key, held only as a hash.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct KeyEntity {
     /// Hash of the key: 64 hexadecimal digits, see [`crate::key::KeyHash`].
     pub hash: SharedName,
@@ -54,7 +54,7 @@
 }
 
 /// What requests a route takes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RouteMatch {
     /// Model requests that name this model.
@@ -78,7 +78,6 @@
 
 /// A route from callers to a pool of upstreams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct RouteEntity {
     /// Name of the route.
     pub name: SharedName,
@@ -121,6 +120,16 @@
             Self::Route(route) => format!("route/{}", route.name),
         }
     }
+
+    /// Place of the entity's kind in a snapshot: what is referred to precedes what refers to it.
+    pub fn rank(&self) -> u8 {
+        match self {
+            Self::Class(_) => 0,
+            Self::Organisation(_) => 1,
+            Self::Key(_) => 2,
+            Self::Route(_) => 3,
+        }
+    }
 }
 
 /// One committed change.
@@ -132,3 +141,31 @@
     /// Removes the entity with this row key.
     Remove(SharedName),
 }
+
+/// What one operator's change did; takes effect as a whole.
+///
+/// A change of several entities takes one version number for each, and nodes go from
+/// [`ConfigRevision::after`] to the last of them in one step.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigRevision {
+    /// Version that the revision follows.
+    pub after: u64,
+    /// Changes in order.
+    pub changes: Vec<ConfigChange>,
+}
+
+impl ConfigRevision {
+    /// Version after the last change.
+    pub fn version(&self) -> u64 {
+        self.after + self.changes.len() as u64
+    }
+}
+
+/// All entities at one version.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigSnapshot {
+    /// Version of the last change that the snapshot holds.
+    pub version: u64,
+    /// Entities; organisations precede their keys.
+    pub entities: Vec<ConfigEntity>,
+}
--- /dev/null
+++ b/berylstep_core/src/config/reading.rs
@@ -0,0 +1,272 @@
+//! Reading an operator's change field by field, so that every fault is told at once.
+
+mod fields;
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use self::fields::{FieldReader, NAME};
+use super::entity::{
+    ClassEntity, ConfigChange, ConfigEntity, KeyEntity, OrganisationEntity, OrganisationLimits,
+    RouteEntity, RouteMatch, RouteRepeat,
+};
+use crate::collections::{HashSet, SharedName};
+use crate::key::KeyHash;
+
+/// Service tiers: 1 is the highest.
+const TIERS: std::ops::RangeInclusive<u64> = 1..=3;
+
+/// Longest latency target and deadline, in milliseconds.
+const MAX_TIME_MS: u64 = 24 * 3_600_000;
+
+/// Most entities in one change.
+const MAX_CHANGES: usize = 2_000;
+
+/// {entity}: {field}: {problem}; accepted: {accepted}
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfigFault {
+    /// Row key of the entity, or its place in the change.
+    pub entity: String,
+    /// Field.
+    pub field: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What would be accepted.
+    pub accepted: String,
+}
+
+impl std::error::Error for ConfigFault {}
+
+impl ConfigFault {
+    /// Makes a fault.
+    pub fn new(entity: &str, field: &str, problem: &str) -> Self {
+        let [entity, field, problem] = [entity, field, problem].map(str::to_owned);
+        Self { entity, field, problem, accepted: String::new() }
+    }
+
+    /// Says what would be accepted.
+    pub fn accepted(self, accepted: &str) -> Self {
+        Self { accepted: accepted.to_owned(), ..self }
+    }
+}
+
+/// An operator's change as far as it could be read.
+#[derive(Clone, Debug, Default)]
+pub struct ChangeReading {
+    /// Version that the change was made against.
+    pub against: u64,
+    /// Token under which the change has effect once.
+    pub token: Option<String>,
+    /// Changes without faults of their own.
+    pub changes: Vec<ConfigChange>,
+    /// Row keys of all entities that are put, those with faults too.
+    pub named: HashSet<String>,
+    /// Faults of fields.
+    pub faults: Vec<ConfigFault>,
+}
+
+/// Reads a change; callers' keys are hashed under `site_secret`.
+pub fn read(message: &Value, site_secret: &[u8]) -> ChangeReading {
+    let mut reading = ChangeReading::default();
+    let mut fields = FieldReader::new("change", message, &mut reading.faults);
+    reading.against = fields.required_whole("against", 0..=u64::MAX).unwrap_or_default();
+    reading.token = fields.token("token");
+    let [puts, grants, withdrawals, removals] =
+        ["put", "grant", "withdraw", "remove"].map(|field| fields.list(field));
+    fields.finish();
+    let entries = puts.len() + grants.len() + withdrawals.len() + removals.len();
+    if !(1..=MAX_CHANGES).contains(&entries) {
+        let fault = ConfigFault::new("change", "put", &format!("{entries} entities"));
+        reading.faults.push(fault.accepted(&format!("1 to {MAX_CHANGES} in one change")));
+    }
+    for (index, put) in puts.iter().enumerate() {
+        read_put(&mut reading, index, put);
+    }
+    for (index, grant) in grants.iter().enumerate() {
+        let place = format!("grant[{index}]");
+        if let Some(key) = read_key(&mut reading, &place, grant, site_secret) {
+            add_put(&mut reading, &place, ConfigEntity::Key(key));
+        }
+    }
+    for (index, withdrawal) in withdrawals.iter().enumerate() {
+        let place = format!("withdraw[{index}]");
+        if let Some(key) = read_key(&mut reading, &place, withdrawal, site_secret) {
+            let row_key = ConfigEntity::Key(key).row_key();
+            reading.changes.push(ConfigChange::Remove(row_key.into()));
+        }
+    }
+    for (index, removal) in removals.iter().enumerate() {
+        read_removal(&mut reading, index, removal);
+    }
+    reading
+}
+
+fn read_put(reading: &mut ChangeReading, index: usize, put: &Value) {
+    let place = format!("put[{index}]");
+    let entry = put.as_object().filter(|object| object.len() == 1);
+    let entry = entry.and_then(|object| object.iter().next());
+    let Some((kind, value)) = entry else {
+        let fault = ConfigFault::new(&place, "kind", "not an object with one member");
+        reading.faults.push(fault.accepted("class, organisation, key or route"));
+        return;
+    };
+    let name_field = if kind == "key" { "hash" } else { "name" };
+    let name = value[name_field].as_str().unwrap_or(&place);
+    let row_key = format!("{kind}/{name}");
+    let mut fields = FieldReader::new(&row_key, value, &mut reading.faults);
+    let entity = match &**kind {
+        "class" => read_class(&mut fields).map(ConfigEntity::Class),
+        "organisation" => read_organisation(&mut fields).map(ConfigEntity::Organisation),
+        "key" => read_key_entity(&mut fields).map(ConfigEntity::Key),
+        "route" => read_route(&mut fields).map(ConfigEntity::Route),
+        _ => {
+            let fault = ConfigFault::new(&place, "kind", &format!("{kind:?} is unknown"));
+            reading.faults.push(fault.accepted("class, organisation, key or route"));
+            return;
+        }
+    };
+    fields.finish();
+    match entity {
+        Some(entity) => add_put(reading, &place, entity),
+        None => _ = reading.named.insert(row_key),
+    }
+}
+
+fn add_put(reading: &mut ChangeReading, place: &str, entity: ConfigEntity) {
+    let row_key = entity.row_key();
+    if !reading.named.insert(row_key.clone()) {
+        let entity = if row_key.starts_with("key/") { place } else { &*row_key };
+        let fault = ConfigFault::new(entity, "put", "the entity is put twice");
+        reading.faults.push(fault.accepted("one put for an entity"));
+    }
+    reading.changes.push(ConfigChange::Put(entity));
+}
+
+fn read_class(fields: &mut FieldReader) -> Option<ClassEntity> {
+    let name = fields.name("name");
+    let tier = fields.required_whole("tier", TIERS);
+    let latency_ms = fields.required_whole("latency_ms", 1..=MAX_TIME_MS);
+    let attainment = fields.fraction("attainment");
+    let deadline_ms = fields.required_whole("deadline_ms", 1..=MAX_TIME_MS);
+    let tier = u8::try_from(tier?).ok()?;
+    Some(ClassEntity {
+        name: name?,
+        tier,
+        latency_ms: latency_ms?,
+        attainment: attainment?,
+        deadline_ms: deadline_ms?,
+    })
+}
+
+fn read_organisation(fields: &mut FieldReader) -> Option<OrganisationEntity> {
+    let name = fields.name("name");
+    let limits = fields.object("limits", |fields| {
+        let mut limit = |field| fields.optional_whole(field, 1..=u64::from(u32::MAX));
+        let [requests_per_second, tokens_per_minute, concurrency] =
+            ["requests_per_second", "tokens_per_minute", "concurrency"]
+                .map(|field| limit(field).map(|value| value as u32));
+        OrganisationLimits { requests_per_second, tokens_per_minute, concurrency }
+    });
+    Some(OrganisationEntity { name: name?, limits: limits.unwrap_or_default() })
+}
+
+fn read_key_entity(fields: &mut FieldReader) -> Option<KeyEntity> {
+    let hash = fields.text("hash", "64 hexadecimal digits", |text| {
+        KeyHash::from_hex(text).map(|hash| SharedName::from(hash.to_hex()))
+    });
+    let organisation = fields.name("organisation");
+    Some(KeyEntity { hash: hash?, organisation: organisation? })
+}
+
+fn read_route(fields: &mut FieldReader) -> Option<RouteEntity> {
+    let name = fields.name("name");
+    let matcher = read_matcher(fields);
+    let pool = fields.name("pool");
+    let classes = read_classes(fields);
+    let open = fields.flag("open").unwrap_or_default();
+    let accepted = "idempotent, send_once or require_key";
+    let repeat = fields.optional_text("repeat", accepted, |text| match text {
+        "idempotent" => Some(RouteRepeat::Idempotent),
+        "send_once" => Some(RouteRepeat::SendOnce),
+        "require_key" => Some(RouteRepeat::RequireKey),
+        _ => None,
+    });
+    let repeat = repeat.unwrap_or_default();
+    Some(RouteEntity {
+        name: name?,
+        matcher: matcher?,
+        pool: pool?,
+        classes: classes?,
+        open,
+        repeat,
+    })
+}
+
+fn read_matcher(fields: &mut FieldReader) -> Option<RouteMatch> {
+    let found = fields.object("match", |fields| {
+        let valid_model = |text: &str| (!text.is_empty()).then(|| text.into());
+        let valid_prefix = |text: &str| text.starts_with('/').then(|| text.into());
+        let model = fields.optional_text("model", "the name of a model", valid_model);
+        let prefix = fields.optional_text("prefix", "a path that starts with /", valid_prefix);
+        match (model, prefix) {
+            (Some(model), None) => Some(RouteMatch::Model(model)),
+            (None, Some(prefix)) => Some(RouteMatch::Prefix(prefix)),
+            (Some(_), Some(_)) => {
+                fields.fault("model", "both model and prefix are given", "one of them");
+                None
+            }
+            (None, None) => None,
+        }
+    });
+    if found.is_none() {
+        fields.fault("match", "missing", "{\"model\": NAME} or {\"prefix\": PATH}");
+    }
+    found.flatten()
+}
+
+fn read_classes(fields: &mut FieldReader) -> Option<Vec<SharedName>> {
+    let listed = fields.list("classes");
+    let classes: Vec<SharedName> =
+        listed.iter().filter_map(|class| class.as_str().map(SharedName::from)).collect();
+    if classes.is_empty() || classes.len() < listed.len() {
+        fields.fault("classes", "not a list of names", "at least one name of a class");
+        return None;
+    }
+    Some(classes)
+}
+
+fn read_key(
+    reading: &mut ChangeReading,
+    place: &str,
+    value: &Value,
+    site_secret: &[u8],
+) -> Option<KeyEntity> {
+    let mut fields = FieldReader::new(place, value, &mut reading.faults);
+    let organisation = fields.name("organisation");
+    let accepted = "1 to 512 visible ASCII characters";
+    // The key itself is never part of a fault.
+    let key = fields.secret("key", accepted, |text| {
+        let visible = text.chars().all(|c| c.is_ascii_graphic());
+        (visible && (1..=512).contains(&text.len())).then(|| KeyHash::of(site_secret, text))
+    });
+    fields.finish();
+    Some(KeyEntity { hash: key?.to_hex().into(), organisation: organisation? })
+}
+
+fn read_removal(reading: &mut ChangeReading, index: usize, removal: &Value) {
+    let kinds = ["class", "organisation", "key", "route"];
+    let row_key = removal.as_str().filter(|text| {
+        text.split_once('/').is_some_and(|(kind, name)| kinds.contains(&kind) && !name.is_empty())
+    });
+    match row_key {
+        Some(row_key) => reading.changes.push(ConfigChange::Remove(row_key.into())),
+        None => {
+            let place = format!("remove[{index}]");
+            let fault = ConfigFault::new(&place, "row key", &format!("{removal} is not one"));
+            let accepted =
+                format!("KIND/NAME with a kind of class, organisation, key, route; {NAME}");
+            reading.faults.push(fault.accepted(&accepted));
+        }
+    }
+}
--- a/berylstep_core/src/config/table.rs
+++ b/berylstep_core/src/config/table.rs
@@ -1,11 +1,14 @@
 //! The configuration in force at one node.
 
+use std::borrow::Borrow;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 use super::entity::{
-    ClassEntity, ConfigChange, ConfigEntity, OrganisationEntity, RouteEntity, RouteMatch,
+    ClassEntity, ConfigChange, ConfigEntity, ConfigRevision, ConfigSnapshot, KeyEntity,
+    OrganisationEntity, OrganisationLimits, RouteEntity, RouteMatch,
 };
-use crate::collections::{HashMap, SharedName};
+use crate::collections::{HashMap, HashSet, SharedName};
 use crate::key::KeyHash;
 
 /// What became of an offered change.
@@ -24,12 +27,76 @@
 pub struct ConfigTable {
     version: u64,
     classes: HashMap<SharedName, Arc<ClassEntity>>,
-    organisations: HashMap<SharedName, Arc<OrganisationEntity>>,
-    keys: HashMap<KeyHash, SharedName>,
+    organisations: HashSet<OrganisationSlot>,
+    keys: HashMap<KeyHash, Arc<OrganisationEntity>>,
     routes: HashMap<SharedName, Arc<RouteEntity>>,
 }
 
+/// An organisation in a set by name; one pointer wide, since there are tens of thousands.
+#[derive(Clone, Debug)]
+struct OrganisationSlot(Arc<OrganisationEntity>);
+
+impl Borrow<str> for OrganisationSlot {
+    fn borrow(&self) -> &str {
+        &self.0.name
+    }
+}
+
+impl Hash for OrganisationSlot {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        str::hash(&self.0.name, state);
+    }
+}
+
+impl PartialEq for OrganisationSlot {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.name == other.0.name
+    }
+}
+
+impl Eq for OrganisationSlot {}
+
 impl ConfigTable {
+    /// Builds the table of a snapshot.
+    pub fn from_snapshot(snapshot: &ConfigSnapshot) -> Self {
+        let mut table = Self::default();
+        for entity in &snapshot.entities {
+            table.put(entity);
+        }
+        table.version = snapshot.version;
+        table
+    }
+
+    /// All entities in a fixed order.
+    pub fn snapshot(&self) -> ConfigSnapshot {
+        let classes = self.classes.values().map(|class| ConfigEntity::Class((**class).clone()));
+        let organisations =
+            self.organisations().map(|found| ConfigEntity::Organisation((**found).clone()));
+        let keys = self.keys.iter().map(|(hash, owner)| {
+            let hash = hash.to_hex().into();
+            ConfigEntity::Key(KeyEntity { hash, organisation: owner.name.clone() })
+        });
+        let routes = self.routes.values().map(|route| ConfigEntity::Route((**route).clone()));
+        let mut entities: Vec<_> = classes.chain(organisations).chain(keys).chain(routes).collect();
+        entities.sort_by_cached_key(|entity| (entity.rank(), entity.row_key()));
+        ConfigSnapshot { version: self.version, entities }
+    }
+
+    /// Applies a revision as a whole if it follows the version in force.
+    pub fn apply_revision(&mut self, revision: &ConfigRevision) -> ApplyOutcome {
+        if revision.version() <= self.version {
+            return ApplyOutcome::Stale;
+        }
+        if revision.after != self.version {
+            return ApplyOutcome::Gap;
+        }
+        for change in &revision.changes {
+            self.change(change);
+        }
+        self.version = revision.version();
+        ApplyOutcome::Applied
+    }
+
     /// Version of the last applied change; 0 is the empty configuration.
     pub fn version(&self) -> u64 {
         self.version
@@ -43,18 +110,15 @@
         if version != self.version + 1 {
             return ApplyOutcome::Gap;
         }
-        match change {
-            ConfigChange::Put(entity) => self.put(entity),
-            ConfigChange::Remove(row_key) => self.remove(row_key),
-        }
+        self.change(change);
         self.version = version;
         ApplyOutcome::Applied
     }
 
     /// Organisation that holds the key with this hash.
     pub fn organisation_of(&self, hash: &KeyHash) -> Option<&SharedName> {
-        let (stored, organisation) = self.keys.get_key_value(hash)?;
-        stored.matches(hash).then_some(organisation)
+        let (stored, owner) = self.keys.get_key_value(hash)?;
+        stored.matches(hash).then_some(&owner.name)
     }
 
     /// Class by name.
@@ -64,7 +128,35 @@
 
     /// Organisation by name.
     pub fn organisation(&self, name: &str) -> Option<&Arc<OrganisationEntity>> {
-        self.organisations.get(name)
+        self.organisations.get(name).map(|slot| &slot.0)
+    }
+
+    /// All organisations, in no particular order.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<OrganisationEntity>> {
+        self.organisations.iter().map(|slot| &slot.0)
+    }
+
+    /// All keys with the organisations that hold them, in no particular order.
+    pub fn keys(&self) -> impl Iterator<Item = (&KeyHash, &SharedName)> {
+        self.keys.iter().map(|(hash, owner)| (hash, &owner.name))
+    }
+
+    /// Route by name.
+    pub fn route(&self, name: &str) -> Option<&Arc<RouteEntity>> {
+        self.routes.get(name)
+    }
+
+    /// Whether an entity with this row key exists.
+    pub fn contains(&self, row_key: &str) -> bool {
+        match row_key.split_once('/') {
+            Some(("class", name)) => self.classes.contains_key(name),
+            Some(("organisation", name)) => self.organisations.contains(name),
+            Some(("key", digits)) => {
+                KeyHash::from_hex(digits).is_some_and(|hash| self.keys.contains_key(&hash))
+            }
+            Some(("route", name)) => self.routes.contains_key(name),
+            _ => false,
+        }
     }
 
     /// Route of the model with this name.
@@ -94,18 +186,25 @@
         self.classes.values()
     }
 
+    fn change(&mut self, change: &ConfigChange) {
+        match change {
+            ConfigChange::Put(entity) => self.put(entity),
+            ConfigChange::Remove(row_key) => self.remove(row_key),
+        }
+    }
+
     fn put(&mut self, entity: &ConfigEntity) {
         match entity {
             ConfigEntity::Class(class) => {
                 self.classes.insert(class.name.clone(), Arc::new(class.clone()));
             }
             ConfigEntity::Organisation(organisation) => {
-                let name = organisation.name.clone();
-                self.organisations.insert(name, Arc::new(organisation.clone()));
+                self.put_organisation(organisation);
             }
             ConfigEntity::Key(key) => {
                 if let Some(hash) = KeyHash::from_hex(&key.hash) {
-                    self.keys.insert(hash, key.organisation.clone());
+                    let owner = self.key_owner(&key.organisation);
+                    self.keys.insert(hash, owner);
                 }
             }
             ConfigEntity::Route(route) => {
@@ -114,11 +213,32 @@
         }
     }
 
+    fn put_organisation(&mut self, organisation: &OrganisationEntity) {
+        let entity = Arc::new(organisation.clone());
+        let replaced = self.organisations.replace(OrganisationSlot(entity.clone())).is_some();
+        if !replaced {
+            return;
+        }
+        // Keys share the entity, so that an organisation's memory is held once.
+        for owner in self.keys.values_mut().filter(|owner| owner.name == entity.name) {
+            *owner = entity.clone();
+        }
+    }
+
+    /// Entity that a key shares with its organisation.
+    fn key_owner(&self, name: &SharedName) -> Arc<OrganisationEntity> {
+        let unlisted = || {
+            let limits = OrganisationLimits::default();
+            Arc::new(OrganisationEntity { name: name.clone(), limits })
+        };
+        self.organisation(name).cloned().unwrap_or_else(unlisted)
+    }
+
     fn remove(&mut self, row_key: &str) {
         let Some((kind, name)) = row_key.split_once('/') else { return };
         match kind {
             "class" => drop(self.classes.remove(name)),
-            "organisation" => drop(self.organisations.remove(name)),
+            "organisation" => drop(self.organisations.take(name)),
             "key" => {
                 if let Some(hash) = KeyHash::from_hex(name) {
                     self.keys.remove(&hash);
