--- a/berylstep/src/drain.rs
+++ b/berylstep/src/drain.rs
@@ -16,7 +16,7 @@
 use smol::Task;
 
 use crate::node::{NodeContext, NodeEnd, NodeError};
-use crate::{member, peer};
+use crate::{burn, member, peer};
 
 /// Time for which an idle connection may still bring a request after the node began to close.
 const IDLE_LINGER: Duration = Duration::from_millis(500);
@@ -153,6 +153,7 @@
     log::info!("node closes its connections: open={}", node.drain.open_connections());
     node.drain.begin_closing();
     finish(node).await;
+    burn::hand_over(node);
     member::leave(node).await;
 }
 
--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -12,11 +12,13 @@
 use smol::future;
 use smol::net::TcpListener;
 
+use crate::burn::BurnLedger;
 use crate::clock::RuntimeClock;
 use crate::config::NodeSettings;
 use crate::connections::ConnectionPool;
 use crate::drain::DrainSignal;
 use crate::member::MemberRegistration;
+use crate::metrics::NodeMetrics;
 use crate::peer::PeerMesh;
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
@@ -69,6 +71,10 @@
     pub peers: PeerMesh,
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+    /// Service-level counts.
+    pub burn: BurnLedger,
     incarnation: AtomicU64,
     serving: AtomicBool,
     leaving: AtomicBool,
@@ -94,6 +100,8 @@
             slots: SlotBroker::default(),
             peers: PeerMesh::default(),
             connections,
+            metrics: NodeMetrics::default(),
+            burn: BurnLedger::default(),
             incarnation: AtomicU64::new(0),
             serving: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/berylstep/src/operator.rs
+++ b/berylstep/src/operator.rs
@@ -14,6 +14,7 @@
 use smol::net::{TcpListener, TcpStream};
 use subtle::ConstantTimeEq;
 
+use crate::burn;
 use crate::node::NodeContext;
 
 /// Largest body of an operator's request, in bytes.
@@ -52,6 +53,9 @@
     if path == "/healthz" {
         return text(200, "ok\n");
     }
+    if path == "/metrics" {
+        return text(200, &node.metrics.render(node));
+    }
     if !is_operator(node, request) {
         return text(401, "operator key is missing or wrong\n");
     }
@@ -62,6 +66,9 @@
         (Method::Get, "/operator/config") => {
             json(200, &node.config.read().expect("config lock").snapshot())
         }
+        (Method::Get, "/operator/burn") => {
+            crate::entry::response::json(200, &burn::report(node).await)
+        }
         (Method::Get, path) if path.starts_with(CHANGES_PATH) => {
             apply::settle(node, &path[CHANGES_PATH.len()..]).await
         }
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -15,6 +15,7 @@
 use handshake::HandshakeError;
 pub use link::PeerMesh;
 
+use crate::burn;
 use crate::node::NodeContext;
 use crate::tail;
 
@@ -48,6 +49,7 @@
 
 fn refuse(node: &NodeContext, err: &HandshakeError) {
     log::warn!("peer turned away: {err}");
+    node.metrics.rejected_peers.inc();
     node.peers.count_refusal(err.refusal());
 }
 
@@ -135,6 +137,9 @@
         Body::Challenge(_) | Body::Hello(_) => {
             log::warn!("handshake message on an open link: peer={from}");
         }
+        Body::BurnRequest(request) => burn::reply(node, from, &request),
+        Body::BurnReply(reply) => burn::receive(node, reply),
+        Body::BurnHandover(handover) => burn::inherit(node, handover),
         Body::SlotAsk(_)
         | Body::SlotAnswer(_)
         | Body::SlotReturn(_)
