Send non-idempotent requests at most once, and retry others within a budget

Cause: a booking repeated by its caller, at the same or another node, ran again; a caller that left took the record of the outcome with it; retries of idempotent work had no bound but three a request. Found on the way: async-h1 adds to an answer without a Date header one whose value holds a line break, so that the caller got a head that ended early and part of it as the body. Ruled out: a mark `claimed` before the queue and `sent` before sending. It costs a write more and is proof of nothing more: a single conditional insert directly before sending already makes an absent or released row the proof that nothing was sent. Removing the row to release it was ruled out too: a claiming write that is still on its way could then land behind it. Before, on: at_most_once 2 passed, 7 failed: "left: 9 right: 1" confirmed bookings of one key at three nodes, "80 retries after 40 failures", `(200, "ran")` in place of `(503, "store_down", "not-run")`, body "x-request-id: n0-1" in place of {"confirmed":true}. Rules with a sent claim taken for free: "sent 2 times"; with the token not compared: a lost claim is never settled. After: at_most_once 9 passed, claim_rules 3 passed (600 cases for each property), workspace green. Conclusion: what a caller is told about a key is true across nodes, kills and lost answers. Not proved: a process frozen between claim and send for longer than the retention of 24 h.

--- a/berylstep/src/connections.rs
+++ b/berylstep/src/connections.rs
@@ -53,15 +53,23 @@
         request: Request,
         choice: ConnectionChoice,
     ) -> Result<ClientAnswer, ExchangeError> {
-        let connection = match choice {
+        self.connection(address, choice).await?.exchange(request).await
+    }
+
+    /// Returns a connection that is ready for one request; nothing has been sent on an error.
+    pub async fn connection(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Result<ClientConnection, ExchangeError> {
+        let idle = match choice {
             ConnectionChoice::Any => self.take_idle(address),
             ConnectionChoice::Fresh => None,
         };
-        let connection = match connection {
-            Some(connection) => connection,
-            None => self.connect(address).await?,
-        };
-        connection.exchange(request).await
+        match idle {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
+        }
     }
 
     /// Takes the connection of an answer back if the answer was read whole and clean.
--- a/berylstep/src/entry.rs
+++ b/berylstep/src/entry.rs
@@ -1,10 +1,21 @@
 //! Listener for callers.
 
+pub mod at_most_once;
+pub mod attempt;
+pub mod budget;
+pub mod credentials;
 pub mod endpoints;
 pub mod forward;
+pub mod idempotent;
+pub mod meter;
+pub mod model_stream;
+pub mod outgoing;
+pub mod probe;
 pub mod relay;
 pub mod request;
 pub mod response;
+pub mod resume;
+pub mod watch;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
--- /dev/null
+++ b/berylstep/src/entry/credentials.rs
@@ -0,0 +1,91 @@
+//! Callers' keys in requests: finding them, and keeping them from upstreams.
+
+use berylstep_core::config::ConfigTable;
+use berylstep_core::key::KeyHash;
+use berylstep_core::refusal::{RefusalReason, RequestRefusal};
+use http_types::Request;
+
+/// Scheme of the `Authorization` header, in lower case.
+const BEARER: &str = "bearer ";
+
+/// Headers that hold a key as their whole value.
+const KEY_HEADERS: &[&str] = &["x-api-key", "api-key"];
+
+/// Shortest key that is searched for inside bodies and paths; shorter ones appear by chance.
+const MIN_SEARCHED_BYTES: usize = 8;
+
+/// Key that a request presents in its headers.
+///
+/// Several keys that differ are an error, because it would be unclear for whom the request runs.
+pub fn presented_key(request: &Request) -> Result<Option<&str>, RequestRefusal> {
+    let authorization = request.header("authorization").into_iter().flatten();
+    let bearers = authorization.filter_map(|value| bearer_token(value.as_str()));
+    let headers = KEY_HEADERS.iter().filter_map(|name| request.header(*name)).flatten();
+    let mut keys = bearers.chain(headers.map(|value| value.as_str().trim()));
+    let first = keys.next();
+    match keys.all(|key| Some(key) == first) {
+        true => Ok(first),
+        false => {
+            let message = "the request presents several keys that differ";
+            Err(RequestRefusal::not_run(RefusalReason::BadKey, message))
+        }
+    }
+}
+
+/// Refuses a request that holds a key where it would reach an upstream.
+pub fn refuse_exposed_key(
+    config: &ConfigTable,
+    secret: &[u8],
+    request: &Request,
+    body: &[u8],
+    presented: Option<&str>,
+) -> Result<(), RequestRefusal> {
+    let url = request.url();
+    let in_query = url
+        .query_pairs()
+        .any(|(_, value)| presented == Some(&*value) || is_held_key(config, secret, &value));
+    if in_query {
+        return Err(exposed("query string"));
+    }
+    let Some(key) = presented.filter(|key| key.len() >= MIN_SEARCHED_BYTES) else { return Ok(()) };
+    let target = url.as_str();
+    if target.contains(key) {
+        return Err(exposed("request target"));
+    }
+    match std::str::from_utf8(body) {
+        Ok(text) if text.contains(key) => Err(exposed("body")),
+        Ok(_) => Ok(()),
+        Err(_) if contains_bytes(body, key.as_bytes()) => Err(exposed("body")),
+        Err(_) => Ok(()),
+    }
+}
+
+/// Whether a header's value is or holds a key.
+pub fn holds_key(
+    config: &ConfigTable,
+    secret: &[u8],
+    value: &str,
+    presented: Option<&str>,
+) -> bool {
+    let value = value.trim();
+    let candidate = bearer_token(value).unwrap_or(value);
+    presented.is_some_and(|key| value.contains(key)) || is_held_key(config, secret, candidate)
+}
+
+fn bearer_token(value: &str) -> Option<&str> {
+    let scheme = value.get(..BEARER.len())?;
+    scheme.eq_ignore_ascii_case(BEARER).then(|| value[BEARER.len()..].trim())
+}
+
+fn is_held_key(config: &ConfigTable, secret: &[u8], value: &str) -> bool {
+    !value.is_empty() && config.organisation_of(&KeyHash::of(secret, value)).is_some()
+}
+
+fn contains_bytes(haystack: &[u8], needle: &[u8]) -> bool {
+    haystack.windows(needle.len()).any(|window| window == needle)
+}
+
+fn exposed(place: &str) -> RequestRefusal {
+    let message = format!("keys belong into the Authorization header, not into the {place}");
+    RequestRefusal::not_run(RefusalReason::BadRequest, message)
+}
--- a/berylstep/src/entry/endpoints.rs
+++ b/berylstep/src/entry/endpoints.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 
 use berylstep_core::config::RouteMatch;
-use berylstep_core::refusal::{RefusalReason, RequestRefusal};
 use berylstep_http::ReceivedRequest;
 use http_types::{Method, Response};
 use serde::Serialize;
 
-use super::{forward, request, response};
+use super::{credentials, forward, request, response, watch};
 use crate::node::NodeContext;
 
 /// Answer of `/v1/entries`.
@@ -53,9 +52,7 @@
 
 async fn forwarded(node: &Arc<NodeContext>, received: ReceivedRequest) -> Response {
     if node.is_isolated() {
-        let message = "the node has lost contact with the table service and all peers";
-        let refusal = RequestRefusal::not_run(RefusalReason::Isolated, message);
-        return response::refusal(&refusal.retry_after(crate::node::ISOLATION_LIMIT));
+        return response::refusal(&watch::isolated_refusal());
     }
     let answered = match request::resolve(node, received) {
         Ok(request) => forward::forward(node, request).await,
@@ -86,8 +83,9 @@
 
 fn models(node: &NodeContext, head: &http_types::Request) -> Response {
     let config = node.config.read().expect("config lock");
-    let hash = request::presented_key(head)
-        .map(|key| berylstep_core::key::KeyHash::of(&node.settings.site_secret, key));
+    let presented = credentials::presented_key(head).ok().flatten();
+    let hash =
+        presented.map(|key| berylstep_core::key::KeyHash::of(&node.settings.site_secret, key));
     let known = hash.is_some_and(|hash| config.organisation_of(&hash).is_some());
     let visible = config.routes().filter(|route| route.open || known);
     let names = visible.filter_map(|route| match &route.matcher {
--- a/berylstep/src/entry/forward.rs
+++ b/berylstep/src/entry/forward.rs
@@ -1,161 +1,148 @@
-//! Sending a caller's request to an upstream, with retries for idempotent work.
+//! Sending a caller's request to upstreams.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::config::RouteRepeat;
-use berylstep_core::refusal::{RefusalReason, RequestRefusal};
-use berylstep_http::client::REQUEST_ID_HEADER;
-use berylstep_http::{ClientAnswer, ExchangeError};
-use http_types::headers::HeaderName;
-use http_types::{Request, Response, Url};
-
-use super::relay;
-use super::request::{presented_key, CallerRequest};
-use crate::connections::ConnectionChoice;
+use berylstep_core::refusal::{RefusalReason, RequestRefusal, RunState};
+use http_types::Response;
+
+use super::request::CallerRequest;
+use super::watch::KeyWatch;
+use super::{at_most_once, idempotent};
 use crate::node::NodeContext;
 use crate::slots::{self, SlotGuard, SlotRequest};
 
-/// Most attempts for one idempotent request.
-const MAX_ATTEMPTS: usize = 3;
-
-/// Headers that end at this node: those of one connection, and those that carry a caller's key.
-const DROPPED_HEADERS: &[&str] = &[
-    "authorization",
-    "x-api-key",
-    "api-key",
-    "proxy-authorization",
-    "cookie",
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "host",
-    "expect",
-    "berylstep-class",
-    REQUEST_ID_HEADER,
-];
+/// Most attempts for one request.
+pub const MAX_ATTEMPTS: usize = 3;
+
+/// When a caller may come back after upstreams failed.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Bytes of a prompt that decide where requests with the same beginning go.
+const PREFIX_BYTES: usize = 512;
+
+/// One request on its way to an upstream.
+pub struct ForwardedRequest {
+    /// Node.
+    pub node: Arc<NodeContext>,
+    /// Request of the caller.
+    pub request: Arc<CallerRequest>,
+    /// Watch over the caller's key.
+    pub watch: KeyWatch,
+    /// Time on the node's clock at which the request is given up.
+    pub deadline: Duration,
+    /// What its attempts need a slot for.
+    pub ask: SlotRequest,
+    /// Upstreams to which a connection was silent; they are asked again where no other is left.
+    pub silent: Vec<SharedName>,
+    /// Whether any attempt so far may have reached an upstream.
+    pub may_have_run: bool,
+}
 
 /// Sends the request to an upstream and returns its answer, to be streamed.
 pub async fn forward(
     node: &Arc<NodeContext>,
     request: CallerRequest,
 ) -> Result<Response, RequestRefusal> {
-    let deadline = node.clock.now() + Duration::from_millis(request.class.deadline_ms);
-    let idempotent = request.route.repeat == RouteRepeat::Idempotent;
-    let mut ask = SlotRequest {
-        pool: request.route.pool.clone(),
-        class: request.class.name.clone(),
-        tier: request.class.tier,
-        deadline,
-        max_tokens: request.model.as_ref().and_then(|model| model.max_tokens),
-        prefix_hash: 0,
-        idempotent,
-        organisation: request.organisation.clone().unwrap_or_else(|| "".into()),
-        excluded: Vec::new(),
-    };
-    let mut may_have_run = false;
-    loop {
-        let acquired = slots::acquire(node, &ask).await;
-        let slot = acquired.map_err(|refusal| worsen(refusal, may_have_run))?;
-        let attempt = attempt(node, &request, &slot, deadline).await;
-        let err = match attempt {
-            Ok((answer, id)) => return Ok(relay::relay(node, answer, slot, id, &request)),
-            Err(err) => err,
-        };
-        may_have_run |= err.may_have_run;
-        log::warn!("attempt failed: upstream={} error={}", slot.upstream.id, err.message);
-        ask.excluded.push(slot.upstream.id.clone());
-        let retry = (idempotent || !may_have_run) && ask.excluded.len() < MAX_ATTEMPTS;
-        if !retry || node.clock.now() >= deadline {
-            let refusal = RequestRefusal::not_run(RefusalReason::UpstreamFailed, err.message);
-            return Err(worsen(refusal, may_have_run));
-        }
+    let forwarded = ForwardedRequest::new(node, Arc::new(request));
+    match forwarded.request.route.repeat {
+        RouteRepeat::Idempotent => idempotent::forward(forwarded).await,
+        RouteRepeat::SendOnce | RouteRepeat::RequireKey => at_most_once::forward(forwarded).await,
     }
 }
 
-/// A failed attempt.
-#[derive(Debug)]
-struct AttemptError {
-    may_have_run: bool,
-    message: String,
-}
-
-impl From<ExchangeError> for AttemptError {
-    fn from(err: ExchangeError) -> Self {
-        Self { may_have_run: err.may_have_run(), message: err.to_string() }
+impl ForwardedRequest {
+    fn new(node: &Arc<NodeContext>, request: Arc<CallerRequest>) -> Self {
+        let deadline = node.clock.now() + Duration::from_millis(request.class.deadline_ms);
+        let ask = SlotRequest {
+            pool: request.route.pool.clone(),
+            class: request.class.name.clone(),
+            tier: request.class.tier,
+            deadline,
+            max_tokens: request.model.as_ref().and_then(|model| model.max_tokens),
+            prefix_hash: prefix_hash(&request),
+            idempotent: request.route.repeat == RouteRepeat::Idempotent,
+            organisation: request.organisation.clone().unwrap_or_else(|| "".into()),
+            excluded: Vec::new(),
+        };
+        let watch = KeyWatch::new(node, &request);
+        let (silent, may_have_run) = (Vec::new(), false);
+        Self { node: node.clone(), request, watch, deadline, ask, silent, may_have_run }
     }
-}
 
-/// Keeps a refusal truthful after an earlier attempt may have run.
-fn worsen(mut refusal: RequestRefusal, may_have_run: bool) -> RequestRefusal {
-    if may_have_run {
-        refusal.run = berylstep_core::refusal::RunState::Unknown;
+    /// Waits for a slot; gives up at the deadline and where the key is withdrawn.
+    pub async fn acquire(&mut self) -> Result<SlotGuard, RequestRefusal> {
+        match self.try_acquire().await {
+            Err(refusal) if refusal.reason == RefusalReason::NoUpstream => {
+                if self.silent.is_empty() {
+                    return Err(refusal);
+                }
+                let silent = std::mem::take(&mut self.silent);
+                self.ask.excluded.retain(|upstream| !silent.contains(upstream));
+                self.try_acquire().await
+            }
+            acquired => acquired,
+        }
     }
-    refusal
-}
 
-async fn attempt(
-    node: &NodeContext,
-    request: &CallerRequest,
-    slot: &SlotGuard,
-    deadline: Duration,
-) -> Result<(ClientAnswer, SharedName), AttemptError> {
-    let id = format!("{}-{}-{}", node.settings.node, node.incarnation(), node.next_request());
-    let outgoing = upstream_request(request, &slot.upstream, &id)?;
-    let choice = match request.route.repeat {
-        RouteRepeat::Idempotent => ConnectionChoice::Any,
-        RouteRepeat::SendOnce | RouteRepeat::RequireKey => ConnectionChoice::Fresh,
-    };
-    let exchange = node.connections.exchange(slot.upstream.address, outgoing, choice);
-    let left = deadline.saturating_sub(node.clock.now());
-    match node.clock.timeout(left, exchange).await {
-        Some(Ok(answer)) => Ok((answer, id.into())),
-        Some(Err(err)) => Err(err.into()),
-        None => Err(AttemptError {
-            may_have_run: true,
-            message: "no answer before the deadline".to_owned(),
-        }),
+    async fn try_acquire(&self) -> Result<SlotGuard, RequestRefusal> {
+        let acquiring = self.watch.unless_withdrawn(slots::acquire(&self.node, &self.ask));
+        let acquired = self.node.clock.timeout(self.time_left(), acquiring).await;
+        acquired.unwrap_or_else(|| Err(deadline_refusal())).map_err(|err| self.truthful(err))
     }
-}
 
-fn upstream_request(
-    request: &CallerRequest,
-    upstream: &berylstep_core::upstream::UpstreamEntry,
-    id: &str,
-) -> Result<Request, AttemptError> {
-    let head = &request.head;
-    let mut target = format!("http://{}{}", upstream.address, head.url().path());
-    if let Some(query) = head.url().query() {
-        target = format!("{target}?{query}");
+    /// Prefers other upstreams for the next attempt.
+    pub fn leave(&mut self, upstream: SharedName, failed: bool) {
+        if !failed {
+            self.silent.push(upstream.clone());
+        }
+        self.ask.excluded.push(upstream);
     }
-    let url = Url::parse(&target).map_err(|err| AttemptError {
-        may_have_run: false,
-        message: format!("request target: {err}"),
-    })?;
-    let mut outgoing = Request::new(head.method(), url);
-    if !request.body.is_empty() {
-        outgoing.set_body(&request.body[..]);
+
+    /// Time until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_sub(self.node.clock.now())
     }
-    outgoing.remove_header("content-type");
-    let caller_key = presented_key(head);
-    for (name, values) in head.iter().filter(|(name, _)| !is_dropped(name)) {
-        for value in values.iter() {
-            let holds_key = caller_key.is_some_and(|key| value.as_str().contains(key));
-            if !holds_key {
-                outgoing.append_header(name.clone(), value.clone());
-            }
+
+    /// Keeps a refusal truthful after an earlier attempt may have run.
+    pub fn truthful(&self, mut refusal: RequestRefusal) -> RequestRefusal {
+        if self.may_have_run && refusal.run == RunState::NotRun {
+            refusal.run = RunState::Unknown;
         }
+        refusal
     }
-    outgoing.insert_header(REQUEST_ID_HEADER, id);
-    Ok(outgoing)
+
+    /// Refuses after an attempt failed.
+    pub fn failed(&self, message: &str) -> RequestRefusal {
+        let refusal = RequestRefusal::not_run(RefusalReason::UpstreamFailed, message);
+        self.truthful(refusal.retry_after(RETRY_AFTER))
+    }
+}
+
+/// Refusal at the deadline.
+pub fn deadline_refusal() -> RequestRefusal {
+    let message = "the deadline of the class passed";
+    RequestRefusal::not_run(RefusalReason::Deadline, message).retry_after(RETRY_AFTER)
+}
+
+/// Hash of organisation, model and the beginning of the prompt; 0 for plain services.
+fn prefix_hash(request: &CallerRequest) -> u64 {
+    let Some(model) = &request.model else { return 0 };
+    let mut hasher = berylstep_core::collections::FastHasher::default();
+    request.organisation.hash(&mut hasher);
+    model.model.hash(&mut hasher);
+    let prompt = prompt_start(&request.body);
+    prompt[..prompt.len().min(PREFIX_BYTES)].hash(&mut hasher);
+    hasher.finish()
 }
 
-fn is_dropped(name: &HeaderName) -> bool {
-    DROPPED_HEADERS.contains(&name.as_str())
+/// The body from its messages or prompt on; other fields may differ between requests that share
+/// their beginning.
+fn prompt_start(body: &[u8]) -> &[u8] {
+    let text = std::str::from_utf8(body).unwrap_or_default();
+    let start = text.find("\"messages\"").or_else(|| text.find("\"prompt\""));
+    &body[start.unwrap_or_default()..]
 }
--- a/berylstep/src/entry/request.rs
+++ b/berylstep/src/entry/request.rs
@@ -10,6 +10,7 @@
 use http_types::Request;
 use serde::Deserialize;
 
+use super::credentials::{presented_key, refuse_exposed_key};
 use crate::node::NodeContext;
 
 /// Header by which a caller names one of the route's classes.
@@ -18,9 +19,6 @@
 /// Paths of the OpenAI-compatible model endpoints.
 const MODEL_PATHS: &[&str] = &["/v1/chat/completions", "/v1/completions"];
 
-/// Scheme of the `Authorization` header.
-const BEARER: &str = "Bearer ";
-
 /// The fields of a model request that routing needs.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct ModelFields {
@@ -61,12 +59,14 @@
 ) -> Result<CallerRequest, RequestRefusal> {
     let ReceivedRequest { request, body } = received;
     let config = node.config.read().expect("config lock");
-    let presented = presented_key(&request);
+    let presented = presented_key(&request)?;
     let key = presented.map(|key| KeyHash::of(&node.settings.site_secret, key));
     let organisation = match &key {
         Some(hash) => Some(config.organisation_of(hash).cloned().ok_or_else(bad_key)?),
         None => None,
     };
+    let secret = &node.settings.site_secret;
+    refuse_exposed_key(&config, secret, &request, &body, presented)?;
     let (route, model) = find_route(&config, &request, &body)?;
     if organisation.is_none() && !route.open {
         return Err(bad_key());
@@ -75,14 +75,6 @@
     Ok(CallerRequest { head: request, body: body.into(), organisation, key, route, class, model })
 }
 
-/// Key in the request's headers.
-pub fn presented_key(request: &Request) -> Option<&str> {
-    if let Some(values) = request.header("authorization") {
-        return values.last().as_str().strip_prefix(BEARER).map(str::trim);
-    }
-    request.header("x-api-key").map(|values| values.last().as_str())
-}
-
 fn bad_key() -> RequestRefusal {
     RequestRefusal::not_run(RefusalReason::BadKey, "the key is missing, unknown or withdrawn")
 }
--- a/berylstep/src/lib.rs
+++ b/berylstep/src/lib.rs
@@ -1,6 +1,7 @@
 //! The berylstep process: its command line, settings and the edges around the core's decisions.
 
 pub mod burn;
+pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -14,12 +14,13 @@
 use crate::clock::RuntimeClock;
 use crate::config::NodeSettings;
 use crate::connections::ConnectionPool;
+use crate::entry::budget::RetryBudgets;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerMesh;
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
-use crate::{burn, entry, member, operator, peer, shutdown, tail, upstream};
+use crate::{burn, claim, entry, member, operator, peer, shutdown, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -62,6 +63,8 @@
     pub metrics: NodeMetrics,
     /// Service-level counts.
     pub burn: BurnLedger,
+    /// Retry budgets of the pools.
+    pub retries: RetryBudgets,
     incarnation: AtomicU64,
     leaving: AtomicBool,
     in_flight: AtomicU32,
@@ -85,6 +88,7 @@
             connections,
             metrics: NodeMetrics::default(),
             burn: BurnLedger::default(),
+            retries: RetryBudgets::default(),
             incarnation: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
@@ -190,6 +194,7 @@
         smol::spawn(tail::follow(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
+        smol::spawn(claim::sweep::run(node.clone())),
     ];
     let entry_task = smol::spawn(entry::listen(node.clone(), callers));
     log::info!("node serves: node={} callers={}", node.settings.node, node.settings.listen);
--- a/berylstep_core/src/collections.rs
+++ b/berylstep_core/src/collections.rs
@@ -10,3 +10,6 @@
 
 /// Immutable string shared between tables.
 pub type SharedName = Arc<str>;
+
+/// Fast, non-cryptographic hasher with the same results in every process.
+pub type FastHasher = rustc_hash::FxHasher;
--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod arbiter;
 pub mod burn;
+pub mod claim;
 pub mod collections;
 pub mod config;
 pub mod estimate;
@@ -14,4 +15,5 @@
 pub mod member;
 pub mod refusal;
 pub mod rendezvous;
+pub mod retry;
 pub mod upstream;
--- a/berylstep_core/src/refusal.rs
+++ b/berylstep_core/src/refusal.rs
@@ -51,6 +51,8 @@
     StoreDown,
     /// A request with the same idempotency key is in progress or has been sent.
     Duplicate,
+    /// The idempotency key was used with another request.
+    KeyReused,
     /// The upstream failed before or during its answer.
     UpstreamFailed,
     /// The node is stopping.
@@ -91,6 +93,7 @@
             Self::Isolated => "isolated",
             Self::StoreDown => "store_down",
             Self::Duplicate => "duplicate",
+            Self::KeyReused => "idempotency_key_reused",
             Self::UpstreamFailed => "upstream_failed",
             Self::Stopping => "stopping",
         }
@@ -105,6 +108,7 @@
             Self::NoRoute => 404,
             Self::Duplicate => 409,
             Self::BodyTooLarge => 413,
+            Self::KeyReused => 422,
             Self::OverLimit => 429,
             Self::UpstreamFailed => 502,
             Self::QueueFull
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll};
 
 use displaydoc::Display;
+use http_types::headers::HeaderValues;
 use http_types::{Body, Method, Request, Response};
 use smol::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use smol::net::TcpStream;
@@ -110,6 +111,7 @@
         let framed = FramedStream::new(prefix, end, self.stream.clone());
         let decoded = async_h1::client::decode(framed.clone()).await;
         let mut response = decoded.map_err(|err| ExchangeError::Decode(err.to_string()))?;
+        remove_unsafe_headers(&mut response);
         let answer_id = header_value(response.header(REQUEST_ID_HEADER));
         if answer_id.is_some() && request_id.is_some() && answer_id != request_id {
             return Err(ExchangeError::Crossed);
@@ -166,10 +168,23 @@
     }
 }
 
-fn header_value(values: Option<&http_types::headers::HeaderValues>) -> Option<String> {
+fn header_value(values: Option<&HeaderValues>) -> Option<String> {
     values.map(|values| values.last().as_str().to_owned())
 }
 
+/// Removes headers with line breaks, which would end the head where it is passed on.
+///
+/// `async-h1` adds such a `Date` header to answers without one.
+fn remove_unsafe_headers(response: &mut Response) {
+    let is_unsafe =
+        |values: &HeaderValues| values.iter().any(|value| value.as_str().contains(['\r', '\n']));
+    let names = response.iter().filter(|(_, values)| is_unsafe(values));
+    let names: Vec<_> = names.map(|(name, _)| name.clone()).collect();
+    for name in names {
+        response.remove_header(name);
+    }
+}
+
 /// Wraps the body so that `body_read` tells when its end was reached.
 fn watch_body(response: &mut Response, body_read: Arc<AtomicBool>) {
     let content_type = header_value(response.header("content-type"));
--- a/berylstep_http/src/head.rs
+++ b/berylstep_http/src/head.rs
@@ -8,7 +8,8 @@
 
 const MAX_HEADERS: usize = 128;
 const READ_BYTES: usize = 4 * 1024;
-const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Blank line that ends a head.
+pub(crate) const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Why a message head was not accepted.
 #[derive(Debug, Display)]
--- a/berylstep_http/src/lib.rs
+++ b/berylstep_http/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod server;
 pub mod socket;
 
-pub use body::{produced_body, BodySender};
+pub use body::{fed_body, produced_body, BodySender};
 pub use client::{ClientAnswer, ClientConnection, ExchangeError};
 pub use head::HeadError;
 pub use server::{ReceiveError, ReceivedRequest, ServerConnection};
--- a/berylstep_http/src/server.rs
+++ b/berylstep_http/src/server.rs
@@ -9,7 +9,7 @@
 use smol::net::TcpStream;
 
 use crate::framed::{FramedStream, MessageEnd};
-use crate::head::{check_request, read_head, BodyFraming, HeadError};
+use crate::head::{check_request, read_head, BodyFraming, HeadError, HEAD_END};
 
 /// Most bytes that a peer may send ahead while its request is served.
 const MAX_AHEAD_BYTES: usize = 64 * 1024;
@@ -203,8 +203,11 @@
     response: Response,
     method: Method,
 ) -> ServeOutcome {
+    let body_bytes = response.len().filter(|_| method != Method::Head);
     let mut encoder = async_h1::server::Encoder::new(response, method);
     let mut chunk = vec![0; COPY_BYTES];
+    // Bytes up to the end of the message, once they are known.
+    let mut left = None;
     loop {
         match encoder.read(&mut chunk).await {
             Ok(0) => return ServeOutcome::Sent,
@@ -212,12 +215,24 @@
                 if stream.write_all(&chunk[..count]).await.is_err() {
                     return ServeOutcome::PeerLeft;
                 }
+                let expected = left.or_else(|| message_bytes(&chunk[..count], body_bytes));
+                left = expected.map(|expected| expected.saturating_sub(count));
+                // A peer that has everything may close before the encoder is asked again.
+                if left == Some(0) {
+                    return ServeOutcome::Sent;
+                }
             }
             Err(_) => return ServeOutcome::Broken,
         }
     }
 }
 
+/// Length of the message whose head is in its `first` bytes; `None` where it is not known.
+fn message_bytes(first: &[u8], body_bytes: Option<usize>) -> Option<usize> {
+    let head_end = first.windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
+    Some(head_end + HEAD_END.len() + body_bytes?)
+}
+
 /// Resolves when the peer closes; bytes that it sends ahead are kept in `buffer`.
 async fn watch_peer(mut stream: TcpStream, buffer: &mut Vec<u8>) -> ServeOutcome {
     let mut chunk = [0; 1024];
--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -89,8 +89,16 @@
     panic!("binary {name} is not built: run `cargo build --workspace` first");
 }
 
+/// Ports below the range from which the system takes ports for outgoing connections, which would
+/// otherwise take one between its choice and its use.
+const LISTENER_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// An address on loopback that was free a moment ago.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("bound socket has an address")
+    loop {
+        let port = fastrand::u16(LISTENER_PORTS);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("bound socket has an address");
+        }
+    }
 }
