--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -17,6 +17,7 @@
 use crate::config::NodeSettings;
 use crate::connections::ConnectionPool;
 use crate::drain::DrainSignal;
+use crate::entry::budget::RetryBudgets;
 use crate::member::MemberRegistration;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerMesh;
@@ -24,7 +25,7 @@
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
 use crate::tail::ConfigFollower;
-use crate::{drain, entry, member, operator, peer, shutdown, tail, upstream};
+use crate::{claim, drain, entry, member, operator, peer, shutdown, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -75,6 +76,8 @@
     pub metrics: NodeMetrics,
     /// Service-level counts.
     pub burn: BurnLedger,
+    /// Retry budgets of the pools.
+    pub retries: RetryBudgets,
     incarnation: AtomicU64,
     serving: AtomicBool,
     leaving: AtomicBool,
@@ -102,6 +105,7 @@
             connections,
             metrics: NodeMetrics::default(),
             burn: BurnLedger::default(),
+            retries: RetryBudgets::default(),
             incarnation: AtomicU64::new(0),
             serving: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -235,6 +239,7 @@
         smol::spawn(peer::send_pulses(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
+        smol::spawn(claim::sweep::run(node.clone())),
     ];
     let stopping = async {
         shutdown::wait(&mut signals).await;
