Observe every request for metrics, burn and the log

Cause: nothing counted whether requests met their class's target, and an operator could not find a request in the log. Ruled out: counting in the connection, which knows neither class nor first byte; counting the caller's own errors and withdrawn keys as misses. Change: an observer goes with each request and records attempt, first byte and end when the last part lets go of it: metrics, burn counts and one log line with key=value fields. Conclusion: the burn report is true for what the nodes counted; a killed node's counts are lost.

--- a/berylstep/src/entry/forward.rs
+++ b/berylstep/src/entry/forward.rs
@@ -13,6 +13,7 @@
 use super::watch::KeyWatch;
 use super::{at_most_once, idempotent};
 use crate::node::NodeContext;
+use crate::observer::{RequestObserver, RequestOutcome};
 use crate::slots::{self, SlotGuard, SlotRequest};
 
 /// Most attempts for one request.
@@ -38,6 +39,8 @@
     pub ask: SlotRequest,
     /// Upstreams to which a connection was silent; they are asked again where no other is left.
     pub silent: Vec<SharedName>,
+    /// Observer, for metrics and the log.
+    pub observer: RequestObserver,
     /// Whether any attempt so far may have reached an upstream.
     pub may_have_run: bool,
 }
@@ -48,10 +51,15 @@
     request: CallerRequest,
 ) -> Result<Response, RequestRefusal> {
     let forwarded = ForwardedRequest::new(node, Arc::new(request));
-    match forwarded.request.route.repeat {
+    let observer = forwarded.observer.clone();
+    let answered = match forwarded.request.route.repeat {
         RouteRepeat::Idempotent => idempotent::forward(forwarded).await,
         RouteRepeat::SendOnce | RouteRepeat::RequireKey => at_most_once::forward(forwarded).await,
+    };
+    if let Err(refusal) = &answered {
+        observer.note_end(RequestOutcome::refused(refusal));
     }
+    answered
 }
 
 impl ForwardedRequest {
@@ -69,8 +77,10 @@
             excluded: Vec::new(),
         };
         let watch = KeyWatch::new(node, &request);
+        let observer =
+            RequestObserver::start(node.clone(), request.class.clone(), ask.organisation.clone());
         let (silent, may_have_run) = (Vec::new(), false);
-        Self { node: node.clone(), request, watch, deadline, ask, silent, may_have_run }
+        Self { node: node.clone(), request, watch, deadline, ask, silent, observer, may_have_run }
     }
 
     /// Waits for a slot; gives up at the deadline and where the key is withdrawn.
--- a/berylstep/src/entry/idempotent.rs
+++ b/berylstep/src/entry/idempotent.rs
@@ -68,6 +68,7 @@
     let upstream = slot.upstream.id.clone();
     log::warn!("attempt failed: upstream={upstream} error={}", err.message);
     forwarded.may_have_run |= err.may_have_run;
+    forwarded.observer.note_failed_attempt(&forwarded.ask.pool);
     slot.finish(SlotOutcome { tokens: 0, failed: err.upstream_failed });
     forwarded.leave(upstream, err.upstream_failed);
 }
--- a/berylstep/src/entry/relay.rs
+++ b/berylstep/src/entry/relay.rs
@@ -18,6 +18,7 @@
 use super::probe::{probe, ProbeResult};
 use super::response::RUN_HEADER;
 use super::resume::{self, ResumeCause};
+use crate::observer::RequestOutcome;
 use crate::slots::{SlotGuard, SlotOutcome};
 
 /// Longest gap between two reads of an upstream's answer.
@@ -137,6 +138,7 @@
         caller_left: CallerLeft,
     ) -> Self {
         slot.note_started();
+        forwarded.observer.note_attempt(&answer.id, &slot.upstream.id);
         let is_event_stream = answer.is_event_stream();
         let request = &forwarded.request;
         let streams = request.model.as_ref().is_some_and(|model| model.stream) && is_event_stream;
@@ -183,7 +185,9 @@
                     }
                 }
                 ReadEnd::Whole => return self.finish(sender).await,
-                ReadEnd::Withdrawn => return log::info!("answer ended: the key was withdrawn"),
+                ReadEnd::Withdrawn => {
+                    return self.forwarded.observer.note_end(RequestOutcome::Withdrawn);
+                }
                 ReadEnd::Broken(cause) => {
                     let Some(first) = resume::resume(&mut self, &cause).await else {
                         return self.note_broken(&cause);
@@ -270,6 +274,9 @@
         let clock = &self.forwarded.node.clock;
         let sent = clock.timeout(CALLER_STALL, sender.send(bytes)).await;
         self.caller_gone = !matches!(sent, Some(Ok(())));
+        if !self.caller_gone {
+            self.forwarded.observer.note_delivery(self.meter.output_tokens().into());
+        }
         !self.caller_gone || self.caller_left == CallerLeft::ReadOn
     }
 
@@ -279,6 +286,11 @@
         }
         self.give_back();
         if !self.caller_gone {
+            let outcome = match self.successful {
+                true => RequestOutcome::Answered,
+                false => RequestOutcome::UpstreamError,
+            };
+            self.forwarded.observer.note_end(outcome);
             sender.finish();
         }
     }
@@ -297,6 +309,7 @@
 
     fn note_broken(mut self, cause: &ResumeCause) {
         log::warn!("answer broken: class={} {cause}", self.forwarded.request.class.name);
+        self.forwarded.observer.note_end(RequestOutcome::Broken);
         if let Some(AnswerSource { slot, .. }) = self.source.take() {
             let tokens = self.meter.output_tokens();
             slot.finish(SlotOutcome { tokens, failed: cause.upstream_failed });
