Test configuration, membership, races and planned stops on processes

Ruled out: fixed sleeps; ports of the range for outgoing connections, which another test's connection took between choice and use (seen: two sites that never became ready). Change: system tests with frozen, killed, cut and doubled nodes, outages with the commit, lost answers, ten racing operators, a rolling restart under load. Found by them and mended here: a change that was sent twice at once under one token was told as a conflict with itself ({"against":5,"newest":6,"state":"conflict"}); a connection whose answer had a length was never reused, since the end of such a body is not read for.

--- a/berylstep/src/operator/apply.rs
+++ b/berylstep/src/operator/apply.rs
@@ -149,6 +149,10 @@
     match outcome {
         CommitOutcome::Committed(version) => in_force(node, version, token, IN_FORCE_WAIT).await,
         CommitOutcome::Conflict(newest) => {
+            // The change that was stored first may be this one, sent under the same token.
+            if let Ok(Some(version)) = commit::find(node, token).await {
+                return in_force(node, version, token, IN_FORCE_WAIT).await;
+            }
             let newest = newest.unwrap_or_else(|| node.follower.newest());
             ChangeAnswer::Conflict { against, newest, token: token.to_owned() }
         }
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -175,7 +175,8 @@
     let content_type = header_value(response.header("content-type"));
     let inner = response.take_body();
     let length = inner.len();
-    let watched = BufReader::new(WatchedBody { inner, body_read });
+    body_read.store(length == Some(0), Ordering::Release);
+    let watched = BufReader::new(WatchedBody { inner, left: length, body_read });
     response.set_body(Body::from_reader(watched, length));
     match content_type {
         Some(content_type) => drop(response.insert_header("content-type", content_type)),
@@ -186,6 +187,8 @@
 #[derive(Debug)]
 struct WatchedBody {
     inner: Body,
+    /// Bytes left of a body with a length; its reader never asks for the end after the last one.
+    left: Option<usize>,
     body_read: Arc<AtomicBool>,
 }
 
@@ -196,7 +199,10 @@
         buf: &mut [u8],
     ) -> Poll<std::io::Result<usize>> {
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
-        if matches!(result, Poll::Ready(Ok(0))) && !buf.is_empty() {
+        let Poll::Ready(Ok(count)) = result else { return result };
+        self.left = self.left.map(|left| left.saturating_sub(count));
+        let is_end = count == 0 && !buf.is_empty();
+        if is_end || self.left == Some(0) {
             self.body_read.store(true, Ordering::Release);
         }
         result
--- a/berylstep_standins/src/platform.rs
+++ b/berylstep_standins/src/platform.rs
@@ -23,6 +23,9 @@
     pub down: bool,
     /// Delay of each call, in milliseconds.
     pub slow_ms: u64,
+    /// Key prefix: the platform goes down with the first transaction that writes such a row, which
+    /// takes effect and is answered.
+    pub down_after: Option<String>,
     /// Number of writing calls that take effect and whose answers are lost.
     pub lose_answers: u32,
     /// Age of the VM list that callers see, in milliseconds.
@@ -96,6 +99,9 @@
     }
     let is_write = received.request.method() != Method::Get;
     let response = lock(&state).handle(&path, &received);
+    if path == "/table/transact" {
+        lock(&state).go_down_after(&received.body);
+    }
     if !is_control && is_write && lock(&state).take_lost_answer() {
         return serve::status(504);
     }
@@ -229,6 +235,15 @@
         accepted
     }
 
+    fn go_down_after(&mut self, body: &[u8]) {
+        let Some(prefix) = self.faults.down_after.clone() else { return };
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else { return };
+        if transaction.writes.iter().any(|write| write.key.starts_with(&prefix)) {
+            self.faults.down = true;
+            self.faults.down_after = None;
+        }
+    }
+
     fn take_lost_answer(&mut self) -> bool {
         let lost = self.faults.lose_answers > 0;
         self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -89,8 +89,16 @@
     panic!("binary {name} is not built: run `cargo build --workspace` first");
 }
 
+/// Ports below those that the system gives to outgoing connections, which could take a port between
+/// its choice here and its use by a process.
+const FREE_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// An address on loopback that was free a moment ago.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("bound socket has an address")
+    loop {
+        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(FREE_PORTS)));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
--- a/berylstep_standins/src/site.rs
+++ b/berylstep_standins/src/site.rs
@@ -1,5 +1,7 @@
 //! A whole site as child processes: platform, upstreams and nodes.
 
+pub mod operate;
+
 use std::net::SocketAddr;
 use std::process::Command;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/berylstep_standins/src/site/operate.rs
@@ -0,0 +1,145 @@
+//! What operators do with a site, and nodes whose paths can be cut.
+
+use std::net::SocketAddr;
+
+use serde_json::{json, Value};
+
+use super::{start_node, SiteNode, TrialSite, OPERATOR_KEY};
+use crate::client::{CallAnswer, CallRequest};
+use crate::process::free_address;
+use crate::relay::{RelayMode, TcpRelay};
+
+/// Relays in the paths of one node.
+#[derive(Debug)]
+pub struct NodeRelays {
+    /// From the other nodes to this one.
+    pub peers: TcpRelay,
+    /// From this node to the platform.
+    pub platform: TcpRelay,
+}
+
+impl TrialSite {
+    /// Starts a node whose paths to the platform and from other nodes lead through relays.
+    pub fn add_relayed_node(
+        &mut self,
+        zone: &str,
+        arguments: &[&str],
+    ) -> std::io::Result<NodeRelays> {
+        let name = format!("n{}", self.nodes.len());
+        let [callers, peers, operators] = [free_address(), free_address(), free_address()];
+        let relays = NodeRelays {
+            peers: TcpRelay::start(peers)?,
+            platform: TcpRelay::start(self.platform_address)?,
+        };
+        let advertised = relays.peers.address().to_string();
+        let mut flags = vec!["--peer-advertise", &*advertised];
+        flags.extend(arguments);
+        let addresses = [callers, peers, operators];
+        let process = start_node(relays.platform.address(), &name, zone, addresses, &flags)?;
+        self.nodes.push(SiteNode { process, name, callers, peers, operators });
+        Ok(relays)
+    }
+
+    /// Starts a node under a name of choice, at addresses of its own.
+    pub fn add_node_named(
+        &mut self,
+        name: &str,
+        zone: &str,
+        arguments: &[&str],
+    ) -> std::io::Result<()> {
+        let name = name.to_owned();
+        let addresses = [free_address(), free_address(), free_address()];
+        let [callers, peers, operators] = addresses;
+        let process = start_node(self.platform_address, &name, zone, addresses, arguments)?;
+        self.nodes.push(SiteNode { process, name, callers, peers, operators });
+        Ok(())
+    }
+
+    /// Makes every node dial again, so that each link leads through the relay of the node with the
+    /// higher name; a node that has just joined has dialled the others itself.
+    pub fn relink(&self, relays: &[NodeRelays]) {
+        for relay in relays {
+            relay.peers.set_mode(RelayMode::Cut);
+        }
+        for index in 0..self.nodes.len() {
+            self.wait_until("the links are cut", |site| site.linked(index) == 0);
+        }
+        for relay in relays {
+            relay.peers.set_mode(RelayMode::Open);
+        }
+        for index in 0..self.nodes.len() {
+            self.wait_until("the nodes have linked again", |site| {
+                site.linked(index) == site.nodes.len() - 1
+            });
+        }
+    }
+
+    /// Answer of `/operator/status` at a node.
+    pub fn status(&self, node: usize) -> Value {
+        let operators = self.nodes[node].operators;
+        self.call(CallRequest::get(operators, "/operator/status").key(OPERATOR_KEY)).json()
+    }
+
+    /// Nodes that a node hears on links.
+    pub fn linked(&self, node: usize) -> usize {
+        let status = self.status(node);
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let heard = |member: &&Value| member["heard_ms"].as_u64().is_some_and(|ms| ms < 600);
+        members.iter().filter(heard).count()
+    }
+
+    /// Configuration version in force at a node.
+    pub fn version(&self, node: usize) -> u64 {
+        self.status(node)["config_version"].as_u64().unwrap_or_default()
+    }
+
+    /// Sends a change made against the version in force at the node.
+    pub fn change(&self, node: usize, change: &Value) -> CallAnswer {
+        let mut change = change.clone();
+        change["against"] = json!(self.version(node));
+        self.apply(node, &change)
+    }
+
+    /// Asks a node what became of the change with this token.
+    pub fn settle(&self, node: usize, token: &str) -> CallAnswer {
+        let target = format!("/operator/changes/{token}");
+        self.call(CallRequest::get(self.nodes[node].operators, &target).key(OPERATOR_KEY))
+    }
+
+    /// Addresses that a node names to callers.
+    pub fn named(&self, node: usize) -> Vec<SocketAddr> {
+        let answer = self.call(CallRequest::get(self.nodes[node].callers, "/v1/entries")).json();
+        let entries = answer["entries"].as_array().cloned().unwrap_or_default();
+        let urls = entries.iter().filter_map(|entry| entry["url"].as_str());
+        urls.filter_map(|url| url.strip_prefix("http://")?.parse().ok()).collect()
+    }
+
+    /// Rows of the table service with this key prefix.
+    pub fn rows(&self, prefix: &str) -> Vec<Value> {
+        let target = format!("/table/scan?prefix={prefix}&after=&limit=100000");
+        let answer = self.call(CallRequest::get(self.platform_address, &target)).json();
+        answer["rows"].as_array().cloned().unwrap_or_default()
+    }
+}
+
+/// A change with one class, one organisation that holds `key`, and the routes of a model pool
+/// `drafter` and a service pool `booking`.
+pub fn first_change(key: &str) -> Value {
+    let class = json!({ "class": {
+        "name": "drafting", "tier": 2, "latency_ms": 500, "attainment": 0.9, "deadline_ms": 10_000,
+    }});
+    let model = json!({ "route": {
+        "name": "drafter", "match": { "model": "drafter" }, "pool": "drafter",
+        "classes": ["drafting"],
+    }});
+    let booking = json!({ "route": {
+        "name": "booking", "match": { "prefix": "/booking" }, "pool": "booking",
+        "classes": ["drafting"],
+    }});
+    let organisation = json!({ "organisation": { "name": "rivers" } });
+    json!({
+        "against": 0,
+        "put": [class, organisation, model, booking],
+        "grant": [{ "organisation": "rivers", "key": key }],
+    })
+}
