--- a/berylstep/src/cli.rs
+++ b/berylstep/src/cli.rs
@@ -1,10 +1,14 @@
 //! Command line.
 
+pub mod access;
+pub mod change;
+pub mod status;
+
 use std::process::ExitCode;
 
 use gumdrop::Options;
 
-use crate::config::NodeSettings;
+use crate::config::{NodeSettings, SettingError};
 use crate::{logging, node};
 
 /// Exit code for errors of the command line and settings.
@@ -46,6 +50,12 @@
 enum Subcommand {
     #[options(help = "run a node")]
     Serve(ServeOptions),
+    #[options(help = "send an operator's change to a node")]
+    Apply(change::ApplyOptions),
+    #[options(help = "check settings, or a file with a change")]
+    Check(change::CheckOptions),
+    #[options(help = "show what a node knows of its site")]
+    Status(status::StatusOptions),
     #[options(help = "print the version")]
     Version(VersionOptions),
 }
@@ -169,6 +179,9 @@
     let options = CommandOptions::parse_args_default_or_exit();
     match options.command {
         Some(Subcommand::Serve(options)) => serve(&options),
+        Some(Subcommand::Apply(options)) => change::apply(&options),
+        Some(Subcommand::Check(options)) => change::check(&options),
+        Some(Subcommand::Status(options)) => status::show(&options),
         Some(Subcommand::Version(_)) => {
             println!("berylstep {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
@@ -180,16 +193,19 @@
     }
 }
 
+/// Prints errors of settings.
+fn usage_errors(errors: &[SettingError]) -> ExitCode {
+    for err in errors {
+        eprintln!("error: {err}");
+    }
+    ExitCode::from(EXIT_USAGE)
+}
+
 fn serve(options: &ServeOptions) -> ExitCode {
     let variables: Vec<_> = std::env::vars().collect();
     let settings = match NodeSettings::resolve(options, &variables) {
         Ok(settings) => settings,
-        Err(errors) => {
-            for err in errors {
-                eprintln!("error: {err}");
-            }
-            return ExitCode::from(EXIT_USAGE);
-        }
+        Err(errors) => return usage_errors(&errors),
     };
     logging::initialize();
     match smol::block_on(node::run(settings)) {
--- /dev/null
+++ b/berylstep/src/cli/access.rs
@@ -0,0 +1,132 @@
+//! Calls of operators' commands to a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use berylstep_http::{ClientConnection, ExchangeError};
+use displaydoc::Display;
+use http_types::{Method, Request, Url};
+use serde_json::Value;
+
+use crate::clock::RuntimeClock;
+use crate::config::settings::variable_of;
+use crate::config::SettingError;
+
+/// Longest time for one call; a change may wait for members and for a lost answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+
+const ADDRESS: &str = "an IP address and port, such as 10.0.0.7:8082";
+const KEY: &str = "a file with the operators' key, or the key in BERYLSTEP_OPERATOR_KEY";
+
+/// Why a call gave no answer.
+#[derive(Debug, Display)]
+pub enum AccessError {
+    /// cannot reach the node, nothing was sent: {0}
+    NotSent(String),
+    /// the node did not answer, the call may have taken effect: {0}
+    AnswerLost(String),
+    /// the node refused the call with status {0}: {1}
+    Refused(u16, String),
+}
+
+impl std::error::Error for AccessError {}
+
+/// Where a command's node is and the key that it takes.
+#[derive(Clone, Debug)]
+pub struct OperatorAccess {
+    address: SocketAddr,
+    key: String,
+}
+
+impl OperatorAccess {
+    /// Resolves flags, then variables; reports every error.
+    pub fn resolve(
+        operators: &Option<String>,
+        key_file: &Option<String>,
+    ) -> Result<Self, Vec<SettingError>> {
+        let mut errors = Vec::new();
+        let address = resolve_address(operators).map_err(|err| errors.push(err));
+        let key = resolve_key(key_file).map_err(|err| errors.push(err));
+        match (address, key) {
+            (Ok(address), Ok(key)) => Ok(Self { address, key }),
+            _ => Err(errors),
+        }
+    }
+
+    /// Calls the node; returns status and body.
+    pub fn call(
+        &self,
+        method: Method,
+        target: &str,
+        body: Option<&Value>,
+    ) -> Result<(u16, Value), AccessError> {
+        let url = Url::parse(&format!("http://{}{target}", self.address))
+            .map_err(|err| AccessError::NotSent(err.to_string()))?;
+        let mut request = Request::new(method, url);
+        request.insert_header("authorization", format!("Bearer {}", self.key));
+        if let Some(body) = body {
+            request.set_body(body.to_string());
+        }
+        let clock = RuntimeClock::system();
+        let answered = smol::block_on(clock.timeout(CALL_TIMEOUT, self.exchange(request)));
+        let (status, body) =
+            answered.unwrap_or_else(|| Err(AccessError::AnswerLost("timeout".to_owned())))?;
+        match serde_json::from_slice(&body) {
+            Ok(message) => Ok((status, message)),
+            Err(_) => {
+                let text = String::from_utf8_lossy(&body).trim().to_owned();
+                Err(AccessError::Refused(status, text))
+            }
+        }
+    }
+
+    async fn exchange(&self, request: Request) -> Result<(u16, Vec<u8>), AccessError> {
+        let failed = |err: ExchangeError| match err.may_have_run() {
+            true => AccessError::AnswerLost(err.to_string()),
+            false => AccessError::NotSent(err.to_string()),
+        };
+        let connection = ClientConnection::connect(self.address).await.map_err(failed)?;
+        let mut answer = connection.exchange(request).await.map_err(failed)?;
+        let body = answer.response.body_bytes().await;
+        let body = body.map_err(|err| AccessError::AnswerLost(err.to_string()))?;
+        Ok((answer.response.status().into(), body))
+    }
+}
+
+/// Value of a flag, or of its variable.
+pub fn given(flag: &str, option: &Option<String>) -> Option<String> {
+    option.clone().or_else(|| std::env::var(variable_of(flag)).ok())
+}
+
+/// Whether output is wanted as JSON.
+pub fn wants_json(flag: bool) -> bool {
+    flag || given("json", &None).is_some_and(|value| value == "1" || value == "true")
+}
+
+fn resolve_address(operators: &Option<String>) -> Result<SocketAddr, SettingError> {
+    let (flag, variable, accepted) = ("operators", variable_of("operators"), ADDRESS);
+    match given(flag, operators) {
+        None => Err(SettingError::Missing { flag, variable, accepted }),
+        Some(value) => {
+            value.parse().map_err(|_| SettingError::Invalid { flag, variable, value, accepted })
+        }
+    }
+}
+
+fn resolve_key(key_file: &Option<String>) -> Result<String, SettingError> {
+    let (flag, variable, accepted) = ("operator-key-file", variable_of("operator-key"), KEY);
+    let key = match given(flag, key_file) {
+        Some(value) => std::fs::read_to_string(&value).map_err(|_| SettingError::Invalid {
+            flag,
+            variable: variable_of(flag),
+            value,
+            accepted,
+        })?,
+        None => std::env::var(&variable).map_err(|_| SettingError::Missing {
+            flag,
+            variable,
+            accepted,
+        })?,
+    };
+    Ok(key.trim().to_owned())
+}
--- a/berylstep/src/config/settings.rs
+++ b/berylstep/src/config/settings.rs
@@ -15,7 +15,14 @@
 const VARIABLE_PREFIX: &str = "BERYLSTEP_";
 
 /// Variables that are read besides the flags' own.
-const OTHER_VARIABLES: &[&str] = &["BERYLSTEP_LOG"];
+const OTHER_VARIABLES: &[&str] = &[
+    "BERYLSTEP_LOG",
+    "BERYLSTEP_OPERATORS",
+    "BERYLSTEP_AGAINST",
+    "BERYLSTEP_TOKEN",
+    "BERYLSTEP_SETTLE",
+    "BERYLSTEP_JSON",
+];
 
 /// A setting that is missing, unknown or has no accepted value.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
