Trust the configuration only after an answer to something sent since

Ruled out: dropping links after a pause alone, which was in place; a shorter grace for a known newer version, which refuses all keyed work at every change. Change: pulses echo the receiver's own sequence numbers, contact counts from when the answered pulse or read was sent, and after an interruption the node has to catch up before it serves. Conclusion: what waited in a socket during a pause proves nothing.

--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
-use berylstep_core::config::ConfigTable;
+use berylstep_core::config::{ConfigContact, ConfigTable, CONTACT_LIMIT};
 use berylstep_core::member::{MemberState, MemberTable};
 use berylstep_core::upstream::UpstreamTable;
 use displaydoc::Display;
@@ -20,7 +20,7 @@
 use crate::entry::budget::RetryBudgets;
 use crate::member::MemberRegistration;
 use crate::metrics::NodeMetrics;
-use crate::peer::PeerMesh;
+use crate::peer::{PeerMesh, PulseLog};
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
@@ -30,9 +30,6 @@
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Without word from the table service and from all peers for this long, keyed work is refused.
-pub const ISOLATION_LIMIT: Duration = Duration::from_secs(3);
-
 /// Why a node could not run.
 #[derive(Debug, Display)]
 pub enum NodeError {
@@ -70,6 +67,8 @@
     pub slots: SlotBroker,
     /// Links to other nodes.
     pub peers: PeerMesh,
+    /// Pulses sent to them.
+    pub pulses: PulseLog,
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
     /// Metrics.
@@ -84,6 +83,7 @@
     in_flight: AtomicU32,
     next_request: AtomicU64,
     store_heard: Mutex<Option<Duration>>,
+    contact: Mutex<ConfigContact>,
 }
 
 impl NodeContext {
@@ -102,6 +102,7 @@
             upstreams: Mutex::default(),
             slots: SlotBroker::default(),
             peers: PeerMesh::default(),
+            pulses: PulseLog::default(),
             connections,
             metrics: NodeMetrics::default(),
             burn: BurnLedger::default(),
@@ -112,6 +113,7 @@
             in_flight: AtomicU32::new(0),
             next_request: AtomicU64::new(1),
             store_heard: Mutex::new(None),
+            contact: Mutex::default(),
         }
     }
 
@@ -174,21 +176,27 @@
         heard.map(|heard| self.clock.now().saturating_sub(heard))
     }
 
+    /// Notes that the newest version of the configuration was told in answer to a question that
+    /// was sent at `asked`.
+    pub fn note_contact(&self, asked: Duration) {
+        self.contact.lock().expect("contact lock").note(asked);
+    }
+
     /// Whether the node must not trust its configuration: neither the table service nor any peer
-    /// was heard within [`ISOLATION_LIMIT`], a newer version has been known for too long, or
-    /// another process has taken the node's name.
+    /// told its newest version within [`CONTACT_LIMIT`], a newer version has been known for too
+    /// long, or another process has taken the node's name.
     pub fn is_isolated(&self) -> bool {
         let now = self.clock.now();
-        let store_silent = self.store_age().is_none_or(|age| age > ISOLATION_LIMIT);
-        let is_cut_off = store_silent && self.are_peers_silent();
-        is_cut_off || self.follower.is_overdue(now) || self.registration.is_displaced()
+        let behind = self.follower.is_behind();
+        let trusted = self.contact.lock().expect("contact lock").is_trusted(now, behind);
+        !trusted || self.follower.is_overdue(now) || self.registration.is_displaced()
     }
 
-    /// Whether no peer was heard within [`ISOLATION_LIMIT`].
+    /// Whether no peer answered a pulse that was sent within [`CONTACT_LIMIT`].
     pub fn are_peers_silent(&self) -> bool {
         let now = self.clock.now();
-        let heard = self.members().last_heard();
-        heard.is_none_or(|heard| now.saturating_sub(heard) > ISOLATION_LIMIT)
+        let echo = self.members().last_echo();
+        echo.is_none_or(|sent| now.saturating_sub(sent) > CONTACT_LIMIT)
     }
 
     /// Locks the known nodes.
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -3,7 +3,8 @@
 pub mod handshake;
 pub mod link;
 
-use std::sync::Arc;
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use berylstep_core::collections::HashSet;
@@ -25,6 +26,9 @@
 /// Time between looks for members without a link.
 const DIAL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Sent pulses whose times are kept; answers to older ones prove nothing recent.
+const LOGGED_PULSES: usize = 32;
+
 /// Accepts links from other nodes.
 pub async fn listen(node: Arc<NodeContext>, listener: TcpListener) {
     loop {
@@ -92,19 +96,43 @@
     }
 }
 
+/// Sending times of this node's newest pulses, by sequence number.
+#[derive(Debug, Default)]
+pub struct PulseLog {
+    sent: Mutex<VecDeque<(u64, Duration)>>,
+}
+
+impl PulseLog {
+    /// Number of the next pulse, which is sent at `now`.
+    fn next(&self, now: Duration) -> u64 {
+        let mut sent = self.sent.lock().expect("pulse lock");
+        let sequence = sent.back().map_or(1, |(newest, _)| newest + 1);
+        sent.push_back((sequence, now));
+        if sent.len() > LOGGED_PULSES {
+            sent.pop_front();
+        }
+        sequence
+    }
+
+    /// When the pulse was sent; `None` where it is too old, or none of this node's.
+    fn sent_at(&self, sequence: u64) -> Option<Duration> {
+        let sent = self.sent.lock().expect("pulse lock");
+        sent.iter().find(|(logged, _)| *logged == sequence).map(|(_, at)| *at)
+    }
+}
+
 /// Sends a pulse on every link, for as long as the node runs.
 pub async fn send_pulses(node: Arc<NodeContext>) {
-    let mut sequence = 0;
     loop {
-        sequence += 1;
-        node.peers.broadcast(&Body::Pulse(pulse(&node, sequence)));
+        announce(&node);
         node.clock.sleep(PULSE_INTERVAL).await;
     }
 }
 
 /// Sends a pulse at once, after this node's state changed.
 pub fn announce(node: &NodeContext) {
-    node.peers.broadcast(&Body::Pulse(pulse(node, 0)));
+    let sequence = node.pulses.next(node.clock.now());
+    node.peers.broadcast_pulse(&pulse(node, sequence));
 }
 
 fn pulse(node: &NodeContext, sequence: u64) -> Pulse {
@@ -116,22 +144,34 @@
         store_age_ms: node.store_age().map_or(u64::MAX, |age| age.as_millis() as u64),
         pools: Vec::new(),
         upstreams: Vec::new(),
+        // Set for each link.
+        echo: 0,
+    }
+}
+
+fn observe_pulse(node: &NodeContext, from: &str, pulse: &Pulse) {
+    let now = node.clock.now();
+    let store_age = Duration::from_millis(pulse.store_age_ms);
+    let answered = node.pulses.sent_at(pulse.echo);
+    node.peers.note_pulse(from, pulse.sequence);
+    {
+        let mut members = node.members();
+        members.observe_pulse(now, from, pulse.leaving, pulse.in_flight);
+        members.observe_progress(from, pulse.config_version, store_age);
+        if let Some(sent) = answered {
+            members.observe_echo(from, sent);
+        }
+    }
+    node.follower.note_newest(node, pulse.config_version);
+    if let Some(sent) = answered {
+        node.note_contact(sent);
     }
 }
 
 /// Hands a message from `from` to the part that it is for.
 pub fn dispatch(node: &Arc<NodeContext>, from: &str, body: Body) {
     match body {
-        Body::Pulse(pulse) => {
-            let now = node.clock.now();
-            let store_age = Duration::from_millis(pulse.store_age_ms);
-            {
-                let mut members = node.members();
-                members.observe_pulse(now, from, pulse.leaving, pulse.in_flight);
-                members.observe_progress(from, pulse.config_version, store_age);
-            }
-            node.follower.note_newest(node, pulse.config_version);
-        }
+        Body::Pulse(pulse) => observe_pulse(node, from, &pulse),
         Body::ConfigEntries(entries) => tail::observe_entries(node, entries),
         Body::ConfigRequest(request) => tail::answer_request(node, from, &request),
         Body::Challenge(_) | Body::Hello(_) => {
--- a/berylstep/src/peer/link.rs
+++ b/berylstep/src/peer/link.rs
@@ -7,7 +7,7 @@
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::member::{MemberRow, MemberState};
 use berylstep_wire::frame::Body;
-use berylstep_wire::{Frame, Hello};
+use berylstep_wire::{Frame, Hello, Pulse};
 use futures_util::{SinkExt, StreamExt};
 use smol::channel::{bounded, Receiver, Sender};
 use smol::future;
@@ -35,6 +35,8 @@
     incarnation: u64,
     preferred: bool,
     queue: Sender<Body>,
+    /// Highest sequence number of the peer's pulses that were read from this link.
+    seen_pulse: u64,
 }
 
 impl PeerMesh {
@@ -53,6 +55,23 @@
         }
     }
 
+    /// Queues a pulse on every link, each with its own echo.
+    pub fn broadcast_pulse(&self, pulse: &Pulse) {
+        let links = self.links.lock().expect("link lock");
+        for link in links.values() {
+            let pulse = Pulse { echo: link.seen_pulse, ..pulse.clone() };
+            let _ = link.queue.try_send(Body::Pulse(pulse));
+        }
+    }
+
+    /// Notes a pulse that was read from the link to `peer`.
+    pub fn note_pulse(&self, peer: &str, sequence: u64) {
+        let mut links = self.links.lock().expect("link lock");
+        if let Some(link) = links.get_mut(peer) {
+            link.seen_pulse = link.seen_pulse.max(sequence);
+        }
+    }
+
     /// Names of linked nodes.
     pub fn connected(&self) -> Vec<SharedName> {
         self.links.lock().expect("link lock").keys().cloned().collect()
@@ -83,7 +102,7 @@
         if outranked {
             return None;
         }
-        let entry = PeerLink { link, incarnation, preferred, queue };
+        let entry = PeerLink { link, incarnation, preferred, queue, seen_pulse: 0 };
         links.insert(session.peer.clone(), entry);
         Some((link, messages))
     }
--- a/berylstep/src/tail.rs
+++ b/berylstep/src/tail.rs
@@ -184,6 +184,7 @@
     node.note_store_answer(asked);
     let stored = row.map_or(0, |row| row.value.parse().unwrap_or_default());
     node.follower.note_newest(node, stored);
+    node.note_contact(asked);
     read_log(node, stored).await
 }
 
--- a/berylstep_core/src/config.rs
+++ b/berylstep_core/src/config.rs
@@ -1,5 +1,6 @@
 //! Operators' configuration: entities, and the table that applies committed changes in order.
 
+pub mod contact;
 pub mod entity;
 pub mod history;
 pub mod progress;
@@ -7,6 +8,7 @@
 pub mod references;
 pub mod table;
 
+pub use contact::{ConfigContact, CONTACT_LIMIT};
 pub use entity::{
     ClassEntity, ConfigChange, ConfigEntity, ConfigRevision, ConfigSnapshot, KeyEntity,
     OrganisationEntity, OrganisationLimits, RouteEntity, RouteMatch, RouteRepeat,
--- a/berylstep_core/src/member.rs
+++ b/berylstep_core/src/member.rs
@@ -72,6 +72,8 @@
     pub row_silence: Duration,
     /// When the node was last heard on a link, on the observer's clock.
     pub heard: Option<Duration>,
+    /// When the newest of the observer's pulses that the node answered was sent.
+    pub echoed: Option<Duration>,
     /// Whether the node said on a link that callers are not to be sent to it.
     pub leaving: bool,
     /// Configuration version in force at the node, as last heard on a link or read from its row.
@@ -188,9 +190,19 @@
         self.lapsed.values()
     }
 
-    /// When any node was last heard on a link.
-    pub fn last_heard(&self) -> Option<Duration> {
-        self.members.values().filter_map(|member| member.heard).max()
+    /// Notes that a node answered a pulse that this node sent at `sent`.
+    pub fn observe_echo(&mut self, node: &str, sent: Duration) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.echoed = member.echoed.max(Some(sent));
+        }
+    }
+
+    /// When the newest pulse that any node answered was sent.
+    ///
+    /// Messages may have waited in a socket while this process was stopped, so that only an answer
+    /// to something sent since then proves contact.
+    pub fn last_echo(&self) -> Option<Duration> {
+        self.members.values().filter_map(|member| member.echoed).max()
     }
 
     fn observe_row(&mut self, row: MemberRow) {
@@ -220,6 +232,7 @@
         Self {
             row_silence: Duration::ZERO,
             heard: None,
+            echoed: None,
             leaving: false,
             config_version: row.config_version,
             store_age: None,
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -90,6 +90,9 @@
     pub pools: ::prost::alloc::vec::Vec<PoolLoad>,
     #[prost(message, repeated, tag = "7")]
     pub upstreams: ::prost::alloc::vec::Vec<UpstreamState>,
+    /// Highest sequence number of the receiver's pulses that the sender has read from this link.
+    #[prost(uint64, tag = "8")]
+    pub echo: u64,
 }
 /// Demand of one pool as seen by the sender.
 #[derive(Clone, PartialEq, ::prost::Message)]
