Measure the path's added latency, processor time and memory

Cause: the path's cost has targets and no figure. Ruled out: wall time for requests on a core, since others use the machine; reading the open streams in the measuring process, which would slow the timed calls. Before: nothing.

--- /dev/null
+++ b/berylstep_standins/src/bench/path.rs
@@ -0,0 +1,178 @@
+//! Cost of the path through one node: added latency, processor time and memory.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use berylstep_http::ExchangeError;
+
+use super::figures::{DurationSamples, FittedLine, RepeatedFigure};
+use super::machine::{processor_time, resident_kib};
+use super::probe::ProbeCaller;
+use super::trial::{self, CALLER_KEY};
+use super::{machine, streams};
+use crate::site::TrialSite;
+
+/// Repetitions of each measurement.
+const REPETITIONS: usize = 5;
+
+/// Timed calls of one kind in one repetition.
+const CALLS: usize = 2_000;
+
+/// Tokens of a timed streamed call.
+const STREAM_TOKENS: u64 = 4;
+
+/// Streams held open while latency is measured.
+const OPEN_STREAMS: usize = 200;
+
+/// Time between the tokens of a stream held open, in milliseconds.
+const STREAM_TOKEN_MS: u64 = 50;
+
+/// Time between the tokens of a stream held open while memory is measured, in milliseconds.
+const IDLE_TOKEN_MS: u64 = 250;
+
+/// Numbers of open streams at which memory is read.
+const MEMORY_STEPS: &[usize] = &[0, 200, 400, 800];
+
+/// Time after which memory is read, once all streams have data.
+const MEMORY_SETTLE: Duration = Duration::from_secs(1);
+
+/// Callers that load the node at once.
+const LOAD_CALLERS: usize = 16;
+
+/// Time for which the node is loaded in one repetition.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+
+type BenchError = Box<dyn std::error::Error>;
+
+/// Measures and prints all figures of the path.
+pub fn run() -> Result<(), BenchError> {
+    println!("machine: {}", machine::description());
+    println!("figures: median of {REPETITIONS} repetitions (lowest to highest)");
+    let site = trial::start(STREAM_TOKEN_MS)?;
+    let node = site.nodes[0].callers;
+    print_latency("no open streams", &site)?;
+    let background = streams::start(node, OPEN_STREAMS)?;
+    print_latency(&format!("{OPEN_STREAMS} open streams"), &site)?;
+    drop(background);
+    print_requests_per_core(&site)?;
+    drop(site);
+    print_memory()?;
+    println!("load average at the end: {}", machine::load_average());
+    Ok(())
+}
+
+/// Prints added latency, direct and forwarded calls taking turns.
+fn print_latency(condition: &str, site: &TrialSite) -> Result<(), BenchError> {
+    let (engine, node) = (site.upstreams[0].address, site.nodes[0].callers);
+    for (kind, stream, tokens) in [("whole", false, 1), ("first event", true, STREAM_TOKENS)] {
+        let mut figures: [RepeatedFigure; 6] = Default::default();
+        for _ in 0..REPETITIONS {
+            let (direct, forwarded) = smol::block_on(take_turns(engine, node, stream, tokens))?;
+            for (index, quantile) in [0.5, 0.99].into_iter().enumerate() {
+                let pair = [direct.quantile_us(quantile), forwarded.quantile_us(quantile)];
+                figures[index].push(pair[0]);
+                figures[2 + index].push(pair[1]);
+                figures[4 + index].push(pair[1] - pair[0]);
+            }
+        }
+        let [direct_50, direct_99, node_50, node_99, added_50, added_99] = figures;
+        println!("{condition}, {kind}, {CALLS} calls each, in us:");
+        println!("  direct p50 {direct_50}  p99 {direct_99}");
+        println!("  node   p50 {node_50}  p99 {node_99}");
+        println!("  added  p50 {added_50}  p99 {added_99}");
+    }
+    Ok(())
+}
+
+async fn take_turns(
+    engine: SocketAddr,
+    node: SocketAddr,
+    stream: bool,
+    tokens: u64,
+) -> Result<(DurationSamples, DurationSamples), ExchangeError> {
+    let body = trial::probe_body(stream, tokens);
+    let mut callers = [engine, node].map(|address| ProbeCaller::new(address, CALLER_KEY));
+    let mut samples = [DurationSamples::default(), DurationSamples::default()];
+    for _ in 0..CALLS {
+        for (caller, samples) in callers.iter_mut().zip(&mut samples) {
+            let timing = caller.call(&body).await?;
+            assert_eq!(timing.status, 200, "timed calls must succeed");
+            samples.push(if stream { timing.first } else { timing.total });
+        }
+    }
+    let [direct, forwarded] = samples;
+    Ok((direct, forwarded))
+}
+
+/// Prints requests and stream events for a second of the node's processor time.
+fn print_requests_per_core(site: &TrialSite) -> Result<(), BenchError> {
+    let node = &site.nodes[0];
+    let idle = idle_processor_share(node.process.id());
+    println!("node without requests: {:.2}% of a core", idle * 100.0);
+    for (kind, stream, tokens) in [("whole", false, 1), ("streamed, 64 tokens", true, 64)] {
+        let mut figure = RepeatedFigure::default();
+        for _ in 0..REPETITIONS {
+            let before = processor_time(node.process.id());
+            let answered = smol::block_on(load(node.callers, stream, tokens))?;
+            let used = processor_time(node.process.id()) - before;
+            figure.push(answered as f64 / used.as_secs_f64());
+        }
+        println!("requests per processor second, {kind}, {LOAD_CALLERS} callers: {figure}");
+    }
+    Ok(())
+}
+
+fn idle_processor_share(pid: u32) -> f64 {
+    let before = processor_time(pid);
+    std::thread::sleep(LOAD_TIME);
+    (processor_time(pid) - before).as_secs_f64() / LOAD_TIME.as_secs_f64()
+}
+
+/// Calls without pause from several callers; returns the number of answers.
+async fn load(node: SocketAddr, stream: bool, tokens: u64) -> Result<usize, ExchangeError> {
+    let ends = Instant::now() + LOAD_TIME;
+    let call_until_end = move || async move {
+        let body = trial::probe_body(stream, tokens);
+        let mut caller = ProbeCaller::new(node, CALLER_KEY);
+        let mut answered = 0;
+        while Instant::now() < ends {
+            let timing = caller.call(&body).await?;
+            assert_eq!(timing.status, 200, "calls under load must succeed");
+            answered += 1;
+        }
+        Ok(answered)
+    };
+    let tasks: Vec<_> = (0..LOAD_CALLERS).map(|_| smol::spawn(call_until_end())).collect();
+    let mut answered = 0;
+    for task in tasks {
+        answered += task.await?;
+    }
+    Ok(answered)
+}
+
+/// Prints the memory that each open stream adds to a fresh node.
+fn print_memory() -> Result<(), BenchError> {
+    let mut site = trial::start(IDLE_TOKEN_MS)?;
+    let mut slopes = RepeatedFigure::default();
+    let mut bases = RepeatedFigure::default();
+    for repetition in 0..REPETITIONS {
+        trial::restart_node(&mut site)?;
+        let node = &site.nodes[0];
+        let mut held = Vec::new();
+        let mut points = Vec::new();
+        for &count in MEMORY_STEPS {
+            let more = count - points.last().map_or(0, |&(open, _)| open as usize);
+            if more > 0 {
+                held.push(streams::start(node.callers, more)?);
+            }
+            std::thread::sleep(MEMORY_SETTLE);
+            points.push((count as f64, resident_kib(node.process.id()) as f64));
+        }
+        let line = FittedLine::through(&points);
+        println!("memory {repetition}: (streams, KiB) {points:?} fit {:.3}", line.fit);
+        slopes.push(line.slope);
+        bases.push(line.intercept);
+    }
+    println!("memory of a node in KiB: {bases}; for each open stream: {slopes}");
+    Ok(())
+}
--- /dev/null
+++ b/berylstep_standins/src/bench/trial.rs
@@ -0,0 +1,86 @@
+//! The site that the path is measured on.
+
+use serde_json::{json, Value};
+
+use crate::client::CallRequest;
+use crate::site::TrialSite;
+
+/// Key of the measuring organisation.
+pub const CALLER_KEY: &str = "bench-caller-key";
+
+/// Model of the calls that are timed.
+pub const PROBE_MODEL: &str = "probe";
+
+/// Model of the streams that are held open.
+pub const BACKGROUND_MODEL: &str = "background";
+
+/// Engines that serve the streams held open; each gives all of its streams a token at once.
+const BACKGROUND_ENGINES: usize = 8;
+
+/// Starts one node, an engine that answers at once, and engines that give each stream a token every
+/// `token_ms`.
+pub fn start(token_ms: u64) -> std::io::Result<TrialSite> {
+    let mut site = TrialSite::start()?;
+    site.add_engine(PROBE_MODEL, "a", &["--token-ms", "0", "--slots", "256"])?;
+    for _ in 0..BACKGROUND_ENGINES {
+        let token_ms = token_ms.to_string();
+        let arguments = ["--token-ms", &token_ms, "--batch-us", "0", "--slots", "256"];
+        site.add_engine(BACKGROUND_MODEL, "a", &arguments)?;
+    }
+    site.add_node("a", &[])?;
+    site.wait_ready();
+    let stored = site.apply(0, &configuration());
+    if stored.status >= 300 {
+        return Err(std::io::Error::other(format!("not stored: {}", stored.body)));
+    }
+    wait_in_force(&site);
+    Ok(site)
+}
+
+/// Starts the node anew, so that its memory is that of a fresh process.
+pub fn restart_node(site: &mut TrialSite) -> std::io::Result<()> {
+    site.restart_node(0, "a", &[])?;
+    wait_in_force(site);
+    Ok(())
+}
+
+/// Body of one timed call.
+pub fn probe_body(stream: bool, max_tokens: u64) -> Value {
+    let message = json!({ "role": "user", "content": "Marlin season?" });
+    json!({
+        "model": PROBE_MODEL, "stream": stream, "max_tokens": max_tokens, "messages": [message],
+    })
+}
+
+fn wait_in_force(site: &TrialSite) {
+    for model in [PROBE_MODEL, BACKGROUND_MODEL] {
+        let message = json!({ "role": "user", "content": "ready?" });
+        let body = json!({ "model": model, "max_tokens": 1, "messages": [message] });
+        site.wait_until("the node forwards", |site| {
+            let call = CallRequest::post(site.nodes[0].callers, "/v1/chat/completions", &body);
+            site.call(call.key(CALLER_KEY)).status == 200
+        });
+    }
+}
+
+fn configuration() -> Value {
+    let class = json!({ "class": {
+        "name": "bench", "tier": 1, "latency_ms": 1_000, "attainment": 0.9,
+        "deadline_ms": 600_000,
+    }});
+    let route = |model: &str| {
+        json!({ "route": {
+            "name": model, "match": { "model": model }, "pool": model, "classes": ["bench"],
+        }})
+    };
+    json!({
+        "against": 0,
+        "put": [
+            class,
+            { "organisation": { "name": "bench" } },
+            route(PROBE_MODEL),
+            route(BACKGROUND_MODEL),
+        ],
+        "grant": [{ "organisation": "bench", "key": CALLER_KEY }],
+    })
+}
--- a/berylstep_standins/src/lib.rs
+++ b/berylstep_standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the systems around berylstep, for tests and for trying it out.
 
+pub mod bench;
 pub mod client;
 pub mod engine;
 pub mod platform;
