Start the foreign node after the node that has to count it

Ruled out: accepting the count of either node, which would be weaker. Change: the test waits until the first node serves. Conclusion: a fault of the test's order, not of the links.

--- a/berylstep/tests/peer_links.rs
+++ b/berylstep/tests/peer_links.rs
@@ -89,6 +89,8 @@
 fn nodes_of_another_cluster_are_turned_away() {
     let mut site = TrialSite::start().unwrap();
     site.add_node("a", &[]).unwrap();
+    // The node that joins later dials, and the other one counts what it turns away.
+    site.wait_ready();
     site.add_node("b", &["--cluster", "another"]).unwrap();
     site.wait_until("the other cluster is turned away", |site| {
         site.status(0)["link_refusals"]["foreign_cluster"].as_u64() > Some(0)
