Hand out slots by one owner for each pool over the peer links

Cause: nodes decided alone; no tier, share or limit held over several nodes.

Ruled out: resending asks on a timer, because a renewal that names all requests repairs any lost message in either direction; a lease on ownership, because two owners for a moment only over-commit.

Change: asks, answers, returns and recalls go to the live node with the highest rendezvous hash for the pool. An owner beats every 50 ms to nodes with asks; after 150 ms of silence they turn to the next, which hears all nodes' slots and asks first. Nodes renew every second what they hold. The owner alone polls its pool's load and shares it. SlotPolicy::Alone keeps the baseline.

The twin's drop property now also checks each replica's count, since a trial without the return of slots did not fail it.

--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -19,7 +19,7 @@
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
-use crate::{burn, entry, member, operator, peer, shutdown, tail, upstream};
+use crate::{burn, entry, member, operator, peer, shutdown, slots, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -190,6 +190,7 @@
         smol::spawn(tail::follow(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
+        smol::spawn(slots::keep(node.clone())),
     ];
     let entry_task = smol::spawn(entry::listen(node.clone(), callers));
     log::info!("node serves: node={} callers={}", node.settings.node, node.settings.listen);
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -16,6 +16,7 @@
 
 use crate::burn;
 use crate::node::NodeContext;
+use crate::slots;
 
 /// Longest time to connect and authenticate.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -99,7 +100,7 @@
         config_version: node.config.read().expect("config lock").version(),
         in_flight: node.in_flight(),
         store_age_ms: node.store_age().map_or(u64::MAX, |age| age.as_millis() as u64),
-        pools: Vec::new(),
+        pools: slots::pool_loads(node),
         upstreams: Vec::new(),
     }
 }
@@ -110,6 +111,7 @@
         Body::Pulse(pulse) => {
             let now = node.clock.now();
             node.members().observe_pulse(now, from, pulse.leaving, pulse.in_flight);
+            slots::note_heard(node, from);
         }
         Body::Challenge(_) | Body::Hello(_) => {
             log::warn!("handshake message on an open link: peer={from}");
@@ -122,8 +124,12 @@
         | Body::SlotReturn(_)
         | Body::SlotRecall(_)
         | Body::SlotReport(_)
-        | Body::ConfigEntries(_)
-        | Body::ConfigRequest(_)
-        | Body::UsageCopy(_) => {}
+        | Body::SlotQuery(_)
+        | Body::SlotBeat(_)
+        | Body::SlotStarted(_)
+        | Body::SlotRenewal(_)
+        | Body::UpstreamLoads(_)
+        | Body::LimitTotals(_) => slots::receive(node, from, body),
+        Body::ConfigEntries(_) | Body::ConfigRequest(_) | Body::UsageCopy(_) => {}
     }
 }
--- a/berylstep/src/slots.rs
+++ b/berylstep/src/slots.rs
@@ -1,12 +1,26 @@
 //! Slots on upstreams, one for each attempt.
 
-use std::sync::{Arc, Mutex};
+mod alone;
+mod broker;
+mod ledger;
+mod owner;
+mod ownership;
+mod wire;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::collections::SharedName;
 use berylstep_core::refusal::{RefusalReason, RequestRefusal};
 use berylstep_core::upstream::UpstreamEntry;
+use smol::channel::Receiver;
 
+pub use broker::{
+    keep, note_heard, note_list, note_load, owned_pools, pool_loads, receive, SlotBroker,
+};
+
+use crate::config::SlotPolicy;
 use crate::node::NodeContext;
 
 /// What an attempt needs a slot for.
@@ -32,88 +46,117 @@
     pub excluded: Vec<SharedName>,
 }
 
-/// Slots in use by this node.
-#[derive(Debug, Default)]
-pub struct SlotBroker {
-    outstanding: Mutex<HashMap<SharedName, u32>>,
-}
-
 /// A slot on one upstream, returned when dropped.
 pub struct SlotGuard {
     node: Arc<NodeContext>,
     /// Upstream that serves the attempt.
     pub upstream: UpstreamEntry,
+    hold: SlotHold,
+    outcome: Option<SlotOutcome>,
 }
 
-impl SlotBroker {
-    fn outstanding(&self, upstream: &str) -> u32 {
-        let outstanding = self.outstanding.lock().expect("slot lock");
-        outstanding.get(upstream).copied().unwrap_or_default()
-    }
+/// Where a slot is returned to.
+enum SlotHold {
+    /// This node alone counts it.
+    Alone,
+    /// The ledger holds it under this number.
+    Ledger { request: u64, recall: Receiver<()> },
+}
 
-    fn take(&self, upstream: &SharedName) {
-        let mut outstanding = self.outstanding.lock().expect("slot lock");
-        *outstanding.entry(upstream.clone()).or_default() += 1;
-    }
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotOutcome {
+    /// Output tokens generated.
+    pub tokens: u32,
+    /// Whether the upstream failed.
+    pub failed: bool,
+}
 
-    fn put_back(&self, upstream: &str) {
-        let mut outstanding = self.outstanding.lock().expect("slot lock");
-        if let Some(count) = outstanding.get_mut(upstream) {
-            *count = count.saturating_sub(1);
-        }
-    }
+/// A granted slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct GrantedSlot {
+    upstream: SharedName,
+    address: SocketAddr,
+    zone: SharedName,
 }
 
 impl SlotGuard {
     /// Notes that the first byte of the answer has gone to the caller; no preemption after that.
-    pub fn note_started(&mut self) {}
+    pub fn note_started(&mut self) {
+        if let SlotHold::Ledger { request, .. } = &self.hold {
+            broker::note_started(&self.node, *request);
+        }
+    }
 
     /// Resolves when the slot is taken back for work of a higher tier.
     pub async fn recalled(&self) {
+        if let SlotHold::Ledger { recall, .. } = &self.hold {
+            if recall.recv().await.is_ok() {
+                return;
+            }
+        }
         std::future::pending().await
     }
 
     /// Returns the slot with what the attempt used.
-    pub fn finish(self, _outcome: SlotOutcome) {}
+    pub fn finish(mut self, outcome: SlotOutcome) {
+        self.outcome = Some(outcome);
+    }
 }
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SlotOutcome {
-    /// Output tokens generated.
-    pub tokens: u32,
-    /// Whether the upstream failed.
-    pub failed: bool,
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        match &self.hold {
+            SlotHold::Alone => alone::put_back(&self.node, &self.upstream.id),
+            SlotHold::Ledger { request, .. } => broker::end(&self.node, *request, self.outcome),
+        }
+    }
 }
 
-impl Drop for SlotGuard {
+/// Ends an ask unless its answer was taken over by a guard.
+struct AskGuard<'a> {
+    node: &'a Arc<NodeContext>,
+    request: u64,
+    armed: bool,
+}
+
+impl Drop for AskGuard<'_> {
     fn drop(&mut self) {
-        self.node.slots.put_back(&self.upstream.id);
+        if self.armed {
+            broker::end(self.node, self.request, None);
+        }
     }
 }
 
-/// Takes a slot on the upstream with the least outstanding work.
+/// Waits for a slot on an upstream of the pool, until the request's deadline at the latest.
 pub async fn acquire(
     node: &Arc<NodeContext>,
     request: &SlotRequest,
 ) -> Result<SlotGuard, RequestRefusal> {
-    let chosen = least_outstanding(node, request);
-    let Some(upstream) = chosen else {
-        let message = format!("no upstream of pool {} is available", request.pool);
-        let refusal = RequestRefusal::not_run(RefusalReason::NoUpstream, message);
-        return Err(refusal.retry_after(std::time::Duration::from_secs(1)));
-    };
-    node.slots.take(&upstream.id);
-    Ok(SlotGuard { node: node.clone(), upstream })
+    match node.settings.slot_policy {
+        SlotPolicy::Alone => alone::acquire(node, request),
+        SlotPolicy::Arbiter => acquire_from_owner(node, request).await,
+    }
 }
 
-fn least_outstanding(node: &NodeContext, request: &SlotRequest) -> Option<UpstreamEntry> {
-    let upstreams = node.upstreams();
-    let candidates = upstreams.serving(&request.pool);
-    let candidates = candidates.filter(|entry| !request.excluded.contains(&entry.id));
-    let outstanding = |entry: &UpstreamEntry| {
-        let reported = entry.load.map_or(0, |(_, load)| load.running + load.waiting);
-        node.slots.outstanding(&entry.id).max(reported)
+async fn acquire_from_owner(
+    node: &Arc<NodeContext>,
+    request: &SlotRequest,
+) -> Result<SlotGuard, RequestRefusal> {
+    let pending = broker::begin(node, request);
+    let mut guard = AskGuard { node, request: pending.request, armed: true };
+    let left = request.deadline.saturating_sub(node.clock.now());
+    let answer = node.clock.timeout(left, pending.answer.recv()).await;
+    let Some(Ok(answer)) = answer else {
+        let message = "no slot became free before the deadline";
+        let refusal = RequestRefusal::not_run(RefusalReason::Deadline, message);
+        return Err(refusal.retry_after(Duration::from_secs(1)));
     };
-    candidates.min_by_key(|entry| outstanding(entry)).cloned()
+    let GrantedSlot { upstream, address, zone } = answer?;
+    guard.armed = false;
+    let pool = request.pool.clone();
+    let upstream =
+        UpstreamEntry { id: upstream, address, zone, pool, slots: 1, leaving: false, load: None };
+    let hold = SlotHold::Ledger { request: pending.request, recall: pending.recall };
+    Ok(SlotGuard { node: node.clone(), upstream, hold, outcome: None })
 }
--- /dev/null
+++ b/berylstep/src/slots/broker.rs
@@ -0,0 +1,380 @@
+//! This node's slots as asker and as owner of pools, and the messages between the two.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use berylstep_core::collections::{HashMap, HashSet, SharedName};
+use berylstep_core::limits::{LimitTable, LimitUsage};
+use berylstep_core::upstream::LoadReport;
+use berylstep_wire::frame::Body;
+use berylstep_wire::slot_answer::Decision;
+use berylstep_wire::{
+    LimitTotal, LimitTotals, PoolLoad, SlotAnswer, SlotRenewal, SlotReturn, SlotStarted,
+};
+
+use super::ledger::{PendingAsk, SlotLedger};
+use super::owner::{Outbox, OwnedPool};
+use super::ownership::OwnerTable;
+use super::{wire, SlotOutcome, SlotRequest};
+use crate::config::SlotPolicy;
+use crate::node::NodeContext;
+
+/// Time between ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time between ticks after which this node counts as having stood still.
+const STALL_LIMIT: Duration = Duration::from_millis(100);
+
+/// Time between looks at who may own pools.
+const OWNER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between renewals of slots and asks, and between clean-ups.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between totals of organisations with limits.
+const TOTALS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Slots of this node and pools that it owns.
+#[derive(Default)]
+pub struct SlotBroker {
+    state: Mutex<BrokerState>,
+    pub(super) outstanding: Mutex<HashMap<SharedName, u32>>,
+}
+
+#[derive(Default)]
+struct BrokerState {
+    ledger: SlotLedger,
+    owners: OwnerTable,
+    pools: HashMap<SharedName, OwnedPool>,
+    limits: LimitTable,
+    outbox: Outbox,
+    ticked: Duration,
+    refreshed: Duration,
+    cleaned: Duration,
+    totalled: Duration,
+}
+
+impl SlotBroker {
+    fn state(&self) -> MutexGuard<'_, BrokerState> {
+        self.state.lock().expect("slot lock")
+    }
+}
+
+/// Runs the broker's ticks, for as long as the node runs.
+pub async fn keep(node: Arc<NodeContext>) {
+    if node.settings.slot_policy == SlotPolicy::Alone {
+        return;
+    }
+    loop {
+        tick(&node);
+        node.clock.sleep(TICK_INTERVAL).await;
+    }
+}
+
+/// Sends an ask to the owner of its pool.
+pub(super) fn begin(node: &Arc<NodeContext>, ask: &SlotRequest) -> PendingAsk {
+    let now = node.clock.now();
+    let mut state = node.slots.state();
+    if state.ledger.view(&ask.pool).is_none() {
+        let owner = state.owner(node, now, &ask.pool);
+        state.ledger.set_owner(now, &ask.pool, owner);
+    }
+    let pending = state.ledger.enter(now, ask);
+    let owner = state.ledger.view(&ask.pool).map(|view| view.owner.clone());
+    let message = state.ledger.ask_message(now, pending.request);
+    if let (Some(owner), Some(message)) = (owner, message) {
+        state.outbox.push((owner, Body::SlotAsk(message)));
+    }
+    state.flush(node);
+    pending
+}
+
+/// Ends an ask or returns its slot; without an outcome the work was not brought to its end.
+pub(super) fn end(node: &Arc<NodeContext>, request: u64, outcome: Option<SlotOutcome>) {
+    let now = node.clock.now();
+    let mut state = node.slots.state();
+    let Some(row) = state.ledger.leave(now, request) else { return };
+    let owner = state.ledger.view(&row.ask.pool).map(|view| view.owner.clone());
+    let Some(owner) = owner else { return };
+    let ended = SlotReturn {
+        request,
+        pool: row.ask.pool.to_string(),
+        tokens: outcome.map_or(0, |outcome| outcome.tokens),
+        failed: outcome.is_some_and(|outcome| outcome.failed),
+        abandoned: outcome.is_none(),
+    };
+    state.outbox.push((owner, Body::SlotReturn(ended)));
+    state.flush(node);
+}
+
+/// Notes that the answer of a request has begun.
+pub(super) fn note_started(node: &Arc<NodeContext>, request: u64) {
+    let mut state = node.slots.state();
+    let Some(row) = state.ledger.get_mut(request) else { return };
+    if std::mem::replace(&mut row.started, true) {
+        return;
+    }
+    let pool = row.ask.pool.clone();
+    let Some(owner) = state.ledger.view(&pool).map(|view| view.owner.clone()) else { return };
+    let started = SlotStarted { request, pool: pool.to_string() };
+    state.outbox.push((owner, Body::SlotStarted(started)));
+    state.flush(node);
+}
+
+/// Notes that any message came from `peer`.
+pub fn note_heard(node: &NodeContext, peer: &str) {
+    let now = node.clock.now();
+    node.slots.state().owners.note_heard(now, &peer.into());
+}
+
+/// Takes in a peer's message about slots.
+pub fn receive(node: &Arc<NodeContext>, from: &str, body: Body) {
+    let mut state = node.slots.state();
+    state.handle(node, &from.into(), body);
+    state.flush(node);
+}
+
+/// Takes in a changed list of upstreams.
+pub fn note_list(node: &Arc<NodeContext>) {
+    let mut state = node.slots.state();
+    for owned in state.pools.values_mut() {
+        owned.observe_list(node);
+    }
+    state.flush(node);
+}
+
+/// Takes in the load of an upstream.
+pub fn note_load(node: &NodeContext, pool: &str, upstream: &str, report: LoadReport) {
+    let now = node.clock.now();
+    if let Some(owned) = node.slots.state().pools.get_mut(pool) {
+        owned.observe_load(now, upstream, report);
+    }
+}
+
+/// Which of `pools` this node owns.
+pub fn owned_pools(node: &NodeContext, pools: HashSet<SharedName>) -> HashSet<SharedName> {
+    let state = node.slots.state();
+    let own = &node.settings.node;
+    pools.into_iter().filter(|pool| state.owners.owner(own, pool) == *own).collect()
+}
+
+/// Demand of the pools that this node owns.
+pub fn pool_loads(node: &NodeContext) -> Vec<PoolLoad> {
+    let state = node.slots.state();
+    let loads = state.pools.iter().map(|(pool, owned)| owned.load(pool));
+    loads.collect()
+}
+
+fn tick(node: &Arc<NodeContext>) {
+    let now = node.clock.now();
+    let mut state = node.slots.state();
+    if now.saturating_sub(state.ticked) > STALL_LIMIT {
+        state.owners.excuse(now);
+    }
+    state.ticked = now;
+    state.judge_owners(now);
+    if now.saturating_sub(state.refreshed) >= OWNER_INTERVAL {
+        state.refreshed = now;
+        state.owners.refresh(node, now);
+        let share = state.owners.share();
+        state.pools.values_mut().for_each(|owned| owned.set_share(share));
+    }
+    state.switch_owners(node, now);
+    for (owner, renewal) in state.ledger.due_renewals(now, RENEWAL_INTERVAL) {
+        state.outbox.push((owner, Body::SlotRenewal(renewal)));
+    }
+    if now.saturating_sub(state.cleaned) >= RENEWAL_INTERVAL {
+        state.cleaned = now;
+        state.clean_up(node, now);
+    }
+    if now.saturating_sub(state.totalled) >= TOTALS_INTERVAL {
+        state.totalled = now;
+        state.share_totals(node);
+    }
+    state.flush(node);
+}
+
+impl BrokerState {
+    fn owner(&mut self, node: &NodeContext, now: Duration, pool: &str) -> SharedName {
+        self.owners.refresh(node, now);
+        self.owners.owner(&node.settings.node, pool)
+    }
+
+    fn judge_owners(&mut self, now: Duration) {
+        for (_, view) in self.ledger.pools().filter(|(_, view)| view.is_used()) {
+            self.owners.judge(now, &view.owner, view.since);
+        }
+    }
+
+    /// Turns to the present owner of each pool and tells it what this node holds and waits for.
+    fn switch_owners(&mut self, node: &NodeContext, now: Duration) {
+        let own = &node.settings.node;
+        let pools: Vec<_> =
+            self.ledger.pools().map(|(pool, view)| (pool.clone(), view.owner.clone())).collect();
+        for (pool, before) in pools {
+            let owner = self.owners.owner(own, &pool);
+            if owner == before {
+                continue;
+            }
+            log::info!("pool has another owner: pool={pool} before={before} owner={owner}");
+            self.ledger.set_owner(now, &pool, owner.clone());
+            let released = SlotRenewal { pool: pool.to_string(), requests: Vec::new() };
+            self.outbox.push((before, Body::SlotRenewal(released)));
+            let report = self.ledger.report(now, &pool, true);
+            self.outbox.push((owner, Body::SlotReport(report)));
+        }
+    }
+
+    fn clean_up(&mut self, node: &NodeContext, now: Duration) {
+        self.ledger.forget_idle(now);
+        self.limits.forget_idle(now);
+        let (owners, own) = (&self.owners, &node.settings.node);
+        self.pools.retain(|pool, owned| !owned.is_idle() || owners.owner(own, pool) == *own);
+    }
+
+    fn share_totals(&self, node: &NodeContext) {
+        let totals = self.limits.own().map(|(organisation, usage)| LimitTotal {
+            organisation: organisation.to_string(),
+            requests: usage.requests,
+            tokens: usage.tokens,
+            running: usage.running,
+        });
+        let totals: Vec<_> = totals.collect();
+        if !totals.is_empty() {
+            node.peers.broadcast(&Body::LimitTotals(LimitTotals { totals }));
+        }
+    }
+
+    /// Runs the arbiters and sends messages until there are none; those to this node are handled.
+    fn flush(&mut self, node: &Arc<NodeContext>) {
+        loop {
+            for owned in self.pools.values_mut() {
+                owned.tick(node, &mut self.limits, &mut self.outbox);
+            }
+            if self.outbox.is_empty() {
+                return;
+            }
+            for (to, body) in std::mem::take(&mut self.outbox) {
+                match to == node.settings.node {
+                    true => self.handle(node, &to, body),
+                    // A lost message is made good by the next renewal.
+                    false => drop(node.peers.send(&to, body)),
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, node: &Arc<NodeContext>, from: &SharedName, body: Body) {
+        let now = node.clock.now();
+        self.owners.note_heard(now, from);
+        match body {
+            Body::SlotAnswer(answer) => self.answer(node, now, from, &answer),
+            Body::SlotRecall(recall) => self.ledger.recall(recall.request),
+            Body::SlotQuery(query) => self.query(node, now, from, &query.pool.into()),
+            Body::SlotBeat(_) => {}
+            Body::SlotAsk(ask) => {
+                let pool = ask.pool.as_str().into();
+                self.own(node, &pool);
+                let Self { pools, limits, outbox, .. } = self;
+                if let Some(owned) = pools.get_mut(&pool) {
+                    owned.ask(node, limits, from, &ask, outbox);
+                }
+            }
+            Body::SlotReport(report) => {
+                let pool = report.pool.as_str().into();
+                self.own(node, &pool);
+                let Self { pools, limits, outbox, .. } = self;
+                if let Some(owned) = pools.get_mut(&pool) {
+                    owned.report(node, limits, from, &report, outbox);
+                }
+            }
+            Body::SlotReturn(ended) => {
+                if let Some(owned) = self.pools.get_mut(ended.pool.as_str()) {
+                    owned.finish(now, &mut self.limits, from, &ended);
+                }
+            }
+            Body::SlotStarted(started) => {
+                if let Some(owned) = self.pools.get_mut(started.pool.as_str()) {
+                    owned.note_started(from, started.request);
+                }
+            }
+            Body::SlotRenewal(renewal) => {
+                let Self { pools, limits, outbox, .. } = self;
+                if let Some(owned) = pools.get_mut(renewal.pool.as_str()) {
+                    owned.renew(now, limits, from, &renewal, outbox);
+                } else if !renewal.requests.is_empty() {
+                    self.own(node, &renewal.pool.as_str().into());
+                }
+            }
+            Body::UpstreamLoads(loads) => {
+                for load in loads.loads {
+                    let report = LoadReport {
+                        running: load.running,
+                        waiting: load.waiting,
+                        tokens_per_second: load.tokens_per_second,
+                    };
+                    node.upstreams().observe_load(now, &load.upstream, report);
+                }
+            }
+            Body::LimitTotals(totals) => {
+                for total in totals.totals {
+                    let LimitTotal { organisation, requests, tokens, running } = total;
+                    let usage = LimitUsage { requests, tokens, running };
+                    self.limits.observe_remote(from, &organisation, usage);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Begins to own a pool, where that has not happened yet.
+    fn own(&mut self, node: &NodeContext, pool: &SharedName) {
+        if self.pools.contains_key(pool) {
+            return;
+        }
+        self.owners.refresh(node, node.clock.now());
+        let awaited = self.owners.reachable().cloned().collect();
+        let mut owned = OwnedPool::begin(node, pool, awaited, &mut self.outbox);
+        owned.set_share(self.owners.share());
+        self.pools.insert(pool.clone(), owned);
+    }
+
+    /// Reports to a new owner; asks move to it only where this node takes it for the owner too.
+    fn query(&mut self, node: &NodeContext, now: Duration, from: &SharedName, pool: &SharedName) {
+        self.switch_owners(node, now);
+        let owner = self.ledger.view(pool).map(|view| view.owner.clone());
+        let is_owner = owner.is_none_or(|owner| owner == *from);
+        let report = self.ledger.report(now, pool, is_owner);
+        self.outbox.push((from.clone(), Body::SlotReport(report)));
+    }
+
+    fn answer(
+        &mut self,
+        node: &NodeContext,
+        now: Duration,
+        from: &SharedName,
+        answer: &SlotAnswer,
+    ) {
+        let owner = self.ledger.view(&answer.pool).map(|view| view.owner.clone());
+        let from_owner = owner.is_some_and(|owner| owner == *from);
+        match &answer.decision {
+            Some(Decision::Grant(grant)) => {
+                let slot = wire::granted(grant);
+                let taken =
+                    from_owner && slot.is_some_and(|slot| self.ledger.grant(answer.request, slot));
+                if !taken {
+                    log::debug!("grant returned: node={} owner={from}", node.settings.node);
+                    let (request, pool) = (answer.request, answer.pool.clone());
+                    let abandoned = true;
+                    let ended = SlotReturn { request, pool, abandoned, ..SlotReturn::default() };
+                    self.outbox.push((from.clone(), Body::SlotReturn(ended)));
+                }
+            }
+            Some(Decision::Refusal(refusal)) if from_owner => {
+                let refusal = wire::refusal(refusal, &answer.pool);
+                self.ledger.refuse(now, answer.request, refusal);
+            }
+            Some(Decision::Refusal(_)) | None => {}
+        }
+    }
+}
--- a/berylstep/src/upstream.rs
+++ b/berylstep/src/upstream.rs
@@ -4,12 +4,17 @@
 use std::time::Duration;
 
 use berylstep_core::upstream::{LoadReport, UpstreamEntry};
+use berylstep_wire::frame::Body;
+use berylstep_wire::{UpstreamLoad, UpstreamLoads};
+use futures_util::future::join_all;
 use http_types::{Method, Request, Url};
 use serde::Deserialize;
 
+use crate::config::SlotPolicy;
 use crate::connections::ConnectionChoice;
 use crate::node::NodeContext;
 use crate::platform::{VmEntry, VmRole, VmState};
+use crate::slots;
 
 /// Time between reads of the VM list.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -36,6 +41,7 @@
             Ok(vms) => {
                 let listed = vms.into_iter().filter_map(upstream_entry).collect();
                 node.upstreams().observe_list(listed);
+                slots::note_list(&node);
             }
             Err(err) => log::debug!("cannot read the VM list: {err}"),
         }
@@ -43,24 +49,41 @@
     }
 }
 
-/// Reads the load of every upstream, for as long as the node runs.
+/// Reads the load of upstreams, for as long as the node runs; with an arbiter, only of the pools
+/// that this node owns, and tells the other nodes.
 pub async fn poll_loads(node: Arc<NodeContext>) {
     loop {
-        let listed: Vec<UpstreamEntry> = node.upstreams().all().cloned().collect();
-        for entry in listed {
-            smol::spawn(poll_load(node.clone(), entry)).detach();
-        }
+        smol::spawn(poll_round(node.clone())).detach();
         node.connections.close_expired();
         node.clock.sleep(LOAD_INTERVAL).await;
     }
 }
 
-async fn poll_load(node: Arc<NodeContext>, entry: UpstreamEntry) {
-    let report = node.clock.timeout(LOAD_TIMEOUT, read_load(&node, &entry)).await;
-    if let Some(Some(report)) = report {
-        let now = node.clock.now();
-        node.upstreams().observe_load(now, &entry.id, report);
+async fn poll_round(node: Arc<NodeContext>) {
+    let polls = polled_entries(&node).into_iter().map(|entry| poll_load(&node, entry));
+    let loads: Vec<_> = join_all(polls).await.into_iter().flatten().collect();
+    let shared = node.settings.slot_policy == SlotPolicy::Arbiter;
+    if shared && !loads.is_empty() {
+        node.peers.broadcast(&Body::UpstreamLoads(UpstreamLoads { loads }));
+    }
+}
+
+fn polled_entries(node: &NodeContext) -> Vec<UpstreamEntry> {
+    let mut listed: Vec<UpstreamEntry> = node.upstreams().all().cloned().collect();
+    if node.settings.slot_policy == SlotPolicy::Arbiter {
+        let pools = listed.iter().map(|entry| entry.pool.clone()).collect();
+        let owned = slots::owned_pools(node, pools);
+        listed.retain(|entry| owned.contains(&entry.pool));
     }
+    listed
+}
+
+async fn poll_load(node: &NodeContext, entry: UpstreamEntry) -> Option<UpstreamLoad> {
+    let report = node.clock.timeout(LOAD_TIMEOUT, read_load(node, &entry)).await??;
+    node.upstreams().observe_load(node.clock.now(), &entry.id, report);
+    slots::note_load(node, &entry.pool, &entry.id, report);
+    let LoadReport { running, waiting, tokens_per_second } = report;
+    Some(UpstreamLoad { upstream: entry.id.to_string(), running, waiting, tokens_per_second })
 }
 
 async fn read_load(node: &NodeContext, entry: &UpstreamEntry) -> Option<LoadReport> {
--- a/berylstep_core/src/arbiter.rs
+++ b/berylstep_core/src/arbiter.rs
@@ -168,6 +168,9 @@
         let Some(row) = self.requests.get_mut(key) else { return };
         if let RequestState::Granted(slot) = &mut row.state {
             slot.started = true;
+            if std::mem::take(&mut slot.recalled) {
+                self.recalls -= 1;
+            }
             self.preemptible.remove(&(row.demand.tier, slot.since, key.clone()));
         }
     }
@@ -238,6 +241,16 @@
         self.replicas.is_ejected(replica)
     }
 
+    /// Whether a request is queued or holds a slot.
+    pub fn contains(&self, key: &RequestKey) -> bool {
+        self.requests.contains_key(key)
+    }
+
+    /// Whether a node has requests here.
+    pub fn serves_node(&self, node: &str) -> bool {
+        self.nodes.contains_key(node)
+    }
+
     /// Nodes with requests here.
     pub fn nodes(&self) -> impl Iterator<Item = &SharedName> {
         self.nodes.keys()
--- a/berylstep_core/tests/arbiter_twin.rs
+++ b/berylstep_core/tests/arbiter_twin.rs
@@ -56,6 +56,9 @@
         runner.arbiter.drop_node(now, "n0");
         runner.arbiter.tick(now);
         prop_assert_eq!(runner.arbiter.running(), 0);
+        for replica in ["r0", "r1", "r2"] {
+            prop_assert_eq!(runner.arbiter.held(replica), 0);
+        }
         prop_assert_eq!(runner.arbiter.waiting(), 0);
         prop_assert_eq!(runner.arbiter.table_sizes(), (0, 0));
         prop_assert_eq!(runner.arbiter.nodes().count(), 0);
--- a/berylstep_core/tests/arbiter_twin/naive.rs
+++ b/berylstep_core/tests/arbiter_twin/naive.rs
@@ -88,8 +88,9 @@
             }
             TraceInput::Start(key) => {
                 for row in self.rows.iter_mut().filter(|row| row.demand.key == *key) {
-                    if let State::Running { preemptible, .. } = &mut row.state {
+                    if let State::Running { preemptible, recalled, .. } = &mut row.state {
                         *preemptible = false;
+                        *recalled = false;
                     }
                 }
             }
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20, 21, 22"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -34,6 +34,18 @@
         ConfigRequest(super::ConfigRequest),
         #[prost(message, tag = "11")]
         UsageCopy(super::UsageCopy),
+        #[prost(message, tag = "12")]
+        SlotQuery(super::SlotQuery),
+        #[prost(message, tag = "13")]
+        SlotBeat(super::SlotBeat),
+        #[prost(message, tag = "14")]
+        SlotStarted(super::SlotStarted),
+        #[prost(message, tag = "15")]
+        SlotRenewal(super::SlotRenewal),
+        #[prost(message, tag = "16")]
+        UpstreamLoads(super::UpstreamLoads),
+        #[prost(message, tag = "17")]
+        LimitTotals(super::LimitTotals),
         #[prost(message, tag = "20")]
         BurnRequest(super::BurnRequest),
         #[prost(message, tag = "21")]
@@ -125,8 +137,9 @@
     /// Time left until the deadline, in milliseconds.
     #[prost(uint64, tag = "6")]
     pub budget_ms: u64,
+    /// Most output tokens; 0 where the request names none.
     #[prost(uint32, tag = "7")]
-    pub expected_tokens: u32,
+    pub max_tokens: u32,
     #[prost(uint64, tag = "8")]
     pub prefix_hash: u64,
     #[prost(bool, tag = "9")]
@@ -134,6 +147,12 @@
     /// Upstreams that this request must not be sent to again.
     #[prost(string, repeated, tag = "10")]
     pub excluded: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Whether the request lost a slot to a higher tier.
+    #[prost(bool, tag = "11")]
+    pub preempted: bool,
+    /// Time since the request came, in milliseconds.
+    #[prost(uint64, tag = "12")]
+    pub waited_ms: u64,
 }
 /// Decision on one ask.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -160,8 +179,10 @@
 pub struct SlotGrant {
     #[prost(string, tag = "1")]
     pub upstream: ::prost::alloc::string::String,
-    #[prost(uint32, tag = "2")]
-    pub lease_ms: u32,
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
 }
 /// A refusal with the time to come back.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -182,8 +203,9 @@
     pub tokens: u32,
     #[prost(bool, tag = "4")]
     pub failed: bool,
-    #[prost(uint32, tag = "5")]
-    pub service_ms: u32,
+    /// Whether the work ended before its answer was whole.
+    #[prost(bool, tag = "5")]
+    pub abandoned: bool,
 }
 /// Takes a granted slot back for work of a higher tier.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -203,6 +225,70 @@
     #[prost(message, repeated, tag = "3")]
     pub waiting: ::prost::alloc::vec::Vec<SlotAsk>,
 }
+/// Asks every node for its slots and asks in one pool, sent by a new owner.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SlotQuery {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+}
+/// Tells a node with slots or asks at the sender that the sender still serves the pool.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SlotBeat {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+}
+/// Tells the owner that the answer of a request has begun.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SlotStarted {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(string, tag = "2")]
+    pub pool: ::prost::alloc::string::String,
+}
+/// Renews all slots and asks that a node has at an owner; those not named have ended.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SlotRenewal {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(uint64, repeated, tag = "2")]
+    pub requests: ::prost::alloc::vec::Vec<u64>,
+}
+/// Load of upstreams as the owner of their pool last read it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct UpstreamLoads {
+    #[prost(message, repeated, tag = "1")]
+    pub loads: ::prost::alloc::vec::Vec<UpstreamLoad>,
+}
+/// Load of one upstream.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct UpstreamLoad {
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+    #[prost(double, tag = "4")]
+    pub tokens_per_second: f64,
+}
+/// What organisations with limits have used at the sender.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitTotals {
+    #[prost(message, repeated, tag = "1")]
+    pub totals: ::prost::alloc::vec::Vec<LimitTotal>,
+}
+/// Use of one organisation; requests and tokens grow.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitTotal {
+    #[prost(string, tag = "1")]
+    pub organisation: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub requests: u64,
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
+}
 /// One slot that a node holds.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HeldSlot {
