Prove tiers, shares, limits and owner loss over three nodes

Cause: work that was left uncounted cost its organisation nothing, so that a flood of abandoned calls took the pool (fairness test: the lighter organisation was not served within 20 s).

Change: a slot that was not brought to its end is charged with the expected tokens; one that was taken back costs nothing; a served one at least 1.

--- /dev/null
+++ b/berylstep/tests/slot_load/site.rs
@@ -0,0 +1,181 @@
+//! A site with one pool of model engines, and callers that load it.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use berylstep_core::rendezvous;
+use berylstep_standins::client::{CallAnswer, CallRequest};
+use berylstep_standins::site::TrialSite;
+use serde_json::{json, Value};
+
+/// Pool and model.
+pub const POOL: &str = "drafter";
+
+/// Slots of each engine.
+pub const ENGINE_SLOTS: usize = 4;
+
+/// Key of the organisation `rivers`.
+pub const RIVERS: &str = "key-of-rivers-0001";
+
+/// Key of the organisation `cellars`.
+pub const CELLARS: &str = "key-of-cellars-001";
+
+/// Wait of a caller after a refusal.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Starts three nodes and one engine of [`ENGINE_SLOTS`] slots with 5 ms a token; `limits` are
+/// those of `rivers`.
+pub fn start_site(limits: &Value) -> TrialSite {
+    let mut site = TrialSite::start().unwrap();
+    let slots = ENGINE_SLOTS.to_string();
+    let flags = ["--token-ms", "5", "--batch-us", "1", "--slots", &slots];
+    site.add_engine(POOL, "a", &flags).unwrap();
+    site.upstreams[0].vm["slots"] = json!(ENGINE_SLOTS);
+    site.publish_vms();
+    for zone in ["a", "b", "c"] {
+        site.add_node(zone, &[]).unwrap();
+    }
+    site.wait_ready();
+    let class = |name: &str, tier: u8, latency_ms: u64| {
+        json!({ "class": {
+            "name": name, "tier": tier, "latency_ms": latency_ms, "attainment": 0.9,
+            "deadline_ms": 10_000,
+        }})
+    };
+    let route = json!({ "route": {
+        "name": POOL, "match": { "model": POOL }, "pool": POOL,
+        "classes": ["middle", "top", "low"],
+    }});
+    let change = json!({
+        "against": 0,
+        "put": [
+            class("top", 1, 400), class("middle", 2, 1_000), class("low", 3, 5_000), route,
+            { "organisation": { "name": "rivers", "limits": limits } },
+            { "organisation": { "name": "cellars" } },
+        ],
+        "grant": [
+            { "organisation": "rivers", "key": RIVERS },
+            { "organisation": "cellars", "key": CELLARS },
+        ],
+    });
+    let stored = site.apply(0, &change);
+    assert_eq!(stored.status, 200, "{}", stored.body);
+    for node in &site.nodes {
+        site.wait_until("the route is in force", |site| {
+            let call = LoadCall { class: "low", key: CELLARS, tokens: 1 };
+            site.call(call.request(node.callers)).status == 200
+        });
+    }
+    site
+}
+
+/// Index of the node that owns the pool while all live.
+pub fn owner(site: &TrialSite) -> usize {
+    let names = site.nodes.iter().map(|node| node.name.as_str());
+    let ranked = rendezvous::rank(POOL, names);
+    site.nodes.iter().position(|node| node.name == ranked[0]).expect("the owner is a node")
+}
+
+/// What a caller sends.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadCall {
+    pub class: &'static str,
+    pub key: &'static str,
+    pub tokens: u64,
+}
+
+impl LoadCall {
+    /// Request of this call.
+    pub fn request(&self, callers: SocketAddr) -> CallRequest {
+        let body = json!({ "model": POOL, "max_tokens": self.tokens, "messages": [] });
+        let call = CallRequest::post(callers, "/v1/chat/completions", &body);
+        call.key(self.key).header("berylstep-class", self.class)
+    }
+}
+
+/// One answered call.
+#[derive(Clone, Debug)]
+pub struct LoadRecord {
+    pub begun: Instant,
+    pub time: Duration,
+    pub answer: CallAnswer,
+}
+
+/// Callers that go on until they are stopped.
+pub struct LoadCallers {
+    stopped: Arc<AtomicBool>,
+    records: Arc<Mutex<Vec<LoadRecord>>>,
+    tasks: Vec<smol::Task<()>>,
+}
+
+impl LoadCallers {
+    /// Starts `count` callers of the node at `callers`, each with one call at a time and `pause`
+    /// between two.
+    pub fn start(count: usize, callers: SocketAddr, call: LoadCall, pause: Duration) -> Self {
+        let (stopped, records) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let tasks = (0..count).map(|_| {
+            smol::spawn(send_calls(callers, call, pause, stopped.clone(), Arc::clone(&records)))
+        });
+        let tasks = tasks.collect();
+        Self { stopped, records, tasks }
+    }
+
+    /// Calls answered so far.
+    pub fn records(&self) -> Vec<LoadRecord> {
+        self.records.lock().unwrap().clone()
+    }
+
+    /// Calls answered with status 200 so far.
+    pub fn served(&self) -> usize {
+        self.records().iter().filter(|record| record.answer.status == 200).count()
+    }
+
+    /// Stops after the calls in progress and returns all answered calls.
+    pub fn stop(self) -> Vec<LoadRecord> {
+        self.stopped.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            smol::block_on(task);
+        }
+        let records = self.records.lock().unwrap();
+        records.clone()
+    }
+}
+
+async fn send_calls(
+    callers: SocketAddr,
+    call: LoadCall,
+    pause: Duration,
+    stopped: Arc<AtomicBool>,
+    records: Arc<Mutex<Vec<LoadRecord>>>,
+) {
+    while !stopped.load(Ordering::Relaxed) {
+        let begun = Instant::now();
+        let answered = call.request(callers).send().await;
+        let mut wait = pause;
+        if let Ok(answer) = answered {
+            if answer.status != 200 {
+                wait = wait.max(REFUSED_PAUSE);
+            }
+            records.lock().unwrap().push(LoadRecord { begun, time: begun.elapsed(), answer });
+        } else {
+            wait = wait.max(REFUSED_PAUSE);
+        }
+        smol::Timer::after(wait).await;
+    }
+}
+
+/// Longest time of any call.
+pub fn longest(records: &[LoadRecord]) -> Duration {
+    records.iter().map(|record| record.time).max().unwrap_or_default()
+}
+
+/// Asserts that every call was served, each within `limit`.
+pub fn assert_served_within(records: &[LoadRecord], limit: Duration) {
+    for record in records {
+        assert_eq!(record.answer.status, 200, "{}", record.answer.body);
+    }
+    let (count, longest) = (records.len(), longest(records));
+    assert!(longest <= limit, "{count} calls, the longest took {longest:?}");
+}
--- a/berylstep_core/src/arbiter.rs
+++ b/berylstep_core/src/arbiter.rs
@@ -300,7 +300,8 @@
         self.replicas.observe_outcome(now, &slot.replica, outcome, service);
         let demand = &row.demand;
         if let Some(queue) = self.queues.get_mut(&queue_key(demand)) {
-            queue.correct(&demand.organisation, row.units, outcome.tokens);
+            let charge = actual_charge(row.units, slot.recalled, outcome);
+            queue.correct(&demand.organisation, row.units, charge);
         }
         if outcome.failed || outcome.abandoned {
             return;
@@ -377,6 +378,16 @@
     }
 }
 
+/// Tokens that the use of a slot costs its organisation: none where the slot was taken back, the
+/// expected ones where the work was left, since it used the replica all the same.
+fn actual_charge(expected: u32, recalled: bool, outcome: SlotOutcome) -> u32 {
+    match (recalled, outcome.abandoned) {
+        (true, true) => 0,
+        (false, true) => expected.max(outcome.tokens),
+        (_, false) => outcome.tokens.max(1),
+    }
+}
+
 fn queue_key(demand: &SlotDemand) -> QueueKey {
     (demand.tier, demand.class.clone())
 }
--- a/berylstep_core/tests/arbiter_twin/naive.rs
+++ b/berylstep_core/tests/arbiter_twin/naive.rs
@@ -77,7 +77,12 @@
                         let organisation = row.demand.organisation.to_string();
                         let class = self.classes.entry(class_key(&row.demand)).or_default();
                         let served = class.served.entry(organisation).or_default();
-                        *served = (*served + u64::from(outcome.tokens)).saturating_sub(row.units);
+                        let actual = match (recalled, outcome.abandoned) {
+                            (true, true) => 0,
+                            (false, true) => row.units.max(outcome.tokens.into()),
+                            (_, false) => u64::from(outcome.tokens.max(1)),
+                        };
+                        *served = (*served + actual).saturating_sub(row.units);
                         if !outcome.abandoned {
                             let demand = &row.demand;
                             let tokens = outcome.tokens;
