--- a/berylstep/src/slots/broker.rs
+++ b/berylstep/src/slots/broker.rs
@@ -34,6 +34,9 @@
 /// Time between totals of organisations with limits.
 const TOTALS_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Tier that is never preempted.
+const HIGHEST_TIER: u8 = 1;
+
 /// Slots of this node and pools that it owns.
 #[derive(Default)]
 pub struct SlotBroker {
@@ -114,6 +117,10 @@
     if std::mem::replace(&mut row.started, true) {
         return;
     }
+    // The owner never takes such a slot back, and need not know.
+    if !row.ask.idempotent || row.ask.tier <= HIGHEST_TIER {
+        return;
+    }
     let pool = row.ask.pool.clone();
     let Some(owner) = state.ledger.view(&pool).map(|view| view.owner.clone()) else { return };
     let started = SlotStarted { request, pool: pool.to_string() };
--- a/berylstep/tests/owner_loss.rs
+++ b/berylstep/tests/owner_loss.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use berylstep_standins::client::CallRequest;
 use berylstep_standins::site::TrialSite;
 use load::{assert_served_within, owner, start_site, LoadCall, LoadCallers, CELLARS, RIVERS};
 use serde_json::json;
@@ -70,3 +71,23 @@
     assert_served_within(&burst.top.stop(), LOSS_LIMIT);
     burst.low.stop();
 }
+
+#[test]
+fn the_highest_tier_goes_on_while_its_owner_leaves() {
+    let site = start_site(&json!({}));
+    let owner = owner(&site);
+    let burst = start_burst(&site, owner);
+    site.nodes[owner].process.terminate();
+    site.wait_until("the owner is no longer named", |site| {
+        let others = site.nodes.iter().enumerate().filter(|(index, _)| *index != owner);
+        let mut answers =
+            others.map(|(_, node)| site.call(CallRequest::get(node.callers, "/v1/entries")).json());
+        answers.all(|answer| answer["entries"].as_array().map_or(0, Vec::len) == 2)
+    });
+    wait_for_calls_since(&site, &burst.top, Instant::now(), 30);
+    wait_for_calls_since(&site, &burst.low, Instant::now(), 10);
+    assert_served_within(&burst.top.stop(), LOSS_LIMIT);
+    let low = burst.low.stop();
+    let refused = low.iter().find(|record| record.answer.status != 200);
+    assert!(refused.is_none(), "work was refused: {refused:?}");
+}
