Keep ports of tests from being taken twice

Ruled out: ports of outgoing connections (the range lies below them). Change: starting a process and probing a port exclude each other; a chosen number stays reserved by a UDP socket. Conclusion: a fault of the tests' scaffolding.

--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -1,9 +1,10 @@
 //! Child processes of tests and trials.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 
 use rustix::process::{kill_process, Pid, Signal};
 
@@ -16,12 +17,12 @@
 impl ChildProcess {
     /// Starts `command` with its output passed on.
     pub fn start(command: &mut Command) -> std::io::Result<Self> {
-        Ok(Self { child: command.stdin(Stdio::null()).spawn()? })
+        Ok(Self { child: spawn(command.stdin(Stdio::null()))? })
     }
 
     /// Starts `command` and reads the address that it prints as `listening ADDRESS`.
     pub fn start_listener(command: &mut Command) -> std::io::Result<(Self, SocketAddr)> {
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
+        let mut child = spawn(command.stdin(Stdio::null()).stdout(Stdio::piped()))?;
         let stdout = child.stdout.take().expect("stdout is piped");
         let process = Self { child };
         let mut line = String::new();
@@ -93,12 +94,29 @@
 /// otherwise take one between its choice and its use.
 const LISTENER_PORTS: std::ops::Range<u16> = 10_000..32_000;
 
-/// An address on loopback that was free a moment ago.
+/// Held while a process is started and while a port is probed: a process that is being started
+/// holds this one's sockets until it runs its own program, and would keep a probed port in use.
+static START_LOCK: Mutex<()> = Mutex::new(());
+
+/// Starts `command`, apart from any probe of a port.
+fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _start = START_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
+/// UDP sockets that keep the numbers of chosen ports from being chosen again, by this process or
+/// by another one; the ports themselves are used for TCP.
+static RESERVATIONS: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+
+/// An address on loopback that is free, and that is chosen once only while this process runs.
 pub fn free_address() -> SocketAddr {
+    let _start = START_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        let port = fastrand::u16(LISTENER_PORTS);
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().expect("bound socket has an address");
+        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(LISTENER_PORTS)));
+        let Ok(reservation) = UdpSocket::bind(address) else { continue };
+        if TcpListener::bind(address).is_ok() {
+            RESERVATIONS.lock().unwrap_or_else(PoisonError::into_inner).push(reservation);
+            return address;
         }
     }
 }
