Make the thaw test see the first requests, and test lapsed nodes

Cause: with the isolation check off, the thaw test still passed: the change waited in the frozen node's sockets and was read before the first request. Ruled out: calling sooner after the thaw, which stays a race. Change: the change is made after the links were dropped, and 16 requests wait at the frozen node. Off: statuses after the thaw were 16 times 200. On: 16 times 503, then 401. Conclusion: the test sees the mechanism now.

--- a/berylstep/tests/configuration.rs
+++ b/berylstep/tests/configuration.rs
@@ -1,5 +1,6 @@
 //! An accepted configuration is in force everywhere within seconds and never reverts.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use berylstep_standins::client::CallRequest;
@@ -13,6 +14,9 @@
 /// Time within which a change has to be in force at every node that runs.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Requests that wait at a frozen node.
+const WAITING_CALLS: usize = 16;
+
 fn site_of(nodes: usize) -> TrialSite {
     let mut site = TrialSite::start().unwrap();
     site.add_service("booking", "b", &[]).unwrap();
@@ -131,15 +135,28 @@
     accept(&site, &first_change(KEY));
     site.wait_status("/booking/x", KEY, &[200]);
     site.nodes[2].process.freeze();
+    // The others have dropped their links, so that the change does not wait in a socket.
+    site.wait_until("the links are dropped", |site| {
+        (0..2).all(|node| site.status(node)["link_refusals"]["silent"].as_u64() > Some(0))
+    });
     let answer = site.change(0, &withdrawal());
     assert_eq!(answer.status, 202, "{}", answer.body);
     assert_eq!(answer.json()["waiting"], json!(["n2"]));
+    // Requests that wait at the frozen node are the first thing that it sees.
+    let call = CallRequest::get(site.nodes[2].callers, "/booking/x").key(KEY);
+    let waiting: Vec<_> = (0..WAITING_CALLS)
+        .map(|_| {
+            let call = call.clone();
+            thread::spawn(move || smol::block_on(call.send()).unwrap().status)
+        })
+        .collect();
     site.nodes[2].process.thaw();
-    let mut statuses = Vec::new();
+    let mut statuses: Vec<_> = waiting.into_iter().map(|call| call.join().unwrap()).collect();
     site.wait_until("the thawed node has caught up", |site| {
         statuses.push(booking_status(site, 2));
         site.version(2) == 6 && statuses.last() == Some(&401)
     });
+    println!("statuses after the thaw: {statuses:?}");
     assert!(!statuses.contains(&200), "{statuses:?}");
 }
 
@@ -228,3 +245,23 @@
     assert_eq!(booking_status(&site, 2), 401);
     assert_eq!(site.version(2), 5 + 4 * 70 + 1);
 }
+
+#[test]
+fn a_node_whose_row_ran_out_is_named_as_lapsed() {
+    let site = site_of(3);
+    accept(&site, &first_change(KEY));
+    site.nodes[2].process.freeze();
+    let stored = site.change(0, &withdrawal());
+    assert_eq!(stored.status, 202, "{}", stored.body);
+    let token = stored.json()["token"].as_str().unwrap().to_owned();
+    site.wait_until("the frozen node's row has run out", |site| {
+        let answer = site.settle(1, &token).json();
+        answer["state"] == "in_force" && answer["lapsed"] == json!(["n2"])
+    });
+    site.nodes[2].process.thaw();
+    site.wait_until("the thawed node has the change", |site| {
+        let answer = site.settle(1, &token).json();
+        answer["state"] == "in_force" && answer["lapsed"] == json!([])
+    });
+    assert_eq!(booking_status(&site, 2), 401);
+}
