--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -89,16 +89,16 @@
     panic!("binary {name} is not built: run `cargo build --workspace` first");
 }
 
-/// Ports below those that the system gives to outgoing connections, which could take a port between
-/// its choice here and its use by a process.
-const FREE_PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// Ports below the range from which the system takes ports for outgoing connections, which would
+/// otherwise take one between its choice and its use.
+const LISTENER_PORTS: std::ops::Range<u16> = 10_000..32_000;
 
 /// An address on loopback that was free a moment ago.
 pub fn free_address() -> SocketAddr {
     loop {
-        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(FREE_PORTS)));
-        if TcpListener::bind(address).is_ok() {
-            return address;
+        let port = fastrand::u16(LISTENER_PORTS);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("bound socket has an address");
         }
     }
 }
