Add the load driver and the baseline's figures

Cause: the policy is to be measured against every node acting alone, on the same arrivals. Ruled out: closed-loop callers, which slow down with the site and hide overload. Change: bench policy, with eight cases on nine nodes and twelve engines; seeded Poisson arrivals; scores checked against runs whose answer is known. Before: nothing.

--- a/berylstep_standins/src/bench.rs
+++ b/berylstep_standins/src/bench.rs
@@ -1,8 +1,12 @@
 //! Measurements: the path's cost, the policy under load and faults, and slopes for capacity.
 
 pub mod figures;
+pub mod load;
 pub mod machine;
 pub mod path;
+pub mod policy;
 pub mod probe;
+pub mod score;
 pub mod streams;
+pub mod trace;
 pub mod trial;
--- /dev/null
+++ b/berylstep_standins/src/bench/score.rs
@@ -0,0 +1,116 @@
+//! What a run of a trace comes to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::load::{CallOutcome, CallRecord};
+use super::trace::{CLASSES, ORGANISATIONS};
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default)]
+pub struct RunScore {
+    /// Share of each class's requests that were answered whole with the first token on target.
+    pub attainment: [f64; CLASSES.len()],
+    /// Requests of each class.
+    pub requests: [usize; CLASSES.len()],
+    /// Tokens of answers on target, a second.
+    pub goodput: f64,
+    /// Tokens generated for no whole answer, as a share of the tokens of answers on target.
+    pub wasted: f64,
+    /// Lowest share of its max-min share that any organisation got in any class.
+    pub worst_organisation: f64,
+    /// Replica-seconds.
+    pub spend: f64,
+    /// Refusals by status and reason.
+    pub refusals: BTreeMap<String, usize>,
+    /// Answers that broke off.
+    pub broken: usize,
+    /// Callers that left at their deadline.
+    pub late: usize,
+    /// Longest time without a first token in the highest tier.
+    pub longest_gap: Duration,
+}
+
+impl RunScore {
+    /// Scores the records of a run that lasted `length`, in which engines generated `tokens`.
+    pub fn new(records: &[CallRecord], tokens: u64, length: Duration, spend: f64) -> Self {
+        let mut score = Self { spend, ..Self::default() };
+        let (mut whole_tokens, mut good_tokens) = (0, 0);
+        let mut good = [0_usize; CLASSES.len()];
+        for record in records {
+            let class = record.arrival.class;
+            score.requests[class] += 1;
+            match &record.outcome {
+                CallOutcome::Whole { first, tokens } => {
+                    whole_tokens += tokens;
+                    if *first <= Duration::from_millis(CLASSES[class].latency_ms) {
+                        good[class] += 1;
+                        good_tokens += tokens;
+                    }
+                }
+                CallOutcome::Refused(status, reason) => {
+                    *score.refusals.entry(format!("{status} {reason}")).or_default() += 1;
+                }
+                CallOutcome::Broken(_) => score.broken += 1,
+                CallOutcome::Late => score.late += 1,
+            }
+        }
+        for (class, good) in good.into_iter().enumerate() {
+            score.attainment[class] = good as f64 / score.requests[class].max(1) as f64;
+        }
+        score.goodput = good_tokens as f64 / length.as_secs_f64();
+        score.wasted = tokens.saturating_sub(whole_tokens) as f64 / good_tokens.max(1) as f64;
+        score.worst_organisation = worst_organisation(records);
+        score.longest_gap = longest_gap(records);
+        score
+    }
+}
+
+/// Lowest share of its max-min share that an organisation got, over all classes.
+fn worst_organisation(records: &[CallRecord]) -> f64 {
+    let mut worst = 1.0_f64;
+    for class in 0..CLASSES.len() {
+        let mut demands = [0.0; ORGANISATIONS];
+        let mut served = [0.0; ORGANISATIONS];
+        for record in records.iter().filter(|record| record.arrival.class == class) {
+            demands[record.arrival.organisation] += 1.0;
+            if matches!(record.outcome, CallOutcome::Whole { .. }) {
+                served[record.arrival.organisation] += 1.0;
+            }
+        }
+        let shares = max_min_shares(&demands, served.iter().sum());
+        for (share, served) in shares.into_iter().zip(served) {
+            if share > 0.0 {
+                worst = worst.min(served / share);
+            }
+        }
+    }
+    worst
+}
+
+/// Shares `capacity` so that the smallest is as large as can be, and none is above its demand.
+pub fn max_min_shares(demands: &[f64], capacity: f64) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..demands.len()).collect();
+    order.sort_by(|&left, &right| demands[left].total_cmp(&demands[right]));
+    let mut shares = vec![0.0; demands.len()];
+    let mut left = capacity;
+    for (position, &index) in order.iter().enumerate() {
+        let equal = left / (demands.len() - position) as f64;
+        shares[index] = demands[index].min(equal);
+        left -= shares[index];
+    }
+    shares
+}
+
+/// Longest time between two first tokens of the highest tier.
+fn longest_gap(records: &[CallRecord]) -> Duration {
+    let firsts = records.iter().filter_map(|record| match record.outcome {
+        CallOutcome::Whole { first, .. } if record.arrival.class == 0 => {
+            Some(record.arrival.at + first)
+        }
+        _ => None,
+    });
+    let mut firsts: Vec<Duration> = firsts.collect();
+    firsts.sort_unstable();
+    firsts.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default()
+}
--- a/berylstep_standins/src/bin/bench.rs
+++ b/berylstep_standins/src/bin/bench.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use berylstep_standins::bench::{path, streams};
+use berylstep_standins::bench::{path, policy, streams};
 use gumdrop::Options;
 
 /// Variable that sets the log level of the nodes, which inherit it.
@@ -28,6 +28,8 @@
     Path(PathOptions),
     #[options(help = "memory of the path alone")]
     Memory(PathOptions),
+    #[options(help = "the arbiter against the baseline under load and faults")]
+    Policy(PolicyOptions),
     #[options(help = "hold streams open; the other measurements start this")]
     Streams(StreamOptions),
 }
@@ -37,6 +39,15 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct PolicyOptions {
+    help: bool,
+    #[options(no_short, help = "seed of arrivals and output lengths", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "run only cases whose name contains this")]
+    case: String,
+}
+
 #[derive(Debug, Options)]
 struct StreamOptions {
     help: bool,
@@ -53,6 +64,7 @@
     }
     let measured = match options.command.expect("command is required") {
         Measurement::Path(_) => path::run(),
+        Measurement::Policy(options) => policy::run(options.seed, &options.case),
         Measurement::Memory(_) => path::print_memory(),
         Measurement::Streams(options) => {
             let address = options.address.expect("address is required");
