Hand out each trial address once

Cause: a node of a trial site ended with "cannot listen on 127.0.0.1:29841: Address already in use": two addresses were chosen at random before a process listened on the first. Ruled out: ports of outgoing connections, which come from 32768 up on this machine. Change: ports are counted up from a random one.

--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -2,8 +2,11 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::LazyLock;
 
 use rustix::process::{kill_process, Pid, Signal};
 
@@ -91,12 +94,18 @@
 
 /// Ports below the range from which the system takes ports for outgoing connections, which would
 /// otherwise take one between its choice and its use.
-const LISTENER_PORTS: std::ops::Range<u16> = 10_000..32_000;
+const LISTENER_PORTS: Range<u16> = 10_000..32_000;
 
-/// An address on loopback that was free a moment ago.
+/// Ports chosen so far, counted from a random one.
+static CHOSEN_PORTS: LazyLock<AtomicUsize> =
+    LazyLock::new(|| AtomicUsize::new(fastrand::usize(..LISTENER_PORTS.len())));
+
+/// An address on loopback that was free a moment ago; never the same one twice, since the process
+/// that is to listen on the first may not have got that far.
 pub fn free_address() -> SocketAddr {
     loop {
-        let port = fastrand::u16(LISTENER_PORTS);
+        let index = CHOSEN_PORTS.fetch_add(1, Ordering::Relaxed) % LISTENER_PORTS.len();
+        let port = LISTENER_PORTS.start + index as u16;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return listener.local_addr().expect("bound socket has an address");
         }
