Measure slopes of messages, state and idle processes

Cause: docs/CAPACITY.md has to be worked out from slopes. Ruled out: a counting allocator, which needs unsafe code; resident memory of fresh processes counts what the allocator takes as well. Change: bench slopes. Before: nothing.

--- a/berylstep_standins/src/bench/figures.rs
+++ b/berylstep_standins/src/bench/figures.rs
@@ -63,7 +63,8 @@
         let sorted = self.sorted();
         let (low, high) = (sorted.first(), sorted.last());
         let (low, high) = (low.copied().unwrap_or_default(), high.copied().unwrap_or_default());
-        write!(f, "{:.1} ({low:.1} to {high:.1})", self.median())
+        let digits = f.precision().unwrap_or(1);
+        write!(f, "{:.digits$} ({low:.digits$} to {high:.digits$})", self.median())
     }
 }
 
--- a/berylstep_standins/src/bench/machine.rs
+++ b/berylstep_standins/src/bench/machine.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rustix::time::{clock_gettime, ClockId};
+
 /// Clock ticks a second in `/proc/PID/stat`.
 const TICKS_PER_SECOND: u64 = 100;
 
@@ -20,6 +22,12 @@
     Duration::from_millis(sum * 1000 / TICKS_PER_SECOND)
 }
 
+/// Processor time that the calling thread has used.
+pub fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// Resident memory of a process, in KiB.
 pub fn resident_kib(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
--- a/berylstep_standins/src/bin/bench.rs
+++ b/berylstep_standins/src/bin/bench.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use berylstep_standins::bench::{path, policy, streams};
+use berylstep_standins::bench::{path, policy, slopes, streams};
 use gumdrop::Options;
 
 /// Variable that sets the log level of the nodes, which inherit it.
@@ -25,17 +25,21 @@
 #[derive(Debug, Options)]
 enum Measurement {
     #[options(help = "added latency, processor time and memory of the path through one node")]
-    Path(PathOptions),
+    Path(PlainOptions),
     #[options(help = "memory of the path alone")]
-    Memory(PathOptions),
+    Memory(PlainOptions),
     #[options(help = "the arbiter against the baseline under load and faults")]
     Policy(PolicyOptions),
+    #[options(help = "slopes of messages, state and idle processes")]
+    Slopes(PlainOptions),
+    #[options(help = "build one table and print its cost; slopes starts this")]
+    State(StateOptions),
     #[options(help = "hold streams open; the other measurements start this")]
     Streams(StreamOptions),
 }
 
 #[derive(Debug, Options)]
-struct PathOptions {
+struct PlainOptions {
     help: bool,
 }
 
@@ -48,6 +52,15 @@
     case: String,
 }
 
+#[derive(Debug, Options)]
+struct StateOptions {
+    help: bool,
+    #[options(no_short, required, help = "table to build")]
+    kind: String,
+    #[options(no_short, help = "number of entities", default = "10000")]
+    count: usize,
+}
+
 #[derive(Debug, Options)]
 struct StreamOptions {
     help: bool,
@@ -65,6 +78,8 @@
     let measured = match options.command.expect("command is required") {
         Measurement::Path(_) => path::run(),
         Measurement::Policy(options) => policy::run(options.seed, &options.case),
+        Measurement::Slopes(_) => slopes::run(),
+        Measurement::State(options) => slopes::print_table(&options.kind, options.count),
         Measurement::Memory(_) => path::print_memory(),
         Measurement::Streams(options) => {
             let address = options.address.expect("address is required");
