--- a/berylstep_core/src/lease.rs
+++ b/berylstep_core/src/lease.rs
@@ -18,6 +18,9 @@
 /// Fraction of the expiry after which the holder renews: one third.
 const RENEW_DIVISOR: u32 = 3;
 
+/// Longest time that a candidate waits for the one ranked before it.
+const MAX_STAGGER: Duration = Duration::from_secs(1);
+
 /// Factor on a successor's wait where the receiver ignores fencing numbers.
 const UNFENCED_FACTOR: u32 = 2;
 
@@ -43,6 +46,11 @@
         self.expiry / RENEW_DIVISOR
     }
 
+    /// Time that each candidate waits longer than the one ranked before it.
+    pub fn stagger(self) -> Duration {
+        self.renewal().min(MAX_STAGGER)
+    }
+
     /// Time beyond the expiry that a successor waits; covers the longest send and differing clocks.
     pub fn margin(self) -> Duration {
         self.expiry / MARGIN_DIVISOR
@@ -196,6 +204,11 @@
         valid.then_some(held.fencing)
     }
 
+    /// Whether the row has to be read at `now`: always, but for a holder that needs not renew yet.
+    pub fn needs_row(&self, now: ClockReading) -> bool {
+        self.held.is_none_or(|held| now.longest_since(held.asked) >= self.times.renewal())
+    }
+
     /// Takes in the row as read; `now` is a moment after the answer came.
     pub fn observe(&mut self, now: ClockReading, row: Option<VersionedLease>) {
         self.settle_pending(row.as_ref());
@@ -214,7 +227,7 @@
     pub fn next_write(&self, now: ClockReading, rank: u32) -> Option<LeaseWrite> {
         let watched = self.watched.as_ref()?;
         let Some(read) = &watched.row else {
-            let stagger = self.times.renewal() * rank;
+            let stagger = self.times.stagger() * rank;
             let due = now.shortest_since(watched.since) >= stagger;
             return due.then(|| self.write(0, 1, false));
         };
@@ -227,7 +240,7 @@
             true => Duration::ZERO,
             false => self.times.takeover_wait(self.fencing),
         };
-        let wait = wait + self.times.renewal() * rank;
+        let wait = wait + self.times.stagger() * rank;
         let due = now.shortest_since(watched.since) >= wait;
         due.then(|| self.write(read.version, read.row.fencing + 1, false))
     }
--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod upstream;
+pub mod usage;
