Report usage under a lease that each send asks

Cause: reports must come from one process that is in charge, also after a pause, and none be lost. Ruled out: sending on a kept connection, where a write may wait behind earlier bytes; a flag in the process; a retry of a send without asking the lease again. Change: sends under a lease go on a new connection, the lease is asked on both clocks right before each write call, undelivered bytes are given up after the send limit; a planned stop gives leases up once no send is in flight; counters are stored and handed to two peers; windows are sealed, then reported. Trial nodes listen below the ephemeral ports, as one in 15 starts met a taken port. Before: with a lease that does not expire 'receiver ignores fencing numbers: left 4, right 2' reports of the thawed holder; without copies 'timed out waiting until peers hold copies'. Conclusion: the frozen holder sent nothing after its lease, under both kinds of receiver.

--- a/berylstep/src/cli.rs
+++ b/berylstep/src/cli.rs
@@ -28,6 +28,12 @@
     "max-connections",
     "entries-ttl-ms",
     "slot-policy",
+    "usage-window-ms",
+    "lease-expiry-ms",
+    "unfenced-receivers",
+    "orders",
+    "dependable-price",
+    "cheap-price",
 ];
 
 /// Options of the whole command.
@@ -155,6 +161,48 @@
         help = "arbiter, or alone as a baseline for measurements [BERYLSTEP_SLOT_POLICY, default arbiter]"
     )]
     pub slot_policy: Option<String>,
+    /// See [`NodeSettings::usage_window`].
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "milliseconds of a usage window, the same at all nodes [BERYLSTEP_USAGE_WINDOW_MS, default 60000]"
+    )]
+    pub usage_window_ms: Option<String>,
+    /// See [`NodeSettings::lease_times`].
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "milliseconds until a duty's lease expires, the same at all nodes [BERYLSTEP_LEASE_EXPIRY_MS, default 6000]"
+    )]
+    pub lease_expiry_ms: Option<String>,
+    /// See [`NodeSettings::unfenced_receivers`].
+    #[options(
+        no_short,
+        meta = "LIST",
+        help = "receivers that ignore fencing numbers: none, orders, usage or orders,usage [BERYLSTEP_UNFENCED_RECEIVERS, default none]"
+    )]
+    pub unfenced_receivers: Option<String>,
+    /// See [`NodeSettings::orders`].
+    #[options(
+        no_short,
+        meta = "MODE",
+        help = "on, or off to place no orders of upstreams [BERYLSTEP_ORDERS, default on]"
+    )]
+    pub orders: Option<String>,
+    /// See [`NodeSettings::prices`].
+    #[options(
+        no_short,
+        meta = "PRICE",
+        help = "cost of a dependable upstream for an hour, a whole number in any unit [BERYLSTEP_DEPENDABLE_PRICE, default 300]"
+    )]
+    pub dependable_price: Option<String>,
+    /// See [`NodeSettings::prices`].
+    #[options(
+        no_short,
+        meta = "PRICE",
+        help = "cost of a cheap upstream for an hour, in the same unit [BERYLSTEP_CHEAP_PRICE, default 100]"
+    )]
+    pub cheap_price: Option<String>,
 }
 
 impl ServeOptions {
--- a/berylstep/src/config.rs
+++ b/berylstep/src/config.rs
@@ -2,4 +2,6 @@
 
 pub mod settings;
 
-pub use settings::{NodeSettings, SettingError, SlotPolicy};
+pub use settings::{
+    NodeSettings, OrderMode, ReplicaPrices, SettingError, SlotPolicy, UnfencedReceivers,
+};
--- a/berylstep/src/config/settings.rs
+++ b/berylstep/src/config/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
+use berylstep_core::lease::LeaseTimes;
 use displaydoc::Display;
 
 use crate::cli::ServeOptions;
@@ -93,6 +94,43 @@
     pub entries_ttl: Duration,
     /// How slots are handed out.
     pub slot_policy: SlotPolicy,
+    /// Length of a usage window; the same at all nodes.
+    pub usage_window: Duration,
+    /// Durations of duties' leases; the same at all nodes.
+    pub lease_times: LeaseTimes,
+    /// Receivers that ignore fencing numbers.
+    pub unfenced_receivers: UnfencedReceivers,
+    /// Whether this node may place orders of upstreams.
+    pub orders: OrderMode,
+    /// Cost of upstreams.
+    pub prices: ReplicaPrices,
+}
+
+/// Which receivers of the platform ignore fencing numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnfencedReceivers {
+    /// The interface for orders does.
+    pub orders: bool,
+    /// The interface for usage reports does.
+    pub usage: bool,
+}
+
+/// Whether a node places orders of upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderMode {
+    /// Orders are placed under the zones' leases.
+    On,
+    /// No orders are placed.
+    Off,
+}
+
+/// Cost of one upstream for an hour, by kind, in any unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaPrices {
+    /// Upstream that the platform does not evict.
+    pub dependable: u64,
+    /// Upstream that may be evicted.
+    pub cheap: u64,
 }
 
 impl NodeSettings {
@@ -122,6 +160,17 @@
             reader.or_default("entries-ttl-ms", &options.entries_ttl_ms, "5000", COUNT);
         let slot_policy =
             reader.or_default("slot-policy", &options.slot_policy, "arbiter", "arbiter or alone");
+        let usage_window_ms: Option<Count> =
+            reader.or_default("usage-window-ms", &options.usage_window_ms, "60000", COUNT);
+        let lease_expiry_ms: Option<Count> =
+            reader.or_default("lease-expiry-ms", &options.lease_expiry_ms, "6000", COUNT);
+        let unfenced =
+            reader.or_default("unfenced-receivers", &options.unfenced_receivers, "none", RECEIVERS);
+        let orders = reader.or_default("orders", &options.orders, "on", "on or off");
+        let dependable_price: Option<Count> =
+            reader.or_default("dependable-price", &options.dependable_price, "300", COUNT);
+        let cheap_price: Option<Count> =
+            reader.or_default("cheap-price", &options.cheap_price, "100", COUNT);
         let resolved = (|| {
             Some(Self {
                 node: node?,
@@ -140,6 +189,16 @@
                 max_connections: max_connections.map(|Count(count)| count)?,
                 entries_ttl: Duration::from_millis(entries_ttl_ms?.0 as u64),
                 slot_policy: slot_policy?,
+                usage_window: Duration::from_millis(usage_window_ms?.0 as u64),
+                lease_times: LeaseTimes {
+                    expiry: Duration::from_millis(lease_expiry_ms?.0 as u64),
+                },
+                unfenced_receivers: unfenced?,
+                orders: orders?,
+                prices: ReplicaPrices {
+                    dependable: dependable_price?.0 as u64,
+                    cheap: cheap_price?.0 as u64,
+                },
             })
         })();
         match resolved {
@@ -151,6 +210,7 @@
 
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.7:8080";
 const NAME: &str = "1 to 63 letters, digits, dots or dashes";
+const RECEIVERS: &str = "none, orders, usage or orders,usage";
 const COUNT: &str = "a whole number from 1";
 const SECRET: &str = "a file with at least 16 bytes, or the secret itself in the variable";
 
@@ -198,6 +258,32 @@
     }
 }
 
+impl FromStr for UnfencedReceivers {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "none" => Ok(Self::default()),
+            "orders" => Ok(Self { orders: true, usage: false }),
+            "usage" => Ok(Self { orders: false, usage: true }),
+            "orders,usage" => Ok(Self { orders: true, usage: true }),
+            _ => Err(()),
+        }
+    }
+}
+
+impl FromStr for OrderMode {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "on" => Ok(Self::On),
+            "off" => Ok(Self::Off),
+            _ => Err(()),
+        }
+    }
+}
+
 /// Reads settings and gathers errors.
 #[derive(Debug)]
 struct SettingReader<'a> {
--- a/berylstep/src/connections.rs
+++ b/berylstep/src/connections.rs
@@ -6,7 +6,7 @@
 
 use berylstep_core::collections::HashMap;
 use berylstep_http::client::ConnectionReuse;
-use berylstep_http::{ClientAnswer, ClientConnection, ExchangeError};
+use berylstep_http::{ClientAnswer, ClientConnection, ExchangeError, SendTerms};
 use http_types::Request;
 
 use crate::clock::RuntimeClock;
@@ -64,6 +64,20 @@
         connection.exchange(request).await
     }
 
+    /// Sends `request` on a new connection, for as long as `terms` permit it.
+    pub async fn exchange_permitted(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        terms: SendTerms<'_>,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        if !(terms.permit)() {
+            return Err(ExchangeError::Withheld);
+        }
+        let connection = self.connect(address).await?;
+        connection.exchange_permitted(request, terms).await
+    }
+
     /// Takes the connection of an answer back if the answer was read whole and clean.
     pub fn give_back(&self, address: SocketAddr, reuse: ConnectionReuse) {
         let Some(connection) = reuse.into_connection() else { return };
--- a/berylstep/src/drain.rs
+++ b/berylstep/src/drain.rs
@@ -16,7 +16,7 @@
 use smol::Task;
 
 use crate::node::{NodeContext, NodeEnd, NodeError};
-use crate::{burn, member, peer};
+use crate::{burn, duty, member, peer, usage};
 
 /// Time for which an idle connection may still bring a request after the node began to close.
 const IDLE_LINGER: Duration = Duration::from_millis(500);
@@ -139,6 +139,7 @@
             log::error!("another process runs as this node, which therefore stops: node={name}");
             node.drain.begin_closing();
             node.clock.timeout(DISPLACED_LIMIT, finish(node)).await;
+            usage::finish(node).await;
             Err(NodeError::Displaced(name))
         }
     }
@@ -149,11 +150,13 @@
     node.set_leaving();
     peer::announce(node);
     member::publish(node).await;
+    duty::release(node).await;
     node.clock.sleep(member::LEAVING_SPREAD + node.settings.entries_ttl).await;
     log::info!("node closes its connections: open={}", node.drain.open_connections());
     node.drain.begin_closing();
     finish(node).await;
     burn::hand_over(node);
+    usage::finish(node).await;
     member::leave(node).await;
 }
 
--- a/berylstep/src/entry/relay.rs
+++ b/berylstep/src/entry/relay.rs
@@ -14,6 +14,7 @@
 use super::response::RUN_HEADER;
 use crate::node::NodeContext;
 use crate::slots::SlotGuard;
+use crate::usage::{self, UsageEvent};
 
 /// Longest gap between two reads of an upstream's answer.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(15);
@@ -37,6 +38,9 @@
     let body = upstream_response.take_body();
     let length = body.len();
     let stream = AnswerStream { node: node.clone(), slot, body, reuse, id: id.clone() };
+    let organisation = request.organisation.clone().unwrap_or_else(|| "".into());
+    let class = request.class.name.clone();
+    usage::record(node, &UsageEvent { organisation, class, input_tokens: 0, output_tokens: 0 });
     log::debug!("answer begins: request={id} class={}", request.class.name);
     response.set_body(produced_body(length, |sender| stream.run(sender)));
     response.remove_header("content-type");
--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -17,6 +17,7 @@
 use crate::config::NodeSettings;
 use crate::connections::ConnectionPool;
 use crate::drain::DrainSignal;
+use crate::duty::DutyDesk;
 use crate::member::MemberRegistration;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerMesh;
@@ -24,7 +25,8 @@
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
 use crate::tail::ConfigFollower;
-use crate::{drain, entry, member, operator, peer, shutdown, tail, upstream};
+use crate::usage::UsageBook;
+use crate::{drain, duty, entry, member, operator, peer, shutdown, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -71,6 +73,10 @@
     pub peers: PeerMesh,
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
+    /// Duties that this node may come to hold.
+    pub duties: DutyDesk,
+    /// Counted usage.
+    pub usage: UsageBook,
     /// Metrics.
     pub metrics: NodeMetrics,
     /// Service-level counts.
@@ -100,6 +106,8 @@
             slots: SlotBroker::default(),
             peers: PeerMesh::default(),
             connections,
+            duties: DutyDesk::default(),
+            usage: UsageBook::default(),
             metrics: NodeMetrics::default(),
             burn: BurnLedger::default(),
             incarnation: AtomicU64::new(0),
@@ -233,6 +241,7 @@
         smol::spawn(peer::listen(node.clone(), peers)),
         smol::spawn(peer::dial_members(node.clone())),
         smol::spawn(peer::send_pulses(node.clone())),
+        smol::spawn(duty::run(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
     ];
--- a/berylstep/src/operator.rs
+++ b/berylstep/src/operator.rs
@@ -14,8 +14,8 @@
 use smol::net::{TcpListener, TcpStream};
 use subtle::ConstantTimeEq;
 
-use crate::burn;
 use crate::node::NodeContext;
+use crate::{burn, duty};
 
 /// Largest body of an operator's request, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -69,6 +69,7 @@
         (Method::Get, "/operator/burn") => {
             crate::entry::response::json(200, &burn::report(node).await)
         }
+        (Method::Get, "/operator/duties") => json(200, &duty::status(node)),
         (Method::Get, path) if path.starts_with(CHANGES_PATH) => {
             apply::settle(node, &path[CHANGES_PATH.len()..]).await
         }
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -17,7 +17,7 @@
 
 use crate::burn;
 use crate::node::NodeContext;
-use crate::tail;
+use crate::{tail, usage};
 
 /// Longest time to connect and authenticate.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -132,6 +132,7 @@
             }
             node.follower.note_newest(node, pulse.config_version);
         }
+        Body::UsageCopy(copy) => usage::copies::observe(node, copy),
         Body::ConfigEntries(entries) => tail::observe_entries(node, entries),
         Body::ConfigRequest(request) => tail::answer_request(node, from, &request),
         Body::Challenge(_) | Body::Hello(_) => {
@@ -144,7 +145,6 @@
         | Body::SlotAnswer(_)
         | Body::SlotReturn(_)
         | Body::SlotRecall(_)
-        | Body::SlotReport(_)
-        | Body::UsageCopy(_) => {}
+        | Body::SlotReport(_) => {}
     }
 }
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
+use berylstep_http::SendTerms;
 use displaydoc::Display;
 
 pub use types::{
@@ -25,8 +26,25 @@
     AnswerLost(String),
     /// platform rejected the call with status {0}: {1}
     Rejected(u16, String),
+    /// lease does not permit the call, nothing complete was sent
+    Withheld,
 }
 
+impl PlatformError {
+    /// Whether the receiver has seen a newer fencing number.
+    pub fn is_fenced_off(&self) -> bool {
+        matches!(self, Self::Rejected(FENCED_OFF, _))
+    }
+
+    /// Whether the call may have taken effect.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::AnswerLost(_))
+    }
+}
+
+/// Status with which a receiver turns away an old fencing number.
+const FENCED_OFF: u16 = 409;
+
 impl std::error::Error for PlatformError {}
 
 /// Future of a call to the platform.
@@ -69,8 +87,12 @@
 
 /// Orders of upstreams by availability zone.
 pub trait OrderDesk: Send + Sync {
-    /// Places an order; the same order identifier has effect once.
-    fn place<'a>(&'a self, order: &'a UpstreamOrder) -> PlatformCall<'a, OrderReceipt>;
+    /// Places an order, where `terms` permit it; the same order identifier has effect once.
+    fn place<'a>(
+        &'a self,
+        order: &'a UpstreamOrder,
+        terms: SendTerms<'a>,
+    ) -> PlatformCall<'a, OrderReceipt>;
 
     /// Looks an order up by its identifier.
     fn find<'a>(&'a self, order: &'a str) -> PlatformCall<'a, Option<OrderReceipt>>;
@@ -78,8 +100,8 @@
 
 /// Usage reports by window.
 pub trait UsageDesk: Send + Sync {
-    /// Reports the figures of one window.
-    fn report<'a>(&'a self, report: &'a UsageReport) -> PlatformCall<'a, ()>;
+    /// Reports the figures of one window, where `terms` permit it.
+    fn report<'a>(&'a self, report: &'a UsageReport, terms: SendTerms<'a>) -> PlatformCall<'a, ()>;
 }
 
 /// All interfaces of the platform.
--- a/berylstep/src/platform/http.rs
+++ b/berylstep/src/platform/http.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use berylstep_http::{ClientAnswer, ExchangeError, SendTerms};
 use http_types::{Method, Request, StatusCode, Url};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -59,10 +60,10 @@
 
     async fn exchange(&self, request: Request) -> Result<(StatusCode, Vec<u8>), PlatformError> {
         let exchanged = self.connections.exchange(self.address, request, ConnectionChoice::Any);
-        let mut answer = exchanged.await.map_err(|err| match err.may_have_run() {
-            true => PlatformError::AnswerLost(err.to_string()),
-            false => PlatformError::Unreachable(err.to_string()),
-        })?;
+        self.read(exchanged.await?).await
+    }
+
+    async fn read(&self, mut answer: ClientAnswer) -> Result<(StatusCode, Vec<u8>), PlatformError> {
         let body = answer.response.body_bytes().await;
         let body = body.map_err(|err| PlatformError::AnswerLost(err.to_string()))?;
         let status = answer.response.status();
@@ -70,6 +71,29 @@
         Ok((status, body))
     }
 
+    /// Sends a message under a lease, on a connection of its own.
+    async fn post_permitted<T: DeserializeOwned>(
+        &self,
+        target: &str,
+        message: &impl Serialize,
+        terms: SendTerms<'_>,
+    ) -> Result<T, PlatformError> {
+        let url = Url::parse(&format!("http://{}{target}", self.address))
+            .map_err(|err| PlatformError::Unreachable(err.to_string()))?;
+        let body = serde_json::to_vec(message)
+            .map_err(|err| PlatformError::Unreachable(err.to_string()))?;
+        let mut request = Request::new(Method::Post, url);
+        request.set_body(body);
+        let calling = async {
+            let sending = self.connections.exchange_permitted(self.address, request, terms);
+            self.read(sending.await?).await
+        };
+        let result = self.clock.timeout(CALL_TIMEOUT, calling).await;
+        let (status, body) =
+            result.unwrap_or_else(|| Err(PlatformError::AnswerLost("timeout".to_owned())))?;
+        decode(status, &body)
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         target: &str,
@@ -153,8 +177,12 @@
 }
 
 impl OrderDesk for HttpPlatform {
-    fn place<'a>(&'a self, order: &'a UpstreamOrder) -> PlatformCall<'a, OrderReceipt> {
-        Box::pin(self.post("/orders", order))
+    fn place<'a>(
+        &'a self,
+        order: &'a UpstreamOrder,
+        terms: SendTerms<'a>,
+    ) -> PlatformCall<'a, OrderReceipt> {
+        Box::pin(self.post_permitted("/orders", order, terms))
     }
 
     fn find<'a>(&'a self, order: &'a str) -> PlatformCall<'a, Option<OrderReceipt>> {
@@ -163,8 +191,18 @@
 }
 
 impl UsageDesk for HttpPlatform {
-    fn report<'a>(&'a self, report: &'a UsageReport) -> PlatformCall<'a, ()> {
-        Box::pin(self.post("/usage", report))
+    fn report<'a>(&'a self, report: &'a UsageReport, terms: SendTerms<'a>) -> PlatformCall<'a, ()> {
+        Box::pin(self.post_permitted("/usage", report, terms))
+    }
+}
+
+impl From<ExchangeError> for PlatformError {
+    fn from(err: ExchangeError) -> Self {
+        match err {
+            ExchangeError::Withheld => Self::Withheld,
+            err if err.may_have_run() => Self::AnswerLost(err.to_string()),
+            err => Self::Unreachable(err.to_string()),
+        }
     }
 }
 
--- a/berylstep/src/platform/types.rs
+++ b/berylstep/src/platform/types.rs
@@ -43,6 +43,9 @@
 pub struct TransactionResult {
     /// Whether the writes took effect.
     pub committed: bool,
+    /// Version of the written rows; 0 where nothing was written.
+    #[serde(default)]
+    pub version: u64,
     /// Keys whose versions were not as expected, with their present rows.
     #[serde(default)]
     pub conflicts: Vec<RowConflict>,
@@ -132,8 +135,10 @@
 pub struct UpstreamOrder {
     /// Unique identifier; the same identifier has effect once.
     pub order: String,
-    /// Fencing number of the lease under which the order is placed.
+    /// Fencing number of the zone's lease, under which the order is placed.
     pub fencing: u64,
+    /// Node and incarnation that place the order.
+    pub sender: String,
     /// Availability zone.
     pub zone: SharedName,
     /// Pool to serve.
@@ -177,6 +182,8 @@
     pub window: u64,
     /// Fencing number of the lease under which the report is sent.
     pub fencing: u64,
+    /// Node and incarnation that send the report.
+    pub sender: String,
     /// Figures by organisation and class, in that order.
     pub figures: Vec<UsageFigure>,
 }
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -1,14 +1,16 @@
 //! Client side of one connection.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use displaydoc::Display;
 use http_types::{Body, Method, Request, Response};
-use smol::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
+use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use smol::net::TcpStream;
 
 use crate::framed::{FramedStream, MessageEnd};
@@ -38,6 +40,8 @@
     Crossed,
     /// answer cannot be decoded: {0}
     Decode(String),
+    /// sending was no longer permitted, so no complete request was sent
+    Withheld,
 }
 
 impl std::error::Error for ExchangeError {}
@@ -45,10 +49,19 @@
 impl ExchangeError {
     /// Whether the peer can have received any byte of the request.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self, Self::Connect(_) | Self::Encode(_))
+        !matches!(self, Self::Connect(_) | Self::Encode(_) | Self::Withheld)
     }
 }
 
+/// Under what terms a request may be sent.
+#[derive(Clone, Copy)]
+pub struct SendTerms<'a> {
+    /// Whether sending is permitted at the moment of the call.
+    pub permit: &'a (dyn Fn() -> bool + Send + Sync),
+    /// Time after which bytes that were written and not acknowledged are given up.
+    pub limit: Duration,
+}
+
 /// A connection that is ready for one request.
 #[derive(Debug)]
 pub struct ClientConnection {
@@ -102,6 +115,52 @@
         let method = request.method();
         let request_id = header_value(request.header(REQUEST_ID_HEADER));
         self.write_request(request).await?;
+        self.read_answer(method, request_id).await
+    }
+
+    /// Sends `request` for as long as `terms` permit it and receives the head of its answer.
+    ///
+    /// The permission is asked right before each write call; a request that was cut short by it is
+    /// incomplete for the peer.
+    pub async fn exchange_permitted(
+        mut self,
+        request: Request,
+        terms: SendTerms<'_>,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        let method = request.method();
+        let request_id = header_value(request.header(REQUEST_ID_HEADER));
+        let mut encoder = async_h1::client::Encoder::new(request);
+        let mut bytes = Vec::new();
+        encoder.read_to_end(&mut bytes).await.map_err(ExchangeError::Encode)?;
+        socket::limit_delivery(&self.stream, terms.limit).map_err(ExchangeError::Encode)?;
+        let mut rest = &bytes[..];
+        while !rest.is_empty() {
+            let count = self.write_permitted(rest, terms).await?;
+            rest = &rest[count..];
+        }
+        self.read_answer(method, request_id).await
+    }
+
+    async fn write_permitted(
+        &mut self,
+        bytes: &[u8],
+        terms: SendTerms<'_>,
+    ) -> Result<usize, ExchangeError> {
+        let written = poll_fn(|cx| {
+            if !(terms.permit)() {
+                return Poll::Ready(Err(ExchangeError::Withheld));
+            }
+            let writing = Pin::new(&mut self.stream).poll_write(cx, bytes);
+            writing.map(|result| result.map_err(ExchangeError::Broken))
+        });
+        written.await
+    }
+
+    async fn read_answer(
+        mut self,
+        method: Method,
+        request_id: Option<String>,
+    ) -> Result<ClientAnswer, ExchangeError> {
         let mut buffer = Vec::new();
         let head = self.read_final_head(&mut buffer).await?;
         let end = message_end(&head, method)?;
--- a/berylstep_http/src/lib.rs
+++ b/berylstep_http/src/lib.rs
@@ -12,6 +12,6 @@
 pub mod socket;
 
 pub use body::{produced_body, BodySender};
-pub use client::{ClientAnswer, ClientConnection, ExchangeError};
+pub use client::{ClientAnswer, ClientConnection, ExchangeError, SendTerms};
 pub use head::HeadError;
 pub use server::{ReceiveError, ReceivedRequest, ServerConnection};
--- a/berylstep_http/src/socket.rs
+++ b/berylstep_http/src/socket.rs
@@ -29,6 +29,13 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Gives up unacknowledged bytes after `limit`, and unsent ones when the stream is dropped.
+pub fn limit_delivery(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(limit))?;
+    socket.set_linger(Some(Duration::ZERO))
+}
+
 /// Whether an idle connection is open and has no unread bytes.
 pub fn is_idle_and_open(stream: &TcpStream) -> bool {
     let mut probe = [std::mem::MaybeUninit::uninit(); 1];
--- a/berylstep_standins/src/lib.rs
+++ b/berylstep_standins/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod serve;
 pub mod service;
 pub mod site;
+pub mod trial;
--- a/berylstep_standins/src/platform.rs
+++ b/berylstep_standins/src/platform.rs
@@ -23,16 +23,37 @@
     pub down: bool,
     /// Delay of each call, in milliseconds.
     pub slow_ms: u64,
+    /// Delay of each read of a lease's row, in milliseconds.
+    pub slow_lease_ms: u64,
     /// Number of writing calls that take effect and whose answers are lost.
     pub lose_answers: u32,
     /// Age of the VM list that callers see, in milliseconds.
     pub list_lag_ms: u64,
     /// Whether orders and reports with an old fencing number are accepted.
     pub ignore_fencing: bool,
+    /// Usage reports fail with status 503 and without effect.
+    pub usage_down: bool,
+    /// Number of usage reports that take effect and whose answers are lost.
+    pub lose_usage_answers: u32,
+    /// Orders fail with status 503 and without effect.
+    pub orders_down: bool,
+    /// Number of orders that take effect and whose answers are lost.
+    pub lose_order_answers: u32,
     /// Most VMs granted in one availability zone, pool and kind.
     pub order_limit: Option<u32>,
 }
 
+impl PlatformFaults {
+    /// Whether the interface at `path` alone is down.
+    fn is_down(&self, path: &str) -> bool {
+        match path {
+            "/usage" => self.usage_down,
+            "/orders" => self.orders_down,
+            _ => false,
+        }
+    }
+}
+
 /// A row with its version and the token of the write.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct TableRow {
@@ -91,12 +112,15 @@
     if !is_control && faults.slow_ms > 0 {
         smol::Timer::after(Duration::from_millis(faults.slow_ms)).await;
     }
-    if !is_control && faults.down {
+    if serve::query(&received.request, "key").starts_with("lease/") {
+        smol::Timer::after(Duration::from_millis(faults.slow_lease_ms)).await;
+    }
+    if !is_control && (faults.down || faults.is_down(&path)) {
         return serve::status(503);
     }
     let is_write = received.request.method() != Method::Get;
     let response = lock(&state).handle(&path, &received);
-    if !is_control && is_write && lock(&state).take_lost_answer() {
+    if !is_control && is_write && lock(&state).take_lost_answer(&path) {
         return serve::status(504);
     }
     response.unwrap_or_else(|refusal| *refusal)
@@ -187,7 +211,7 @@
                 None => drop(self.rows.remove(&write.key)),
             }
         }
-        serve::json(&json!({ "committed": true }))
+        serve::json(&json!({ "committed": true, "version": version }))
     }
 
     fn listed_vms(&mut self) -> Value {
@@ -200,7 +224,8 @@
     }
 
     fn order(&mut self, message: Value) -> Response {
-        let accepted = self.check_fencing("order", &message);
+        let zone = message["zone"].as_str().unwrap_or_default().to_owned();
+        let accepted = self.check_fencing("order", &zone, &message);
         if !accepted {
             return serve::status(409);
         }
@@ -212,16 +237,16 @@
     }
 
     fn usage(&mut self, message: Value) -> Response {
-        match self.check_fencing("usage", &message) {
+        match self.check_fencing("usage", "", &message) {
             true => serve::json(&Value::Null),
             false => serve::status(409),
         }
     }
 
-    /// Records the message and says whether its fencing number is accepted.
-    fn check_fencing(&mut self, kind: &str, message: &Value) -> bool {
+    /// Records the message and says whether its fencing number is accepted within its `scope`.
+    fn check_fencing(&mut self, kind: &str, scope: &str, message: &Value) -> bool {
         let fencing = message["fencing"].as_u64().unwrap_or_default();
-        let newest = self.newest_fencing.entry(kind.to_owned()).or_default();
+        let newest = self.newest_fencing.entry(format!("{kind}/{scope}")).or_default();
         let accepted = self.faults.ignore_fencing || fencing >= *newest;
         *newest = fencing.max(*newest);
         let record = EffectRecord { kind: kind.to_owned(), message: message.clone(), accepted };
@@ -229,9 +254,16 @@
         accepted
     }
 
-    fn take_lost_answer(&mut self) -> bool {
-        let lost = self.faults.lose_answers > 0;
-        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+    fn take_lost_answer(&mut self, path: &str) -> bool {
+        let faults = &mut self.faults;
+        let of_path = match path {
+            "/usage" => &mut faults.lose_usage_answers,
+            "/orders" => &mut faults.lose_order_answers,
+            _ => &mut faults.lose_answers,
+        };
+        let counter = if *of_path > 0 { of_path } else { &mut faults.lose_answers };
+        let lost = *counter > 0;
+        *counter = counter.saturating_sub(1);
         lost
     }
 }
--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use rustix::process::{kill_process, Pid, Signal};
 
@@ -89,8 +90,22 @@
     panic!("binary {name} is not built: run `cargo build --workspace` first");
 }
 
+/// Ports that systems do not hand to outgoing connections, which could take one before its listener.
+const PORTS: std::ops::Range<u32> = 10_000..32_000;
+
+/// Ports apart at which processes start looking, so that tests in different processes do not meet.
+const PORT_STRIDE: u32 = 97;
+
 /// An address on loopback that was free a moment ago.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("bound socket has an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORT_STRIDE);
+    loop {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + offset % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
