--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -18,6 +18,7 @@
 use crate::connections::ConnectionPool;
 use crate::drain::DrainSignal;
 use crate::duty::DutyDesk;
+use crate::entry::budget::RetryBudgets;
 use crate::member::MemberRegistration;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerMesh;
@@ -26,7 +27,7 @@
 use crate::slots::SlotBroker;
 use crate::tail::ConfigFollower;
 use crate::usage::UsageBook;
-use crate::{drain, duty, entry, member, operator, peer, shutdown, tail, upstream};
+use crate::{claim, drain, duty, entry, member, operator, peer, shutdown, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -81,6 +82,8 @@
     pub metrics: NodeMetrics,
     /// Service-level counts.
     pub burn: BurnLedger,
+    /// Retry budgets of the pools.
+    pub retries: RetryBudgets,
     incarnation: AtomicU64,
     serving: AtomicBool,
     leaving: AtomicBool,
@@ -110,6 +113,7 @@
             usage: UsageBook::default(),
             metrics: NodeMetrics::default(),
             burn: BurnLedger::default(),
+            retries: RetryBudgets::default(),
             incarnation: AtomicU64::new(0),
             serving: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -244,6 +248,7 @@
         smol::spawn(duty::run(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
+        smol::spawn(claim::sweep::run(node.clone())),
     ];
     let stopping = async {
         shutdown::wait(&mut signals).await;
--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod arbiter;
 pub mod burn;
+pub mod claim;
 pub mod collections;
 pub mod config;
 pub mod estimate;
@@ -14,5 +15,6 @@
 pub mod member;
 pub mod refusal;
 pub mod rendezvous;
+pub mod retry;
 pub mod upstream;
 pub mod usage;
--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -4,7 +4,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 
 use rustix::process::{kill_process, Pid, Signal};
 
@@ -90,22 +89,16 @@
     panic!("binary {name} is not built: run `cargo build --workspace` first");
 }
 
-/// Ports that systems do not hand to outgoing connections, which could take one before its listener.
-const PORTS: std::ops::Range<u32> = 10_000..32_000;
-
-/// Ports apart at which processes start looking, so that tests in different processes do not meet.
-const PORT_STRIDE: u32 = 97;
+/// Ports below the range from which the system takes ports for outgoing connections, which would
+/// otherwise take one between its choice and its use.
+const LISTENER_PORTS: std::ops::Range<u16> = 10_000..32_000;
 
 /// An address on loopback that was free a moment ago.
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id().wrapping_mul(PORT_STRIDE);
     loop {
-        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = PORTS.start + offset % (PORTS.end - PORTS.start);
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
+        let port = fastrand::u16(LISTENER_PORTS);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("bound socket has an address");
         }
     }
 }
