--- a/berylstep/src/platform/types.rs
+++ b/berylstep/src/platform/types.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use berylstep_core::collections::SharedName;
+pub use berylstep_core::placement::UpstreamKind;
 use serde::{Deserialize, Serialize};
 
 /// One row of the table service.
@@ -96,16 +97,6 @@
     Leaving,
 }
 
-/// How dependable, and how dear, an upstream VM is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum UpstreamKind {
-    /// Not evicted by the platform.
-    Dependable,
-    /// Cheaper, and evicted at short notice, possibly a whole availability zone at once.
-    Cheap,
-}
-
 /// One VM in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmEntry {
--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod lease;
 pub mod limits;
 pub mod member;
+pub mod order;
+pub mod placement;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
