Order upstreams under zones' leases, and hand on signs that one is leaving

Cause: orders must come from one holder and take effect once, and a leaving upstream must get no new work also where a node's list lags. Ruled out: ordering again after a lost answer; trusting each node's own list alone. Change: an intent row before each order, its result after; a holder settles an intent by asking for the order's id and sends the same order only if it is unknown. Demand by pool and tier goes with the pulses; signs of leaving (list, gone entry, an upstream's refusal) do too. Before: with a new order in place of the settled one '("b", 0), ("c", 1)' and more were ordered; without signs in pulses 3 refusals, 1 expected. A zone whose only node died was ordered down to 0 until zones with orders were kept. After: 4 order tests and 2 leaving tests pass. Conclusion: each need was ordered once over two lost answers and a killed holder.

--- a/berylstep/src/duty.rs
+++ b/berylstep/src/duty.rs
@@ -7,9 +7,10 @@
 use berylstep_core::lease::ReceiverFencing;
 use serde::Serialize;
 
+use crate::config::OrderMode;
 use crate::lease::{self, LeaseKeeper};
 use crate::node::NodeContext;
-use crate::usage;
+use crate::{orders, usage};
 
 /// Duty of sealing and reporting usage; one shard of organisations today.
 pub const USAGE_DUTY: &str = "usage/0";
@@ -77,10 +78,28 @@
         tasks.push(smol::spawn(usage::report::work(node.clone(), keeper)));
     }
     loop {
+        tasks.extend(join_order_duties(&node));
         node.clock.sleep(LOOK_INTERVAL).await;
     }
 }
 
+/// Takes part in the duties of zones that are new to this node.
+fn join_order_duties(node: &Arc<NodeContext>) -> Vec<smol::Task<()>> {
+    let mut tasks = Vec::new();
+    if node.settings.orders == OrderMode::Off {
+        return tasks;
+    }
+    let fencing = fencing_of(node.settings.unfenced_receivers.orders);
+    for zone in orders::view::zones(node) {
+        let duty = format!("{}{zone}", orders::DUTY_PREFIX);
+        if let Some(keeper) = node.duties.add(node, &duty, fencing) {
+            tasks.push(smol::spawn(lease::keep(node.clone(), keeper.clone())));
+            tasks.push(smol::spawn(orders::work(node.clone(), keeper, zone)));
+        }
+    }
+    tasks
+}
+
 /// Gives all leases up for a planned stop, once no send is in flight.
 pub async fn release(node: &NodeContext) {
     for keeper in node.duties.keepers() {
--- a/berylstep/src/entry/attempt.rs
+++ b/berylstep/src/entry/attempt.rs
@@ -15,6 +15,7 @@
 use super::request::CallerRequest;
 use crate::connections::ConnectionChoice;
 use crate::node::NodeContext;
+use crate::upstream::leaving;
 
 /// Bytes of an answer that are read at once.
 pub const CHUNK_BYTES: usize = 4 * 1024;
@@ -78,6 +79,19 @@
     format!("{}-{}-{}", node.settings.node, node.incarnation(), node.next_request()).into()
 }
 
+/// Turns the refusal of an upstream that is leaving into a failed attempt.
+fn unless_leaving(
+    node: &NodeContext,
+    upstream: &UpstreamEntry,
+    answer: BegunAnswer,
+) -> Result<BegunAnswer, AttemptError> {
+    if leaving::note_answer(node, &upstream.id, &answer.head) {
+        let message = "the upstream is leaving".to_owned();
+        return Err(AttemptError { may_have_run: true, upstream_failed: true, message });
+    }
+    Ok(answer)
+}
+
 /// Connects to an upstream; nothing has been sent on an error.
 pub async fn connect(
     node: &NodeContext,
@@ -107,14 +121,14 @@
     let left = deadline.saturating_sub(node.clock.now());
     let limit = first_byte_limit(request, left);
     if let Some(received) = node.clock.timeout(limit, &mut receiving).await {
-        return Ok(received?);
+        return unless_leaving(node, upstream, received?);
     }
     if let Some(err) = judge_silence(node, request, upstream).await {
         return Err(err);
     }
     let left = deadline.saturating_sub(node.clock.now());
     match node.clock.timeout(left, receiving).await {
-        Some(received) => Ok(received?),
+        Some(received) => unless_leaving(node, upstream, received?),
         None => Err(AttemptError {
             may_have_run: true,
             upstream_failed: true,
--- a/berylstep/src/entry/forward.rs
+++ b/berylstep/src/entry/forward.rs
@@ -14,6 +14,7 @@
 use super::{at_most_once, idempotent};
 use crate::node::NodeContext;
 use crate::observer::{RequestObserver, RequestOutcome};
+use crate::orders::demand::DemandGuard;
 use crate::slots::{self, SlotGuard, SlotRequest};
 
 /// Most attempts for one request.
@@ -37,6 +38,8 @@
     pub deadline: Duration,
     /// What its attempts need a slot for.
     pub ask: SlotRequest,
+    /// Counts the request as demand for its pool.
+    pub demand: DemandGuard,
     /// Upstreams to which a connection was silent; they are asked again where no other is left.
     pub silent: Vec<SharedName>,
     /// Observer, for metrics and the log.
@@ -77,10 +80,21 @@
             excluded: Vec::new(),
         };
         let watch = KeyWatch::new(node, &request);
+        let demand = DemandGuard::new(node, &ask.pool, ask.tier);
         let observer =
             RequestObserver::start(node.clone(), request.class.clone(), ask.organisation.clone());
         let (silent, may_have_run) = (Vec::new(), false);
-        Self { node: node.clone(), request, watch, deadline, ask, silent, observer, may_have_run }
+        Self {
+            node: node.clone(),
+            request,
+            watch,
+            deadline,
+            ask,
+            demand,
+            silent,
+            observer,
+            may_have_run,
+        }
     }
 
     /// Waits for a slot; gives up at the deadline and where the key is withdrawn.
--- a/berylstep/src/lease.rs
+++ b/berylstep/src/lease.rs
@@ -23,10 +23,10 @@
 const MAX_CANDIDATES: usize = 4;
 
 /// Part of the renewal time between two looks at a lease.
-const LOOK_DIVISOR: u32 = 4;
+const LOOK_DIVISOR: u32 = 2;
 
 /// Longest time between two looks at a lease.
-const MAX_LOOK: Duration = Duration::from_millis(500);
+const MAX_LOOK: Duration = Duration::from_secs(1);
 
 /// Time between looks at whether sends are still in flight.
 const SEND_POLL: Duration = Duration::from_millis(10);
--- a/berylstep/src/lib.rs
+++ b/berylstep/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod observer;
 pub mod operator;
+pub mod orders;
 pub mod peer;
 pub mod platform;
 pub mod shutdown;
--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -21,11 +21,13 @@
 use crate::entry::budget::RetryBudgets;
 use crate::member::MemberRegistration;
 use crate::metrics::NodeMetrics;
+use crate::orders::demand::DemandLedger;
 use crate::peer::PeerMesh;
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
 use crate::tail::ConfigFollower;
+use crate::upstream::leaving::LeavingSigns;
 use crate::usage::UsageBook;
 use crate::{claim, drain, duty, entry, member, operator, peer, shutdown, tail, upstream};
 
@@ -76,6 +78,10 @@
     pub connections: ConnectionPool,
     /// Duties that this node may come to hold.
     pub duties: DutyDesk,
+    /// Requests in progress, by pool.
+    pub demand: DemandLedger,
+    /// Signs that upstreams are leaving.
+    pub leaving_signs: LeavingSigns,
     /// Counted usage.
     pub usage: UsageBook,
     /// Metrics.
@@ -110,6 +116,8 @@
             peers: PeerMesh::default(),
             connections,
             duties: DutyDesk::default(),
+            demand: DemandLedger::default(),
+            leaving_signs: LeavingSigns::default(),
             usage: UsageBook::default(),
             metrics: NodeMetrics::default(),
             burn: BurnLedger::default(),
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -17,6 +17,7 @@
 
 use crate::burn;
 use crate::node::NodeContext;
+use crate::upstream::leaving;
 use crate::{tail, usage};
 
 /// Longest time to connect and authenticate.
@@ -115,7 +116,8 @@
         in_flight: node.in_flight(),
         store_age_ms: node.store_age().map_or(u64::MAX, |age| age.as_millis() as u64),
         pools: Vec::new(),
-        upstreams: Vec::new(),
+        upstreams: leaving::message(node),
+        requests: node.demand.message(),
     }
 }
 
@@ -124,6 +126,8 @@
     match body {
         Body::Pulse(pulse) => {
             let now = node.clock.now();
+            leaving::observe(node, &pulse.upstreams);
+            node.demand.observe(now, from, pulse.requests);
             let store_age = Duration::from_millis(pulse.store_age_ms);
             {
                 let mut members = node.members();
--- a/berylstep/src/upstream.rs
+++ b/berylstep/src/upstream.rs
@@ -1,5 +1,7 @@
 //! The platform's list of upstreams, and their load reports.
 
+pub mod leaving;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,7 +37,7 @@
         match node.platform.vms().await {
             Ok(vms) => {
                 let listed = vms.into_iter().filter_map(upstream_entry).collect();
-                node.upstreams().observe_list(listed);
+                observe_list(&node, listed);
             }
             Err(err) => log::debug!("cannot read the VM list: {err}"),
         }
@@ -43,6 +45,22 @@
     }
 }
 
+/// Takes in the list; what it shows as leaving, and what is gone from it, is a sign of its own.
+fn observe_list(node: &NodeContext, listed: Vec<UpstreamEntry>) {
+    let leaving: Vec<_> = {
+        let mut upstreams = node.upstreams();
+        let known: Vec<_> = upstreams.all().map(|entry| entry.id.clone()).collect();
+        upstreams.observe_list(listed);
+        let gone = known.into_iter().filter(|id| upstreams.get(id).is_none());
+        let shown = upstreams.all().filter(|entry| entry.leaving).map(|entry| entry.id.clone());
+        gone.chain(shown).collect()
+    };
+    for upstream in leaving {
+        leaving::note(node, &upstream);
+    }
+    leaving::apply(node);
+}
+
 /// Reads the load of every upstream, for as long as the node runs.
 pub async fn poll_loads(node: Arc<NodeContext>) {
     loop {
@@ -84,6 +102,7 @@
         zone: vm.zone,
         pool: vm.pool,
         slots: vm.slots.max(1),
+        kind: vm.kind,
         leaving: vm.state == VmState::Leaving,
         load: None,
     })
--- a/berylstep_core/src/order.rs
+++ b/berylstep_core/src/order.rs
@@ -78,10 +78,13 @@
     };
     match row.state {
         OrderState::Intended => OrderStep::Settle,
-        OrderState::Granted(_) if row.count != wanted => OrderStep::Place(wanted),
-        OrderState::Granted(granted) if running < granted && has_waited => OrderStep::Place(wanted),
-        // A limit may have been lifted.
-        OrderState::Granted(granted) if granted < wanted && has_waited => OrderStep::Place(wanted),
+        OrderState::Granted(granted) if wanted != granted && wanted != row.count => {
+            OrderStep::Place(wanted)
+        }
+        // Granted upstreams did not start or are gone, or a limit may have been lifted.
+        OrderState::Granted(granted) if has_waited && (running < granted || granted < wanted) => {
+            OrderStep::Place(wanted)
+        }
         OrderState::Granted(_) => OrderStep::Rest,
     }
 }
--- a/berylstep_core/src/upstream.rs
+++ b/berylstep_core/src/upstream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
+use crate::placement::UpstreamKind;
 
 /// What an upstream last reported of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -29,6 +30,8 @@
     pub pool: SharedName,
     /// Requests served at once.
     pub slots: u32,
+    /// Kind of VM.
+    pub kind: UpstreamKind,
     /// Whether it takes no new work.
     pub leaving: bool,
     /// Last load report and when it arrived.
--- a/berylstep_standins/src/platform.rs
+++ b/berylstep_standins/src/platform.rs
@@ -1,7 +1,8 @@
 //! Stand-in for the platform: table service, object store, VM list, orders and usage reports.
 //!
 //! Speaks the protocol of docs/PLATFORM.md. `POST /control/faults` sets faults, `POST /control/vms`
-//! replaces the VM list, and `GET /control/log` returns every order and usage report received.
+//! replaces the VM list, `POST /control/spares` sets upstreams that orders bring into it,
+//! `POST /control/evict` evicts a zone's cheap upstreams, and `GET /control/log` returns every order and usage report received.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -63,6 +64,13 @@
     token: String,
 }
 
+/// Eviction of a zone's cheap upstreams.
+#[derive(Debug, Deserialize)]
+struct ZoneEviction {
+    zone: String,
+    notice_ms: u64,
+}
+
 #[derive(Debug, Deserialize)]
 struct Transaction {
     token: String,
@@ -93,6 +101,8 @@
     revision: u64,
     objects: BTreeMap<String, Vec<u8>>,
     vms: VecDeque<(Instant, Value)>,
+    /// Upstreams that orders bring into the list.
+    spares: Vec<Value>,
     orders: BTreeMap<String, Value>,
     newest_fencing: BTreeMap<String, u64>,
     effects: Vec<EffectRecord>,
@@ -159,6 +169,11 @@
                 self.vms.push_back((Instant::now(), vms));
                 Ok(serve::status(204))
             }
+            (Method::Post, "/control/spares") => {
+                self.spares = serve::parse(body)?;
+                Ok(serve::status(204))
+            }
+            (Method::Post, "/control/evict") => Ok(self.evict(serve::parse(body)?)),
             (Method::Get, "/control/log") => Ok(serve::json(&self.effects)),
             _ => Ok(self.object(received)),
         }
@@ -216,7 +231,8 @@
 
     fn listed_vms(&mut self) -> Value {
         let lag = Duration::from_millis(self.faults.list_lag_ms);
-        let is_visible = |listed: &(Instant, Value)| listed.0.elapsed() >= lag;
+        let now = Instant::now();
+        let is_visible = |listed: &(Instant, Value)| now >= listed.0 + lag;
         while self.vms.len() > 1 && is_visible(&self.vms[1]) {
             self.vms.pop_front();
         }
@@ -233,9 +249,46 @@
         let wanted = message["count"].as_u64().unwrap_or_default();
         let limit = self.faults.order_limit.map_or(u64::MAX, u64::from);
         let receipt = json!({ "order": order, "granted": wanted.min(limit) });
+        if !self.orders.contains_key(&order) {
+            self.start_spares(&message, wanted.min(limit));
+        }
         serve::json(self.orders.entry(order).or_insert(receipt))
     }
 
+    /// Lists spare upstreams of an order's group until the granted number runs.
+    fn start_spares(&mut self, order: &Value, granted: u64) {
+        let is_member =
+            |vm: &Value| ["zone", "pool", "kind"].iter().all(|field| vm[field] == order[field]);
+        let mut vms = self.newest_vms();
+        let running = vms.iter().filter(|vm| is_member(vm) && vm["state"] == "live").count();
+        let missing = (granted as usize).saturating_sub(running);
+        let (members, others): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.spares).into_iter().partition(is_member);
+        let mut members = members.into_iter();
+        vms.extend(members.by_ref().take(missing));
+        self.spares = others.into_iter().chain(members).collect();
+        self.vms.push_back((Instant::now(), vms.into()));
+    }
+
+    /// Marks a zone's cheap upstreams as leaving, and removes them after the notice.
+    fn evict(&mut self, eviction: ZoneEviction) -> Response {
+        let mut vms = self.newest_vms();
+        let is_evicted = |vm: &Value| vm["zone"] == *eviction.zone && vm["kind"] == "cheap";
+        for vm in vms.iter_mut().filter(|vm| is_evicted(vm)) {
+            vm["state"] = json!("leaving");
+        }
+        let left: Vec<_> = vms.iter().filter(|vm| !is_evicted(vm)).cloned().collect();
+        let now = Instant::now();
+        self.vms.push_back((now, vms.into()));
+        self.vms.push_back((now + Duration::from_millis(eviction.notice_ms), left.into()));
+        serve::status(204)
+    }
+
+    fn newest_vms(&self) -> Vec<Value> {
+        let newest = self.vms.back().and_then(|(_, vms)| vms.as_array());
+        newest.cloned().unwrap_or_default()
+    }
+
     fn usage(&mut self, message: Value) -> Response {
         match self.check_fencing("usage", "", &message) {
             true => serve::json(&Value::Null),
--- a/berylstep_standins/src/service.rs
+++ b/berylstep_standins/src/service.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a plain service, which records every call so that doubles show.
 //!
-//! `POST /control/faults` sets faults and `GET /control/requests` returns every call that took effect.
+//! `POST /control/faults` sets faults and `GET /control/requests` returns every call that took effect;
+//! `GET /control/refused` counts those refused because the service is leaving.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -39,6 +40,8 @@
     pub error_rate: f64,
     /// The process ends after the effect of this many further calls, before it answers.
     pub crash_after_calls: Option<u32>,
+    /// Calls are refused with `x-leaving: true` and without effect.
+    pub leaving: bool,
 }
 
 #[derive(Debug)]
@@ -48,6 +51,7 @@
     records: Mutex<Vec<ReceivedRecord>>,
     random: Mutex<fastrand::Rng>,
     running: AtomicUsize,
+    refused: AtomicUsize,
 }
 
 /// Serves a plain service on `address`.
@@ -58,6 +62,7 @@
         records: Mutex::default(),
         random: Mutex::new(fastrand::Rng::with_seed(0)),
         running: AtomicUsize::new(0),
+        refused: AtomicUsize::new(0),
     });
     serve::serve(address, move |received| respond(state.clone(), received)).await
 }
@@ -72,6 +77,7 @@
         (Method::Get, "/control/requests") => {
             serve::json(&*state.records.lock().expect("record lock"))
         }
+        (Method::Get, "/control/refused") => serve::json(&state.refused.load(Ordering::Relaxed)),
         (Method::Post, "/control/faults") => state.set_faults(&received.body),
         _ => state.confirm(&received).await,
     }
@@ -88,6 +94,12 @@
     }
 
     async fn confirm(&self, received: &ReceivedRequest) -> Response {
+        if self.faults.lock().expect("fault lock").leaving {
+            self.refused.fetch_add(1, Ordering::Relaxed);
+            let mut response = serve::status(503);
+            response.insert_header("x-leaving", "true");
+            return response;
+        }
         let _running = RunningGuard::new(&self.running);
         smol::Timer::after(Duration::from_millis(self.settings.delay_ms)).await;
         let error_rate = self.faults.lock().expect("fault lock").error_rate;
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -90,6 +90,18 @@
     pub pools: ::prost::alloc::vec::Vec<PoolLoad>,
     #[prost(message, repeated, tag = "7")]
     pub upstreams: ::prost::alloc::vec::Vec<UpstreamState>,
+    #[prost(message, repeated, tag = "8")]
+    pub requests: ::prost::alloc::vec::Vec<PoolRequests>,
+}
+/// Requests of one pool in progress at the sender, waiting ones included.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PoolRequests {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    #[prost(uint32, tag = "3")]
+    pub top_tier: u32,
 }
 /// Demand of one pool as seen by the sender.
 #[derive(Clone, PartialEq, ::prost::Message)]
