--- a/berylstep/src/orders/demand.rs
+++ b/berylstep/src/orders/demand.rs
@@ -72,8 +72,9 @@
     }
 
     /// Takes in a peer's numbers.
-    pub fn observe(&self, now: Duration, peer: &str, requests: Vec<PoolRequests>) {
-        self.peers.lock().expect("demand lock").insert(peer.into(), (now, requests));
+    pub fn observe(&self, now: Duration, peer: &str, requests: &[PoolRequests]) {
+        let mut peers = self.peers.lock().expect("demand lock");
+        peers.insert(peer.into(), (now, requests.to_vec()));
     }
 
     /// Requests for a pool at this node and at all peers heard lately.
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -90,7 +90,10 @@
     pub pools: ::prost::alloc::vec::Vec<PoolLoad>,
     #[prost(message, repeated, tag = "7")]
     pub upstreams: ::prost::alloc::vec::Vec<UpstreamState>,
-    #[prost(message, repeated, tag = "8")]
+    /// Highest sequence number of the receiver's pulses that the sender has read from this link.
+    #[prost(uint64, tag = "8")]
+    pub echo: u64,
+    #[prost(message, repeated, tag = "9")]
     pub requests: ::prost::alloc::vec::Vec<PoolRequests>,
 }
 /// Requests of one pool in progress at the sender, waiting ones included.
