--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -17,15 +17,19 @@
 use crate::config::NodeSettings;
 use crate::connections::ConnectionPool;
 use crate::drain::DrainSignal;
+use crate::duty::DutyDesk;
 use crate::entry::budget::RetryBudgets;
 use crate::member::MemberRegistration;
 use crate::metrics::NodeMetrics;
+use crate::orders::demand::DemandLedger;
 use crate::peer::{PeerMesh, PulseLog};
 use crate::platform::http::HttpPlatform;
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
 use crate::tail::ConfigFollower;
-use crate::{claim, drain, entry, member, operator, peer, shutdown, slots, tail, upstream};
+use crate::upstream::leaving::LeavingSigns;
+use crate::usage::UsageBook;
+use crate::{claim, drain, duty, entry, member, operator, peer, shutdown, slots, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -71,6 +75,14 @@
     pub pulses: PulseLog,
     /// Idle connections to upstreams.
     pub connections: ConnectionPool,
+    /// Duties that this node may come to hold.
+    pub duties: DutyDesk,
+    /// Requests in progress, by pool.
+    pub demand: DemandLedger,
+    /// Signs that upstreams are leaving.
+    pub leaving_signs: LeavingSigns,
+    /// Counted usage.
+    pub usage: UsageBook,
     /// Metrics.
     pub metrics: NodeMetrics,
     /// Service-level counts.
@@ -104,6 +116,10 @@
             peers: PeerMesh::default(),
             pulses: PulseLog::default(),
             connections,
+            duties: DutyDesk::default(),
+            demand: DemandLedger::default(),
+            leaving_signs: LeavingSigns::default(),
+            usage: UsageBook::default(),
             metrics: NodeMetrics::default(),
             burn: BurnLedger::default(),
             retries: RetryBudgets::default(),
@@ -245,6 +261,7 @@
         smol::spawn(peer::listen(node.clone(), peers)),
         smol::spawn(peer::dial_members(node.clone())),
         smol::spawn(peer::send_pulses(node.clone())),
+        smol::spawn(duty::run(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
         smol::spawn(slots::keep(node.clone())),
--- a/berylstep/src/slots.rs
+++ b/berylstep/src/slots.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
+use berylstep_core::placement::UpstreamKind;
 use berylstep_core::refusal::{RefusalReason, RequestRefusal};
 use berylstep_core::upstream::UpstreamEntry;
 use smol::channel::Receiver;
@@ -155,8 +156,10 @@
     let GrantedSlot { upstream, address, zone } = answer?;
     guard.armed = false;
     let pool = request.pool.clone();
-    let upstream =
-        UpstreamEntry { id: upstream, address, zone, pool, slots: 1, leaving: false, load: None };
+    // The owner of the pool knows the kind; nothing here depends on it.
+    let kind = UpstreamKind::Dependable;
+    let (id, slots, leaving, load) = (upstream, 1, false, None);
+    let upstream = UpstreamEntry { id, address, zone, pool, kind, slots, leaving, load };
     let hold = SlotHold::Ledger { request: pending.request, recall: pending.recall };
     Ok(SlotGuard { node: node.clone(), upstream, hold, outcome: None })
 }
--- a/berylstep_standins/src/bench/state.rs
+++ b/berylstep_standins/src/bench/state.rs
@@ -9,6 +9,7 @@
     ConfigChange, ConfigEntity, ConfigTable, KeyEntity, OrganisationEntity, OrganisationLimits,
 };
 use berylstep_core::member::MemberTable;
+use berylstep_core::placement::UpstreamKind;
 use berylstep_core::upstream::{LoadReport, UpstreamEntry, UpstreamTable};
 
 use super::messages::member_row;
@@ -68,6 +69,7 @@
         address: SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index as u32), 9_000)),
         zone: "region-1-a".into(),
         pool: "drafter".into(),
+        kind: UpstreamKind::Dependable,
         slots: 64,
         leaving: false,
         load: None,
--- a/berylstep_standins/src/lib.rs
+++ b/berylstep_standins/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod serve;
 pub mod service;
 pub mod site;
+pub mod trial;
