Forget what an owner knew before it stood still; preempt after a quarter

Change: a report replaces all that the owner knew of the node; an owner that stood still for 500 ms begins anew.

--- a/berylstep/src/slots/broker.rs
+++ b/berylstep/src/slots/broker.rs
@@ -25,6 +25,9 @@
 /// Time between ticks after which this node counts as having stood still.
 const STALL_LIMIT: Duration = Duration::from_millis(100);
 
+/// Time between ticks after which other nodes have turned to another owner.
+const DISOWN_LIMIT: Duration = Duration::from_millis(500);
+
 /// Time between looks at who may own pools.
 const OWNER_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -175,9 +178,13 @@
 fn tick(node: &Arc<NodeContext>) {
     let now = node.clock.now();
     let mut state = node.slots.state();
-    if now.saturating_sub(state.ticked) > STALL_LIMIT {
+    let stalled = now.saturating_sub(state.ticked);
+    if stalled > STALL_LIMIT {
         state.owners.excuse(now);
     }
+    if stalled > DISOWN_LIMIT {
+        state.disown(now);
+    }
     state.ticked = now;
     state.judge_owners(now);
     if now.saturating_sub(state.refreshed) >= OWNER_INTERVAL {
@@ -207,6 +214,18 @@
         self.owners.owner(&node.settings.node, pool)
     }
 
+    /// Forgets the pools that this node owned before it stood still, and reports anew.
+    fn disown(&mut self, now: Duration) {
+        self.pools.clear();
+        self.limits = LimitTable::default();
+        let used = self.ledger.pools().filter(|(_, view)| view.is_used());
+        let used: Vec<_> = used.map(|(pool, view)| (pool.clone(), view.owner.clone())).collect();
+        for (pool, owner) in used {
+            let report = self.ledger.report(now, &pool, true);
+            self.outbox.push((owner, Body::SlotReport(report)));
+        }
+    }
+
     fn judge_owners(&mut self, now: Duration) {
         for (_, view) in self.ledger.pools().filter(|(_, view)| view.is_used()) {
             self.owners.judge(now, &view.owner, view.since);
--- a/berylstep/src/slots/owner.rs
+++ b/berylstep/src/slots/owner.rs
@@ -134,6 +134,9 @@
     ) {
         let now = node.clock.now();
         self.renewed.insert(from.clone(), now);
+        // What an earlier time as owner left behind would block slots until the next renewal.
+        self.arbiter.retain_requests(now, from, &reported_requests(report));
+        self.uncount_gone(limits);
         for held in &report.held {
             let Some(ask) = &held.ask else { continue };
             let demand = wire::demand(now, from, ask, class_latency(node, &ask.class));
@@ -319,6 +322,11 @@
     }
 }
 
+fn reported_requests(report: &SlotReport) -> BTreeSet<u64> {
+    let held = report.held.iter().filter_map(|held| held.ask.as_ref());
+    held.chain(&report.waiting).map(|ask| ask.request).collect()
+}
+
 fn refusal(reason: RefusalReason, retry_after: Duration) -> Decision {
     let retry_after_ms = retry_after.as_millis() as u64;
     Decision::Refusal(SlotRefusal { reason: reason.code().to_owned(), retry_after_ms })
--- a/berylstep_core/src/arbiter/preempt.rs
+++ b/berylstep_core/src/arbiter/preempt.rs
@@ -7,7 +7,7 @@
 
 /// A request preempts once it has waited for its latency target divided by this; until then a slot
 /// may come free by itself, which wastes no work.
-pub const PREEMPT_FRACTION: u32 = 8;
+pub const PREEMPT_FRACTION: u32 = 4;
 
 impl PoolArbiter {
     /// Takes back at most one slot for each class whose next request has waited for long.
