--- a/berylstep/src/entry/forward.rs
+++ b/berylstep/src/entry/forward.rs
@@ -1,7 +1,7 @@
 //! Sending a caller's request to upstreams.
 
 use std::hash::{Hash, Hasher};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
@@ -13,6 +13,7 @@
 use super::watch::KeyWatch;
 use super::{at_most_once, idempotent};
 use crate::node::NodeContext;
+use crate::observer::RequestObserver;
 use crate::slots::{self, SlotGuard, SlotRequest};
 
 /// Most attempts for one request.
@@ -24,12 +25,38 @@
 /// Bytes of a prompt that decide where requests with the same beginning go.
 const PREFIX_BYTES: usize = 512;
 
+/// The observer of a request, until the outcome that counts is known.
+#[derive(Clone)]
+pub struct SharedObserver {
+    observer: Arc<Mutex<Option<RequestObserver>>>,
+}
+
+impl SharedObserver {
+    fn new(observer: RequestObserver) -> Self {
+        Self { observer: Arc::new(Mutex::new(Some(observer))) }
+    }
+
+    /// Takes the observer in order to end it; `None` where the outcome was already noted.
+    pub fn take(&self) -> Option<RequestObserver> {
+        self.observer.lock().expect("observer lock").take()
+    }
+
+    /// Applies `note` unless the outcome was already noted.
+    pub fn with(&self, note: impl FnOnce(&mut RequestObserver)) {
+        if let Some(observer) = &mut *self.observer.lock().expect("observer lock") {
+            note(observer);
+        }
+    }
+}
+
 /// One request on its way to an upstream.
 pub struct ForwardedRequest {
     /// Node.
     pub node: Arc<NodeContext>,
     /// Request of the caller.
     pub request: Arc<CallerRequest>,
+    /// Observer of the outcome.
+    pub observer: SharedObserver,
     /// Watch over the caller's key.
     pub watch: KeyWatch,
     /// Time on the node's clock at which the request is given up.
@@ -48,10 +75,17 @@
     request: CallerRequest,
 ) -> Result<Response, RequestRefusal> {
     let forwarded = ForwardedRequest::new(node, Arc::new(request));
-    match forwarded.request.route.repeat {
+    let observer = forwarded.observer.clone();
+    let answered = match forwarded.request.route.repeat {
         RouteRepeat::Idempotent => idempotent::forward(forwarded).await,
         RouteRepeat::SendOnce | RouteRepeat::RequireKey => at_most_once::forward(forwarded).await,
+    };
+    if let Err(refusal) = &answered {
+        if let Some(observer) = observer.take() {
+            observer.refuse(refusal);
+        }
     }
+    answered
 }
 
 impl ForwardedRequest {
@@ -70,7 +104,11 @@
         };
         let watch = KeyWatch::new(node, &request);
         let (silent, may_have_run) = (Vec::new(), false);
-        Self { node: node.clone(), request, watch, deadline, ask, silent, may_have_run }
+        let (class, organisation) = (request.class.clone(), ask.organisation.clone());
+        let observer =
+            SharedObserver::new(RequestObserver::start(node.clone(), class, organisation));
+        let node = node.clone();
+        Self { node, request, observer, watch, deadline, ask, silent, may_have_run }
     }
 
     /// Waits for a slot; gives up at the deadline and where the key is withdrawn.
--- a/berylstep/src/entry/idempotent.rs
+++ b/berylstep/src/entry/idempotent.rs
@@ -68,6 +68,8 @@
     let upstream = slot.upstream.id.clone();
     log::warn!("attempt failed: upstream={upstream} error={}", err.message);
     forwarded.may_have_run |= err.may_have_run;
+    let pool = &forwarded.request.route.pool;
+    forwarded.observer.with(|observer| observer.failed_attempt(pool));
     slot.finish(SlotOutcome { tokens: 0, failed: err.upstream_failed });
     forwarded.leave(upstream, err.upstream_failed);
 }
--- a/berylstep/src/entry/relay.rs
+++ b/berylstep/src/entry/relay.rs
@@ -142,6 +142,10 @@
         let streams = request.model.as_ref().is_some_and(|model| model.stream) && is_event_stream;
         let model = streams.then(|| ModelStream::new(resume::is_resumable(request, &answer.head)));
         let meter = UsageMeter::new(&forwarded);
+        forwarded.observer.with(|observer| {
+            observer.attempt(&answer.id, &slot.upstream.id);
+            observer.first_byte();
+        });
         let successful = !answer.head.status().is_server_error();
         let BegunAnswer { first, ended, length, body, reuse, .. } = answer;
         let left = length.map(|length| length.saturating_sub(first.len()));
@@ -183,7 +187,10 @@
                     }
                 }
                 ReadEnd::Whole => return self.finish(sender).await,
-                ReadEnd::Withdrawn => return log::info!("answer ended: the key was withdrawn"),
+                ReadEnd::Withdrawn => {
+                    log::info!("answer ended: the key was withdrawn");
+                    return self.note_broken_off();
+                }
                 ReadEnd::Broken(cause) => {
                     let Some(first) = resume::resume(&mut self, &cause).await else {
                         return self.note_broken(&cause);
@@ -279,10 +286,17 @@
         }
         self.give_back();
         if !self.caller_gone {
+            self.note_answered();
             sender.finish();
         }
     }
 
+    fn note_answered(&self) {
+        if let Some(observer) = self.forwarded.observer.take() {
+            observer.finish(u64::from(self.meter.output_tokens()));
+        }
+    }
+
     /// Returns the connection and the slot after a whole answer.
     fn give_back(&mut self) {
         let Some(AnswerSource { slot, body, reuse }) = self.source.take() else { return };
@@ -295,8 +309,15 @@
         }
     }
 
+    fn note_broken_off(&self) {
+        if let Some(observer) = self.forwarded.observer.take() {
+            observer.break_off();
+        }
+    }
+
     fn note_broken(mut self, cause: &ResumeCause) {
         log::warn!("answer broken: class={} {cause}", self.forwarded.request.class.name);
+        self.note_broken_off();
         if let Some(AnswerSource { slot, .. }) = self.source.take() {
             let tokens = self.meter.output_tokens();
             slot.finish(SlotOutcome { tokens, failed: cause.upstream_failed });
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -190,7 +190,10 @@
     let content_type = header_value(response.header("content-type"));
     let inner = response.take_body();
     let length = inner.len();
-    let watched = BufReader::new(WatchedBody { inner, body_read });
+    if length == Some(0) {
+        body_read.store(true, Ordering::Release);
+    }
+    let watched = BufReader::new(WatchedBody { inner, left: length, body_read });
     response.set_body(Body::from_reader(watched, length));
     match content_type {
         Some(content_type) => drop(response.insert_header("content-type", content_type)),
@@ -201,6 +204,9 @@
 #[derive(Debug)]
 struct WatchedBody {
     inner: Body,
+    /// Bytes that are not read yet, where the length is known; a reader that counts them does not
+    /// ask for the end.
+    left: Option<usize>,
     body_read: Arc<AtomicBool>,
 }
 
@@ -211,8 +217,12 @@
         buf: &mut [u8],
     ) -> Poll<std::io::Result<usize>> {
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
-        if matches!(result, Poll::Ready(Ok(0))) && !buf.is_empty() {
-            self.body_read.store(true, Ordering::Release);
+        if let Poll::Ready(Ok(count)) = result {
+            self.left = self.left.map(|left| left.saturating_sub(count));
+            let at_end = count == 0 && !buf.is_empty();
+            if at_end || self.left == Some(0) {
+                self.body_read.store(true, Ordering::Release);
+            }
         }
         result
     }
--- a/berylstep_http/src/server.rs
+++ b/berylstep_http/src/server.rs
@@ -45,6 +45,7 @@
             Self::Head(HeadError::TooLarge) => Some(431),
             Self::Head(HeadError::Version) => Some(505),
             Self::Head(HeadError::Malformed(_)) => Some(400),
+            Self::Head(HeadError::Expectation) => Some(417),
             Self::Head(HeadError::Truncated | HeadError::Io(_)) => None,
             Self::BodyTooLarge(_) => Some(413),
             Self::BodyBroken | Self::Decode(_) => Some(400),
