--- a/berylstep_core/src/retry.rs
+++ b/berylstep_core/src/retry.rs
@@ -9,10 +9,10 @@
 const MAX_SAVED_RETRIES: f64 = 10.0;
 
 /// Retries earned by time alone, a second, so that a pool with little traffic can retry.
-const RETRIES_PER_SECOND: f64 = 0.5;
+const RETRIES_PER_SECOND: f64 = 1.0;
 
 /// Retries that time alone can save up.
-const MAX_TIMED_RETRIES: f64 = 3.0;
+const MAX_TIMED_RETRIES: f64 = 5.0;
 
 /// Retries that a pool may make at the moment.
 #[derive(Clone, Debug)]
