--- a/berylstep/src/entry/forward.rs
+++ b/berylstep/src/entry/forward.rs
@@ -1,7 +1,7 @@
 //! Sending a caller's request to upstreams.
 
 use std::hash::{Hash, Hasher};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
@@ -13,7 +13,7 @@
 use super::watch::KeyWatch;
 use super::{at_most_once, idempotent};
 use crate::node::NodeContext;
-use crate::observer::RequestObserver;
+use crate::observer::{RequestObserver, RequestOutcome};
 use crate::slots::{self, SlotGuard, SlotRequest};
 
 /// Most attempts for one request.
@@ -25,38 +25,12 @@
 /// Bytes of a prompt that decide where requests with the same beginning go.
 const PREFIX_BYTES: usize = 512;
 
-/// The observer of a request, until the outcome that counts is known.
-#[derive(Clone)]
-pub struct SharedObserver {
-    observer: Arc<Mutex<Option<RequestObserver>>>,
-}
-
-impl SharedObserver {
-    fn new(observer: RequestObserver) -> Self {
-        Self { observer: Arc::new(Mutex::new(Some(observer))) }
-    }
-
-    /// Takes the observer in order to end it; `None` where the outcome was already noted.
-    pub fn take(&self) -> Option<RequestObserver> {
-        self.observer.lock().expect("observer lock").take()
-    }
-
-    /// Applies `note` unless the outcome was already noted.
-    pub fn with(&self, note: impl FnOnce(&mut RequestObserver)) {
-        if let Some(observer) = &mut *self.observer.lock().expect("observer lock") {
-            note(observer);
-        }
-    }
-}
-
 /// One request on its way to an upstream.
 pub struct ForwardedRequest {
     /// Node.
     pub node: Arc<NodeContext>,
     /// Request of the caller.
     pub request: Arc<CallerRequest>,
-    /// Observer of the outcome.
-    pub observer: SharedObserver,
     /// Watch over the caller's key.
     pub watch: KeyWatch,
     /// Time on the node's clock at which the request is given up.
@@ -65,6 +39,8 @@
     pub ask: SlotRequest,
     /// Upstreams to which a connection was silent; they are asked again where no other is left.
     pub silent: Vec<SharedName>,
+    /// Observer, for metrics and the log.
+    pub observer: RequestObserver,
     /// Whether any attempt so far may have reached an upstream.
     pub may_have_run: bool,
 }
@@ -81,9 +57,7 @@
         RouteRepeat::SendOnce | RouteRepeat::RequireKey => at_most_once::forward(forwarded).await,
     };
     if let Err(refusal) = &answered {
-        if let Some(observer) = observer.take() {
-            observer.refuse(refusal);
-        }
+        observer.note_end(RequestOutcome::refused(refusal));
     }
     answered
 }
@@ -103,12 +77,10 @@
             excluded: Vec::new(),
         };
         let watch = KeyWatch::new(node, &request);
-        let (silent, may_have_run) = (Vec::new(), false);
-        let (class, organisation) = (request.class.clone(), ask.organisation.clone());
         let observer =
-            SharedObserver::new(RequestObserver::start(node.clone(), class, organisation));
-        let node = node.clone();
-        Self { node, request, observer, watch, deadline, ask, silent, may_have_run }
+            RequestObserver::start(node.clone(), request.class.clone(), ask.organisation.clone());
+        let (silent, may_have_run) = (Vec::new(), false);
+        Self { node: node.clone(), request, watch, deadline, ask, silent, observer, may_have_run }
     }
 
     /// Waits for a slot; gives up at the deadline and where the key is withdrawn.
--- a/berylstep/src/entry/relay.rs
+++ b/berylstep/src/entry/relay.rs
@@ -18,6 +18,7 @@
 use super::probe::{probe, ProbeResult};
 use super::response::RUN_HEADER;
 use super::resume::{self, ResumeCause};
+use crate::observer::RequestOutcome;
 use crate::slots::{SlotGuard, SlotOutcome};
 
 /// Longest gap between two reads of an upstream's answer.
@@ -137,15 +138,12 @@
         caller_left: CallerLeft,
     ) -> Self {
         slot.note_started();
+        forwarded.observer.note_attempt(&answer.id, &slot.upstream.id);
         let is_event_stream = answer.is_event_stream();
         let request = &forwarded.request;
         let streams = request.model.as_ref().is_some_and(|model| model.stream) && is_event_stream;
         let model = streams.then(|| ModelStream::new(resume::is_resumable(request, &answer.head)));
         let meter = UsageMeter::new(&forwarded);
-        forwarded.observer.with(|observer| {
-            observer.attempt(&answer.id, &slot.upstream.id);
-            observer.first_byte();
-        });
         let successful = !answer.head.status().is_server_error();
         let BegunAnswer { first, ended, length, body, reuse, .. } = answer;
         let left = length.map(|length| length.saturating_sub(first.len()));
@@ -188,8 +186,7 @@
                 }
                 ReadEnd::Whole => return self.finish(sender).await,
                 ReadEnd::Withdrawn => {
-                    log::info!("answer ended: the key was withdrawn");
-                    return self.note_broken_off();
+                    return self.forwarded.observer.note_end(RequestOutcome::Withdrawn);
                 }
                 ReadEnd::Broken(cause) => {
                     let Some(first) = resume::resume(&mut self, &cause).await else {
@@ -277,6 +274,9 @@
         let clock = &self.forwarded.node.clock;
         let sent = clock.timeout(CALLER_STALL, sender.send(bytes)).await;
         self.caller_gone = !matches!(sent, Some(Ok(())));
+        if !self.caller_gone {
+            self.forwarded.observer.note_delivery(self.meter.output_tokens().into());
+        }
         !self.caller_gone || self.caller_left == CallerLeft::ReadOn
     }
 
@@ -286,17 +286,15 @@
         }
         self.give_back();
         if !self.caller_gone {
-            self.note_answered();
+            let outcome = match self.successful {
+                true => RequestOutcome::Answered,
+                false => RequestOutcome::UpstreamError,
+            };
+            self.forwarded.observer.note_end(outcome);
             sender.finish();
         }
     }
 
-    fn note_answered(&self) {
-        if let Some(observer) = self.forwarded.observer.take() {
-            observer.finish(u64::from(self.meter.output_tokens()));
-        }
-    }
-
     /// Returns the connection and the slot after a whole answer.
     fn give_back(&mut self) {
         let Some(AnswerSource { slot, body, reuse }) = self.source.take() else { return };
@@ -309,15 +307,9 @@
         }
     }
 
-    fn note_broken_off(&self) {
-        if let Some(observer) = self.forwarded.observer.take() {
-            observer.break_off();
-        }
-    }
-
     fn note_broken(mut self, cause: &ResumeCause) {
         log::warn!("answer broken: class={} {cause}", self.forwarded.request.class.name);
-        self.note_broken_off();
+        self.forwarded.observer.note_end(RequestOutcome::Broken);
         if let Some(AnswerSource { slot, .. }) = self.source.take() {
             let tokens = self.meter.output_tokens();
             slot.finish(SlotOutcome { tokens, failed: cause.upstream_failed });
