--- a/berylstep_core/src/arbiter.rs
+++ b/berylstep_core/src/arbiter.rs
@@ -168,6 +168,9 @@
         let Some(row) = self.requests.get_mut(key) else { return };
         if let RequestState::Granted(slot) = &mut row.state {
             slot.started = true;
+            if std::mem::take(&mut slot.recalled) {
+                self.recalls -= 1;
+            }
             self.preemptible.remove(&(row.demand.tier, slot.since, key.clone()));
         }
     }
@@ -238,6 +241,16 @@
         self.replicas.is_ejected(replica)
     }
 
+    /// Whether a request is queued or holds a slot.
+    pub fn contains(&self, key: &RequestKey) -> bool {
+        self.requests.contains_key(key)
+    }
+
+    /// Whether a node has requests here.
+    pub fn serves_node(&self, node: &str) -> bool {
+        self.nodes.contains_key(node)
+    }
+
     /// Nodes with requests here.
     pub fn nodes(&self) -> impl Iterator<Item = &SharedName> {
         self.nodes.keys()
@@ -287,7 +300,8 @@
         self.replicas.observe_outcome(now, &slot.replica, outcome, service);
         let demand = &row.demand;
         if let Some(queue) = self.queues.get_mut(&queue_key(demand)) {
-            queue.correct(&demand.organisation, row.units, outcome.tokens);
+            let charge = actual_charge(row.units, slot.recalled, outcome);
+            queue.correct(&demand.organisation, row.units, charge);
         }
         if outcome.failed || outcome.abandoned {
             return;
@@ -364,6 +378,16 @@
     }
 }
 
+/// Tokens that the use of a slot costs its organisation: none where the slot was taken back, the
+/// expected ones where the work was left, since it used the replica all the same.
+fn actual_charge(expected: u32, recalled: bool, outcome: SlotOutcome) -> u32 {
+    match (recalled, outcome.abandoned) {
+        (true, true) => 0,
+        (false, true) => expected.max(outcome.tokens),
+        (_, false) => outcome.tokens.max(1),
+    }
+}
+
 fn queue_key(demand: &SlotDemand) -> QueueKey {
     (demand.tier, demand.class.clone())
 }
