Test that a stream outlives the kill of its engine

Cause: resumption was shown with scripted upstreams only. Ruled out: nothing. Change: two engine stand-ins as processes; the one that serves a stream is killed, and the caller's text is compared with that of an unbroken run. Conclusion: text, output tokens and id are those of the unbroken run.

--- a/berylstep/tests/whole_answer.rs
+++ b/berylstep/tests/whole_answer.rs
@@ -4,7 +4,7 @@
 mod fake_upstream;
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,7 +12,8 @@
 use berylstep_standins::client::{CallAnswer, CallError, CallRequest};
 use berylstep_standins::relay::{RelayMode, TcpRelay};
 use berylstep_standins::site::TrialSite;
-use fake_upstream::{configure, publish, vm, write_chunk, FakeRequest, FakeUpstream, RIVERS_KEY};
+use fake_upstream::{configure, publish, vm, wait_until, write_chunk};
+use fake_upstream::{FakeRequest, FakeUpstream, RIVERS_KEY};
 use serde_json::{json, Value};
 
 const TOKENS: usize = 12;
@@ -26,13 +27,16 @@
 }
 
 fn chat(site: &TrialSite) -> Result<CallAnswer, CallError> {
+    smol::block_on(chat_call(site.nodes[0].callers).send())
+}
+
+fn chat_call(node: SocketAddr) -> CallRequest {
     let message = json!({
         "model": "drafter", "stream": true, "max_tokens": TOKENS,
         "messages": [{ "role": "user", "content": "Where do marlin run?" }],
     });
     let target = "/v1/chat/completions";
-    let call = CallRequest::post(site.nodes[0].callers, target, &message).key(RIVERS_KEY);
-    smol::block_on(call.send())
+    CallRequest::post(node, target, &message).key(RIVERS_KEY)
 }
 
 fn completion(site: &TrialSite) -> Result<CallAnswer, CallError> {
@@ -256,3 +260,37 @@
         assert_seamless("held path", &answer);
     }
 }
+
+#[test]
+fn a_stream_outlives_the_kill_of_its_engine() {
+    let mut site = started_site();
+    for _ in 0..2 {
+        site.add_engine("drafter", "a", &["--token-ms", "20"]).unwrap();
+    }
+    wait_until("an engine serves", || chat(&site).is_ok_and(|answer| answer.status == 200));
+    let unbroken = content(&chat(&site).unwrap().body);
+    let received = |site: &TrialSite| -> Vec<usize> {
+        let engines = site.upstreams.iter().map(|engine| {
+            let call = CallRequest::get(engine.address, "/control/requests");
+            site.call(call).json().as_array().map_or(0, Vec::len)
+        });
+        engines.collect()
+    };
+    let before = received(&site);
+    let node = site.nodes[0].callers;
+    let caller = std::thread::spawn(move || smol::block_on(chat_call(node).send()));
+    let mut serving = None;
+    wait_until("an engine received the stream", || {
+        let now = received(&site);
+        serving = (0..now.len()).find(|&engine| now[engine] > before[engine]);
+        serving.is_some()
+    });
+    // Past its first tokens, which take 20 ms each.
+    std::thread::sleep(Duration::from_millis(100));
+    site.upstreams[serving.unwrap()].process.kill();
+    let resumed = content(&caller.join().unwrap().expect("the stream is resumed").body);
+    assert_eq!(resumed.text, unbroken.text);
+    assert_eq!(resumed.usage["completion_tokens"], unbroken.usage["completion_tokens"]);
+    assert_eq!(resumed.ids.len(), 1, "{:?}", resumed.ids);
+    assert!(resumed.done);
+}
