--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -25,7 +25,7 @@
 use crate::platform::Platform;
 use crate::slots::SlotBroker;
 use crate::tail::ConfigFollower;
-use crate::{claim, drain, entry, member, operator, peer, shutdown, tail, upstream};
+use crate::{claim, drain, entry, member, operator, peer, shutdown, slots, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -247,6 +247,7 @@
         smol::spawn(peer::send_pulses(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
+        smol::spawn(slots::keep(node.clone())),
         smol::spawn(claim::sweep::run(node.clone())),
     ];
     let stopping = async {
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -18,6 +18,7 @@
 
 use crate::burn;
 use crate::node::NodeContext;
+use crate::slots;
 use crate::tail;
 
 /// Longest time to connect and authenticate.
@@ -142,7 +143,7 @@
         config_version: node.config.read().expect("config lock").version(),
         in_flight: node.in_flight(),
         store_age_ms: node.store_age().map_or(u64::MAX, |age| age.as_millis() as u64),
-        pools: Vec::new(),
+        pools: slots::pool_loads(node),
         upstreams: Vec::new(),
         // Set for each link.
         echo: 0,
@@ -166,6 +167,7 @@
     if let Some(sent) = answered {
         node.note_contact(sent);
     }
+    slots::note_heard(node, from);
 }
 
 /// Hands a message from `from` to the part that it is for.
@@ -185,6 +187,12 @@
         | Body::SlotReturn(_)
         | Body::SlotRecall(_)
         | Body::SlotReport(_)
-        | Body::UsageCopy(_) => {}
+        | Body::SlotQuery(_)
+        | Body::SlotBeat(_)
+        | Body::SlotStarted(_)
+        | Body::SlotRenewal(_)
+        | Body::UpstreamLoads(_)
+        | Body::LimitTotals(_) => slots::receive(node, from, body),
+        Body::UsageCopy(_) => {}
     }
 }
