Look at leaving marks every second also without a list

Cause: an owner learned of a leaving upstream from reads of the VM list only; where the list cannot be read, marks from other signs would not have reached the arbiter.

Change: the owner takes in the table of upstreams every second as well. Not shown by a test of its own.

--- a/berylstep/src/slots/broker.rs
+++ b/berylstep/src/slots/broker.rs
@@ -255,6 +255,8 @@
         self.ledger.forget_idle(now);
         self.limits.forget_idle(now);
         let (owners, own) = (&self.owners, &node.settings.node);
+        // Upstreams are also marked as leaving while the list cannot be read.
+        self.pools.values_mut().for_each(|owned| owned.observe_list(node));
         self.pools.retain(|pool, owned| !owned.is_idle() || owners.owner(own, pool) == *own);
     }
 
