--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -168,6 +168,7 @@
     if let Some(sent) = answered {
         node.note_contact(sent);
     }
+    slots::note_heard(node, from);
 }
 
 /// Hands a message from `from` to the part that it is for.
