--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -166,6 +166,7 @@
             members.observe_echo(from, sent);
         }
     }
+    slots::note_heard(node, from);
     node.follower.note_newest(node, pulse.config_version);
     if let Some(sent) = answered {
         node.note_contact(sent);
