--- a/berylstep/src/node.rs
+++ b/berylstep/src/node.rs
@@ -29,7 +29,7 @@
 use crate::tail::ConfigFollower;
 use crate::upstream::leaving::LeavingSigns;
 use crate::usage::UsageBook;
-use crate::{claim, drain, duty, entry, member, operator, peer, shutdown, tail, upstream};
+use crate::{claim, drain, duty, entry, member, operator, peer, shutdown, slots, tail, upstream};
 
 /// Longest time to connect to an upstream.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -264,6 +264,7 @@
         smol::spawn(duty::run(node.clone())),
         smol::spawn(upstream::watch_list(node.clone())),
         smol::spawn(upstream::poll_loads(node.clone())),
+        smol::spawn(slots::keep(node.clone())),
         smol::spawn(claim::sweep::run(node.clone())),
     ];
     let stopping = async {
