--- a/berylstep_core/src/placement.rs
+++ b/berylstep_core/src/placement.rs
@@ -29,10 +29,13 @@
 pub const MAX_CHANGES: usize = 20;
 
 /// How dependable, and how dear, an upstream VM is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum UpstreamKind {
     /// Not evicted by the platform.
+    #[default]
     Dependable,
     /// Cheaper, and evicted at short notice, possibly a whole availability zone at once.
     Cheap,
