--- a/berylstep_standins/src/bench/load.rs
+++ b/berylstep_standins/src/bench/load.rs
@@ -1,6 +1,7 @@
 //! Sends a trace to a site, open loop, and records how each request fared.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use berylstep_http::{ClientConnection, ExchangeError};
@@ -17,6 +18,9 @@
 /// Most nodes that a caller tries while no connection can be made.
 const MAX_TRIES: usize = 3;
 
+/// Time after the deadline for which a caller waits for the rest of an answer that has begun.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+
 /// How one request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
@@ -31,7 +35,7 @@
     Refused(u16, String),
     /// The answer broke off, or no node could be reached.
     Broken(String),
-    /// The caller left at its deadline.
+    /// The caller left: the answer had not begun by the deadline, or went on for too long.
     Late,
 }
 
@@ -86,11 +90,12 @@
     let body = json!({
         "model": POOL, "stream": true, "max_tokens": max_tokens, "messages": [message],
     });
+    let started = AtomicBool::new(false);
     let calling = async {
         let mut outcome = CallOutcome::Broken("no node".to_owned());
         for attempt in 0..MAX_TRIES {
             let node = nodes[(arrival.node + attempt) % nodes.len()];
-            match exchange(node, &arrival, &body).await {
+            match exchange(node, &arrival, &body, &started).await {
                 Ok(done) => return done,
                 Err(ExchangeError::Connect(err)) => {
                     outcome = CallOutcome::Broken(err.to_string());
@@ -102,6 +107,10 @@
     };
     let leaving = async {
         smol::Timer::after(patience).await;
+        // Nobody leaves an answer that has begun, unless it goes on for too long.
+        if started.load(Ordering::Relaxed) {
+            smol::Timer::after(ANSWER_LIMIT).await;
+        }
         CallOutcome::Late
     };
     let outcome = future::or(calling, leaving).await;
@@ -112,6 +121,7 @@
     node: SocketAddr,
     arrival: &TraceArrival,
     body: &Value,
+    has_begun: &AtomicBool,
 ) -> Result<CallOutcome, ExchangeError> {
     let started = Instant::now();
     let connection = ClientConnection::connect(node).await?;
@@ -125,6 +135,7 @@
             break;
         }
         first.get_or_insert_with(|| started.elapsed());
+        has_begun.store(true, Ordering::Relaxed);
         text.extend_from_slice(&chunk[..count]);
     }
     let status = answer.response.status().into();
--- a/berylstep_standins/src/bin/bench.rs
+++ b/berylstep_standins/src/bin/bench.rs
@@ -30,8 +30,10 @@
     Memory(PlainOptions),
     #[options(help = "the arbiter against the baseline under load and faults")]
     Policy(PolicyOptions),
-    #[options(help = "slopes of messages, state and idle processes")]
+    #[options(help = "slopes of messages and state")]
     Slopes(PlainOptions),
+    #[options(help = "slopes of idle nodes")]
+    Idle(PlainOptions),
     #[options(help = "build one table and print its cost; slopes starts this")]
     State(StateOptions),
     #[options(help = "hold streams open; the other measurements start this")]
@@ -79,6 +81,7 @@
         Measurement::Path(_) => path::run(),
         Measurement::Policy(options) => policy::run(options.seed, &options.case),
         Measurement::Slopes(_) => slopes::run(),
+        Measurement::Idle(_) => slopes::run_idle(),
         Measurement::State(options) => slopes::print_table(&options.kind, options.count),
         Measurement::Memory(_) => path::print_memory(),
         Measurement::Streams(options) => {
