Shrink what an open stream keeps in memory

Ruled out: keeping less text for a resumption; it is kept only as far as it was delivered. Change: those futures are boxed and freed when done; 2 KiB reads; 512 bytes in place of 8 KiB to watch a body's end. After: http_cases 2, thin_path 2, whole_answer 4 passed.

--- a/berylstep/src/entry/attempt.rs
+++ b/berylstep/src/entry/attempt.rs
@@ -17,7 +17,7 @@
 use crate::node::NodeContext;
 
 /// Bytes of an answer that are read at once.
-pub const CHUNK_BYTES: usize = 4 * 1024;
+pub const CHUNK_BYTES: usize = 2 * 1024;
 
 /// Longest answer that is read whole before the caller gets its first byte, so that a broken one can
 /// be asked for again.
--- a/berylstep/src/entry/endpoints.rs
+++ b/berylstep/src/entry/endpoints.rs
@@ -55,7 +55,7 @@
         return response::refusal(&watch::isolated_refusal());
     }
     let answered = match request::resolve(node, received) {
-        Ok(request) => forward::forward(node, request).await,
+        Ok(request) => Box::pin(forward::forward(node, request)).await,
         Err(refusal) => Err(refusal),
     };
     answered.unwrap_or_else(|refusal| response::refusal(&refusal))
--- a/berylstep/src/entry/relay.rs
+++ b/berylstep/src/entry/relay.rs
@@ -189,7 +189,7 @@
                     return self.forwarded.observer.note_end(RequestOutcome::Withdrawn);
                 }
                 ReadEnd::Broken(cause) => {
-                    let Some(first) = resume::resume(&mut self, &cause).await else {
+                    let Some(first) = Box::pin(resume::resume(&mut self, &cause)).await else {
                         return self.note_broken(&cause);
                     };
                     if !self.deliver(&sender, &first).await {
@@ -228,7 +228,7 @@
                 ReadEnd::Bytes(count)
             }
             Some(Err(err)) => ReadEnd::Broken(ResumeCause::upstream(err.to_string())),
-            None => ReadEnd::Broken(match probe(node, &source.slot.upstream).await {
+            None => ReadEnd::Broken(match Box::pin(probe(node, &source.slot.upstream)).await {
                 ProbeResult::Silent => ResumeCause::upstream("upstream is silent".to_owned()),
                 ProbeResult::Alive { .. } => ResumeCause::silent_connection(),
             }),
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -20,6 +20,9 @@
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
 const COPY_BYTES: usize = 8 * 1024;
+
+/// Buffer of a body that is being read; larger reads pass it by.
+const WATCH_BYTES: usize = 512;
 const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Why an exchange failed.
@@ -191,7 +194,8 @@
     let inner = response.take_body();
     let length = inner.len();
     body_read.store(length == Some(0), Ordering::Release);
-    let watched = BufReader::new(WatchedBody { inner, left: length, body_read });
+    let watched =
+        BufReader::with_capacity(WATCH_BYTES, WatchedBody { inner, left: length, body_read });
     response.set_body(Body::from_reader(watched, length));
     match content_type {
         Some(content_type) => drop(response.insert_header("content-type", content_type)),
