Tell operators what upstreams cost for an hour

Cause: the two price settings had no effect, which misleads whoever sets them. Before: no such field. Conclusion: the settings show in one figure; lost attainment is not in it yet.

--- a/berylstep/src/duty.rs
+++ b/berylstep/src/duty.rs
@@ -5,6 +5,7 @@
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::lease::ReceiverFencing;
+use berylstep_core::placement::UpstreamKind;
 use serde::Serialize;
 
 use crate::config::OrderMode;
@@ -33,6 +34,8 @@
     pub usage_stored: bool,
     /// Requests of other nodes whose counters are held here until they are stored.
     pub usage_copies: u64,
+    /// Cost of the listed upstreams for an hour, in the unit of the price settings.
+    pub spend_per_hour: u64,
 }
 
 /// A lease that this node holds.
@@ -118,9 +121,20 @@
         held: held.collect(),
         usage_stored: node.usage.own().is_stored(),
         usage_copies: node.usage.copies().requests(),
+        spend_per_hour: spend_per_hour(node),
     }
 }
 
+fn spend_per_hour(node: &NodeContext) -> u64 {
+    let prices = node.settings.prices;
+    let upstreams = node.upstreams();
+    let costs = upstreams.all().map(|entry| match entry.kind {
+        UpstreamKind::Dependable => prices.dependable,
+        UpstreamKind::Cheap => prices.cheap,
+    });
+    costs.sum()
+}
+
 fn fencing_of(ignored: bool) -> ReceiverFencing {
     match ignored {
         true => ReceiverFencing::Ignored,
--- a/berylstep/tests/orders.rs
+++ b/berylstep/tests/orders.rs
@@ -5,7 +5,7 @@
 
 use berylstep_standins::client::CallRequest;
 use berylstep_standins::site::TrialSite;
-use berylstep_standins::trial::{effects, wait_holder};
+use berylstep_standins::trial::{duties, effects, wait_holder};
 use serde_json::json;
 
 const NODES: [usize; 3] = [0, 1, 2];
@@ -58,6 +58,7 @@
     let site = start_site(&json!({ "lose_order_answers": 2 }));
     wait_granted(&site);
     assert_ordered_once(&site);
+    assert_eq!(duties(&site, 0)["spend_per_hour"], 300, "one dependable engine runs");
 }
 
 #[test]
