Compare organisations within the burst alone

Cause: over a whole run the max-min share of a small organisation holds what large ones were served while nobody was short, so that a fair site scores below 1. Ruled out: taking the lowest of many short windows, whose counts are too small. Change: the score takes a window, which is the burst.

--- a/berylstep_standins/src/bench/policy.rs
+++ b/berylstep_standins/src/bench/policy.rs
@@ -138,7 +138,9 @@
     let lasted = started.elapsed();
     let generated = fault.killed_tokens + site_tokens(&site, &fault.killed);
     let spend = fault.spend(lasted);
-    Ok(RunScore::new(&records, generated, Duration::from_millis(CASE_MS), spend))
+    let length = Duration::from_millis(CASE_MS);
+    let window = Duration::from_millis(BURST_MS.0)..Duration::from_millis(BURST_MS.1);
+    Ok(RunScore::new(&records, generated, length, window, spend))
 }
 
 fn flows(case: &PolicyCase) -> Vec<ArrivalFlow> {
--- a/berylstep_standins/src/bench/score.rs
+++ b/berylstep_standins/src/bench/score.rs
@@ -1,6 +1,7 @@
 //! What a run of a trace comes to.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use super::load::{CallOutcome, CallRecord};
@@ -33,7 +34,15 @@
 
 impl RunScore {
     /// Scores the records of a run that lasted `length`, in which engines generated `tokens`.
-    pub fn new(records: &[CallRecord], tokens: u64, length: Duration, spend: f64) -> Self {
+    ///
+    /// Organisations are compared over the arrivals of `window`, in which demand is steady.
+    pub fn new(
+        records: &[CallRecord],
+        tokens: u64,
+        length: Duration,
+        window: Range<Duration>,
+        spend: f64,
+    ) -> Self {
         let mut score = Self { spend, ..Self::default() };
         let (mut whole_tokens, mut good_tokens) = (0, 0);
         let mut good = [0_usize; CLASSES.len()];
@@ -60,14 +69,16 @@
         }
         score.goodput = good_tokens as f64 / length.as_secs_f64();
         score.wasted = tokens.saturating_sub(whole_tokens) as f64 / good_tokens.max(1) as f64;
-        score.worst_organisation = worst_organisation(records);
+        score.worst_organisation = worst_organisation(records, &window);
         score.longest_gap = longest_gap(records);
         score
     }
 }
 
 /// Lowest share of its max-min share that an organisation got, over all classes.
-fn worst_organisation(records: &[CallRecord]) -> f64 {
+fn worst_organisation(records: &[CallRecord], window: &Range<Duration>) -> f64 {
+    let records: Vec<_> =
+        records.iter().filter(|record| window.contains(&record.arrival.at)).collect();
     let mut worst = 1.0_f64;
     for class in 0..CLASSES.len() {
         let mut demands = [0.0; ORGANISATIONS];
