--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -18,8 +18,8 @@
 
 use crate::burn;
 use crate::node::NodeContext;
-use crate::slots;
-use crate::tail;
+use crate::upstream::leaving;
+use crate::{slots, tail, usage};
 
 /// Longest time to connect and authenticate.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -144,7 +144,8 @@
         in_flight: node.in_flight(),
         store_age_ms: node.store_age().map_or(u64::MAX, |age| age.as_millis() as u64),
         pools: slots::pool_loads(node),
-        upstreams: Vec::new(),
+        upstreams: leaving::message(node),
+        requests: node.demand.message(),
         // Set for each link.
         echo: 0,
     }
@@ -154,6 +155,8 @@
     let now = node.clock.now();
     let store_age = Duration::from_millis(pulse.store_age_ms);
     let answered = node.pulses.sent_at(pulse.echo);
+    leaving::observe(node, &pulse.upstreams);
+    node.demand.observe(now, from, &pulse.requests);
     node.peers.note_pulse(from, pulse.sequence);
     {
         let mut members = node.members();
@@ -174,6 +177,7 @@
 pub fn dispatch(node: &Arc<NodeContext>, from: &str, body: Body) {
     match body {
         Body::Pulse(pulse) => observe_pulse(node, from, &pulse),
+        Body::UsageCopy(copy) => usage::copies::observe(node, copy),
         Body::ConfigEntries(entries) => tail::observe_entries(node, entries),
         Body::ConfigRequest(request) => tail::answer_request(node, from, &request),
         Body::Challenge(_) | Body::Hello(_) => {
@@ -193,6 +197,5 @@
         | Body::SlotRenewal(_)
         | Body::UpstreamLoads(_)
         | Body::LimitTotals(_) => slots::receive(node, from, body),
-        Body::UsageCopy(_) => {}
     }
 }
--- a/berylstep/src/platform/types.rs
+++ b/berylstep/src/platform/types.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use berylstep_core::collections::SharedName;
+pub use berylstep_core::placement::UpstreamKind;
 use serde::{Deserialize, Serialize};
 
 /// One row of the table service.
@@ -43,6 +44,9 @@
 pub struct TransactionResult {
     /// Whether the writes took effect.
     pub committed: bool,
+    /// Version of the written rows; 0 where nothing was written.
+    #[serde(default)]
+    pub version: u64,
     /// Keys whose versions were not as expected, with their present rows.
     #[serde(default)]
     pub conflicts: Vec<RowConflict>,
@@ -93,16 +97,6 @@
     Leaving,
 }
 
-/// How dependable, and how dear, an upstream VM is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum UpstreamKind {
-    /// Not evicted by the platform.
-    Dependable,
-    /// Cheaper, and evicted at short notice, possibly a whole availability zone at once.
-    Cheap,
-}
-
 /// One VM in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmEntry {
@@ -132,8 +126,10 @@
 pub struct UpstreamOrder {
     /// Unique identifier; the same identifier has effect once.
     pub order: String,
-    /// Fencing number of the lease under which the order is placed.
+    /// Fencing number of the zone's lease, under which the order is placed.
     pub fencing: u64,
+    /// Node and incarnation that place the order.
+    pub sender: String,
     /// Availability zone.
     pub zone: SharedName,
     /// Pool to serve.
@@ -177,6 +173,8 @@
     pub window: u64,
     /// Fencing number of the lease under which the report is sent.
     pub fencing: u64,
+    /// Node and incarnation that send the report.
+    pub sender: String,
     /// Figures by organisation and class, in that order.
     pub figures: Vec<UsageFigure>,
 }
--- a/berylstep/src/upstream.rs
+++ b/berylstep/src/upstream.rs
@@ -1,5 +1,7 @@
 //! The platform's list of upstreams, and their load reports.
 
+pub mod leaving;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,15 +42,32 @@
         match node.platform.vms().await {
             Ok(vms) => {
                 let listed = vms.into_iter().filter_map(upstream_entry).collect();
-                node.upstreams().observe_list(listed);
-                slots::note_list(&node);
+                observe_list(&node, listed);
             }
             Err(err) => log::debug!("cannot read the VM list: {err}"),
         }
+        // Signs that an upstream is leaving also come while the list cannot be read.
+        slots::note_list(&node);
         node.clock.sleep(LIST_INTERVAL).await;
     }
 }
 
+/// Takes in the list; what it shows as leaving, and what is gone from it, is a sign of its own.
+fn observe_list(node: &NodeContext, listed: Vec<UpstreamEntry>) {
+    let leaving: Vec<_> = {
+        let mut upstreams = node.upstreams();
+        let known: Vec<_> = upstreams.all().map(|entry| entry.id.clone()).collect();
+        upstreams.observe_list(listed);
+        let gone = known.into_iter().filter(|id| upstreams.get(id).is_none());
+        let shown = upstreams.all().filter(|entry| entry.leaving).map(|entry| entry.id.clone());
+        gone.chain(shown).collect()
+    };
+    for upstream in leaving {
+        leaving::note(node, &upstream);
+    }
+    leaving::apply(node);
+}
+
 /// Reads the load of upstreams, for as long as the node runs; with an arbiter, only of the pools
 /// that this node owns, and tells the other nodes.
 pub async fn poll_loads(node: Arc<NodeContext>) {
@@ -107,6 +126,7 @@
         zone: vm.zone,
         pool: vm.pool,
         slots: vm.slots.max(1),
+        kind: vm.kind,
         leaving: vm.state == VmState::Leaving,
         load: None,
     })
--- a/berylstep_http/src/head.rs
+++ b/berylstep_http/src/head.rs
@@ -20,6 +20,8 @@
     Malformed(&'static str),
     /// only HTTP/1.1 is supported
     Version,
+    /// only the expectation 100-continue is supported
+    Expectation,
     /// connection closed inside a message head
     Truncated,
     /// connection: {0}
@@ -125,6 +127,11 @@
         return Err(HeadError::Malformed("not exactly one Host header"));
     }
     let framing = body_framing(request.headers)?;
+    let expects_continue = has_token(request.headers, "expect", "100-continue");
+    let expects = request.headers.iter().any(|h| h.name.eq_ignore_ascii_case("expect"));
+    if expects && !expects_continue {
+        return Err(HeadError::Expectation);
+    }
     let mut head = format!("{method} {path} HTTP/1.1\r\n").into_bytes();
     for header in request.headers.iter().filter(|h| !h.name.eq_ignore_ascii_case("expect")) {
         std::str::from_utf8(header.value).map_err(|_| HeadError::Malformed("header not UTF-8"))?;
@@ -138,7 +145,7 @@
         bytes: head,
         framing,
         keep_alive: !has_token(request.headers, "connection", "close"),
-        expects_continue: has_token(request.headers, "expect", "100-continue"),
+        expects_continue,
     })
 }
 
--- a/berylstep_standins/src/platform.rs
+++ b/berylstep_standins/src/platform.rs
@@ -1,7 +1,8 @@
 //! Stand-in for the platform: table service, object store, VM list, orders and usage reports.
 //!
 //! Speaks the protocol of docs/PLATFORM.md. `POST /control/faults` sets faults, `POST /control/vms`
-//! replaces the VM list, and `GET /control/log` returns every order and usage report received.
+//! replaces the VM list, `POST /control/spares` sets upstreams that orders bring into it,
+//! `POST /control/evict` evicts a zone's cheap upstreams, and `GET /control/log` returns every order and usage report received.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -23,6 +24,8 @@
     pub down: bool,
     /// Delay of each call, in milliseconds.
     pub slow_ms: u64,
+    /// Delay of each read of a lease's row, in milliseconds.
+    pub slow_lease_ms: u64,
     /// Key prefix: the platform goes down with the first transaction that writes such a row, which
     /// takes effect and is answered.
     pub down_after: Option<String>,
@@ -32,10 +35,29 @@
     pub list_lag_ms: u64,
     /// Whether orders and reports with an old fencing number are accepted.
     pub ignore_fencing: bool,
+    /// Usage reports fail with status 503 and without effect.
+    pub usage_down: bool,
+    /// Number of usage reports that take effect and whose answers are lost.
+    pub lose_usage_answers: u32,
+    /// Orders fail with status 503 and without effect.
+    pub orders_down: bool,
+    /// Number of orders that take effect and whose answers are lost.
+    pub lose_order_answers: u32,
     /// Most VMs granted in one availability zone, pool and kind.
     pub order_limit: Option<u32>,
 }
 
+impl PlatformFaults {
+    /// Whether the interface at `path` alone is down.
+    fn is_down(&self, path: &str) -> bool {
+        match path {
+            "/usage" => self.usage_down,
+            "/orders" => self.orders_down,
+            _ => false,
+        }
+    }
+}
+
 /// A row with its version and the token of the write.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct TableRow {
@@ -45,6 +67,13 @@
     token: String,
 }
 
+/// Eviction of a zone's cheap upstreams.
+#[derive(Debug, Deserialize)]
+struct ZoneEviction {
+    zone: String,
+    notice_ms: u64,
+}
+
 #[derive(Debug, Deserialize)]
 struct Transaction {
     token: String,
@@ -75,6 +104,8 @@
     revision: u64,
     objects: BTreeMap<String, Vec<u8>>,
     vms: VecDeque<(Instant, Value)>,
+    /// Upstreams that orders bring into the list.
+    spares: Vec<Value>,
     orders: BTreeMap<String, Value>,
     newest_fencing: BTreeMap<String, u64>,
     effects: Vec<EffectRecord>,
@@ -94,7 +125,10 @@
     if !is_control && faults.slow_ms > 0 {
         smol::Timer::after(Duration::from_millis(faults.slow_ms)).await;
     }
-    if !is_control && faults.down {
+    if serve::query(&received.request, "key").starts_with("lease/") {
+        smol::Timer::after(Duration::from_millis(faults.slow_lease_ms)).await;
+    }
+    if !is_control && (faults.down || faults.is_down(&path)) {
         return serve::status(503);
     }
     let is_write = received.request.method() != Method::Get;
@@ -102,7 +136,7 @@
     if path == "/table/transact" {
         lock(&state).go_down_after(&received.body);
     }
-    if !is_control && is_write && lock(&state).take_lost_answer() {
+    if !is_control && is_write && lock(&state).take_lost_answer(&path) {
         return serve::status(504);
     }
     response.unwrap_or_else(|refusal| *refusal)
@@ -141,6 +175,11 @@
                 self.vms.push_back((Instant::now(), vms));
                 Ok(serve::status(204))
             }
+            (Method::Post, "/control/spares") => {
+                self.spares = serve::parse(body)?;
+                Ok(serve::status(204))
+            }
+            (Method::Post, "/control/evict") => Ok(self.evict(serve::parse(body)?)),
             (Method::Get, "/control/log") => Ok(serve::json(&self.effects)),
             _ => Ok(self.object(received)),
         }
@@ -193,12 +232,13 @@
                 None => drop(self.rows.remove(&write.key)),
             }
         }
-        serve::json(&json!({ "committed": true }))
+        serve::json(&json!({ "committed": true, "version": version }))
     }
 
     fn listed_vms(&mut self) -> Value {
         let lag = Duration::from_millis(self.faults.list_lag_ms);
-        let is_visible = |listed: &(Instant, Value)| listed.0.elapsed() >= lag;
+        let now = Instant::now();
+        let is_visible = |listed: &(Instant, Value)| now >= listed.0 + lag;
         while self.vms.len() > 1 && is_visible(&self.vms[1]) {
             self.vms.pop_front();
         }
@@ -206,7 +246,8 @@
     }
 
     fn order(&mut self, message: Value) -> Response {
-        let accepted = self.check_fencing("order", &message);
+        let zone = message["zone"].as_str().unwrap_or_default().to_owned();
+        let accepted = self.check_fencing("order", &zone, &message);
         if !accepted {
             return serve::status(409);
         }
@@ -214,20 +255,57 @@
         let wanted = message["count"].as_u64().unwrap_or_default();
         let limit = self.faults.order_limit.map_or(u64::MAX, u64::from);
         let receipt = json!({ "order": order, "granted": wanted.min(limit) });
+        if !self.orders.contains_key(&order) {
+            self.start_spares(&message, wanted.min(limit));
+        }
         serve::json(self.orders.entry(order).or_insert(receipt))
     }
 
+    /// Lists spare upstreams of an order's group until the granted number runs.
+    fn start_spares(&mut self, order: &Value, granted: u64) {
+        let is_member =
+            |vm: &Value| ["zone", "pool", "kind"].iter().all(|field| vm[field] == order[field]);
+        let mut vms = self.newest_vms();
+        let running = vms.iter().filter(|vm| is_member(vm) && vm["state"] == "live").count();
+        let missing = (granted as usize).saturating_sub(running);
+        let (members, others): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.spares).into_iter().partition(is_member);
+        let mut members = members.into_iter();
+        vms.extend(members.by_ref().take(missing));
+        self.spares = others.into_iter().chain(members).collect();
+        self.vms.push_back((Instant::now(), vms.into()));
+    }
+
+    /// Marks a zone's cheap upstreams as leaving, and removes them after the notice.
+    fn evict(&mut self, eviction: ZoneEviction) -> Response {
+        let mut vms = self.newest_vms();
+        let is_evicted = |vm: &Value| vm["zone"] == *eviction.zone && vm["kind"] == "cheap";
+        for vm in vms.iter_mut().filter(|vm| is_evicted(vm)) {
+            vm["state"] = json!("leaving");
+        }
+        let left: Vec<_> = vms.iter().filter(|vm| !is_evicted(vm)).cloned().collect();
+        let now = Instant::now();
+        self.vms.push_back((now, vms.into()));
+        self.vms.push_back((now + Duration::from_millis(eviction.notice_ms), left.into()));
+        serve::status(204)
+    }
+
+    fn newest_vms(&self) -> Vec<Value> {
+        let newest = self.vms.back().and_then(|(_, vms)| vms.as_array());
+        newest.cloned().unwrap_or_default()
+    }
+
     fn usage(&mut self, message: Value) -> Response {
-        match self.check_fencing("usage", &message) {
+        match self.check_fencing("usage", "", &message) {
             true => serve::json(&Value::Null),
             false => serve::status(409),
         }
     }
 
-    /// Records the message and says whether its fencing number is accepted.
-    fn check_fencing(&mut self, kind: &str, message: &Value) -> bool {
+    /// Records the message and says whether its fencing number is accepted within its `scope`.
+    fn check_fencing(&mut self, kind: &str, scope: &str, message: &Value) -> bool {
         let fencing = message["fencing"].as_u64().unwrap_or_default();
-        let newest = self.newest_fencing.entry(kind.to_owned()).or_default();
+        let newest = self.newest_fencing.entry(format!("{kind}/{scope}")).or_default();
         let accepted = self.faults.ignore_fencing || fencing >= *newest;
         *newest = fencing.max(*newest);
         let record = EffectRecord { kind: kind.to_owned(), message: message.clone(), accepted };
@@ -244,9 +322,16 @@
         }
     }
 
-    fn take_lost_answer(&mut self) -> bool {
-        let lost = self.faults.lose_answers > 0;
-        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+    fn take_lost_answer(&mut self, path: &str) -> bool {
+        let faults = &mut self.faults;
+        let of_path = match path {
+            "/usage" => &mut faults.lose_usage_answers,
+            "/orders" => &mut faults.lose_order_answers,
+            _ => &mut faults.lose_answers,
+        };
+        let counter = if *of_path > 0 { of_path } else { &mut faults.lose_answers };
+        let lost = *counter > 0;
+        *counter = counter.saturating_sub(1);
         lost
     }
 }
