--- a/berylstep_standins/src/bench/policy.rs
+++ b/berylstep_standins/src/bench/policy.rs
@@ -314,14 +314,15 @@
 
 fn print_score(case: &str, policy: &str, score: &RunScore) {
     let [first, second, third] = score.attainment;
+    let worst = score.worst_organisation.map(|share| format!("{share:.2}"));
     let refusals = score.refusals.iter().map(|(reason, count)| format!("{count}x {reason}"));
     println!(
-        "| {case} | {policy} | {first:.3}, {second:.3}, {third:.3} of {:?} | {:.0} | {:.3} | {:.2} \
+        "| {case} | {policy} | {first:.3}, {second:.3}, {third:.3} of {:?} | {:.0} | {:.3} | {} \
          | {:.0} | {} | {} | {} | {} |",
         score.requests,
         score.goodput,
         score.wasted,
-        score.worst_organisation,
+        worst.join(", "),
         score.spend,
         score.broken,
         score.late,
--- a/berylstep_standins/src/bench/score.rs
+++ b/berylstep_standins/src/bench/score.rs
@@ -18,8 +18,8 @@
     pub goodput: f64,
     /// Tokens generated for no whole answer, as a share of the tokens of answers on target.
     pub wasted: f64,
-    /// Lowest share of its max-min share that any organisation got in any class.
-    pub worst_organisation: f64,
+    /// Lowest share of its max-min share that any organisation got, by class.
+    pub worst_organisation: [f64; CLASSES.len()],
     /// Replica-seconds.
     pub spend: f64,
     /// Refusals by status and reason.
@@ -75,28 +75,25 @@
     }
 }
 
-/// Lowest share of its max-min share that an organisation got, over all classes.
-fn worst_organisation(records: &[CallRecord], window: &Range<Duration>) -> f64 {
+/// Lowest share of its max-min share that an organisation got, by class.
+fn worst_organisation(records: &[CallRecord], window: &Range<Duration>) -> [f64; CLASSES.len()] {
     let records: Vec<_> =
         records.iter().filter(|record| window.contains(&record.arrival.at)).collect();
-    let mut worst = 1.0_f64;
-    for class in 0..CLASSES.len() {
-        let mut demands = [0.0; ORGANISATIONS];
-        let mut served = [0.0; ORGANISATIONS];
-        for record in records.iter().filter(|record| record.arrival.class == class) {
-            demands[record.arrival.organisation] += 1.0;
-            if matches!(record.outcome, CallOutcome::Whole { .. }) {
-                served[record.arrival.organisation] += 1.0;
-            }
-        }
-        let shares = max_min_shares(&demands, served.iter().sum());
-        for (share, served) in shares.into_iter().zip(served) {
-            if share > 0.0 {
-                worst = worst.min(served / share);
-            }
+    std::array::from_fn(|class| worst_of_class(&records, class))
+}
+
+fn worst_of_class(records: &[&CallRecord], class: usize) -> f64 {
+    let mut demands = [0.0; ORGANISATIONS];
+    let mut served = [0.0; ORGANISATIONS];
+    for record in records.iter().filter(|record| record.arrival.class == class) {
+        demands[record.arrival.organisation] += 1.0;
+        if matches!(record.outcome, CallOutcome::Whole { .. }) {
+            served[record.arrival.organisation] += 1.0;
         }
     }
-    worst
+    let shares = max_min_shares(&demands, served.iter().sum());
+    let got = shares.into_iter().zip(served).filter(|(share, _)| *share > 0.0);
+    got.map(|(share, served)| served / share).fold(1.0, f64::min)
 }
 
 /// Shares `capacity` so that the smallest is as large as can be, and none is above its demand.
--- a/berylstep_standins/tests/bench.rs
+++ b/berylstep_standins/tests/bench.rs
@@ -171,7 +171,7 @@
         records.push(record(Duration::ZERO, 0, CallOutcome::Late));
         let window = Duration::from_secs(1)..Duration::from_secs(2);
         let score = RunScore::new(&records, 0, Duration::from_secs(2), window, 0.0);
-        assert_eq!(score.worst_organisation, case.worst, "{}", case.name);
+        assert_eq!(score.worst_organisation, [1.0, 1.0, case.worst], "{}", case.name);
     }
 }
 
