Add the burn command

Cause: the burn report could only be read from the operator listener. Ruled out: a copy of status with another path; both commands now share options and the call. Change: berylstep burn, as a table or as JSON. Conclusion: the report that operators asked for has its command.

--- a/berylstep/src/cli.rs
+++ b/berylstep/src/cli.rs
@@ -1,7 +1,9 @@
 //! Command line.
 
 pub mod access;
+pub mod burn;
 pub mod change;
+pub mod report;
 pub mod status;
 
 use std::process::ExitCode;
@@ -61,7 +63,9 @@
     #[options(help = "check settings, or a file with a change")]
     Check(change::CheckOptions),
     #[options(help = "show what a node knows of its site")]
-    Status(status::StatusOptions),
+    Status(report::ReportOptions),
+    #[options(help = "show how fast each class uses up its allowed misses")]
+    Burn(report::ReportOptions),
     #[options(help = "print the version")]
     Version(VersionOptions),
 }
@@ -230,6 +234,7 @@
         Some(Subcommand::Apply(options)) => change::apply(&options),
         Some(Subcommand::Check(options)) => change::check(&options),
         Some(Subcommand::Status(options)) => status::show(&options),
+        Some(Subcommand::Burn(options)) => burn::show(&options),
         Some(Subcommand::Version(_)) => {
             println!("berylstep {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
--- /dev/null
+++ b/berylstep/src/cli/report.rs
@@ -0,0 +1,64 @@
+//! Commands that show a report of a node.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use http_types::Method;
+use serde::de::DeserializeOwned;
+
+use super::access::{wants_json, OperatorAccess};
+use super::usage_errors;
+
+/// Options of `status` and `burn`.
+#[derive(Debug, Options)]
+pub struct ReportOptions {
+    /// Prints help.
+    #[options(help = "print help")]
+    help: bool,
+    /// Operator listener of a node.
+    #[options(no_short, meta = "ADDRESS", help = "operator listener [BERYLSTEP_OPERATORS]")]
+    operators: Option<String>,
+    /// File with the operators' key.
+    #[options(
+        no_short,
+        meta = "PATH",
+        help = "file with the operators' key [BERYLSTEP_OPERATOR_KEY_FILE, or the key in BERYLSTEP_OPERATOR_KEY]"
+    )]
+    operator_key_file: Option<String>,
+    /// Prints the answer as JSON.
+    #[options(no_short, help = "print the answer as JSON [BERYLSTEP_JSON=1]")]
+    json: bool,
+}
+
+/// Reads the report at `target` from a node and prints it, as JSON or by `print_text`.
+pub fn show<T: DeserializeOwned>(
+    options: &ReportOptions,
+    target: &str,
+    print_text: impl FnOnce(&T),
+) -> ExitCode {
+    let access = match OperatorAccess::resolve(&options.operators, &options.operator_key_file) {
+        Ok(access) => access,
+        Err(errors) => return usage_errors(&errors),
+    };
+    let message = match access.call(Method::Get, target, None) {
+        Ok((_, message)) => message,
+        Err(err) => {
+            eprintln!("error: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if wants_json(options.json) {
+        println!("{message}");
+        return ExitCode::SUCCESS;
+    }
+    match serde_json::from_value(message) {
+        Ok(report) => {
+            print_text(&report);
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("error: the node's answer is not understood: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/berylstep/tests/commands.rs
+++ b/berylstep/tests/commands.rs
@@ -110,6 +110,9 @@
     let (code, text) = berylstep(&site, &["status"]);
     assert_eq!(code, 0, "{text}");
     assert!(text.contains("configuration 8 of 8, isolated: false"), "{text}");
+    let (code, text) = berylstep(&site, &["burn"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("live nodes") && text.contains("drafting"), "{text}");
     site.set_faults(&json!({ "lose_answers": 1_000, "down_after": "config/version" }));
     let (code, text) = berylstep(&site, &["apply", file.0.to_str().unwrap()]);
     assert_eq!(code, 6, "{text}");
