--- a/berylstep/src/claim.rs
+++ b/berylstep/src/claim.rs
@@ -236,8 +236,9 @@
 }
 
 async fn read(node: &NodeContext, key: &ClaimKey) -> Result<Option<StoredClaim>, PlatformError> {
+    let asked = node.clock.now();
     let row = node.platform.row(&key.row_key).await?;
-    node.note_store_heard();
+    node.note_store_answer(asked);
     Ok(row.map(stored_claim))
 }
 
--- a/berylstep/src/entry.rs
+++ b/berylstep/src/entry.rs
@@ -30,8 +30,14 @@
 use crate::drain;
 use crate::node::{InFlightGuard, NodeContext};
 
-/// Longest wait for a whole request on an idle connection.
-const RECEIVE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest time for which a connection waits for its next request.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Longest time from the first byte of a request to its last.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// HTTP status of a request that did not arrive in time.
+const REQUEST_TIMEOUT_STATUS: u16 = 408;
 
 /// Wait after a failed accept, which is most often a lack of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -84,17 +90,21 @@
     let mut connection = ServerConnection::new(stream.clone());
     while connection.is_reusable() {
         let ahead = connection.has_buffered_bytes();
-        if !ahead && !drain::request_arrives(&node, &stream, RECEIVE_TIMEOUT).await {
+        if !ahead && !drain::request_arrives(&node, &stream, IDLE_TIMEOUT).await {
             break;
         }
         // Boxed, so that a connection that waits does not hold the state of receiving and answering.
         let receiving = Box::pin(connection.receive(node.settings.max_body_bytes));
         match node.clock.timeout(RECEIVE_TIMEOUT, receiving).await {
             Some(Ok(Some(received))) => serve_request(&node, &mut connection, received).await,
-            Some(Ok(None)) | None => return,
+            Some(Ok(None)) => return,
             Some(Err(err)) => {
                 refuse_malformed(&mut connection, &err).await;
-                return;
+                break;
+            }
+            None => {
+                refuse_late(&mut connection).await;
+                break;
             }
         }
     }
@@ -120,14 +130,29 @@
     }
 }
 
+async fn refuse_late(connection: &mut ServerConnection) {
+    let message = format!("the request did not arrive within {RECEIVE_TIMEOUT:?}");
+    refuse(connection, REQUEST_TIMEOUT_STATUS, RefusalReason::BadRequest, message).await;
+}
+
 async fn refuse_malformed(connection: &mut ServerConnection, err: &ReceiveError) {
     let Some(status) = err.status() else { return };
     let reason = match err {
         ReceiveError::BodyTooLarge(_) => RefusalReason::BodyTooLarge,
         _ => RefusalReason::BadRequest,
     };
-    let refusal = RequestRefusal::not_run(reason, err.to_string());
-    let mut answer: Response = response::refusal(&refusal);
+    refuse(connection, status, reason, err.to_string()).await;
+}
+
+/// Refuses what was not received whole; the connection can't be used after that.
+async fn refuse(
+    connection: &mut ServerConnection,
+    status: u16,
+    reason: RefusalReason,
+    message: String,
+) {
+    let mut answer: Response = response::refusal(&RequestRefusal::not_run(reason, message));
     answer.set_status(http_types::StatusCode::try_from(status).expect("known status"));
+    connection.close_after_response();
     connection.serve(Method::Post, async { answer }).await;
 }
--- a/berylstep/src/upstream.rs
+++ b/berylstep/src/upstream.rs
@@ -46,7 +46,7 @@
             }
             Err(err) => log::debug!("cannot read the VM list: {err}"),
         }
-        // Also without a new list, as signs of leaving come in other ways too.
+        // Signs that an upstream is leaving also come while the list cannot be read.
         slots::note_list(&node);
         node.clock.sleep(LIST_INTERVAL).await;
     }
--- a/berylstep_standins/src/bench/state.rs
+++ b/berylstep_standins/src/bench/state.rs
@@ -69,8 +69,8 @@
         address: SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index as u32), 9_000)),
         zone: "region-1-a".into(),
         pool: "drafter".into(),
+        kind: UpstreamKind::Dependable,
         slots: 64,
-        kind: UpstreamKind::default(),
         leaving: false,
         load: None,
     };
