Let no faulty list end a pool

One empty answer of the platform ended a pool: a_list_that_is_empty_for_a_moment_does_not_end_the_pool "timed out waiting until the upstream serves again" (20 s). Ruled out: keeping gone upstreams in use, which would send work to VMs that no longer run. Change: gone upstreams get no work while they are gone, and no sign is made of it. Conclusion: signs are what the platform or the upstream states, not what is missing.

--- a/berylstep/src/upstream.rs
+++ b/berylstep/src/upstream.rs
@@ -52,15 +52,16 @@
     }
 }
 
-/// Takes in the list; what it shows as leaving, and what is gone from it, is a sign of its own.
+/// Takes in the list; what it shows as leaving is a sign that is kept and handed on.
+///
+/// An upstream that is gone from the list gets no new work while it is, and no sign is made of it:
+/// one faulty answer of the platform would otherwise end a pool at every node.
 fn observe_list(node: &NodeContext, listed: Vec<UpstreamEntry>) {
     let leaving: Vec<_> = {
         let mut upstreams = node.upstreams();
-        let known: Vec<_> = upstreams.all().map(|entry| entry.id.clone()).collect();
         upstreams.observe_list(listed);
-        let gone = known.into_iter().filter(|id| upstreams.get(id).is_none());
-        let shown = upstreams.all().filter(|entry| entry.leaving).map(|entry| entry.id.clone());
-        gone.chain(shown).collect()
+        let shown = upstreams.all().filter(|entry| entry.leaving);
+        shown.map(|entry| entry.id.clone()).collect()
     };
     for upstream in leaving {
         leaving::note(node, &upstream);
--- a/berylstep/tests/leaving.rs
+++ b/berylstep/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use berylstep_standins::client::CallRequest;
 use berylstep_standins::site::TrialSite;
-use berylstep_standins::trial::{configure, BackgroundTraffic};
+use berylstep_standins::trial::{configure, service_site, BackgroundTraffic, TRIAL_KEY};
 use serde_json::json;
 
 /// Time from the first sign until no new work may come.
@@ -99,3 +99,18 @@
     assert_eq!(refused(&site), at_limit);
     assert_eq!(traffic.failed(), 0);
 }
+
+#[test]
+fn a_list_that_is_empty_for_a_moment_does_not_end_the_pool() {
+    let site = service_site(2, &[]);
+    let call = |site: &TrialSite| {
+        let call = CallRequest::get(site.nodes[0].callers, "/booking/x");
+        site.call(call.key(TRIAL_KEY)).status
+    };
+    site.wait_until("the upstream serves", |site| call(site) == 200);
+    let none: [serde_json::Value; 0] = [];
+    site.call(CallRequest::post(site.platform_address, "/control/vms", &none));
+    site.wait_until("the upstream is gone", |site| call(site) == 503);
+    site.publish_vms();
+    site.wait_until("the upstream serves again", |site| call(site) == 200);
+}
