--- a/berylstep/src/slots/broker.rs
+++ b/berylstep/src/slots/broker.rs
@@ -19,9 +19,12 @@
 use crate::config::SlotPolicy;
 use crate::node::NodeContext;
 
-/// Time between ticks.
+/// Time between ticks while asks or slots are open.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between ticks while there are none; asks are sent and answered without a tick.
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time between ticks after which this node counts as having stood still.
 const STALL_LIMIT: Duration = Duration::from_millis(100);
 
@@ -73,7 +76,11 @@
     }
     loop {
         tick(&node);
-        node.clock.sleep(TICK_INTERVAL).await;
+        let interval = match node.slots.state().is_idle() {
+            true => IDLE_TICK_INTERVAL,
+            false => TICK_INTERVAL,
+        };
+        node.clock.sleep(interval).await;
     }
 }
 
@@ -209,6 +216,11 @@
 }
 
 impl BrokerState {
+    /// Whether this node neither asks for slots nor hands any out.
+    fn is_idle(&self) -> bool {
+        self.ledger.is_empty() && self.pools.values().all(OwnedPool::is_idle)
+    }
+
     fn owner(&mut self, node: &NodeContext, now: Duration, pool: &str) -> SharedName {
         self.owners.refresh(node, now);
         self.owners.owner(&node.settings.node, pool)
--- a/berylstep/src/slots/ledger.rs
+++ b/berylstep/src/slots/ledger.rs
@@ -113,6 +113,11 @@
         Some(row)
     }
 
+    /// Whether no ask waits and no slot is held.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// Ask by number.
     pub fn get_mut(&mut self, request: u64) -> Option<&mut LedgerRow> {
         self.rows.get_mut(&request)
--- a/berylstep_core/src/refusal.rs
+++ b/berylstep_core/src/refusal.rs
@@ -61,7 +61,7 @@
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::BadRequest,
         Self::BadKey,
         Self::ClassNotAllowed,
@@ -74,6 +74,7 @@
         Self::Isolated,
         Self::StoreDown,
         Self::Duplicate,
+        Self::KeyReused,
         Self::UpstreamFailed,
         Self::Stopping,
     ];
--- a/berylstep_standins/src/site.rs
+++ b/berylstep_standins/src/site.rs
@@ -17,6 +17,12 @@
 /// Operators' key of trial sites.
 pub const OPERATOR_KEY: &str = "trial-operator-key-0123456789";
 
+/// Variable with the log filter of nodes.
+const LOG_VARIABLE: &str = "BERYLSTEP_LOG";
+
+/// Log filter of nodes where the variable is not set.
+const LOG_FILTER: &str = "warn";
+
 /// Time within which a condition has to come true.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -238,5 +244,6 @@
     command.args(arguments);
     command.env("BERYLSTEP_SITE_SECRET", SITE_SECRET);
     command.env("BERYLSTEP_OPERATOR_KEY", OPERATOR_KEY);
+    command.env(LOG_VARIABLE, std::env::var(LOG_VARIABLE).unwrap_or(LOG_FILTER.to_owned()));
     ChildProcess::start(&mut command)
 }
