--- a/berylstep/src/claim.rs
+++ b/berylstep/src/claim.rs
@@ -12,8 +12,8 @@
 use hmac::{Hmac, Mac};
 use sha2::{Digest, Sha256};
 
+use crate::native::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::node::{InFlightGuard, NodeContext};
-use crate::platform::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::store;
 
 pub mod sweep;
--- a/berylstep/src/claim/sweep.rs
+++ b/berylstep/src/claim/sweep.rs
@@ -7,8 +7,8 @@
 use berylstep_core::rendezvous;
 
 use super::CLAIM_PREFIX;
+use crate::native::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::store;
 
 /// Time between two sweeps.
--- a/berylstep/src/cli.rs
+++ b/berylstep/src/cli.rs
@@ -11,7 +11,7 @@
 use gumdrop::Options;
 
 use crate::config::{NodeSettings, SettingError};
-use crate::{logging, node};
+use crate::{gateway, logging, node};
 
 /// Exit code for errors of the command line and settings.
 const EXIT_USAGE: u8 = 2;
@@ -58,6 +58,8 @@
 enum Subcommand {
     #[options(help = "run a node")]
     Serve(ServeOptions),
+    #[options(help = "run a node of a fleet on a platform with a table store")]
+    Gateway(GatewayOptions),
     #[options(help = "send an operator's change to a node")]
     Apply(change::ApplyOptions),
     #[options(help = "check settings, or a file with a change")]
@@ -70,6 +72,15 @@
     Version(VersionOptions),
 }
 
+/// Options of `gateway`.
+#[derive(Debug, Options)]
+struct GatewayOptions {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(no_short, meta = "PATH", help = "settings file [BERYLSTEP_SETTINGS]")]
+    settings: Option<String>,
+}
+
 /// Options of `version`.
 #[derive(Debug, Options)]
 struct VersionOptions {
@@ -231,6 +242,7 @@
     let options = CommandOptions::parse_args_default_or_exit();
     match options.command {
         Some(Subcommand::Serve(options)) => serve(&options),
+        Some(Subcommand::Gateway(options)) => run_gateway(options),
         Some(Subcommand::Apply(options)) => change::apply(&options),
         Some(Subcommand::Check(options)) => change::check(&options),
         Some(Subcommand::Status(options)) => status::show(&options),
@@ -254,6 +266,25 @@
     ExitCode::from(EXIT_USAGE)
 }
 
+/// Variable with the path of a gateway's settings file.
+const SETTINGS_VARIABLE: &str = "BERYLSTEP_SETTINGS";
+
+fn run_gateway(options: GatewayOptions) -> ExitCode {
+    let path = options.settings.or_else(|| std::env::var(SETTINGS_VARIABLE).ok());
+    let Some(path) = path else {
+        eprintln!("error: no settings file, see --settings");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    logging::initialize_lines();
+    match gateway::run(path.into()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("event=failed error=\"{err}\"");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn serve(options: &ServeOptions) -> ExitCode {
     let variables: Vec<_> = std::env::vars().collect();
     let settings = match NodeSettings::resolve(options, &variables) {
--- a/berylstep/src/connections.rs
+++ b/berylstep/src/connections.rs
@@ -31,6 +31,7 @@
 pub struct ConnectionPool {
     clock: RuntimeClock,
     connect_timeout: Duration,
+    loss_detection: Option<Duration>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -43,7 +44,13 @@
 impl ConnectionPool {
     /// Makes an empty pool.
     pub fn new(clock: RuntimeClock, connect_timeout: Duration) -> Self {
-        Self { clock, connect_timeout, idle: Mutex::default() }
+        Self { clock, connect_timeout, loss_detection: None, idle: Mutex::default() }
+    }
+
+    /// Finds new connections that have gone silent within about twice `limit`.
+    pub fn with_loss_detection(mut self, limit: Duration) -> Self {
+        self.loss_detection = Some(limit);
+        self
     }
 
     /// Sends `request` to `address` and receives the head of the answer.
@@ -111,7 +118,11 @@
         let connecting = ClientConnection::connect(address);
         let connected = self.clock.timeout(self.connect_timeout, connecting).await;
         let timed_out = || ExchangeError::Connect(std::io::ErrorKind::TimedOut.into());
-        connected.unwrap_or_else(|| Err(timed_out()))
+        let connection = connected.unwrap_or_else(|| Err(timed_out()))?;
+        match self.loss_detection {
+            Some(limit) => connection.detect_loss_within(limit),
+            None => Ok(connection),
+        }
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<ClientConnection> {
--- /dev/null
+++ b/berylstep/src/gateway.rs
@@ -0,0 +1,260 @@
+//! A gateway: one node of a fleet whose desired state and replicas are told by a platform's store.
+//!
+//! It runs on one thread; its parts share handles, and none of them knows all others.
+
+pub mod answer;
+pub mod attempt;
+pub mod callers;
+pub mod duties;
+pub mod endpoints;
+pub mod feeds;
+pub mod handon;
+pub mod mirror;
+pub mod observe;
+pub mod peers;
+pub mod request;
+pub mod settings;
+pub mod stop;
+pub mod upstreams;
+pub mod usage;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use berylstep_core::fleet::window::NodeRun;
+use displaydoc::Display;
+use smol::net::{TcpListener, UdpSocket};
+use smol::stream::StreamExt;
+use smol::LocalExecutor;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::callers::CallerListener;
+use crate::gateway::duties::DutyKeeper;
+use crate::gateway::endpoints::EndpointDesk;
+use crate::gateway::feeds::{FollowedTable, TableFollower};
+use crate::gateway::handon::StateHandon;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::observe::GatewayMetrics;
+use crate::gateway::peers::{PeerTable, PulseDesk};
+use crate::gateway::request::RequestDesk;
+use crate::gateway::settings::{GatewaySettings, SettingsError};
+use crate::gateway::stop::StopSignal;
+use crate::gateway::upstreams::UpstreamPool;
+use crate::gateway::usage::UsageLedger;
+use crate::platform::PlatformClient;
+
+/// Time between looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Time between looks for idle connections to close.
+const IDLE_LOOK: Duration = Duration::from_secs(1);
+
+/// Why a gateway could not run.
+#[derive(Debug, Display)]
+pub enum GatewayError {
+    /// {0}
+    Settings(SettingsError),
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// cannot wait for signals: {0}
+    Signals(std::io::Error),
+}
+
+impl std::error::Error for GatewayError {}
+
+/// Sockets of a gateway.
+struct GatewaySockets {
+    callers: TcpListener,
+    readiness: TcpListener,
+    directory: TcpListener,
+    metrics: Option<TcpListener>,
+    peers: TcpListener,
+    pulses: UdpSocket,
+}
+
+impl GatewaySockets {
+    async fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
+        let pulses = UdpSocket::bind(settings.peer_address()).await;
+        let metrics = SocketAddr::new(settings.ip_address, settings.metrics_port);
+        Ok(Self {
+            callers: bind(settings.listen.callers).await?,
+            readiness: bind(settings.listen.readiness).await?,
+            directory: bind(settings.listen.directory).await?,
+            metrics: match settings.metrics_port {
+                0 => None,
+                _ => Some(bind(metrics).await?),
+            },
+            peers: bind(settings.peer_address()).await?,
+            pulses: pulses.map_err(|err| GatewayError::Listen(settings.peer_address(), err))?,
+        })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address).await.map_err(|err| GatewayError::Listen(address, err))
+}
+
+/// Runs a gateway with the settings file `path` until it was told to stop and has drained.
+pub fn run(path: PathBuf) -> Result<(), GatewayError> {
+    let tasks = Rc::new(LocalExecutor::new());
+    smol::block_on(tasks.run(start(tasks.clone(), path)))
+}
+
+async fn start(tasks: Rc<LocalExecutor<'static>>, path: PathBuf) -> Result<(), GatewayError> {
+    let settings = Rc::new(GatewaySettings::load(&path).map_err(GatewayError::Settings)?);
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(GatewayError::Signals)?;
+    let sockets = GatewaySockets::bind(&settings).await?;
+    let clock = RuntimeClock::system();
+    let run = NodeRun { node: settings.node.clone(), incarnation: clock.unix_ms() };
+    log::info!(
+        "event=started node={} zone={} incarnation={} version={}",
+        run.node,
+        settings.zone,
+        run.incarnation,
+        env!("CARGO_PKG_VERSION")
+    );
+    let stop = Rc::new(StopSignal::new(clock.clone(), settings.stop_grace()));
+    let mirror = Rc::new(StoreMirror::new(clock.clone()));
+    let peers = Rc::new(PeerTable::default());
+    let metrics = Rc::new(GatewayMetrics::default());
+    let window = Duration::from_secs(settings.usage_window_s);
+    let usage = Rc::new(UsageLedger::new(clock.clone(), run, window));
+    let duty_fencing = Rc::new(Cell::new(0));
+    let store = Rc::new(PlatformClient::new(settings.store_address, clock.clone()));
+    for table in [FollowedTable::Desired, FollowedTable::Replicas] {
+        let follower = TableFollower {
+            clock: clock.clone(),
+            store: store.clone(),
+            mirror: mirror.clone(),
+            table,
+        };
+        tasks.spawn(follower.run()).detach();
+    }
+    let pulses = Rc::new(PulseDesk {
+        settings: settings.clone(),
+        clock: clock.clone(),
+        peers: peers.clone(),
+        mirror: mirror.clone(),
+        usage: usage.clone(),
+        stop: stop.clone(),
+        duty_fencing: duty_fencing.clone(),
+        socket: sockets.pulses,
+    });
+    tasks.spawn(pulses.clone().send()).detach();
+    tasks.spawn(pulses.clone().receive()).detach();
+    let handon =
+        Rc::new(StateHandon { clock: clock.clone(), peers: peers.clone(), mirror: mirror.clone() });
+    tasks.spawn(handon.clone().follow()).detach();
+    tasks.spawn(handon.listen(tasks.clone(), sockets.peers)).detach();
+    let endpoints = Rc::new(EndpointDesk {
+        settings: settings.clone(),
+        clock: clock.clone(),
+        mirror: mirror.clone(),
+        peers: peers.clone(),
+        stop: stop.clone(),
+        metrics: metrics.clone(),
+    });
+    let listeners = [Some(sockets.readiness), Some(sockets.directory), sockets.metrics];
+    for listener in listeners.into_iter().flatten() {
+        tasks.spawn(endpoints.clone().listen(tasks.clone(), listener)).detach();
+    }
+    let desk = Rc::new(RequestDesk {
+        settings: settings.clone(),
+        clock: clock.clone(),
+        mirror: mirror.clone(),
+        peers: peers.clone(),
+        upstreams: UpstreamPool::new(clock.clone()),
+        usage: usage.clone(),
+        stop: stop.clone(),
+        metrics: metrics.clone(),
+        budgets: RefCell::default(),
+    });
+    tasks.spawn(close_idle(desk.clone())).detach();
+    let callers = CallerListener {
+        desk,
+        tasks: tasks.clone(),
+        descriptors: settings.file_descriptors,
+        open: Rc::default(),
+    };
+    tasks.spawn(callers.run(sockets.callers)).detach();
+    let duties = settings.cloud_address.map(|address| {
+        Rc::new(DutyKeeper::new(
+            settings.clone(),
+            clock.clone(),
+            store.clone(),
+            PlatformClient::new(address, clock.clone()),
+            mirror.clone(),
+            peers.clone(),
+            usage.clone(),
+            duty_fencing,
+            metrics.clone(),
+        ))
+    });
+    if let Some(duties) = &duties {
+        tasks.spawn(duties.clone().run()).detach();
+    }
+    tasks.spawn(watch_settings(path.clone(), clock.clone())).detach();
+    wait_for_stop(&mut signals, &path).await;
+    stop.begin();
+    log::info!("event=stopping node={} open_requests={}", settings.node, stop.open_requests());
+    pulses.send_once(0).await;
+    if let Some(duties) = &duties {
+        duties.release().await;
+    }
+    stop.drained().await;
+    pulses.send_once(0).await;
+    // The signals stay registered, so that a second one does not end the process early.
+    drop(signals);
+    log::info!("event=stopped node={} open_requests={}", settings.node, stop.open_requests());
+    Ok(())
+}
+
+/// Waits for a signal to stop; a signal to reload checks the settings file.
+async fn wait_for_stop(signals: &mut Signals, path: &PathBuf) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(path, "signal"),
+            Ok(_) => return,
+            Err(err) => log::warn!("event=signal_failed error=\"{err}\""),
+        }
+    }
+}
+
+/// Reloads the settings whenever the file's content changes.
+async fn watch_settings(path: PathBuf, clock: RuntimeClock) {
+    let mut modified = modification(&path);
+    loop {
+        clock.sleep(SETTINGS_LOOK).await;
+        let present = modification(&path);
+        if present != modified {
+            modified = present;
+            reload(&path, "file_changed");
+        }
+    }
+}
+
+fn modification(path: &PathBuf) -> Option<std::time::SystemTime> {
+    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+}
+
+/// Checks the settings file; addresses of a running node can't change.
+fn reload(path: &PathBuf, cause: &str) {
+    match GatewaySettings::load(path) {
+        Ok(settings) => log::info!("event=settings_reloaded cause={cause} node={}", settings.node),
+        Err(err) => {
+            log::error!("event=settings_rejected cause={cause} error=\"{err}\" outcome=kept_old");
+        }
+    }
+}
+
+async fn close_idle(desk: Rc<RequestDesk>) {
+    loop {
+        desk.clock.sleep(IDLE_LOOK).await;
+        desk.upstreams.close_expired();
+    }
+}
--- /dev/null
+++ b/berylstep/src/gateway/duties.rs
@@ -0,0 +1,295 @@
+//! Duties that one node holds at a time: usage reports and orders of replicas.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_core::fleet::window::WindowCounts;
+use berylstep_core::lease::{
+    ClockReading, DutyLease, LeaseRow, LeaseTimes, ReceiverFencing, VersionedLease, WriteOutcome,
+};
+use berylstep_core::rendezvous;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::RuntimeClock;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::observe::GatewayMetrics;
+use crate::gateway::peers::PeerTable;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::usage::UsageLedger;
+use crate::platform::cloud::DutyTerms;
+use crate::platform::store::{CommitAnswer, RowWrite, StoreRow};
+use crate::platform::{CallError, PlatformClient};
+
+/// Table of the duties' lease.
+const DUTY_TABLE: &str = "duties";
+
+/// Key of the lease.
+const LEASE_KEY: &str = "holder";
+
+/// Table of sealed usage, by window.
+const USAGE_TABLE: &str = "usage";
+
+/// Time for which a lease is held without renewal. A renewal costs two calls to the store and a
+/// takeover takes a quarter longer than the lease; a report is due 10 s after its window.
+const LEASE_EXPIRY: Duration = Duration::from_millis(4500);
+
+/// Time between looks at the duties.
+const DUTY_LOOK: Duration = Duration::from_millis(500);
+
+/// Nodes that try to take the lease when no node holds it.
+const CANDIDATES: usize = 2;
+
+/// Time after the end of a window at which it is sealed: the last counts of a node that was cut off
+/// for a moment are in by then.
+const SEAL_AFTER: Duration = Duration::from_millis(4500);
+
+/// Windows after which sealed usage is removed from the store.
+const KEPT_WINDOWS: u64 = 12;
+
+/// Lease as stored.
+#[derive(Serialize, Deserialize)]
+struct StoredLease {
+    lease: LeaseRow,
+    /// Settles a write whose answer was lost.
+    token: String,
+}
+
+/// Keeps the lease and does the duties while this node holds it.
+pub struct DutyKeeper {
+    settings: Rc<GatewaySettings>,
+    clock: RuntimeClock,
+    store: Rc<PlatformClient>,
+    cloud: PlatformClient,
+    mirror: Rc<StoreMirror>,
+    peers: Rc<PeerTable>,
+    usage: Rc<UsageLedger>,
+    fencing: Rc<Cell<u64>>,
+    metrics: Rc<GatewayMetrics>,
+    lease: RefCell<DutyLease>,
+    closing: Cell<bool>,
+    reported: Cell<u64>,
+}
+
+impl DutyKeeper {
+    /// A node that does not hold the lease.
+    #[allow(clippy::too_many_arguments, reason = "each handle is named at its only call")]
+    pub fn new(
+        settings: Rc<GatewaySettings>,
+        clock: RuntimeClock,
+        store: Rc<PlatformClient>,
+        cloud: PlatformClient,
+        mirror: Rc<StoreMirror>,
+        peers: Rc<PeerTable>,
+        usage: Rc<UsageLedger>,
+        fencing: Rc<Cell<u64>>,
+        metrics: Rc<GatewayMetrics>,
+    ) -> Self {
+        let run = usage.run();
+        let times = LeaseTimes { expiry: LEASE_EXPIRY };
+        let lease =
+            DutyLease::new(run.node.clone(), run.incarnation, times, ReceiverFencing::Checked);
+        // Windows before this node started can't be known whole.
+        let reported = Cell::new(usage.present_window());
+        Self {
+            settings,
+            clock,
+            store,
+            cloud,
+            mirror,
+            peers,
+            usage,
+            fencing,
+            metrics,
+            lease: RefCell::new(lease),
+            closing: Cell::new(false),
+            reported,
+        }
+    }
+
+    /// Keeps the lease and does the duties, for as long as the node runs.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            self.clock.sleep(DUTY_LOOK).await;
+            if self.closing.get() {
+                continue;
+            }
+            if let Err(err) = self.keep_lease().await {
+                log::info!("event=lease_not_kept error=\"{err}\"");
+            }
+            self.publish_fencing();
+            if self.permit().is_some() {
+                self.report_usage().await;
+            }
+        }
+    }
+
+    /// Gives the lease up before a planned stop.
+    pub async fn release(&self) {
+        self.closing.set(true);
+        let write = self.lease.borrow_mut().release();
+        self.publish_fencing();
+        let Some(write) = write else { return };
+        match self.write_lease(&write).await {
+            Ok(()) => log::info!("event=lease_released"),
+            Err(err) => log::info!("event=lease_left_to_expire error=\"{err}\""),
+        }
+    }
+
+    /// Fencing token under which a call may be made now.
+    fn permit(&self) -> Option<u64> {
+        match self.closing.get() {
+            true => None,
+            false => self.lease.borrow().permit(self.read_clocks()),
+        }
+    }
+
+    fn publish_fencing(&self) {
+        let held = self.permit().unwrap_or_default();
+        if self.fencing.replace(held) != held {
+            let outcome = if held == 0 { "lost" } else { "held" };
+            log::info!("event=lease_changed outcome={outcome} fencing={held}");
+        }
+        self.metrics.duty_fencing.set(held as i64);
+    }
+
+    fn read_clocks(&self) -> ClockReading {
+        ClockReading { monotonic: self.clock.now(), boot: self.clock.boot_time() }
+    }
+
+    /// Place among the nodes that try to take the lease; `None` where this node leaves it to others.
+    fn rank(&self) -> Option<u32> {
+        if !self.mirror.is_complete() {
+            return None;
+        }
+        let live = self.peers.live(self.clock.now());
+        if live.iter().any(|row| row.pulse.duty_fencing > 0 && !row.pulse.leaving) {
+            return None;
+        }
+        let others = live.iter().filter(|row| row.pulse.ready).map(|row| &*row.pulse.node);
+        let own = &*self.settings.node;
+        let ranked = rendezvous::rank(LEASE_KEY, others.chain([own]));
+        let place = ranked.iter().position(|name| *name == own)?;
+        (place < CANDIDATES).then_some(place as u32)
+    }
+
+    async fn keep_lease(&self) -> Result<(), CallError> {
+        let rank = self.rank();
+        let holds = self.permit().is_some();
+        if !holds && rank.is_none() {
+            return Ok(());
+        }
+        if !self.lease.borrow().needs_row(self.read_clocks()) {
+            return Ok(());
+        }
+        let snapshot = self.store.rows(DUTY_TABLE, LEASE_KEY).await?;
+        let row = snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY);
+        let now = self.read_clocks();
+        self.lease.borrow_mut().observe(now, row.and_then(parse_lease));
+        let next = self.lease.borrow().next_write(now, rank.unwrap_or_default());
+        match next {
+            Some(write) => self.write_lease(&write).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn write_lease(
+        &self,
+        write: &berylstep_core::lease::LeaseWrite,
+    ) -> Result<(), CallError> {
+        let token = format!("{:016x}", fastrand::u64(..));
+        let stored = StoredLease { lease: write.row.clone(), token: token.clone() };
+        let row = RowWrite {
+            table: DUTY_TABLE,
+            key: LEASE_KEY.to_owned(),
+            value: serde_json::to_vec(&stored).expect("leases are valid JSON"),
+            expected: Some(write.expect),
+        };
+        self.lease.borrow_mut().begin_write(self.read_clocks(), token, write);
+        let result = self.store.commit(&[row], &[]).await;
+        let outcome = match &result {
+            Ok(CommitAnswer::Committed) => WriteOutcome::Committed,
+            Ok(CommitAnswer::Conflict(_)) => WriteOutcome::Conflict,
+            Err(_) => WriteOutcome::Unknown,
+        };
+        self.lease.borrow_mut().finish_write(outcome);
+        result.map(|_| ())
+    }
+
+    /// Reports the windows that are due.
+    async fn report_usage(&self) {
+        let present = self.usage.present_window();
+        let oldest = present.saturating_sub(KEPT_WINDOWS / 2);
+        let from = (self.reported.get() + 1).max(oldest);
+        for window in from..present {
+            let is_due = self.usage.age(window).is_some_and(|age| age >= SEAL_AFTER);
+            if !is_due {
+                return;
+            }
+            match self.report_window(window).await {
+                Ok(()) => self.reported.set(window),
+                Err(err) => {
+                    log::warn!("event=usage_not_reported window={window} error=\"{err}\"");
+                    if err.is_fenced_off() {
+                        self.lease.borrow_mut().surrender();
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Seals the counts of a window in the store and reports what is sealed.
+    async fn report_window(&self, window: u64) -> Result<(), CallError> {
+        let counts = self.seal(window, self.usage.total(window)).await?;
+        let Some(fencing) = self.permit() else {
+            return Err(CallError::NotSent("lease is no longer held".to_owned()));
+        };
+        let terms = DutyTerms { holder: &self.settings.node, fencing };
+        self.cloud.report_usage(terms, window, &counts).await?;
+        log::info!(
+            "event=usage_reported window={window} fencing={fencing} organisations={} requests={}",
+            counts.len(),
+            counts.values().sum::<u64>()
+        );
+        Ok(())
+    }
+
+    /// Writes the counts unless some are sealed already; returns those that are.
+    async fn seal(&self, window: u64, counts: WindowCounts) -> Result<WindowCounts, CallError> {
+        let key = window_key(window);
+        let write = RowWrite {
+            table: USAGE_TABLE,
+            key: key.clone(),
+            value: serde_json::to_vec(&counts).expect("counts are valid JSON"),
+            expected: Some(0),
+        };
+        let old = window_key(window.saturating_sub(KEPT_WINDOWS));
+        match self.store.commit(&[write], &[(USAGE_TABLE, old)]).await? {
+            CommitAnswer::Committed => Ok(counts),
+            CommitAnswer::Conflict(rows) => {
+                let sealed = rows.into_iter().find(|row| row.key == key);
+                let value = sealed.and_then(|row| row.value).unwrap_or_default();
+                let decoded = serde_json::from_slice(&value);
+                decoded.map_err(|err| CallError::Malformed(err.to_string()))
+            }
+        }
+    }
+}
+
+fn window_key(window: u64) -> String {
+    format!("{window:012}")
+}
+
+fn parse_lease(row: StoreRow) -> Option<VersionedLease> {
+    let value = row.value?;
+    match serde_json::from_slice::<StoredLease>(&value) {
+        Ok(stored) => {
+            Some(VersionedLease { row: stored.lease, version: row.revision, token: stored.token })
+        }
+        Err(err) => {
+            log::error!("event=lease_row_malformed revision={} error=\"{err}\"", row.revision);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/berylstep/src/gateway/endpoints.rs
@@ -0,0 +1,159 @@
+//! Readiness, directory and metrics.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_http::ServerConnection;
+use http_types::{Request, Response, StatusCode};
+use smol::net::{TcpListener, TcpStream};
+use smol::LocalExecutor;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::observe::GatewayMetrics;
+use crate::gateway::peers::PeerTable;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::stop::{StopSignal, DIRECTORY_TTL};
+use crate::platform::endpoints::{directory_body, CallerPlace, DIRECTORY_PATH, READINESS_PATH};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Longest time for which a connection waits for its next request.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Pause after a failed accept.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Nodes that a directory answer names at least, where there are as many: a caller still has one
+/// when its availability zone is lost.
+const LEAST_ADDRESSES: usize = 2;
+
+/// Most nodes that a directory answer may name.
+const MOST_ADDRESSES: usize = 64;
+
+/// Answers everything but callers' requests.
+pub struct EndpointDesk {
+    /// Settings.
+    pub settings: Rc<GatewaySettings>,
+    /// Clock.
+    pub clock: RuntimeClock,
+    /// Copy of the store.
+    pub mirror: Rc<StoreMirror>,
+    /// Other nodes.
+    pub peers: Rc<PeerTable>,
+    /// Planned stop.
+    pub stop: Rc<StopSignal>,
+    /// Metrics.
+    pub metrics: Rc<GatewayMetrics>,
+}
+
+impl EndpointDesk {
+    /// Serves for as long as the node runs.
+    pub async fn listen(self: Rc<Self>, tasks: Rc<LocalExecutor<'static>>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let desk = self.clone();
+                    tasks.spawn(async move { desk.serve(stream).await }).detach();
+                }
+                Err(err) => {
+                    log::warn!("event=accept_failed listener=endpoints error=\"{err}\"");
+                    self.clock.sleep(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) {
+        let mut connection = ServerConnection::new(stream);
+        while connection.is_reusable() {
+            let receiving = Box::pin(connection.receive(0));
+            let received = match self.clock.timeout(IDLE_TIMEOUT, receiving).await {
+                Some(Ok(Some(received))) => received,
+                Some(Ok(None)) | None => return,
+                Some(Err(err)) => {
+                    log::debug!("event=endpoint_request_rejected error=\"{err}\"");
+                    return;
+                }
+            };
+            let method = received.request.method();
+            let response = self.answer(&received.request);
+            connection.serve(method, async move { response }).await;
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        match request.url().path() {
+            READINESS_PATH => self.readiness(),
+            DIRECTORY_PATH => self.directory(&CallerPlace::read(request)),
+            METRICS_PATH => self.metrics(),
+            _ => Response::new(StatusCode::NotFound),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.mirror.is_complete() && !self.stop.is_stopping()
+    }
+
+    fn readiness(&self) -> Response {
+        match self.is_ready() {
+            true => Response::new(StatusCode::Ok),
+            false => Response::new(StatusCode::ServiceUnavailable),
+        }
+    }
+
+    fn directory(&self, place: &CallerPlace) -> Response {
+        let addresses = self.addresses(&place.zone);
+        if addresses.is_empty() {
+            return Response::new(StatusCode::ServiceUnavailable);
+        }
+        let ttl = DIRECTORY_TTL.as_secs_f64().min(self.settings.directory_ttl_max_s);
+        let mut response = Response::new(StatusCode::Ok);
+        match directory_body(&addresses, ttl) {
+            Ok(body) => response.set_body(body),
+            Err(err) => {
+                log::error!("event=directory_failed error=\"{err}\"");
+                response.set_status(StatusCode::InternalServerError);
+            }
+        }
+        response
+    }
+
+    /// Ready nodes of the caller's availability zone, and others where these are few.
+    fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
+        let live = self.peers.live(self.clock.now());
+        let ready = live.iter().filter(|row| row.pulse.ready && !row.pulse.leaving);
+        let others = ready.filter_map(|row| {
+            let address: SocketAddr = row.pulse.caller_address.parse().ok()?;
+            Some((&*row.pulse.zone, address))
+        });
+        let own = (&*self.settings.zone, self.settings.listen.callers);
+        let own = self.is_ready().then_some(own);
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for (node_zone, address) in own.into_iter().chain(others) {
+            match node_zone == zone {
+                true => near.push(address),
+                false => far.push(address),
+            }
+        }
+        fastrand::shuffle(&mut far);
+        let missing = LEAST_ADDRESSES.saturating_sub(near.len());
+        near.extend(far.into_iter().take(missing));
+        near.truncate(MOST_ADDRESSES);
+        near
+    }
+
+    fn metrics(&self) -> Response {
+        let now = self.clock.now();
+        self.metrics.open_requests.set(self.stop.open_requests().into());
+        self.metrics.live_peers.set(self.peers.live(now).len() as i64);
+        self.metrics.desired_version.set(self.mirror.desired_version() as i64);
+        let ready = self.mirror.replicas.borrow().rows().filter(|row| row.is_ready()).count();
+        self.metrics.ready_replicas.set(ready as i64);
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(self.metrics.render());
+        response
+    }
+}
--- /dev/null
+++ b/berylstep/src/gateway/handon.rs
@@ -0,0 +1,176 @@
+//! Hands the desired state and the list of replicas on between nodes.
+//!
+//! A node that the store turns away, or whose connection to it has gone silent, learns from pulses
+//! that others are ahead and asks one of them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_wire::codec::FrameCodec;
+use berylstep_wire::frame::Body;
+use berylstep_wire::{FleetCopy, FleetQuery, Frame, ReplicaCopy};
+use futures_util::{SinkExt, StreamExt};
+use smol::net::{TcpListener, TcpStream};
+use smol::LocalExecutor;
+use tokio_util::codec::Framed;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::mirror::{NewsSource, StoreMirror, StoredCopy};
+use crate::gateway::peers::{PeerRow, PeerTable};
+
+/// Time between looks at how far other nodes are.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Looks in a row at which another node is ahead before it is asked: its news may be on the way.
+const LOOKS_BEHIND: u32 = 2;
+
+/// Longest time for one question.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Pause after a failed accept.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Asks other nodes and answers them.
+pub struct StateHandon {
+    /// Clock.
+    pub clock: RuntimeClock,
+    /// Other nodes.
+    pub peers: Rc<PeerTable>,
+    /// Copy of the store.
+    pub mirror: Rc<StoreMirror>,
+}
+
+impl StateHandon {
+    /// Asks nodes that are ahead, for as long as the node runs.
+    pub async fn follow(self: Rc<Self>) {
+        let mut looks = 0;
+        loop {
+            self.clock.sleep(LOOK_INTERVAL).await;
+            let Some(ahead) = self.node_ahead() else {
+                looks = 0;
+                continue;
+            };
+            looks += 1;
+            if looks >= LOOKS_BEHIND {
+                self.ask(&ahead).await;
+            }
+        }
+    }
+
+    /// A node that knows more than this one.
+    fn node_ahead(&self) -> Option<PeerRow> {
+        let (desired, replicas) = (self.mirror.desired_version(), self.mirror.replica_revision());
+        let mut live = self.peers.live(self.clock.now());
+        live.retain(|row| {
+            row.pulse.desired_version > desired || row.pulse.replica_revision > replicas
+        });
+        let place = live
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, row)| (row.pulse.desired_version, row.pulse.replica_revision));
+        let place = place.map(|(place, _)| place)?;
+        Some(live.swap_remove(place))
+    }
+
+    async fn ask(&self, row: &PeerRow) {
+        let query = FleetQuery {
+            desired_version: self.mirror.desired_version(),
+            replica_revision: self.mirror.replica_revision(),
+        };
+        match self.clock.timeout(QUERY_TIMEOUT, query_peer(row.address, query)).await {
+            Some(Ok(Some(copy))) => self.take(copy, &row.pulse.node),
+            Some(Ok(None)) => log::warn!("event=handon_empty peer={}", row.pulse.node),
+            Some(Err(err)) => {
+                log::warn!("event=handon_failed peer={} error=\"{err}\"", row.pulse.node);
+            }
+            None => log::warn!("event=handon_failed peer={} error=timeout", row.pulse.node),
+        }
+    }
+
+    fn take(&self, copy: FleetCopy, peer: &str) {
+        log::info!(
+            "event=handon_received peer={peer} desired={} replicas={} replica_revision={}",
+            !copy.desired.is_empty(),
+            copy.replicas.len(),
+            copy.replica_revision
+        );
+        if !copy.desired.is_empty() {
+            self.mirror.take_desired(copy.desired, NewsSource::Peer);
+        }
+        if copy.has_replicas {
+            let entries = copy.replicas.into_iter().map(|replica| {
+                (replica.id, StoredCopy { revision: replica.revision, value: replica.value })
+            });
+            self.mirror.take_replicas(copy.replica_revision, entries.collect());
+        }
+    }
+
+    /// Answers other nodes, for as long as the node runs.
+    pub async fn listen(self: Rc<Self>, tasks: Rc<LocalExecutor<'static>>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let handon = self.clone();
+                    let answering = async move { handon.answer_in_time(stream).await };
+                    tasks.spawn(answering).detach();
+                }
+                Err(err) => {
+                    log::warn!("event=accept_failed listener=peers error=\"{err}\"");
+                    self.clock.sleep(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn answer_in_time(&self, stream: TcpStream) {
+        match self.clock.timeout(QUERY_TIMEOUT, self.answer(stream)).await {
+            Some(Ok(())) => {}
+            Some(Err(err)) => log::warn!("event=handon_answer_failed error=\"{err}\""),
+            None => log::warn!("event=handon_answer_failed error=timeout"),
+        }
+    }
+
+    async fn answer(&self, stream: TcpStream) -> Result<(), berylstep_wire::codec::CodecError> {
+        let mut framed = Framed::new(stream.compat(), FrameCodec::default());
+        let Some(frame) = framed.next().await.transpose()? else { return Ok(()) };
+        let Some(Body::FleetQuery(query)) = frame.body else {
+            log::warn!("event=handon_answer_failed error=\"not a query\"");
+            return Ok(());
+        };
+        framed.send(Frame { body: Some(Body::FleetCopy(self.copy(&query))) }).await
+    }
+
+    fn copy(&self, query: &FleetQuery) -> FleetCopy {
+        let is_newer = self.mirror.desired_version() > query.desired_version;
+        let desired = if is_newer { self.mirror.desired_bytes() } else { Vec::new() };
+        let has_replicas = self.mirror.replica_revision() > query.replica_revision;
+        let copies = if has_replicas { self.mirror.replica_copies() } else { Vec::new() };
+        let replicas = copies.into_iter().map(|(id, copy)| ReplicaCopy {
+            id: id.to_string(),
+            revision: copy.revision,
+            value: copy.value,
+        });
+        FleetCopy {
+            desired,
+            has_replicas,
+            replica_revision: self.mirror.replica_revision(),
+            replicas: replicas.collect(),
+        }
+    }
+}
+
+async fn query_peer(
+    address: SocketAddr,
+    query: FleetQuery,
+) -> Result<Option<FleetCopy>, berylstep_wire::codec::CodecError> {
+    let stream = TcpStream::connect(address).await?;
+    let mut framed = Framed::new(stream.compat(), FrameCodec::default());
+    framed.send(Frame { body: Some(Body::FleetQuery(query)) }).await?;
+    let answer = framed.next().await.transpose()?;
+    Ok(answer.and_then(|frame| match frame.body {
+        Some(Body::FleetCopy(copy)) => Some(copy),
+        _ => None,
+    }))
+}
--- /dev/null
+++ b/berylstep/src/gateway/observe.rs
@@ -0,0 +1,285 @@
+//! What the log and the metrics tell of each request.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use berylstep_core::collections::SharedName;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::gateway::attempt::{AttemptEnd, ReplicaTarget};
+use crate::gateway::request::RoutedRequest;
+
+/// Upper bounds of latency buckets, in seconds; they hold the usual latency targets.
+const LATENCY_BUCKETS: &[f64] =
+    &[0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0];
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// A replica's answer was passed on whole.
+    Answered(u16),
+    /// The request is not acceptable.
+    Rejected(&'static str),
+    /// The request did not run.
+    Refused(&'static str),
+    /// The request may have run and its answer is lost.
+    Lost(&'static str),
+    /// No answer came in time.
+    TimedOut,
+    /// The answer broke off.
+    Broken,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl RequestEnd {
+    fn outcome(self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Rejected(_) => "rejected",
+            Self::Refused(_) => "refused",
+            Self::Lost(_) => "lost",
+            Self::TimedOut => "timed_out",
+            Self::Broken => "broken",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+
+    fn detail(self) -> String {
+        match self {
+            Self::Answered(status) => status.to_string(),
+            Self::Rejected(reason) | Self::Refused(reason) | Self::Lost(reason) => {
+                reason.to_owned()
+            }
+            Self::TimedOut | Self::Broken | Self::CallerLeft => "-".to_owned(),
+        }
+    }
+}
+
+/// Metrics of a gateway.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    attempts: IntCounterVec,
+    first_content: HistogramVec,
+    duration: HistogramVec,
+    /// Requests in progress.
+    pub open_requests: IntGauge,
+    /// Other nodes that were heard a moment ago.
+    pub live_peers: IntGauge,
+    /// Version of the desired state in force.
+    pub desired_version: IntGauge,
+    /// Replicas that take requests.
+    pub ready_replicas: IntGauge,
+    /// Fencing token of the duties' lease; 0 where another node holds it.
+    pub duty_fencing: IntGauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new().expect("names and labels of metrics are valid")
+    }
+}
+
+impl GatewayMetrics {
+    fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name, help, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let histograms = |name, help, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let gauge = |name, help| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        Ok(Self {
+            requests: counters(
+                "berylstep_gateway_requests_total",
+                "Ended requests by service, priority and outcome.",
+                &["service", "priority", "outcome"],
+            )?,
+            attempts: counters(
+                "berylstep_gateway_attempts_total",
+                "Attempts at replicas by service and result.",
+                &["service", "result"],
+            )?,
+            first_content: histograms(
+                "berylstep_gateway_first_content_seconds",
+                "Time from arrival to the first content of the answer.",
+                &["service", "priority"],
+            )?,
+            duration: histograms(
+                "berylstep_gateway_request_seconds",
+                "Time from arrival to the end of the answer.",
+                &["service", "priority"],
+            )?,
+            open_requests: gauge("berylstep_gateway_open_requests", "Requests in progress.")?,
+            live_peers: gauge("berylstep_gateway_live_peers", "Other nodes heard of late.")?,
+            desired_version: gauge(
+                "berylstep_gateway_desired_version",
+                "Version of the desired state in force.",
+            )?,
+            ready_replicas: gauge(
+                "berylstep_gateway_ready_replicas",
+                "Replicas that take requests.",
+            )?,
+            duty_fencing: gauge(
+                "berylstep_gateway_duty_fencing_token",
+                "Fencing token of the duties' lease; 0 where another node holds it.",
+            )?,
+            registry,
+        })
+    }
+
+    /// Writes all metrics in the text format.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        encoded.expect("metrics are valid and a vector takes every byte");
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+/// What happened to one request.
+#[derive(Debug)]
+pub struct RequestTrace {
+    arrived: Duration,
+    end: Cell<Option<RequestEnd>>,
+    first_content: Cell<Option<Duration>>,
+    attempts: Cell<u32>,
+    labels: RefCell<Option<TraceLabels>>,
+}
+
+#[derive(Clone, Debug)]
+struct TraceLabels {
+    service: SharedName,
+    route: SharedName,
+    organisation: Option<SharedName>,
+    priority: u8,
+    replica: Option<SharedName>,
+    prompt: u64,
+    output: u64,
+}
+
+impl RequestTrace {
+    /// A request that began to arrive at `arrived`.
+    pub fn new(arrived: Duration) -> Self {
+        Self {
+            arrived,
+            end: Cell::new(None),
+            first_content: Cell::new(None),
+            attempts: Cell::new(0),
+            labels: RefCell::default(),
+        }
+    }
+
+    /// Notes the request's route.
+    pub fn route(&self, request: &RoutedRequest<'_>) {
+        let size = request.marks.size.unwrap_or_default();
+        *self.labels.borrow_mut() = Some(TraceLabels {
+            service: request.service.clone(),
+            route: request.route.name.clone(),
+            organisation: request.organisation.clone(),
+            priority: request.priority,
+            replica: None,
+            prompt: size.prompt,
+            output: size.output,
+        });
+    }
+
+    /// Notes the end of an attempt; all but answers are logged.
+    pub fn attempt(
+        &self,
+        request: &RoutedRequest<'_>,
+        target: &ReplicaTarget,
+        end: &AttemptEnd,
+        now: Duration,
+    ) {
+        self.attempts.set(self.attempts.get() + 1);
+        if let Some(labels) = self.labels.borrow_mut().as_mut() {
+            labels.replica = Some(target.id.clone());
+        }
+        let (result, detail) = match end {
+            AttemptEnd::Answer(_) => {
+                if self.first_content.get().is_none() {
+                    self.first_content.set(Some(now));
+                }
+                return;
+            }
+            AttemptEnd::NotSent(reason) => ("not_sent", *reason),
+            AttemptEnd::NotExecuted(_) => ("not_executed", "-"),
+            AttemptEnd::Lost(reason) => ("lost", *reason),
+            AttemptEnd::TimedOut => ("timed_out", "-"),
+        };
+        log::info!(
+            "event=attempt_failed id={} service={} replica={} attempt={} result={result} \
+             age_ms={} detail=\"{detail}\"",
+            request.id(),
+            request.service,
+            target.id,
+            self.attempts.get(),
+            now.saturating_sub(request.arrived).as_millis()
+        );
+    }
+
+    /// Notes how the request ended; the first end counts.
+    pub fn end(&self, end: RequestEnd) {
+        if self.end.get().is_none() {
+            self.end.set(Some(end));
+        }
+    }
+
+    /// Counts and logs the request.
+    pub fn settle(&self, metrics: &GatewayMetrics, id: Option<&str>, now: Duration) {
+        let end = self.end.get().unwrap_or(RequestEnd::Broken);
+        let id = id.unwrap_or("-");
+        let elapsed = now.saturating_sub(self.arrived);
+        let Some(labels) = self.labels.borrow().clone() else {
+            metrics.requests.with_label_values(&["-", "-", end.outcome()]).inc();
+            log::info!(
+                "event=request_ended id={id} outcome={} detail=\"{}\" total_ms={}",
+                end.outcome(),
+                end.detail(),
+                elapsed.as_millis()
+            );
+            return;
+        };
+        let priority = labels.priority.to_string();
+        let service = &*labels.service;
+        metrics.requests.with_label_values(&[service, &priority, end.outcome()]).inc();
+        let result = if matches!(end, RequestEnd::Answered(_)) { "answered" } else { "failed" };
+        metrics.attempts.with_label_values(&[service, result]).inc_by(self.attempts.get().into());
+        let labelled = [service, &*priority];
+        metrics.duration.with_label_values(&labelled).observe(elapsed.as_secs_f64());
+        let first = self.first_content.get().map(|at| at.saturating_sub(self.arrived));
+        if let Some(first) = first {
+            metrics.first_content.with_label_values(&labelled).observe(first.as_secs_f64());
+        }
+        log::info!(
+            "event=request_ended id={id} outcome={} detail=\"{}\" route={} service={service} \
+             organisation={} priority={priority} replica={} attempts={} prompt={} output={} \
+             first_ms={} total_ms={}",
+            end.outcome(),
+            end.detail(),
+            labels.route,
+            labels.organisation.as_deref().unwrap_or("-"),
+            labels.replica.as_deref().unwrap_or("-"),
+            self.attempts.get(),
+            labels.prompt,
+            labels.output,
+            first.map_or(-1, |first| first.as_millis() as i64),
+            elapsed.as_millis()
+        );
+    }
+}
--- /dev/null
+++ b/berylstep/src/gateway/request.rs
@@ -0,0 +1,463 @@
+//! The way of one request: identify, place, send, relay, settle.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::budget::ShareBudget;
+use berylstep_core::fleet::choice::{self, PlacementAsk};
+use berylstep_core::fleet::desired::{RouteEntry, RouteKind};
+use berylstep_core::fleet::events::EventCutter;
+use berylstep_http::{MessageStream, RequestMessage};
+use smol::future;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::answer::{AnswerWriter, OwnAnswer};
+use crate::gateway::attempt::{AttemptEnd, AttemptTerms, BegunAnswer, ReplicaTarget};
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::observe::{GatewayMetrics, RequestEnd, RequestTrace};
+use crate::gateway::peers::PeerTable;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::stop::StopSignal;
+use crate::gateway::upstreams::UpstreamPool;
+use crate::gateway::usage::UsageLedger;
+use crate::platform::headers::CallerMarks;
+
+/// Bytes that a caller may send ahead while its request is served.
+const MAX_AHEAD_BYTES: usize = 64 * 1024;
+
+/// Time after which a caller that was turned away may come back: about the time in which a place at
+/// a replica frees. Spread, so that callers don't return together.
+const RETURN_TIME: Duration = Duration::from_millis(250);
+
+/// Longest time for which a request without a deadline of its caller or route is kept.
+const MAX_PATIENCE: Duration = Duration::from_secs(60);
+
+/// Targets after which an idempotent request without an answer is tried elsewhere.
+const SILENCE_TARGETS: f64 = 2.5;
+
+/// Shortest time without an answer after which an idempotent request is tried elsewhere.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
+
+/// Pauses of a stream, in targets for one, after which it is continued elsewhere.
+const PAUSE_TARGETS: u32 = 4;
+
+/// Everything that serving a request uses.
+pub struct RequestDesk {
+    /// Settings.
+    pub settings: Rc<GatewaySettings>,
+    /// Clock.
+    pub clock: RuntimeClock,
+    /// Copy of the store.
+    pub mirror: Rc<StoreMirror>,
+    /// Other nodes.
+    pub peers: Rc<PeerTable>,
+    /// Connections to replicas.
+    pub upstreams: UpstreamPool,
+    /// Usage.
+    pub usage: Rc<UsageLedger>,
+    /// Planned stop.
+    pub stop: Rc<StopSignal>,
+    /// Metrics.
+    pub metrics: Rc<GatewayMetrics>,
+    /// Retry budgets by service.
+    pub budgets: RefCell<HashMap<SharedName, ShareBudget>>,
+}
+
+/// A request whose route and organisation are known.
+pub struct RoutedRequest<'a> {
+    /// Head as received.
+    pub message: &'a RequestMessage,
+    /// Body.
+    pub body: &'a [u8],
+    /// What the caller says of it.
+    pub marks: CallerMarks,
+    /// Route.
+    pub route: Arc<RouteEntry>,
+    /// Service that serves it.
+    pub service: SharedName,
+    /// Organisation that holds its key.
+    pub organisation: Option<SharedName>,
+    /// Rank, where 0 is served first.
+    pub priority: u8,
+    /// When it began to arrive.
+    pub arrived: Duration,
+    /// When it must have its final answer.
+    pub deadline: Duration,
+    /// Whether its usage was counted.
+    pub counted: Cell<bool>,
+}
+
+impl RoutedRequest<'_> {
+    /// Identifier for the log.
+    pub fn id(&self) -> &str {
+        self.marks.request_id.as_deref().unwrap_or("-")
+    }
+}
+
+/// What becomes of the caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServedEnd {
+    /// The answer was written whole.
+    Whole,
+    /// The answer broke off, or the caller left.
+    Broken,
+}
+
+/// Attempts of one request so far.
+#[derive(Debug, Default)]
+struct AttemptHistory {
+    tried: Vec<SharedName>,
+    sent: u32,
+    ran: u32,
+}
+
+impl RequestDesk {
+    /// Serves one request; `false` means that the connection takes no other one.
+    pub async fn serve(
+        &self,
+        caller: &mut MessageStream,
+        message: &RequestMessage,
+        body: &[u8],
+        arrived: Duration,
+    ) -> bool {
+        let _open = self.stop.open_request();
+        let keep_alive = message.keep_alive && !self.stop.is_stopping();
+        let mut writer = AnswerWriter::new(caller.stream.clone(), &message.method, keep_alive);
+        let trace = RequestTrace::new(arrived);
+        let serving = async {
+            match self.identify(message, body, arrived) {
+                Ok(request) => self.run(&request, &mut writer, &trace).await,
+                Err(own) => {
+                    trace.end(RequestEnd::Rejected(own.reason));
+                    self.finish(&mut writer, &own).await
+                }
+            }
+        };
+        let leaving = async {
+            caller_leaves(caller).await;
+            trace.end(RequestEnd::CallerLeft);
+            ServedEnd::Broken
+        };
+        let end = future::or(serving, leaving).await;
+        let marks = CallerMarks::read(&message.headers);
+        trace.settle(&self.metrics, marks.request_id.as_deref(), self.clock.now());
+        end == ServedEnd::Whole && keep_alive
+    }
+
+    /// Finds the route and the organisation of a request.
+    fn identify<'a>(
+        &self,
+        message: &'a RequestMessage,
+        body: &'a [u8],
+        arrived: Duration,
+    ) -> Result<RoutedRequest<'a>, OwnAnswer> {
+        let Some(desired) = self.mirror.desired().filter(|_| self.mirror.is_complete()) else {
+            return Err(OwnAnswer::refused("not ready", self.return_time()));
+        };
+        let host = message.headers.get("host").unwrap_or_default();
+        let Some(route) = desired.route(host, message.path()).cloned() else {
+            return Err(OwnAnswer::rejected(404, "no such route"));
+        };
+        let marks = CallerMarks::read(&message.headers);
+        let holder = marks.key.as_deref().and_then(|key| desired.organisation(key));
+        if desired.requires_keys && !route.public && holder.is_none() {
+            return Err(OwnAnswer::rejected(401, "unknown key"));
+        }
+        let Some(service) = route.service(fastrand::f64()).cloned() else {
+            return Err(OwnAnswer::refused("route has no service", self.return_time()));
+        };
+        let patience = marks.patience.unwrap_or(MAX_PATIENCE).min(route.timeout);
+        if !self.stop.admits(patience) {
+            return Err(OwnAnswer::refused("node is stopping", Duration::from_millis(20)));
+        }
+        Ok(RoutedRequest {
+            message,
+            body,
+            organisation: holder.map(|organisation| organisation.name.clone()),
+            priority: holder.and_then(|holder| holder.priority).unwrap_or(route.priority),
+            marks,
+            route,
+            service,
+            arrived,
+            deadline: arrived + patience,
+            counted: Cell::new(false),
+        })
+    }
+
+    /// Sends a request to replicas until one of them answers it or it must not be sent again.
+    async fn run(
+        &self,
+        request: &RoutedRequest<'_>,
+        writer: &mut AnswerWriter,
+        trace: &RequestTrace,
+    ) -> ServedEnd {
+        trace.route(request);
+        self.with_budget(&request.service, |budget, desk| {
+            budget.note_request(&desk.settings.retry_bounds(), desk.clock.now());
+        });
+        let mut history = AttemptHistory::default();
+        loop {
+            let Some(target) = self.next_target(request, &mut history) else {
+                let own = self.give_up(&history, "no replica takes the request");
+                trace.end(own_end(&own));
+                return self.finish(writer, &own).await;
+            };
+            let terms = AttemptTerms { last_event: None, silence: self.silence(request, &history) };
+            let end = self.attempt(request, &target, terms).await;
+            trace.attempt(request, &target, &end, self.clock.now());
+            match end {
+                AttemptEnd::Answer(begun) => {
+                    history.ran += 1;
+                    let is_failure = begun.response.status >= 500;
+                    if is_failure && self.may_repeat(request, &history) {
+                        continue;
+                    }
+                    return self.relay(request, *begun, &mut history, writer, trace).await;
+                }
+                AttemptEnd::NotSent(_) => {}
+                AttemptEnd::NotExecuted(_) => history.sent += 1,
+                AttemptEnd::Lost(reason) => {
+                    history.sent += 1;
+                    history.ran += 1;
+                    if !self.may_repeat(request, &history) {
+                        let own = OwnAnswer::lost(reason);
+                        trace.end(own_end(&own));
+                        return self.finish(writer, &own).await;
+                    }
+                }
+                AttemptEnd::TimedOut => {
+                    let own = OwnAnswer::timed_out();
+                    trace.end(own_end(&own));
+                    return self.finish(writer, &own).await;
+                }
+            }
+        }
+    }
+
+    /// Whether the request may run on one more replica.
+    fn may_repeat(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
+        request.route.is_repeatable()
+            && history.ran < request.route.attempts
+            && self.clock.now() < request.deadline
+            && self.has_other_replica(request, history)
+    }
+
+    fn has_other_replica(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
+        let replicas = self.mirror.replicas.borrow();
+        let mut ready = replicas.ready(&request.service);
+        ready.any(|row| !history.tried.contains(&row.entry.id))
+    }
+
+    /// Chooses the next replica; a repeat is taken out of the retry budget.
+    fn next_target(
+        &self,
+        request: &RoutedRequest<'_>,
+        history: &mut AttemptHistory,
+    ) -> Option<ReplicaTarget> {
+        let now = self.clock.now();
+        if now >= request.deadline {
+            return None;
+        }
+        let target = self.place(request, &history.tried)?;
+        if history.sent > 0 {
+            let bounds = self.settings.retry_bounds();
+            let nodes = self.peers.most_nodes();
+            let granted =
+                self.with_budget(&request.service, |budget, _| budget.take(&bounds, nodes, now));
+            if !granted {
+                log::info!(
+                    "event=retry_denied id={} service={} reason=budget sent={}",
+                    request.id(),
+                    request.service,
+                    history.sent
+                );
+                return None;
+            }
+        }
+        history.tried.push(target.id.clone());
+        Some(target)
+    }
+
+    fn place(&self, request: &RoutedRequest<'_>, tried: &[SharedName]) -> Option<ReplicaTarget> {
+        let replicas = self.mirror.replicas.borrow();
+        let ask = PlacementAsk {
+            service: &request.service,
+            size: request.marks.size,
+            session: request.marks.session.as_deref(),
+            zone: &self.settings.zone,
+            excluded: tried,
+        };
+        let id = choice::choose(&replicas, &ask, self.clock.now())?;
+        let address = replicas.get(&id)?.entry.address;
+        Some(ReplicaTarget { id, address })
+    }
+
+    /// Time without an answer after which a request is tried elsewhere; `None` waits for the
+    /// deadline.
+    fn silence(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> Option<Duration> {
+        let repeatable = request.route.is_repeatable()
+            && history.ran + 1 < request.route.attempts
+            && self.has_other_replica(request, history);
+        repeatable.then(|| request.route.target.mul_f64(SILENCE_TARGETS).max(MIN_SILENCE))
+    }
+
+    fn give_up(&self, history: &AttemptHistory, reason: &'static str) -> OwnAnswer {
+        match history.ran {
+            0 => OwnAnswer::refused(reason, self.return_time()),
+            _ => OwnAnswer::lost("replicas failed"),
+        }
+    }
+
+    fn return_time(&self) -> Duration {
+        RETURN_TIME.mul_f64(0.5 + fastrand::f64())
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &SharedName,
+        change: impl FnOnce(&mut ShareBudget, &Self) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        change(budgets.entry(service.clone()).or_default(), self)
+    }
+
+    async fn finish(&self, writer: &mut AnswerWriter, own: &OwnAnswer) -> ServedEnd {
+        match writer.write_own(own).await {
+            Ok(()) => ServedEnd::Whole,
+            Err(err) => {
+                log::debug!("event=answer_not_written status={} error=\"{err}\"", own.status);
+                ServedEnd::Broken
+            }
+        }
+    }
+
+    /// Passes an answer on to the caller.
+    async fn relay(
+        &self,
+        request: &RoutedRequest<'_>,
+        begun: BegunAnswer,
+        history: &mut AttemptHistory,
+        writer: &mut AnswerWriter,
+        trace: &RequestTrace,
+    ) -> ServedEnd {
+        if begun.is_whole() {
+            trace.end(RequestEnd::Answered(begun.response.status));
+            let written = writer.write_whole(&begun.response, &begun.content).await;
+            begun.give_back(&self.upstreams);
+            return if written.is_ok() { ServedEnd::Whole } else { ServedEnd::Broken };
+        }
+        let end = self.relay_stream(request, begun, history, writer, trace).await;
+        let result = match end {
+            RequestEnd::Answered(_) => ServedEnd::Whole,
+            _ => ServedEnd::Broken,
+        };
+        trace.end(end);
+        result
+    }
+
+    /// Passes a stream on, and continues it on another replica where it may be.
+    async fn relay_stream(
+        &self,
+        request: &RoutedRequest<'_>,
+        mut begun: BegunAnswer,
+        history: &mut AttemptHistory,
+        writer: &mut AnswerWriter,
+        trace: &RequestTrace,
+    ) -> RequestEnd {
+        let status = begun.response.status;
+        let resumable = request.route.kind == RouteKind::Stream && request.route.resumable;
+        let mut cutter = resumable.then(EventCutter::default);
+        let pause = cutter.as_ref().and(request.route.gap_target).map(|gap| gap * PAUSE_TARGETS);
+        let mut content = std::mem::take(&mut begun.content);
+        loop {
+            let whole = match &mut cutter {
+                Some(cutter) => cutter.accept(&content),
+                None => std::mem::take(&mut content),
+            };
+            content.clear();
+            let written = match writer.is_begun() {
+                false => writer.begin_stream(&begun.response, &whole).await,
+                true => writer.write_content(&whole).await,
+            };
+            if written.is_err() {
+                return RequestEnd::CallerLeft;
+            }
+            if begun.is_complete() {
+                let rest = cutter.as_mut().map(EventCutter::take_rest).unwrap_or_default();
+                begun.give_back(&self.upstreams);
+                return match writer.end_stream(&rest).await {
+                    Ok(()) => RequestEnd::Answered(status),
+                    Err(_) => RequestEnd::CallerLeft,
+                };
+            }
+            let left = request.deadline.saturating_sub(self.clock.now());
+            let wait = pause.filter(|_| self.may_repeat(request, history));
+            let limit = wait.map_or(left, |pause| pause.min(left));
+            let reading = begun.read_content(&mut content);
+            let reason = match self.clock.timeout(limit, reading).await {
+                Some(Ok(())) => continue,
+                Some(Err(err)) => format!("{err}"),
+                None => "no event in time".to_owned(),
+            };
+            begun.note_failure(self, &reason);
+            let Some(cutter) = &mut cutter else { return RequestEnd::Broken };
+            cutter.discard_partial();
+            match self.resume(request, cutter.last_id(), history, trace).await {
+                Some(next) => begun = next,
+                None => return RequestEnd::Broken,
+            }
+            content = std::mem::take(&mut begun.content);
+        }
+    }
+
+    /// Continues a stream after `last_event` on another replica.
+    async fn resume(
+        &self,
+        request: &RoutedRequest<'_>,
+        last_event: Option<&str>,
+        history: &mut AttemptHistory,
+        trace: &RequestTrace,
+    ) -> Option<BegunAnswer> {
+        while self.may_repeat(request, history) {
+            let target = self.next_target(request, history)?;
+            let terms = AttemptTerms { last_event, silence: None };
+            let end = self.attempt(request, &target, terms).await;
+            trace.attempt(request, &target, &end, self.clock.now());
+            match end {
+                AttemptEnd::Answer(begun) if begun.response.status < 300 => {
+                    history.ran += 1;
+                    return Some(*begun);
+                }
+                AttemptEnd::Answer(_) | AttemptEnd::Lost(_) | AttemptEnd::TimedOut => {
+                    history.ran += 1;
+                    history.sent += 1;
+                }
+                AttemptEnd::NotSent(_) => {}
+                AttemptEnd::NotExecuted(_) => history.sent += 1,
+            }
+        }
+        None
+    }
+}
+
+fn own_end(own: &OwnAnswer) -> RequestEnd {
+    match own.status {
+        503 => RequestEnd::Refused(own.reason),
+        504 => RequestEnd::TimedOut,
+        _ => RequestEnd::Lost(own.reason),
+    }
+}
+
+/// Waits until the caller closes its connection; bytes of its next request are kept.
+async fn caller_leaves(caller: &mut MessageStream) {
+    while caller.buffered_bytes() < MAX_AHEAD_BYTES {
+        match caller.fill().await {
+            Ok(true) => {}
+            Ok(false) | Err(_) => return,
+        }
+    }
+    future::pending().await
+}
--- /dev/null
+++ b/berylstep/src/gateway/settings.rs
@@ -0,0 +1,161 @@
+//! Settings of a gateway, from a JSON file that is rendered at deployment.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::budget::BudgetBounds;
+use displaydoc::Display;
+use serde::Deserialize;
+
+/// Why settings were not taken.
+#[derive(Debug, Display)]
+pub enum SettingsError {
+    /// cannot read {0}: {1}
+    Read(String, std::io::Error),
+    /// {0} is not valid: {1}
+    Parse(String, serde_json::Error),
+    /// {0}: {1} must be {2}
+    Range(String, &'static str, &'static str),
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Addresses at which a gateway listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct ListenSettings {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// The platform's readiness check.
+    pub readiness: SocketAddr,
+    /// Callers that ask for addresses.
+    pub directory: SocketAddr,
+}
+
+/// Settings of one gateway; docs/OPERATIONS.md lists them.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct GatewaySettings {
+    /// Name of the node.
+    pub node: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Region.
+    #[serde(default)]
+    pub region: SharedName,
+    /// Address of the VM.
+    pub ip_address: IpAddr,
+    /// First and last port for traffic between nodes.
+    pub peer_ports: (u16, u16),
+    /// Addresses of some nodes, of which the IP address counts; may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Addresses to listen on.
+    pub listen: ListenSettings,
+    /// Port of the metrics; 0 serves none.
+    #[serde(default)]
+    pub metrics_port: u16,
+    /// File descriptors that the process may have open.
+    #[serde(default = "default_descriptors")]
+    pub file_descriptors: usize,
+    /// Share of a core that the node may use.
+    #[serde(default = "whole_core")]
+    pub core_share: f64,
+    /// Table store of the platform.
+    pub store_address: SocketAddr,
+    /// Usage and order interface of the platform; absent where this deployment has none.
+    #[serde(default)]
+    pub cloud_address: Option<SocketAddr>,
+    /// Time between the signal to stop and the end of the process, in seconds.
+    pub stop_grace_s: f64,
+    /// Repeats allowed for each request, at all nodes together.
+    pub retry_ratio: f64,
+    /// Repeats allowed besides, at all nodes together.
+    pub retry_extra: f64,
+    /// Window of the retry budget, in seconds.
+    pub retry_window_s: f64,
+    /// Length of a usage window, in seconds.
+    #[serde(default = "default_usage_window")]
+    pub usage_window_s: u64,
+    /// Time after the end of a window until its report is due, in seconds.
+    #[serde(default = "default_usage_due")]
+    pub usage_due_s: u64,
+    /// Longest time for which callers may keep a list of addresses, in seconds.
+    #[serde(default = "default_directory_ttl")]
+    pub directory_ttl_max_s: f64,
+}
+
+/// A whole core, where the deployment does not tell.
+fn whole_core() -> f64 {
+    1.0
+}
+
+/// Usual limit of a process.
+fn default_descriptors() -> usize {
+    4096
+}
+
+/// Usage window where the deployment does not tell.
+fn default_usage_window() -> u64 {
+    5
+}
+
+/// Time to report usage where the deployment does not tell.
+fn default_usage_due() -> u64 {
+    10
+}
+
+/// Lifetime of an address list where the deployment does not tell.
+fn default_directory_ttl() -> f64 {
+    5.0
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let name = path.display().to_string();
+        let content = std::fs::read(path).map_err(|err| SettingsError::Read(name.clone(), err))?;
+        Self::parse(&name, &content)
+    }
+
+    /// Parses and checks the content of the settings file `name`.
+    pub fn parse(name: &str, content: &[u8]) -> Result<Self, SettingsError> {
+        let settings: Self = serde_json::from_slice(content)
+            .map_err(|err| SettingsError::Parse(name.to_owned(), err))?;
+        let range = |field, bounds| Err(SettingsError::Range(name.to_owned(), field, bounds));
+        match &settings {
+            s if s.node.is_empty() => range("node", "a name"),
+            s if s.peer_ports.0 == 0 => range("peer_ports", "above 0"),
+            s if s.stop_grace_s <= 0.0 => range("stop_grace_s", "above 0"),
+            s if s.retry_ratio < 0.0 => range("retry_ratio", "0 or above"),
+            s if s.retry_window_s <= 0.0 => range("retry_window_s", "above 0"),
+            s if s.usage_window_s == 0 => range("usage_window_s", "above 0"),
+            _ => Ok(settings),
+        }
+    }
+
+    /// Address for datagrams and queries of other nodes.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip_address, self.peer_ports.0)
+    }
+
+    /// Peer addresses of the seeds; ports are the same on all nodes.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_ports.0));
+        seeds.filter(|seed| *seed != self.peer_address()).collect()
+    }
+
+    /// Bounds of the retry budget.
+    pub fn retry_bounds(&self) -> BudgetBounds {
+        BudgetBounds {
+            ratio: self.retry_ratio,
+            extra: self.retry_extra,
+            window: Duration::from_secs_f64(self.retry_window_s),
+        }
+    }
+
+    /// Time between the signal to stop and the end of the process.
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_grace_s)
+    }
+}
--- /dev/null
+++ b/berylstep/src/gateway/usage.rs
@@ -0,0 +1,84 @@
+//! Usage that this node counted, and what other nodes told of theirs.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::truth::TrueTime;
+use berylstep_core::fleet::window::{NodeRun, UsageWindows, WindowCounts};
+
+use crate::clock::RuntimeClock;
+
+/// Counts by window of true time.
+#[derive(Debug)]
+pub struct UsageLedger {
+    clock: RuntimeClock,
+    run: NodeRun,
+    window: Duration,
+    windows: RefCell<UsageWindows>,
+    time: RefCell<TrueTime>,
+}
+
+impl UsageLedger {
+    /// An empty ledger of the run `run`.
+    pub fn new(clock: RuntimeClock, run: NodeRun, window: Duration) -> Self {
+        let ledger =
+            Self { clock, run, window, windows: RefCell::default(), time: RefCell::default() };
+        ledger.read_own_clock();
+        ledger
+    }
+
+    /// This start of this node.
+    pub fn run(&self) -> &NodeRun {
+        &self.run
+    }
+
+    /// Takes in this node's wall clock.
+    pub fn read_own_clock(&self) {
+        self.observe_clock(&self.run.node, self.clock.unix_ms());
+    }
+
+    /// Takes in the wall clock of a node, as it showed a moment ago.
+    pub fn observe_clock(&self, node: &SharedName, unix_ms: u64) {
+        self.time.borrow_mut().observe(node, unix_ms, self.clock.boot_time());
+    }
+
+    /// True time in milliseconds since the Unix epoch.
+    pub fn unix_ms(&self) -> u64 {
+        self.time.borrow_mut().unix_ms(self.clock.boot_time())
+    }
+
+    /// Window of the present moment.
+    pub fn present_window(&self) -> u64 {
+        self.unix_ms() / self.window.as_millis() as u64
+    }
+
+    /// Time since the end of a window; `None` where it has not ended.
+    pub fn age(&self, window: u64) -> Option<Duration> {
+        let end = (window + 1) * self.window.as_millis() as u64;
+        self.unix_ms().checked_sub(end).map(Duration::from_millis)
+    }
+
+    /// Counts a request of `organisation` that began to run now.
+    pub fn count(&self, organisation: &SharedName) {
+        let window = self.present_window();
+        self.windows.borrow_mut().count(&self.run, window, organisation);
+    }
+
+    /// Takes in what another node counted so far.
+    pub fn merge(&self, run: &NodeRun, window: u64, counts: &WindowCounts) {
+        self.windows.borrow_mut().merge(run, window, counts);
+    }
+
+    /// This node's counts of the windows that may still be reported.
+    pub fn own_counts(&self) -> Vec<(u64, WindowCounts)> {
+        let windows = self.windows.borrow();
+        let counts = windows.of_run(&self.run);
+        counts.map(|(window, counts)| (window, counts.clone())).collect()
+    }
+
+    /// Sum over all nodes of one window.
+    pub fn total(&self, window: u64) -> WindowCounts {
+        self.windows.borrow().total(window)
+    }
+}
--- a/berylstep/src/lease.rs
+++ b/berylstep/src/lease.rs
@@ -12,8 +12,8 @@
 use berylstep_core::rendezvous;
 
 use crate::clock::RuntimeClock;
+use crate::native::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::store;
 
 /// Prefix of the rows of leases.
--- a/berylstep/src/member.rs
+++ b/berylstep/src/member.rs
@@ -8,8 +8,8 @@
 use berylstep_core::rendezvous;
 use smol::channel::{bounded, Receiver, Sender};
 
+use crate::native::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::store;
 
 /// Prefix of the nodes' rows.
--- a/berylstep/src/operator/commit.rs
+++ b/berylstep/src/operator/commit.rs
@@ -5,8 +5,8 @@
 use berylstep_core::config::{ConfigChange, ConfigRevision};
 use serde::{Deserialize, Serialize};
 
+use crate::native::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, StoredRow, TableTransaction, TableWrite};
 use crate::tail::snapshot::ENTITY_PREFIX;
 use crate::tail::{log_key, VERSION_KEY};
 
--- a/berylstep/src/orders.rs
+++ b/berylstep/src/orders.rs
@@ -15,8 +15,8 @@
 use self::rows::StoredOrder;
 use self::view::SiteView;
 use crate::lease::LeaseKeeper;
+use crate::native::{OrderReceipt, PlatformError, UpstreamOrder};
 use crate::node::NodeContext;
-use crate::platform::{OrderReceipt, PlatformError, UpstreamOrder};
 use crate::store;
 
 /// Prefix of the names of zones' duties.
--- a/berylstep/src/orders/rows.rs
+++ b/berylstep/src/orders/rows.rs
@@ -3,8 +3,8 @@
 use berylstep_core::collections::HashMap;
 use berylstep_core::order::{OrderGroup, OrderRow};
 
+use crate::native::{PlatformError, TableTransaction, TableWrite};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, TableTransaction, TableWrite};
 use crate::store;
 
 /// Prefix of the rows of orders.
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -184,6 +184,9 @@
         Body::Challenge(_) | Body::Hello(_) => {
             log::warn!("handshake message on an open link: peer={from}");
         }
+        Body::FleetQuery(_) | Body::FleetCopy(_) => {
+            log::warn!("message of a fleet gateway on a peer link: peer={from}");
+        }
         Body::BurnRequest(request) => burn::reply(node, from, &request),
         Body::BurnReply(reply) => burn::receive(node, reply),
         Body::BurnHandover(handover) => burn::inherit(node, handover),
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -1,110 +1,126 @@
-//! The platform's interfaces: table service, object store, VM list, orders and usage reports.
+//! Adapter to the platform of the fleets that berylstep is deployed on.
 //!
-//! The traits are the edge of the process. [`http::HttpPlatform`] implements them over the JSON
-//! protocol of docs/PLATFORM.md; another platform is fitted by writing another implementation.
+//! It knows the names, formats and calls of that platform and translates them into the product's
+//! types; it decides nothing, and nothing outside it knows those names.
 
-pub mod http;
-pub mod types;
+pub mod cloud;
+pub mod desired;
+pub mod endpoints;
+pub mod entries;
+pub mod headers;
+pub mod store;
 
-use std::future::Future;
-use std::pin::Pin;
+use std::net::SocketAddr;
+use std::time::Duration;
 
-use berylstep_http::SendTerms;
+use berylstep_http::{ClientAnswer, ExchangeError};
 use displaydoc::Display;
+use http_types::{Method, Request, Url};
 
-pub use types::{
-    OrderReceipt, StoredRow, TableTransaction, TableWrite, TransactionResult, UpstreamKind,
-    UpstreamOrder, UsageFigure, UsageReport, VmEntry, VmRole, VmState,
-};
+use crate::clock::RuntimeClock;
+use crate::connections::{ConnectionChoice, ConnectionPool};
+
+/// Longest time to connect; the platform is within the region, so that a lost packet shows in less.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which an unacknowledged connection is given up; below the time within which a node
+/// has to notice that a connection has gone silent.
+const LOSS_DETECTION: Duration = Duration::from_millis(1200);
 
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-pub enum PlatformError {
-    /// platform cannot be reached: {0}
-    Unreachable(String),
-    /// platform did not answer, the call may have taken effect: {0}
+pub enum CallError {
+    /// not connected: {0}
+    NotSent(String),
+    /// no answer, the call may have taken effect: {0}
     AnswerLost(String),
-    /// platform rejected the call with status {0}: {1}
+    /// turned away with status {0}, the call had no effect
+    TurnedAway(u16),
+    /// rejected with status {0}: {1}
     Rejected(u16, String),
-    /// lease does not permit the call, nothing complete was sent
-    Withheld,
+    /// answer cannot be decoded: {0}
+    Malformed(String),
 }
 
-impl PlatformError {
-    /// Whether the receiver has seen a newer fencing number.
+impl std::error::Error for CallError {}
+
+impl CallError {
+    /// Whether the receiver has seen a newer fencing token.
     pub fn is_fenced_off(&self) -> bool {
-        matches!(self, Self::Rejected(FENCED_OFF, _))
+        matches!(self, Self::Rejected(CONFLICT, _))
     }
+}
 
-    /// Whether the call may have taken effect.
-    pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::AnswerLost(_))
+impl From<ExchangeError> for CallError {
+    fn from(err: ExchangeError) -> Self {
+        match err.may_have_run() {
+            true => Self::AnswerLost(err.to_string()),
+            false => Self::NotSent(err.to_string()),
+        }
     }
 }
 
-/// Status with which a receiver turns away an old fencing number.
-const FENCED_OFF: u16 = 409;
-
-impl std::error::Error for PlatformError {}
+const CONFLICT: u16 = 409;
+const TOO_MANY_REQUESTS: u16 = 429;
+const UNAVAILABLE: u16 = 503;
 
-/// Future of a call to the platform.
-pub type PlatformCall<'a, T> = Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
-
-/// Rows with versions, changed by conditional transactions.
-pub trait TableService: Send + Sync {
-    /// Reads one row.
-    fn row<'a>(&'a self, key: &'a str) -> PlatformCall<'a, Option<StoredRow>>;
-
-    /// Reads up to `limit` rows with keys that start with `prefix` and follow `after`, in order.
-    fn scan<'a>(
-        &'a self,
-        prefix: &'a str,
-        after: &'a str,
-        limit: usize,
-    ) -> PlatformCall<'a, Vec<StoredRow>>;
-
-    /// Applies all writes or none.
-    fn transact<'a>(
-        &'a self,
-        transaction: &'a TableTransaction,
-    ) -> PlatformCall<'a, TransactionResult>;
+/// HTTP calls to one service of the platform.
+#[derive(Debug)]
+pub struct PlatformClient {
+    address: SocketAddr,
+    clock: RuntimeClock,
+    connections: ConnectionPool,
 }
 
-/// Named blobs.
-pub trait ObjectStore: Send + Sync {
-    /// Reads an object.
-    fn get<'a>(&'a self, name: &'a str) -> PlatformCall<'a, Option<Vec<u8>>>;
+/// Status and body of an answer.
+type CallAnswer = (u16, Vec<u8>);
 
-    /// Creates or replaces an object.
-    fn put<'a>(&'a self, name: &'a str, content: Vec<u8>) -> PlatformCall<'a, ()>;
-}
+impl PlatformClient {
+    /// Talks to the service at `address`.
+    pub fn new(address: SocketAddr, clock: RuntimeClock) -> Self {
+        let pool = ConnectionPool::new(clock.clone(), CONNECT_TIMEOUT);
+        Self { address, clock, connections: pool.with_loss_detection(LOSS_DETECTION) }
+    }
 
-/// The lagging list of VMs.
-pub trait VmList: Send + Sync {
-    /// Reads the list.
-    fn vms(&self) -> PlatformCall<'_, Vec<VmEntry>>;
-}
+    /// Builds a call of `path` with a query.
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        query: &[(&str, &str)],
+    ) -> Result<Request, CallError> {
+        let url = format!("http://{}{path}", self.address);
+        let mut url = Url::parse(&url).map_err(|err| CallError::NotSent(err.to_string()))?;
+        if !query.is_empty() {
+            url.query_pairs_mut().extend_pairs(query);
+        }
+        Ok(Request::new(method, url))
+    }
 
-/// Orders of upstreams by availability zone.
-pub trait OrderDesk: Send + Sync {
-    /// Places an order, where `terms` permit it; the same order identifier has effect once.
-    fn place<'a>(
-        &'a self,
-        order: &'a UpstreamOrder,
-        terms: SendTerms<'a>,
-    ) -> PlatformCall<'a, OrderReceipt>;
-
-    /// Looks an order up by its identifier.
-    fn find<'a>(&'a self, order: &'a str) -> PlatformCall<'a, Option<OrderReceipt>>;
-}
+    /// Makes a call that is given up after `limit`; a status that says that nothing was done is an
+    /// error.
+    async fn call(&self, request: Request, limit: Duration) -> Result<CallAnswer, CallError> {
+        let exchanged = self.clock.timeout(limit, self.exchange(request)).await;
+        match exchanged {
+            Some(Ok((TOO_MANY_REQUESTS, _))) => Err(CallError::TurnedAway(TOO_MANY_REQUESTS)),
+            Some(Ok((UNAVAILABLE, _))) => Err(CallError::TurnedAway(UNAVAILABLE)),
+            Some(answer) => answer,
+            None => Err(CallError::AnswerLost("timeout".to_owned())),
+        }
+    }
 
-/// Usage reports by window.
-pub trait UsageDesk: Send + Sync {
-    /// Reports the figures of one window, where `terms` permit it.
-    fn report<'a>(&'a self, report: &'a UsageReport, terms: SendTerms<'a>) -> PlatformCall<'a, ()>;
+    async fn exchange(&self, request: Request) -> Result<CallAnswer, CallError> {
+        let exchanged = self.connections.exchange(self.address, request, ConnectionChoice::Any);
+        let ClientAnswer { mut response, reuse } = exchanged.await?;
+        let body = response.body_bytes().await;
+        let body = body.map_err(|err| CallError::AnswerLost(err.to_string()))?;
+        let status = response.status().into();
+        self.connections.give_back(self.address, reuse);
+        Ok((status, body))
+    }
 }
 
-/// All interfaces of the platform.
-pub trait Platform: TableService + ObjectStore + VmList + OrderDesk + UsageDesk {}
-
-impl<T: TableService + ObjectStore + VmList + OrderDesk + UsageDesk> Platform for T {}
+/// Turns an unexpected status into an error.
+fn rejected(status: u16, body: &[u8]) -> CallError {
+    CallError::Rejected(status, String::from_utf8_lossy(body).into_owned())
+}
--- /dev/null
+++ b/berylstep/src/platform/desired.rs
@@ -0,0 +1,220 @@
+//! The operator's desired state as the platform stores it.
+
+use std::time::Duration;
+
+use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::desired::{
+    CallerLimits, DesiredState, EngineShape, OrganisationEntry, RouteEntry, RouteKind, RouteTarget,
+    ScalingBounds, ServiceEntry,
+};
+use serde::Deserialize;
+
+/// Table of the operator's rows.
+pub const OPERATOR_TABLE: &str = "op";
+
+/// Key of the desired state.
+pub const DESIRED_KEY: &str = "config";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct DesiredBody {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
+    #[serde(default)]
+    limits: Option<LimitsBody>,
+    /// Absent where requests need no key.
+    #[serde(default)]
+    tenants: Option<Vec<TenantBody>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RouteBody {
+    name: String,
+    host: String,
+    prefix: String,
+    kind: String,
+    /// Time within which the request must have its final answer.
+    timeout_ms: f64,
+    /// Latency objective.
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    /// The only service, where there is no split.
+    #[serde(default)]
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<SplitBody>,
+    #[serde(default = "one")]
+    attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+    #[serde(default)]
+    gap_target_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct SplitBody {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ServiceBody {
+    name: String,
+    #[serde(default)]
+    connection_limit: Option<u32>,
+    #[serde(default)]
+    engine: Option<EngineBody>,
+    #[serde(default)]
+    scaling: Option<ScalingBody>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct EngineBody {
+    slots: u32,
+    kv_cache_tokens: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ScalingBody {
+    minimum: u32,
+    maximum: u32,
+    #[serde(default)]
+    boot_s: f64,
+    #[serde(default)]
+    spot_price: Option<f64>,
+    #[serde(default)]
+    zone_prices: HashMap<String, f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct LimitsBody {
+    header_bytes: usize,
+    body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct TenantBody {
+    name: String,
+    #[serde(default)]
+    keys: Vec<String>,
+    #[serde(default)]
+    priority: Option<u8>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Decodes a stored desired state.
+pub fn decode_desired(content: &[u8]) -> Result<DesiredState, serde_json::Error> {
+    let body: DesiredBody = serde_json::from_slice(content)?;
+    let limits = body.limits.map(LimitsBody::into_limits).unwrap_or_default();
+    let mut desired = DesiredState::new(body.version, limits, body.tenants.is_some());
+    for route in body.routes {
+        desired.add_route(route.into_route());
+    }
+    for service in body.services {
+        desired.add_service(service.into_service());
+    }
+    for tenant in body.tenants.into_iter().flatten() {
+        let organisation =
+            OrganisationEntry { name: tenant.name.into(), priority: tenant.priority };
+        for key in tenant.keys {
+            desired.add_key(key.into(), organisation.clone());
+        }
+    }
+    Ok(desired)
+}
+
+impl RouteBody {
+    fn into_route(self) -> RouteEntry {
+        let only = self.service.map(|service| SplitBody { service, weight: 1.0 });
+        let split = match self.traffic_split.is_empty() {
+            true => only.into_iter().collect(),
+            false => self.traffic_split,
+        };
+        let target =
+            |split: SplitBody| RouteTarget { service: split.service.into(), weight: split.weight };
+        RouteEntry {
+            name: self.name.into(),
+            host: self.host.to_ascii_lowercase().into(),
+            prefix: self.prefix.into(),
+            kind: match self.kind.as_str() {
+                "safe" => RouteKind::Safe,
+                "stream" => RouteKind::Stream,
+                // A kind that is not known here must not be repeated.
+                _ => RouteKind::Unsafe,
+            },
+            timeout: milliseconds(self.timeout_ms),
+            target: milliseconds(self.target_latency_ms),
+            gap_target: self.gap_target_ms.map(milliseconds),
+            priority: self.priority,
+            targets: split.into_iter().map(target).collect(),
+            attempts: self.attempts.max(1),
+            public: self.public,
+            resumable: self.resumable,
+        }
+    }
+}
+
+impl ServiceBody {
+    fn into_service(self) -> ServiceEntry {
+        let engine = self.engine.map(|engine| EngineShape {
+            slots: engine.slots,
+            memory_tokens: engine.kv_cache_tokens,
+        });
+        ServiceEntry {
+            name: self.name.into(),
+            connection_limit: self.connection_limit.unwrap_or(u32::MAX),
+            engine,
+            scaling: self.scaling.map(ScalingBody::into_bounds),
+        }
+    }
+}
+
+impl ScalingBody {
+    fn into_bounds(self) -> ScalingBounds {
+        let prices = self.zone_prices.into_iter();
+        let mut zone_prices: Vec<(SharedName, f64)> =
+            prices.map(|(zone, price)| (zone.into(), price)).collect();
+        zone_prices.sort_by(|(left, _), (right, _)| left.cmp(right));
+        ScalingBounds {
+            minimum: self.minimum,
+            maximum: self.maximum,
+            boot: milliseconds(self.boot_s * 1000.0),
+            spot_price: self.spot_price,
+            zone_prices,
+        }
+    }
+}
+
+impl LimitsBody {
+    fn into_limits(self) -> CallerLimits {
+        CallerLimits {
+            head_bytes: self.header_bytes,
+            body_bytes: self.body_bytes,
+            head_timeout: milliseconds(self.header_timeout_ms),
+            idle_timeout: milliseconds(self.idle_timeout_ms),
+        }
+    }
+}
+
+/// Times are whole numbers or fractions; a negative one is none.
+fn milliseconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value / 1000.0).unwrap_or_default()
+}
--- /dev/null
+++ b/berylstep/src/platform/entries.rs
@@ -0,0 +1,51 @@
+//! Entries in which replicas announce themselves.
+
+use std::net::SocketAddr;
+
+use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState};
+use serde::Deserialize;
+
+/// Table of the replicas' entries, by identifier.
+pub const REPLICA_TABLE: &str = "servers";
+
+/// What a replica writes of itself; other writers may leave fields out or mistype them.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct EntryBody {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    state: StateBody,
+    /// Whether the platform may reclaim the replica with its zone.
+    #[serde(default)]
+    spot: bool,
+    /// Start of the process; spelled in lower case by the platform.
+    #[serde(rename = "born", default)]
+    born: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StateBody {
+    Ready,
+    Draining,
+}
+
+/// Decodes the entry of the replica `id`.
+pub fn decode_entry(id: &str, content: &[u8]) -> Result<ReplicaEntry, serde_json::Error> {
+    let body: EntryBody = serde_json::from_slice(content)?;
+    Ok(ReplicaEntry {
+        id: id.into(),
+        service: body.service.into(),
+        address: body.address,
+        zone: body.zone.into(),
+        slots: body.slots,
+        state: match body.state {
+            StateBody::Ready => ReplicaState::Ready,
+            StateBody::Draining => ReplicaState::Draining,
+        },
+        spot: body.spot,
+        born: body.born,
+    })
+}
--- /dev/null
+++ b/berylstep/src/platform/store.rs
@@ -0,0 +1,230 @@
+//! The platform's table store: rows with versions, feeds of changes and conditional transactions.
+
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+
+use super::{rejected, CallError, PlatformClient};
+
+/// Longest time for one read or write; slow answers of the store take 0.3 s.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time beyond the wait of a feed call after which its answer is lost.
+const FEED_SLACK: Duration = Duration::from_millis(1500);
+
+const GONE: u16 = 410;
+const PRECONDITION_FAILED: u16 = 412;
+const OK: u16 = 200;
+
+/// One row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreRow {
+    /// Key within the table.
+    pub key: String,
+    /// Content; `None` where the row was removed.
+    pub value: Option<Vec<u8>>,
+    /// Version, from a counter that grows with each transaction of the store.
+    pub revision: u64,
+}
+
+/// Rows of a table as of one moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowSnapshot {
+    /// Rows in key order.
+    pub rows: Vec<StoreRow>,
+    /// Newest version of the store at that moment.
+    pub revision: u64,
+}
+
+/// Answer of a feed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FeedAnswer {
+    /// Rows that changed, in order, and the version to go on from.
+    Changes(RowSnapshot),
+    /// The store no longer has the history that was asked for.
+    HistoryGone,
+}
+
+/// A write that depends on a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowWrite {
+    /// Table.
+    pub table: &'static str,
+    /// Key within the table.
+    pub key: String,
+    /// New content.
+    pub value: Vec<u8>,
+    /// Version that the row must have, 0 where it must be absent; `None` takes any.
+    pub expected: Option<u64>,
+}
+
+/// Result of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CommitAnswer {
+    /// The writes took effect.
+    Committed,
+    /// Nothing was written; present rows of those whose versions were expected.
+    Conflict(Vec<StoreRow>),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RowsBody {
+    #[serde(default)]
+    rows: Vec<RowBody>,
+    #[serde(default)]
+    has_more: bool,
+    #[serde(default)]
+    row_version: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RowBody {
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+    #[serde(default)]
+    row_version: u64,
+    #[serde(default)]
+    deleted: bool,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct TransactionBody<'a> {
+    expected: Vec<ExpectedBody<'a>>,
+    puts: Vec<PutBody<'a>>,
+    drops: Vec<DropBody<'a>>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct ExpectedBody<'a> {
+    table: &'a str,
+    /// The only field that the platform spells in lower case.
+    #[serde(rename = "part")]
+    part: &'a str,
+    key: &'a str,
+    row_version: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct PutBody<'a> {
+    table: &'a str,
+    #[serde(rename = "part")]
+    part: &'a str,
+    key: &'a str,
+    value: String,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct DropBody<'a> {
+    table: &'a str,
+    #[serde(rename = "part")]
+    part: &'a str,
+    key: &'a str,
+}
+
+impl PlatformClient {
+    /// Reads all rows of a table whose keys are at least `from`.
+    pub async fn rows(&self, table: &str, from: &str) -> Result<RowSnapshot, CallError> {
+        let mut snapshot = RowSnapshot { rows: Vec::new(), revision: 0 };
+        let mut from = from.to_owned();
+        loop {
+            let query = [("Table", table), ("part", ""), ("From", &*from)];
+            let request = self.request(Method::Get, "/v1/rows-get", &query)?;
+            let (status, body) = self.call(request, CALL_TIMEOUT).await?;
+            if status != OK {
+                return Err(rejected(status, &body));
+            }
+            let page: RowsBody = decode(&body)?;
+            // Later pages may be newer; the feed repeats what changed after the first.
+            if snapshot.revision == 0 {
+                snapshot.revision = page.row_version;
+            }
+            snapshot.rows.extend(page.rows.into_iter().map(decode_row));
+            match snapshot.rows.last() {
+                // The next key in byte order.
+                Some(last) if page.has_more => from = format!("{}\0", last.key),
+                _ => return Ok(snapshot),
+            }
+        }
+    }
+
+    /// Waits for changes of a table after the version `after`.
+    pub async fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<FeedAnswer, CallError> {
+        let (after, wait_ms) = (after.to_string(), wait.as_millis().to_string());
+        let query = [("Table", table), ("AfterRevision", &*after), ("WaitMs", &*wait_ms)];
+        let request = self.request(Method::Get, "/v1/rows-feed", &query)?;
+        let (status, body) = self.call(request, wait + FEED_SLACK).await?;
+        match status {
+            OK => {
+                let body: RowsBody = decode(&body)?;
+                let rows = body.rows.into_iter().map(decode_row).collect();
+                Ok(FeedAnswer::Changes(RowSnapshot { rows, revision: body.row_version }))
+            }
+            GONE => Ok(FeedAnswer::HistoryGone),
+            status => Err(rejected(status, &body)),
+        }
+    }
+
+    /// Applies all writes and removals, or none.
+    pub async fn commit(
+        &self,
+        writes: &[RowWrite],
+        removals: &[(&'static str, String)],
+    ) -> Result<CommitAnswer, CallError> {
+        let expected = writes.iter().filter_map(|write| {
+            let row_version = write.expected?;
+            Some(ExpectedBody { table: write.table, part: "", key: &write.key, row_version })
+        });
+        let puts = writes.iter().map(|write| {
+            let value = STANDARD.encode(&write.value);
+            PutBody { table: write.table, part: "", key: &write.key, value }
+        });
+        let drops = removals.iter().map(|(table, key)| DropBody { table, part: "", key });
+        let body = TransactionBody {
+            expected: expected.collect(),
+            puts: puts.collect(),
+            drops: drops.collect(),
+        };
+        let mut request = self.request(Method::Post, "/v1/rows-tx", &[])?;
+        request.set_body(encode(&body)?);
+        request.set_content_type(http_types::mime::JSON);
+        let (status, body) = self.call(request, CALL_TIMEOUT).await?;
+        match status {
+            OK => Ok(CommitAnswer::Committed),
+            PRECONDITION_FAILED => {
+                let body: RowsBody = decode(&body)?;
+                Ok(CommitAnswer::Conflict(body.rows.into_iter().map(decode_row).collect()))
+            }
+            status => Err(rejected(status, &body)),
+        }
+    }
+}
+
+/// Content that is not base64 is kept empty; whoever reads the row reports it as malformed.
+fn decode_row(row: RowBody) -> StoreRow {
+    let value = row.value.unwrap_or_default();
+    let value = (!row.deleted).then(|| STANDARD.decode(value).unwrap_or_default());
+    StoreRow { key: row.key, value, revision: row.row_version }
+}
+
+pub(super) fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, CallError> {
+    serde_json::from_slice(body).map_err(|err| CallError::Malformed(err.to_string()))
+}
+
+pub(super) fn encode(body: &impl Serialize) -> Result<Vec<u8>, CallError> {
+    serde_json::to_vec(body).map_err(|err| CallError::NotSent(err.to_string()))
+}
--- a/berylstep/src/tail.rs
+++ b/berylstep/src/tail.rs
@@ -17,8 +17,8 @@
 use berylstep_wire::{ConfigEntries, ConfigEntry, ConfigRequest};
 use smol::channel::{bounded, Receiver, Sender};
 
+use crate::native::{PlatformError, StoredRow};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, StoredRow};
 
 /// Row that holds the newest version of the configuration.
 pub const VERSION_KEY: &str = "config/version";
--- a/berylstep/src/tail/snapshot.rs
+++ b/berylstep/src/tail/snapshot.rs
@@ -9,8 +9,8 @@
 use sha2::{Digest, Sha256};
 
 use super::{log_key, LOG_PREFIX, VERSION_KEY};
+use crate::native::{PlatformError, TableTransaction, TableWrite};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, TableTransaction, TableWrite};
 use crate::store;
 
 /// Row that names the newest snapshots.
--- a/berylstep/src/upstream.rs
+++ b/berylstep/src/upstream.rs
@@ -14,8 +14,8 @@
 
 use crate::config::SlotPolicy;
 use crate::connections::ConnectionChoice;
+use crate::native::{VmEntry, VmRole, VmState};
 use crate::node::NodeContext;
-use crate::platform::{VmEntry, VmRole, VmState};
 use crate::slots;
 
 /// Time between reads of the VM list.
--- a/berylstep/src/usage/report.rs
+++ b/berylstep/src/usage/report.rs
@@ -9,10 +9,10 @@
 
 use super::rows;
 use crate::lease::LeaseKeeper;
-use crate::node::NodeContext;
-use crate::platform::{
+use crate::native::{
     PlatformError, StoredRow, TableTransaction, TableWrite, UsageFigure, UsageReport,
 };
+use crate::node::NodeContext;
 use crate::store;
 
 /// Row that holds the newest sealed window.
--- a/berylstep/src/usage/rows.rs
+++ b/berylstep/src/usage/rows.rs
@@ -6,8 +6,8 @@
 
 use berylstep_core::usage::{CountRecords, CountRow, CountWrite, UsageSource, VersionedCount};
 
+use crate::native::{PlatformError, StoredRow, TableTransaction, TableWrite, TransactionResult};
 use crate::node::NodeContext;
-use crate::platform::{PlatformError, StoredRow, TableTransaction, TableWrite, TransactionResult};
 use crate::store;
 
 /// Prefix of the rows of counters; one shard today.
--- a/berylstep/tests/pages.rs
+++ b/berylstep/tests/pages.rs
@@ -8,8 +8,8 @@
 use berylstep::clock::RuntimeClock;
 use berylstep::config::settings::variable_of;
 use berylstep::config::NodeSettings;
+use berylstep::native::http::HttpPlatform;
 use berylstep::node::NodeContext;
-use berylstep::platform::http::HttpPlatform;
 use berylstep_core::refusal::RefusalReason;
 
 const PAGE: &str = include_str!("../../docs/OPERATING.md");
--- /dev/null
+++ b/berylstep_core/src/fleet.rs
@@ -0,0 +1,10 @@
+//! A fleet of upstreams that announce themselves, and the desired state that routes to them.
+
+pub mod budget;
+pub mod capacity;
+pub mod choice;
+pub mod desired;
+pub mod events;
+pub mod replica;
+pub mod truth;
+pub mod window;
--- /dev/null
+++ b/berylstep_core/src/fleet/choice.rs
@@ -0,0 +1,143 @@
+//! Which replica serves a request.
+//!
+//! Long prompts delay the tokens of every request that runs beside them, so that a part of a
+//! model's replicas is kept for short prompts. Within a group, requests of one session go to the
+//! same replica, which has their shared prompt in memory, unless it has much more work than others.
+
+use std::time::Duration;
+
+use crate::collections::SharedName;
+use crate::fleet::replica::{ReplicaRow, ReplicaTable, OUTPUT_TOKEN_WORK, PLAIN_REQUEST_WORK};
+use crate::rendezvous;
+
+/// Longest prompt of the short group, in tokens: the longest that delays a step by less than a
+/// tenth of the usual pause between events.
+pub const SHORT_PROMPT_TOKENS: u64 = 3000;
+
+/// Share of a model's replicas that is kept for short prompts.
+const SHORT_SHARE: f64 = 1.0 / 3.0;
+
+/// Most work of a session's replica in relation to the mean of its group.
+const SESSION_LOAD_BOUND: f64 = 1.5;
+
+/// Work above the bound that a session's replica may always have; about one long prompt.
+const SESSION_LOAD_SLACK: u64 = 12_000;
+
+/// Work that a replica in another availability zone must save to be worth the way there.
+const ZONE_WORK: u64 = 400;
+
+/// Size of a model request, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestSize {
+    /// Prompt.
+    pub prompt: u64,
+    /// Most output.
+    pub output: u64,
+}
+
+impl RequestSize {
+    /// Work of the whole request; `None` is a request without tokens.
+    pub fn work(size: Option<Self>) -> u64 {
+        size.map_or(PLAIN_REQUEST_WORK, |size| size.prompt + OUTPUT_TOKEN_WORK * size.output)
+    }
+}
+
+/// What is to be placed.
+#[derive(Clone, Debug)]
+pub struct PlacementAsk<'a> {
+    /// Service that is to serve it.
+    pub service: &'a str,
+    /// Size, where it is a model request.
+    pub size: Option<RequestSize>,
+    /// Prompt part that its session shares.
+    pub session: Option<&'a str>,
+    /// Availability zone of this node.
+    pub zone: &'a str,
+    /// Replicas that are not to be used.
+    pub excluded: &'a [SharedName],
+}
+
+/// Replica group of a model request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SizeGroup {
+    Short,
+    Long,
+}
+
+/// Picks a replica; `None` where the service has none that takes requests.
+pub fn choose(table: &ReplicaTable, ask: &PlacementAsk<'_>, now: Duration) -> Option<SharedName> {
+    let mut rows: Vec<&ReplicaRow> = table.ready(ask.service).collect();
+    rows.sort_unstable_by(|left, right| left.entry.id.cmp(&right.entry.id));
+    let usable = |row: &&ReplicaRow| !ask.excluded.contains(&row.entry.id);
+    let Some(size) = ask.size else {
+        return least_loaded(rows.into_iter().filter(usable), ask.zone, now);
+    };
+    let group = match size.prompt <= SHORT_PROMPT_TOKENS {
+        true => SizeGroup::Short,
+        false => SizeGroup::Long,
+    };
+    let is_short = short_group(&rows);
+    let members = |wanted: SizeGroup| {
+        let flags = rows.iter().zip(&is_short);
+        let members = flags.filter(move |(_, short)| **short == (wanted == SizeGroup::Short));
+        members.map(|(row, _)| *row).filter(usable).filter(|row| row.is_sound(now))
+    };
+    let own: Vec<_> = members(group).collect();
+    if let Some(id) = within_group(&own, ask) {
+        return Some(id);
+    }
+    let other = match group {
+        SizeGroup::Short => SizeGroup::Long,
+        SizeGroup::Long => SizeGroup::Short,
+    };
+    let spill: Vec<_> = members(other).collect();
+    within_group(&spill, ask)
+        .or_else(|| least_loaded(rows.iter().copied().filter(usable), ask.zone, now))
+}
+
+/// Tells for each replica whether it is kept for short prompts; zones take turns, so that the loss
+/// of one leaves both groups some.
+fn short_group(rows: &[&ReplicaRow]) -> Vec<bool> {
+    let wanted = match rows.len() {
+        0 | 1 => 0,
+        count => ((count as f64 * SHORT_SHARE).round() as usize).clamp(1, count - 1),
+    };
+    let mut places: Vec<(usize, &str, usize)> = Vec::with_capacity(rows.len());
+    for (index, row) in rows.iter().enumerate() {
+        let zone = &*row.entry.zone;
+        let in_zone = places.iter().filter(|(_, other, _)| *other == zone).count();
+        places.push((in_zone, zone, index));
+    }
+    places.sort_unstable();
+    let mut flags = vec![false; rows.len()];
+    for (_, _, index) in places.into_iter().take(wanted) {
+        flags[index] = true;
+    }
+    flags
+}
+
+/// Replica of the session, or the next in its order that has not much more work than others.
+fn within_group(group: &[&ReplicaRow], ask: &PlacementAsk<'_>) -> Option<SharedName> {
+    let total: u64 = group.iter().map(|row| row.work()).sum();
+    let mean = total as f64 / group.len().max(1) as f64;
+    let bound = (mean * SESSION_LOAD_BOUND) as u64 + SESSION_LOAD_SLACK;
+    let least = group.iter().min_by_key(|row| row.work())?;
+    let Some(session) = ask.session else {
+        return Some(least.entry.id.clone());
+    };
+    let within = group.iter().filter(|row| row.work() <= bound);
+    let first = within.max_by_key(|row| rendezvous::score(session, &row.entry.id));
+    Some(first.unwrap_or(least).entry.id.clone())
+}
+
+fn least_loaded<'a>(
+    rows: impl Iterator<Item = &'a ReplicaRow>,
+    zone: &str,
+    now: Duration,
+) -> Option<SharedName> {
+    let cost = |row: &&ReplicaRow| {
+        let way = if &*row.entry.zone == zone { 0 } else { ZONE_WORK };
+        (!row.is_sound(now), row.work() + way)
+    };
+    rows.min_by_key(cost).map(|row| row.entry.id.clone())
+}
--- /dev/null
+++ b/berylstep_core/src/fleet/window.rs
@@ -0,0 +1,88 @@
+//! Usage by window of true time, summed over nodes.
+//!
+//! Each node counts what it saw and tells all others its whole count of a window again and again,
+//! so that a message that is lost or comes twice changes nothing, and the count of a node that is
+//! killed stays known.
+
+use std::collections::BTreeMap;
+
+use crate::collections::{HashMap, SharedName};
+
+/// Windows that are kept; a report is due two windows after its window ended.
+const KEPT_WINDOWS: u64 = 6;
+
+/// Counts of one window by organisation.
+pub type WindowCounts = BTreeMap<SharedName, u64>;
+
+/// One start of one node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct NodeRun {
+    /// Name of the node.
+    pub node: SharedName,
+    /// Number of the start.
+    pub incarnation: u64,
+}
+
+/// Counts of all nodes.
+#[derive(Clone, Debug, Default)]
+pub struct UsageWindows {
+    counts: HashMap<u64, HashMap<NodeRun, WindowCounts>>,
+    newest: u64,
+}
+
+impl UsageWindows {
+    /// Counts one request of `organisation`.
+    pub fn count(&mut self, run: &NodeRun, window: u64, organisation: &SharedName) {
+        self.advance(window);
+        if let Some(counts) = self.entry(run, window) {
+            *counts.entry(organisation.clone()).or_default() += 1;
+        }
+    }
+
+    /// Takes in what another node counted in a window so far.
+    pub fn merge(&mut self, run: &NodeRun, window: u64, told: &WindowCounts) {
+        self.advance(window);
+        if let Some(counts) = self.entry(run, window) {
+            for (organisation, count) in told {
+                let known = counts.entry(organisation.clone()).or_default();
+                *known = (*known).max(*count);
+            }
+        }
+    }
+
+    /// Counts of one run, by window.
+    pub fn of_run<'a>(
+        &'a self,
+        run: &'a NodeRun,
+    ) -> impl Iterator<Item = (u64, &'a WindowCounts)> + 'a {
+        let windows = self.counts.iter();
+        windows.filter_map(move |(window, runs)| runs.get(run).map(|counts| (*window, counts)))
+    }
+
+    /// Sum over all nodes of one window.
+    pub fn total(&self, window: u64) -> WindowCounts {
+        let mut total = WindowCounts::new();
+        for counts in self.counts.get(&window).into_iter().flat_map(|runs| runs.values()) {
+            for (organisation, count) in counts {
+                *total.entry(organisation.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+
+    /// Drops windows that are too old, as seen from `window`.
+    pub fn advance(&mut self, window: u64) {
+        if window <= self.newest {
+            return;
+        }
+        self.newest = window;
+        self.counts.retain(|kept, _| kept + KEPT_WINDOWS > window);
+    }
+
+    fn entry(&mut self, run: &NodeRun, window: u64) -> Option<&mut WindowCounts> {
+        if window + KEPT_WINDOWS <= self.newest {
+            return None;
+        }
+        Some(self.counts.entry(window).or_default().entry(run.clone()).or_default())
+    }
+}
--- a/berylstep_core/src/lib.rs
+++ b/berylstep_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod collections;
 pub mod config;
 pub mod estimate;
+pub mod fleet;
 pub mod key;
 pub mod lease;
 pub mod limits;
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -107,6 +107,12 @@
         Ok(Self { stream })
     }
 
+    /// Finds out within about twice `limit` that the connection has gone silent.
+    pub fn detect_loss_within(self, limit: Duration) -> Result<Self, ExchangeError> {
+        socket::configure_prompt(&self.stream, limit).map_err(ExchangeError::Connect)?;
+        Ok(self)
+    }
+
     /// Whether the idle connection is still open.
     pub fn is_open(&self) -> bool {
         socket::is_idle_and_open(&self.stream)
--- a/berylstep_http/src/head.rs
+++ b/berylstep_http/src/head.rs
@@ -6,7 +6,7 @@
 /// Longest accepted message head, in bytes; `async-h1` takes no longer ones.
 pub const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
 
-const MAX_HEADERS: usize = 128;
+pub(crate) const MAX_HEADERS: usize = 128;
 const READ_BYTES: usize = 4 * 1024;
 /// Blank line that ends a head.
 pub(crate) const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -166,12 +166,12 @@
     Ok(ResponseHead { bytes: bytes.to_vec(), status, framing, keep_alive })
 }
 
-fn find_head_end(buffer: &[u8], from: usize) -> Option<usize> {
+pub(crate) fn find_head_end(buffer: &[u8], from: usize) -> Option<usize> {
     let found = buffer[from..].windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
     Some(from + found + HEAD_END.len())
 }
 
-fn body_framing(headers: &[httparse::Header<'_>]) -> Result<BodyFraming, HeadError> {
+pub(crate) fn body_framing(headers: &[httparse::Header<'_>]) -> Result<BodyFraming, HeadError> {
     let mut length: Option<u64> = None;
     let mut chunked = false;
     for header in headers {
@@ -205,7 +205,7 @@
     digits.parse().map_err(|_| HeadError::Malformed("content length is out of range"))
 }
 
-fn has_token(headers: &[httparse::Header<'_>], name: &str, token: &str) -> bool {
+pub(crate) fn has_token(headers: &[httparse::Header<'_>], name: &str, token: &str) -> bool {
     let named = headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
     let mut values = named.filter_map(|header| std::str::from_utf8(header.value).ok());
     values.any(|value| value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token)))
--- a/berylstep_http/src/lib.rs
+++ b/berylstep_http/src/lib.rs
@@ -8,10 +8,14 @@
 pub mod client;
 pub mod framed;
 pub mod head;
+pub mod message;
 pub mod server;
 pub mod socket;
 
 pub use body::{fed_body, produced_body, BodySender};
 pub use client::{ClientAnswer, ClientConnection, ExchangeError, SendTerms};
-pub use head::HeadError;
+pub use head::{BodyFraming, HeadError};
+pub use message::{
+    BodyDecoder, BodyError, HeaderList, MessageStream, RequestMessage, ResponseMessage,
+};
 pub use server::{ReceiveError, ReceivedRequest, ServerConnection};
--- a/berylstep_http/src/socket.rs
+++ b/berylstep_http/src/socket.rs
@@ -29,6 +29,18 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Sets no-delay, and finds a dead peer within about twice `limit`.
+pub fn configure_prompt(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(limit.max(Duration::from_secs(1)))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(1);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(limit))
+}
+
 /// Gives up unacknowledged bytes after `limit`, and unsent ones when the stream is dropped.
 pub fn limit_delivery(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22, 23, 24"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -52,6 +52,10 @@
         BurnReply(super::BurnReply),
         #[prost(message, tag = "22")]
         BurnHandover(super::BurnHandover),
+        #[prost(message, tag = "23")]
+        FleetQuery(super::FleetQuery),
+        #[prost(message, tag = "24")]
+        FleetCopy(super::FleetCopy),
     }
 }
 /// First frame of the accepting side.
@@ -415,3 +419,121 @@
     #[prost(message, optional, tag = "4")]
     pub span: ::core::option::Option<BurnSpan>,
 }
+/// Heartbeat of a fleet node, sent as one datagram.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct FleetPulse {
+    #[prost(string, tag = "1")]
+    pub node: ::prost::alloc::string::String,
+    /// Number of the node's start, grows with each.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    #[prost(string, tag = "4")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(string, tag = "5")]
+    pub region: ::prost::alloc::string::String,
+    /// Address for callers.
+    #[prost(string, tag = "6")]
+    pub caller_address: ::prost::alloc::string::String,
+    /// Whether callers may be sent to the node.
+    #[prost(bool, tag = "7")]
+    pub ready: bool,
+    /// Whether the node is about to stop.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
+    /// Wall clock of the sender in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "9")]
+    pub unix_ms: u64,
+    /// Version of the desired state in force.
+    #[prost(uint64, tag = "10")]
+    pub desired_version: u64,
+    /// Newest version in the store of an entry of the replica list that the sender knows.
+    #[prost(uint64, tag = "11")]
+    pub replica_revision: u64,
+    /// Fencing number under which the sender holds the duties; 0 where it does not.
+    #[prost(uint64, tag = "12")]
+    pub duty_fencing: u64,
+    #[prost(message, repeated, tag = "13")]
+    pub work: ::prost::alloc::vec::Vec<ReplicaWork>,
+    #[prost(message, repeated, tag = "14")]
+    pub usage: ::prost::alloc::vec::Vec<WindowUsage>,
+    /// Addresses for datagrams of other nodes that the sender hears.
+    #[prost(string, repeated, tag = "15")]
+    pub peers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Share of a core that the node has, in thousandths.
+    #[prost(uint32, tag = "16")]
+    pub core_permille: u32,
+    #[prost(message, repeated, tag = "17")]
+    pub demand: ::prost::alloc::vec::Vec<ClassDemand>,
+}
+/// Work in progress of the sender at one replica.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ReplicaWork {
+    /// Hash of the replica's identifier.
+    #[prost(fixed32, tag = "1")]
+    pub replica: u32,
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    #[prost(uint64, tag = "3")]
+    pub work: u64,
+}
+/// Requests that began within one window, as counted by the sender so far.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct WindowUsage {
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub organisations: ::prost::alloc::vec::Vec<OrganisationUsage>,
+}
+/// Count of one organisation.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OrganisationUsage {
+    #[prost(string, tag = "1")]
+    pub organisation: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub requests: u64,
+}
+/// Recent demand of one service at the sender.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ClassDemand {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Work that arrived, in prompt tokens a second.
+    #[prost(uint64, tag = "2")]
+    pub work_per_second: u64,
+    /// Requests refused a second, in thousandths.
+    #[prost(uint32, tag = "3")]
+    pub refused_permille: u32,
+}
+/// Asks a fleet node for what it knows of the store's content.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct FleetQuery {
+    #[prost(uint64, tag = "1")]
+    pub desired_version: u64,
+    #[prost(uint64, tag = "2")]
+    pub replica_revision: u64,
+}
+/// Answer to a fleet query; absent parts are no newer than what the asking node has.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct FleetCopy {
+    /// Desired state as stored; empty where absent.
+    #[prost(bytes = "vec", tag = "1")]
+    pub desired: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bool, tag = "2")]
+    pub has_replicas: bool,
+    #[prost(uint64, tag = "3")]
+    pub replica_revision: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub replicas: ::prost::alloc::vec::Vec<ReplicaCopy>,
+}
+/// One entry of the replica list as stored.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ReplicaCopy {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub value: ::prost::alloc::vec::Vec<u8>,
+}
