Order replicas by measured demand, mostly reclaimable ones

Ruled out: ordering from the first replica list.

Change: nodes tell their demand in pulses; the duty holder plans replicas by zone so that the loss of one zone's reclaimable ones is borne, and orders what differs.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -5,12 +5,14 @@
 pub mod answer;
 pub mod attempt;
 pub mod callers;
+pub mod demand;
 pub mod duties;
 pub mod endpoints;
 pub mod feeds;
 pub mod handon;
 pub mod mirror;
 pub mod observe;
+pub mod orders;
 pub mod peers;
 pub mod request;
 pub mod settings;
@@ -33,6 +35,7 @@
 
 use crate::clock::RuntimeClock;
 use crate::gateway::callers::CallerListener;
+use crate::gateway::demand::DemandLedger;
 use crate::gateway::duties::DutyKeeper;
 use crate::gateway::endpoints::EndpointDesk;
 use crate::gateway::feeds::{FollowedTable, TableFollower};
@@ -125,6 +128,7 @@
     let window = Duration::from_secs(settings.usage_window_s);
     let usage = Rc::new(UsageLedger::new(clock.clone(), run, window));
     let duty_fencing = Rc::new(Cell::new(0));
+    let demand = Rc::new(DemandLedger::new(clock.clone()));
     let store = Rc::new(PlatformClient::new(settings.store_address, clock.clone()));
     for table in [FollowedTable::Desired, FollowedTable::Replicas] {
         let follower = TableFollower {
@@ -143,6 +147,7 @@
         usage: usage.clone(),
         stop: stop.clone(),
         duty_fencing: duty_fencing.clone(),
+        demand: demand.clone(),
         socket: sockets.pulses,
     });
     tasks.spawn(pulses.clone().send()).detach();
@@ -172,6 +177,7 @@
         usage: usage.clone(),
         stop: stop.clone(),
         metrics: metrics.clone(),
+        demand: demand.clone(),
         budgets: RefCell::default(),
     });
     tasks.spawn(close_idle(desk.clone())).detach();
@@ -193,6 +199,7 @@
             usage.clone(),
             duty_fencing,
             metrics.clone(),
+            demand,
         ))
     });
     if let Some(duties) = &duties {
--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -12,8 +12,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::RuntimeClock;
+use crate::gateway::demand::DemandLedger;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::observe::GatewayMetrics;
+use crate::gateway::orders::OrderDesk;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageLedger;
@@ -69,6 +71,7 @@
     lease: RefCell<DutyLease>,
     closing: Cell<bool>,
     reported: Cell<u64>,
+    orders: OrderDesk,
 }
 
 impl DutyKeeper {
@@ -84,6 +87,7 @@
         usage: Rc<UsageLedger>,
         fencing: Rc<Cell<u64>>,
         metrics: Rc<GatewayMetrics>,
+        demand: Rc<DemandLedger>,
     ) -> Self {
         let run = usage.run();
         let times = LeaseTimes { expiry: LEASE_EXPIRY };
@@ -91,6 +95,7 @@
             DutyLease::new(run.node.clone(), run.incarnation, times, ReceiverFencing::Checked);
         // Windows before this node started can't be known whole.
         let reported = Cell::new(usage.present_window());
+        let orders = OrderDesk::new(clock.clone(), mirror.clone(), peers.clone(), demand);
         Self {
             settings,
             clock,
@@ -104,6 +109,7 @@
             lease: RefCell::new(lease),
             closing: Cell::new(false),
             reported,
+            orders,
         }
     }
 
@@ -111,6 +117,7 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             self.clock.sleep(DUTY_LOOK).await;
+            self.orders.observe();
             if self.closing.get() {
                 continue;
             }
@@ -119,6 +126,7 @@
             }
             self.publish_fencing();
             if self.permit().is_some() {
+                self.place_orders().await;
                 self.report_usage().await;
             }
         }
@@ -216,6 +224,48 @@
         result.map(|_| ())
     }
 
+    /// Places the orders that are due.
+    async fn place_orders(&self) {
+        for order in self.orders.due() {
+            let Some(fencing) = self.permit() else { return };
+            let terms = DutyTerms { holder: &self.settings.node, fencing };
+            let result = self.cloud.order_replicas(terms, &order).await;
+            let outcome = match &result {
+                Ok(()) => "accepted".to_owned(),
+                Err(err) => format!("failed: {err}"),
+            };
+            log::info!(
+                "event=replicas_ordered service={} zone={} spot={} count={} fencing={fencing} \
+                 outcome=\"{outcome}\"",
+                order.service,
+                order.zone,
+                order.spot,
+                order.count
+            );
+            self.orders.note(&order, &result);
+            if result.is_err_and(|err| err.is_fenced_off()) && !self.still_holds().await {
+                return;
+            }
+        }
+    }
+
+    /// Reads the lease anew after a call was turned away: either a newer holder was seen, or there
+    /// was nothing to be had.
+    async fn still_holds(&self) -> bool {
+        let read = self.store.rows(DUTY_TABLE, LEASE_KEY).await;
+        let row = match read {
+            Ok(snapshot) => snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY),
+            Err(err) => {
+                log::warn!("event=lease_not_read error=\"{err}\" outcome=surrendered");
+                self.lease.borrow_mut().surrender();
+                return false;
+            }
+        };
+        let now = self.read_clocks();
+        self.lease.borrow_mut().observe(now, row.and_then(parse_lease));
+        self.permit().is_some()
+    }
+
     /// Reports the windows that are due.
     async fn report_usage(&self) {
         let present = self.usage.present_window();
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -18,6 +18,7 @@
 use smol::net::UdpSocket;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::demand::DemandLedger;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stop::StopSignal;
@@ -139,6 +140,8 @@
     pub stop: Rc<StopSignal>,
     /// Fencing token under which this node holds the duties; 0 where it does not.
     pub duty_fencing: Rc<Cell<u64>>,
+    /// Demand.
+    pub demand: Rc<DemandLedger>,
     /// Socket.
     pub socket: UdpSocket,
 }
@@ -265,7 +268,7 @@
             usage,
             peers,
             core_permille: (self.settings.core_share * 1000.0) as u32,
-            demand: Vec::new(),
+            demand: self.demand.message(),
         }
     }
 
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -7,7 +7,7 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::budget::ShareBudget;
-use berylstep_core::fleet::choice::{self, PlacementAsk};
+use berylstep_core::fleet::choice::{self, PlacementAsk, RequestSize};
 use berylstep_core::fleet::desired::{RouteEntry, RouteKind};
 use berylstep_core::fleet::events::EventCutter;
 use berylstep_http::{MessageStream, RequestMessage};
@@ -16,6 +16,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::answer::{AnswerWriter, OwnAnswer};
 use crate::gateway::attempt::{AttemptEnd, AttemptTerms, BegunAnswer, ReplicaTarget};
+use crate::gateway::demand::DemandLedger;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::observe::{GatewayMetrics, RequestEnd, RequestTrace};
 use crate::gateway::peers::PeerTable;
@@ -62,6 +63,8 @@
     pub stop: Rc<StopSignal>,
     /// Metrics.
     pub metrics: Rc<GatewayMetrics>,
+    /// Demand.
+    pub demand: Rc<DemandLedger>,
     /// Retry budgets by service.
     pub budgets: RefCell<HashMap<SharedName, ShareBudget>>,
 }
@@ -177,7 +180,7 @@
             message,
             body,
             organisation: holder.map(|organisation| organisation.name.clone()),
-            priority: holder.and_then(|holder| holder.priority).unwrap_or(route.priority),
+            priority: route.rank(holder.and_then(|holder| holder.priority)),
             marks,
             route,
             service,
@@ -195,6 +198,7 @@
         trace: &RequestTrace,
     ) -> ServedEnd {
         trace.route(request);
+        self.demand.note(&request.service, RequestSize::work(request.marks.size));
         self.with_budget(&request.service, |budget, desk| {
             budget.note_request(&desk.settings.retry_bounds(), desk.clock.now());
         });
--- a/berylstep_core/src/fleet/desired.rs
+++ b/berylstep_core/src/fleet/desired.rs
@@ -54,7 +54,20 @@
     pub resumable: bool,
 }
 
+/// Ranks of routes within one rank of organisations.
+const ROUTE_RANKS: u8 = 3;
+
 impl RouteEntry {
+    /// Rank of a request, where 0 is served first: the organisation's goes before the route's,
+    /// which decides among organisations of the same rank.
+    pub fn rank(&self, organisation: Option<u8>) -> u8 {
+        let route = self.priority.min(ROUTE_RANKS - 1);
+        match organisation {
+            Some(organisation) => organisation.saturating_mul(ROUTE_RANKS).saturating_add(route),
+            None => self.priority,
+        }
+    }
+
     /// Whether a request may run again after an attempt that may have run.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
