Make up for reclaimed replicas with dependable ones, and leave room for their return

Change: fewer replicas than were seen since an order count as reclaimed; replacements take at most half of a zone's bound and stay until the others have taken over.

--- a/berylstep/src/gateway/orders.rs
+++ b/berylstep/src/gateway/orders.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
-use berylstep_core::fleet::capacity::{self, CapacityAsk, ZoneReplicas, DEMAND_MEMORY};
+use berylstep_core::fleet::capacity::{self, CapacityAsk, ZoneReplicas, ZoneState, DEMAND_MEMORY};
 use berylstep_core::fleet::desired::ServiceEntry;
 
 use crate::clock::RuntimeClock;
@@ -40,6 +40,8 @@
 struct PlacedOrder {
     count: u32,
     at: Duration,
+    /// Most replicas that were there since.
+    seen: u32,
 }
 
 /// Plans orders while this node holds the duty.
@@ -105,9 +107,11 @@
             let work_per_second = self.peak_demand(&service.name);
             let exhausted = self.exhausted_zones(&service.name, now);
             let baseline = self.baseline(&service.name, now);
+            let zones: Vec<_> =
+                present.iter().map(|zone| self.zone_state(&service.name, zone)).collect();
             let ask = CapacityAsk {
                 bounds,
-                present: &present,
+                zones: &zones,
                 work_per_second,
                 exhausted: &exhausted,
                 baseline,
@@ -146,7 +150,7 @@
                 state.placed.remove(&subject);
             }
             Ok(()) | Err(_) => {
-                state.placed.insert(subject, PlacedOrder { count: order.count, at: now });
+                state.placed.insert(subject, PlacedOrder { count: order.count, at: now, seen: 0 });
             }
         }
     }
@@ -161,18 +165,20 @@
         exhausted: &[SharedName],
         due: &mut Vec<ReplicaOrder>,
     ) {
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
         let kinds =
             [(true, wanted.spot, present.spot), (false, wanted.dependable, present.dependable)];
         for (spot, count, now_present) in kinds {
             let subject =
                 OrderSubject { service: service.name.clone(), zone: wanted.zone.clone(), spot };
-            let is_due = match state.placed.get(&subject) {
+            let is_due = match state.placed.get_mut(&subject) {
                 None => count != now_present,
                 Some(placed) if placed.count != count => true,
                 Some(placed) => {
+                    placed.seen = placed.seen.max(now_present);
                     let overdue = self.clock.now() >= placed.at + boot + EFFECT_SLACK;
-                    overdue && count != now_present
+                    let reclaimed = now_present < placed.seen.min(count);
+                    count != now_present && (overdue || reclaimed)
                 }
             };
             if is_due && !(spot && exhausted.contains(&wanted.zone)) {
@@ -186,6 +192,16 @@
         }
     }
 
+    fn zone_state(&self, service: &SharedName, present: &ZoneReplicas) -> ZoneState {
+        let subject =
+            OrderSubject { service: service.clone(), zone: present.zone.clone(), spot: false };
+        let placed = self.state.borrow().placed.get(&subject).map(|placed| placed.count);
+        ZoneState {
+            present: present.clone(),
+            dependable_ordered: placed.unwrap_or(present.dependable),
+        }
+    }
+
     /// Replicas that take requests, by zone; zones in which there were some are kept.
     fn present(&self, service: &ServiceEntry) -> Vec<ZoneReplicas> {
         let mut state = self.state.borrow_mut();
--- a/berylstep_core/src/fleet/capacity.rs
+++ b/berylstep_core/src/fleet/capacity.rs
@@ -16,10 +16,6 @@
 /// Part of the wanted replicas that is dependable, where there is a reclaimable kind.
 const DEPENDABLE_SHARE: f64 = 0.125;
 
-/// Part of the wanted replicas that a zone gets in dependable ones while no reclaimable ones are to
-/// be had; these may be back before more would have started.
-const SHORTAGE_SHARE: f64 = 0.5;
-
 /// Time for which the highest demand of late is provided for; longer than the pause between bursts
 /// in which starting replicas anew would come too late.
 pub const DEMAND_MEMORY: Duration = Duration::from_secs(15);
@@ -35,13 +31,22 @@
     pub spot: u32,
 }
 
+/// Replicas in one availability zone and what was ordered there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneState {
+    /// Replicas that take requests.
+    pub present: ZoneReplicas,
+    /// Dependable replicas that were ordered last; those that are present, where none were.
+    pub dependable_ordered: u32,
+}
+
 /// What is known when replicas are planned.
 #[derive(Clone, Debug)]
 pub struct CapacityAsk<'a> {
     /// Bounds of the service.
     pub bounds: &'a ScalingBounds,
-    /// Replicas that take requests, one entry for each zone in which the service runs.
-    pub present: &'a [ZoneReplicas],
+    /// One entry for each zone in which the service runs.
+    pub zones: &'a [ZoneState],
     /// Work that arrives in a second, in prompt tokens; the highest of late.
     pub work_per_second: f64,
     /// Zones in which no reclaimable replica is to be had at the moment.
@@ -52,7 +57,7 @@
 
 /// Plans the replicas of each zone.
 pub fn plan(ask: &CapacityAsk<'_>) -> Vec<ZoneReplicas> {
-    let zones = ask.present.len();
+    let zones = ask.zones.len();
     let needed = (ask.work_per_second / REPLICA_WORK_PER_SECOND).ceil();
     let wanted = needed.max(f64::from(ask.baseline));
     // Reclaimable replicas are lost by the zone, and cheap enough to have the others bear that.
@@ -62,28 +67,54 @@
     };
     let per_zone = (wanted / bearing as f64).ceil() as u32;
     let per_zone = per_zone.clamp(ask.bounds.minimum, ask.bounds.maximum);
-    let plan_zone = |present: &ZoneReplicas| match ask.bounds.spot_price {
-        None => ZoneReplicas { zone: present.zone.clone(), dependable: per_zone, spot: 0 },
-        Some(_) => mixed(ask, present, per_zone),
+    let extra = replacement(ask, needed as u32, per_zone);
+    let plan_zone = |state: &ZoneState| match ask.bounds.spot_price {
+        None => ZoneReplicas { zone: state.present.zone.clone(), dependable: per_zone, spot: 0 },
+        Some(_) => mixed(ask.bounds, state, per_zone, extra),
     };
-    ask.present.iter().map(plan_zone).collect()
+    ask.zones.iter().map(plan_zone).collect()
 }
 
-/// Both kinds in one zone; dependable ones are released only once reclaimable ones took over.
-fn mixed(ask: &CapacityAsk<'_>, present: &ZoneReplicas, per_zone: u32) -> ZoneReplicas {
+/// Dependable replicas that each zone gets beside its least while reclaimable ones are not to be
+/// had somewhere: together they make up for what is missing.
+fn replacement(ask: &CapacityAsk<'_>, needed: u32, per_zone: u32) -> Option<u32> {
+    if ask.exhausted.is_empty() {
+        return None;
+    }
+    let zones = ask.zones.len().max(1) as u32;
+    let spot: u32 = ask.zones.iter().map(|zone| zone.present.spot).sum();
+    let missing = needed.saturating_sub(spot + least_dependable(per_zone) * zones);
+    Some(missing.div_ceil(zones))
+}
+
+/// Dependable replicas of a zone that wants `per_zone`.
+fn least_dependable(per_zone: u32) -> u32 {
     let share = (f64::from(per_zone) * DEPENDABLE_SHARE).ceil() as u32;
-    let least = share.max(1).min(per_zone);
-    let is_exhausted = ask.exhausted.contains(&present.zone);
-    let taken_over = least + present.spot >= per_zone.min(present.dependable);
-    let dependable = match (is_exhausted, taken_over) {
-        (true, _) => {
-            let short = (f64::from(per_zone) * SHORTAGE_SHARE).ceil() as u32;
-            present.dependable.max(short.saturating_sub(present.spot))
+    share.max(1).min(per_zone)
+}
+
+/// Both kinds in one zone; dependable ones are released only once reclaimable ones took over.
+fn mixed(
+    bounds: &ScalingBounds,
+    state: &ZoneState,
+    per_zone: u32,
+    extra: Option<u32>,
+) -> ZoneReplicas {
+    let present = &state.present;
+    let least = least_dependable(per_zone);
+    let kept = present.dependable.max(state.dependable_ordered);
+    let taken_over = least + present.spot >= per_zone.min(kept);
+    let dependable = match extra {
+        Some(extra) => {
+            // Room is left for the reclaimable ones, which could not take over otherwise.
+            let most = bounds.maximum.div_ceil(2).max(least);
+            kept.max((least + extra).min(most))
         }
-        (false, true) => least,
-        (false, false) => present.dependable.max(least),
+        None if taken_over => least,
+        None => kept.max(least),
     };
-    let dependable = dependable.min(ask.bounds.maximum);
-    let spot = (per_zone - least).min(ask.bounds.maximum - dependable);
+    let dependable = dependable.min(bounds.maximum.saturating_sub(present.spot)).max(least);
+    let wanted = per_zone - least;
+    let spot = wanted.min(bounds.maximum - dependable).max(present.spot.min(wanted));
     ZoneReplicas { zone: present.zone.clone(), dependable, spot }
 }
