Let the border between short and long prompts follow measured demand

Ruled out: a border that follows demand both ways.

Change: nodes tell the part of short work in their demand; the short group is its weighted share, and a third at least.

--- a/berylstep/src/gateway/demand.rs
+++ b/berylstep/src/gateway/demand.rs
@@ -1,10 +1,11 @@
-//! Demand of the services at this node.
+//! Demand of the services at this node and at all nodes.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::choice::{GroupBorder, RequestSize, SHORT_PROMPT_TOKENS};
 use berylstep_wire::ClassDemand;
 
 use crate::clock::RuntimeClock;
@@ -15,63 +16,116 @@
 /// Buckets over which demand is averaged: two seconds, so that a burst shows while it lasts.
 const BUCKETS: u64 = 4;
 
+/// Work that arrives in a second, in prompt tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkRate {
+    /// Of all requests.
+    pub total: f64,
+    /// Of those with short prompts.
+    pub short: f64,
+}
+
 /// Work that arrived, by service.
 #[derive(Debug)]
 pub struct DemandLedger {
     clock: RuntimeClock,
     arrivals: RefCell<HashMap<SharedName, VecDeque<WorkBucket>>>,
+    borders: RefCell<HashMap<SharedName, GroupBorder>>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct WorkBucket {
     index: u64,
-    work: u64,
+    total: u64,
+    short: u64,
 }
 
 impl DemandLedger {
     /// An empty ledger.
     pub fn new(clock: RuntimeClock) -> Self {
-        Self { clock, arrivals: RefCell::default() }
+        Self { clock, arrivals: RefCell::default(), borders: RefCell::default() }
     }
 
-    /// Notes the work of a request that arrived.
-    pub fn note(&self, service: &SharedName, work: u64) {
+    /// Notes a request that arrived.
+    pub fn note(&self, service: &SharedName, size: Option<RequestSize>) {
         let index = self.present();
+        let work = RequestSize::work(size);
+        let is_short = size.is_some_and(|size| size.prompt <= SHORT_PROMPT_TOKENS);
+        let short = if is_short { work } else { 0 };
         let mut arrivals = self.arrivals.borrow_mut();
         let buckets = arrivals.entry(service.clone()).or_default();
         match buckets.back_mut() {
-            Some(bucket) if bucket.index == index => bucket.work += work,
-            _ => buckets.push_back(WorkBucket { index, work }),
+            Some(bucket) if bucket.index == index => {
+                bucket.total += work;
+                bucket.short += short;
+            }
+            _ => buckets.push_back(WorkBucket { index, total: work, short }),
         }
         while buckets.front().is_some_and(|bucket| bucket.index + BUCKETS < index) {
             buckets.pop_front();
         }
     }
 
-    /// Work that arrived in a second, by service, over the last whole buckets.
-    pub fn work_per_second(&self) -> Vec<(SharedName, f64)> {
+    /// Demand at this node, over the last whole buckets.
+    pub fn rate(&self, service: &str) -> WorkRate {
         let present = self.present();
         let seconds = BUCKET.as_secs_f64() * BUCKETS as f64;
         let arrivals = self.arrivals.borrow();
-        let demand = arrivals.iter().map(|(service, buckets)| {
-            let counted = buckets
-                .iter()
-                .filter(|bucket| bucket.index < present && bucket.index + BUCKETS >= present);
-            let work: u64 = counted.map(|bucket| bucket.work).sum();
-            (service.clone(), work as f64 / seconds)
-        });
-        demand.collect()
+        let counted = arrivals
+            .get(service)
+            .into_iter()
+            .flatten()
+            .filter(|bucket| bucket.index < present && bucket.index + BUCKETS >= present);
+        let sum = counted
+            .fold((0, 0), |(total, short), bucket| (total + bucket.total, short + bucket.short));
+        WorkRate { total: sum.0 as f64 / seconds, short: sum.1 as f64 / seconds }
     }
 
     /// Demand for other nodes.
     pub fn message(&self) -> Vec<ClassDemand> {
-        let demand = self.work_per_second().into_iter().filter(|(_, work)| *work > 0.0);
-        let message = |(service, work): (SharedName, f64)| ClassDemand {
-            service: service.to_string(),
-            work_per_second: work as u64,
-            refused_permille: 0,
-        };
-        demand.map(message).collect()
+        let services: Vec<SharedName> = self.arrivals.borrow().keys().cloned().collect();
+        let rates = services.into_iter().map(|service| (self.rate(&service), service));
+        let demand =
+            rates.filter(|(rate, _)| rate.total > 0.0).map(|(rate, service)| ClassDemand {
+                service: service.to_string(),
+                work_per_second: rate.total as u64,
+                short_work_per_second: rate.short as u64,
+            });
+        demand.collect()
+    }
+
+    /// Demand at this node and the others together, where they told `others`.
+    pub fn total_rate<'a>(
+        &self,
+        service: &str,
+        others: impl Iterator<Item = &'a ClassDemand>,
+    ) -> WorkRate {
+        let told = others.filter(|demand| demand.service == service);
+        told.fold(self.rate(service), |sum, demand| WorkRate {
+            total: sum.total + demand.work_per_second as f64,
+            short: sum.short + demand.short_work_per_second as f64,
+        })
+    }
+
+    /// Moves the border between the groups of a service to the demand of all nodes.
+    pub fn follow(&self, service: &SharedName, rate: WorkRate) {
+        let mut borders = self.borders.borrow_mut();
+        let border = borders.entry(service.clone()).or_default();
+        let before = border.short_share();
+        border.follow(rate.short, rate.total - rate.short);
+        let after = border.short_share();
+        if before != after {
+            log::info!(
+                "event=group_border_moved service={service} short_share={after:.3} \
+                 previous={before:.3} work_per_second={:.0}",
+                rate.total
+            );
+        }
+    }
+
+    /// Share of a service's replicas that is kept for short prompts.
+    pub fn short_share(&self, service: &str) -> f64 {
+        self.borders.borrow().get(service).copied().unwrap_or_default().short_share()
     }
 
     fn present(&self) -> u64 {
--- a/berylstep/src/gateway/orders.rs
+++ b/berylstep/src/gateway/orders.rs
@@ -227,19 +227,13 @@
 
     /// Takes in the present demand of all nodes.
     fn note_demand(&self, service: &SharedName, now: Duration) {
-        let own = self.demand.work_per_second();
-        let own = own.iter().find(|(name, _)| name == service).map_or(0.0, |(_, work)| *work);
-        let others: u64 = self
-            .peers
-            .live(now)
-            .iter()
-            .flat_map(|row| &row.pulse.demand)
-            .filter(|demand| *demand.service == **service)
-            .map(|demand| demand.work_per_second)
-            .sum();
+        let live = self.peers.live(now);
+        let others = live.iter().flat_map(|row| &row.pulse.demand);
+        let rate = self.demand.total_rate(service, others);
+        self.demand.follow(service, rate);
         let mut state = self.state.borrow_mut();
         let peaks = state.peaks.entry(service.clone()).or_default();
-        peaks.push((now, own + others as f64));
+        peaks.push((now, rate.total));
         peaks.retain(|(at, _)| now.saturating_sub(*at) <= DEMAND_MEMORY);
     }
 
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -7,7 +7,7 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::budget::ShareBudget;
-use berylstep_core::fleet::choice::{self, PlacementAsk, RequestSize};
+use berylstep_core::fleet::choice::{self, PlacementAsk};
 use berylstep_core::fleet::desired::{RouteEntry, RouteKind};
 use berylstep_core::fleet::events::EventCutter;
 use berylstep_http::{MessageStream, RequestMessage};
@@ -198,7 +198,7 @@
         trace: &RequestTrace,
     ) -> ServedEnd {
         trace.route(request);
-        self.demand.note(&request.service, RequestSize::work(request.marks.size));
+        self.demand.note(&request.service, request.marks.size);
         self.with_budget(&request.service, |budget, desk| {
             budget.note_request(&desk.settings.retry_bounds(), desk.clock.now());
         });
@@ -291,6 +291,7 @@
             service: &request.service,
             size: request.marks.size,
             session: request.marks.session.as_deref(),
+            short_share: self.demand.short_share(&request.service),
             zone: &self.settings.zone,
             excluded: tried,
         };
--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -14,8 +14,16 @@
 /// tenth of the usual pause between events.
 pub const SHORT_PROMPT_TOKENS: u64 = 3000;
 
-/// Share of a model's replicas that is kept for short prompts.
-const SHORT_SHARE: f64 = 1.0 / 3.0;
+/// Least share of a model's replicas that is kept for short prompts: a burst of long ones may wait
+/// for longer than the short ones that it would push aside.
+pub const LEAST_SHORT_SHARE: f64 = 1.0 / 3.0;
+
+/// Weight of short work against long work, for its tighter targets.
+const SHORT_WORK_WEIGHT: f64 = 1.25;
+
+/// Change of the measured share below which the groups stay as they are: each move of a replica
+/// costs the sessions that it served their shared prompts.
+const SHARE_STEP: f64 = 0.08;
 
 /// Most work of a session's replica in relation to the mean of its group.
 const SESSION_LOAD_BOUND: f64 = 1.5;
@@ -42,6 +50,38 @@
     }
 }
 
+/// Border between the replicas for short prompts and those for long ones.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupBorder {
+    share: f64,
+}
+
+impl Default for GroupBorder {
+    fn default() -> Self {
+        Self { share: LEAST_SHORT_SHARE }
+    }
+}
+
+impl GroupBorder {
+    /// Share of the replicas that is kept for short prompts.
+    pub fn short_share(self) -> f64 {
+        self.share
+    }
+
+    /// Moves the border to the measured work, both parts in the same unit.
+    pub fn follow(&mut self, short_work: f64, long_work: f64) {
+        let weighted = short_work * SHORT_WORK_WEIGHT;
+        let total = weighted + long_work;
+        if total <= 0.0 {
+            return;
+        }
+        let measured = (weighted / total).max(LEAST_SHORT_SHARE);
+        if (measured - self.share).abs() >= SHARE_STEP {
+            self.share = measured;
+        }
+    }
+}
+
 /// What is to be placed.
 #[derive(Clone, Debug)]
 pub struct PlacementAsk<'a> {
@@ -51,6 +91,8 @@
     pub size: Option<RequestSize>,
     /// Prompt part that its session shares.
     pub session: Option<&'a str>,
+    /// Share of the replicas that is kept for short prompts.
+    pub short_share: f64,
     /// Availability zone of this node.
     pub zone: &'a str,
     /// Replicas that are not to be used.
@@ -76,7 +118,7 @@
         true => SizeGroup::Short,
         false => SizeGroup::Long,
     };
-    let is_short = short_group(&rows);
+    let is_short = short_group(&rows, ask.short_share);
     let members = |wanted: SizeGroup| {
         let flags = rows.iter().zip(&is_short);
         let members = flags.filter(move |(_, short)| **short == (wanted == SizeGroup::Short));
@@ -97,10 +139,10 @@
 
 /// Tells for each replica whether it is kept for short prompts; zones take turns, so that the loss
 /// of one leaves both groups some.
-fn short_group(rows: &[&ReplicaRow]) -> Vec<bool> {
+fn short_group(rows: &[&ReplicaRow], share: f64) -> Vec<bool> {
     let wanted = match rows.len() {
         0 | 1 => 0,
-        count => ((count as f64 * SHORT_SHARE).round() as usize).clamp(1, count - 1),
+        count => ((count as f64 * share).round() as usize).clamp(1, count - 1),
     };
     let mut places: Vec<(usize, &str, usize)> = Vec::with_capacity(rows.len());
     for (index, row) in rows.iter().enumerate() {
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -502,9 +502,9 @@
     /// Work that arrived, in prompt tokens a second.
     #[prost(uint64, tag = "2")]
     pub work_per_second: u64,
-    /// Requests refused a second, in thousandths.
-    #[prost(uint32, tag = "3")]
-    pub refused_permille: u32,
+    /// Part of it that came with short prompts.
+    #[prost(uint64, tag = "3")]
+    pub short_work_per_second: u64,
 }
 /// Asks a fleet node for what it knows of the store's content.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
