Let a replica fetch a session's prompt from the one that had it

Change: a request that is placed elsewhere than on its session's replica of 8 s ago names that one as the source of the prompt. A replica is expected to do 150,000 units of work a second.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -33,6 +33,8 @@
     pub id: SharedName,
     /// Address.
     pub address: SocketAddr,
+    /// Replica from which it may fetch the session's shared prompt.
+    pub warm: Option<SocketAddr>,
 }
 
 /// Terms of one attempt.
@@ -285,6 +287,7 @@
             organisation: request.organisation.as_deref(),
             priority: request.priority,
             last_event: terms.last_event,
+            fetch_from: target.warm,
         };
         write_upstream(&message.headers, &marks, &mut bytes);
         let has_body = message.framing != berylstep_http::BodyFraming::Unframed;
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -175,7 +175,8 @@
                 let (state, service, zone) =
                     (entry.state, entry.service.clone(), entry.zone.clone());
                 let spot = entry.spot;
-                if self.replicas.borrow_mut().put(entry, revision) {
+                let now = self.clock.now();
+                if self.replicas.borrow_mut().put(entry, revision, now) {
                     log::info!(
                         "event=replica_updated replica={id} state={state:?} service={service} \
                          zone={zone} spot={spot} revision={revision}"
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -295,9 +295,10 @@
             zone: &self.settings.zone,
             excluded: tried,
         };
-        let id = choice::choose(&replicas, &ask, self.clock.now())?;
-        let address = replicas.get(&id)?.entry.address;
-        Some(ReplicaTarget { id, address })
+        let placement = choice::choose(&replicas, &ask, self.clock.now())?;
+        let address = replicas.get(&placement.replica)?.entry.address;
+        let warm = placement.warm.and_then(|warm| Some(replicas.get(&warm)?.entry.address));
+        Some(ReplicaTarget { id: placement.replica, address, warm })
     }
 
     /// Time without an answer after which a request is tried elsewhere; `None` waits for the
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -1,5 +1,6 @@
 //! Headers between callers, this system and replicas.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
@@ -17,6 +18,7 @@
 const SIGNATURE: &str = "Berylstep-Replica-Signature";
 const NOT_EXECUTED: &str = "Berylstep-Not-Executed";
 const LAST_EVENT: &str = "Last-Event-Id";
+const FETCH_FROM: &str = "Kv-Fetch";
 
 /// Lowest urgency that a replica knows.
 const LOWEST_URGENCY: u8 = 9;
@@ -33,7 +35,7 @@
     "Berylstep-Pin-Milliseconds",
     "Berylstep-Kv-Backup",
     "Kv-From",
-    "Kv-Fetch",
+    FETCH_FROM,
 ];
 
 /// What a caller says of its request.
@@ -94,6 +96,8 @@
     pub priority: u8,
     /// Last event that the caller has, where a stream is to go on after it.
     pub last_event: Option<&'a str>,
+    /// Replica from which it may fetch what that one keeps of the prompt.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Appends the headers of a request to a replica, the caller's included.
@@ -114,6 +118,9 @@
     if let Some(last_event) = marks.last_event {
         write_header(LAST_EVENT, last_event.as_bytes(), out);
     }
+    if let Some(address) = marks.fetch_from {
+        write_header(FETCH_FROM, address.to_string().as_bytes(), out);
+    }
 }
 
 /// Appends one header line.
--- a/berylstep_core/src/fleet/capacity.rs
+++ b/berylstep_core/src/fleet/capacity.rs
@@ -11,7 +11,7 @@
 
 /// Work that one replica does in a second at a fair latency, in prompt tokens: engines read 112 to
 /// 125 prompt tokens in a millisecond, and requests name the most output that they may have.
-pub const REPLICA_WORK_PER_SECOND: f64 = 120_000.0;
+pub const REPLICA_WORK_PER_SECOND: f64 = 150_000.0;
 
 /// Part of the wanted replicas that is dependable, where there is a reclaimable kind.
 const DEPENDABLE_SHARE: f64 = 0.125;
--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -99,6 +99,19 @@
     pub excluded: &'a [SharedName],
 }
 
+/// Time after which a replica's memory holds the prompts of the sessions that are its own; parts
+/// that were not used for longer are seldom kept.
+const WARM_TIME: Duration = Duration::from_secs(8);
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// Replica.
+    pub replica: SharedName,
+    /// Another replica that probably has the session's shared prompt in memory.
+    pub warm: Option<SharedName>,
+}
+
 /// Replica group of a model request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SizeGroup {
@@ -107,12 +120,13 @@
 }
 
 /// Picks a replica; `None` where the service has none that takes requests.
-pub fn choose(table: &ReplicaTable, ask: &PlacementAsk<'_>, now: Duration) -> Option<SharedName> {
+pub fn choose(table: &ReplicaTable, ask: &PlacementAsk<'_>, now: Duration) -> Option<Placement> {
     let mut rows: Vec<&ReplicaRow> = table.ready(ask.service).collect();
     rows.sort_unstable_by(|left, right| left.entry.id.cmp(&right.entry.id));
     let usable = |row: &&ReplicaRow| !ask.excluded.contains(&row.entry.id);
     let Some(size) = ask.size else {
-        return least_loaded(rows.into_iter().filter(usable), ask.zone, now);
+        let replica = least_loaded(rows.into_iter().filter(usable), ask.zone, now)?;
+        return Some(Placement { replica, warm: None });
     };
     let group = match size.prompt <= SHORT_PROMPT_TOKENS {
         true => SizeGroup::Short,
@@ -125,16 +139,27 @@
         members.map(|(row, _)| *row).filter(usable).filter(|row| row.is_sound(now))
     };
     let own: Vec<_> = members(group).collect();
-    if let Some(id) = within_group(&own, ask) {
-        return Some(id);
-    }
     let other = match group {
         SizeGroup::Short => SizeGroup::Long,
         SizeGroup::Long => SizeGroup::Short,
     };
-    let spill: Vec<_> = members(other).collect();
-    within_group(&spill, ask)
-        .or_else(|| least_loaded(rows.iter().copied().filter(usable), ask.zone, now))
+    let replica = within_group(&own, ask)
+        .or_else(|| within_group(&members(other).collect::<Vec<_>>(), ask))
+        .or_else(|| least_loaded(rows.iter().copied().filter(usable), ask.zone, now))?;
+    let warm = warm_replica(&own, ask, now).filter(|warm| *warm != replica);
+    Some(Placement { replica, warm })
+}
+
+/// Replica that served the session before others were added or its load grew.
+fn warm_replica(
+    group: &[&ReplicaRow],
+    ask: &PlacementAsk<'_>,
+    now: Duration,
+) -> Option<SharedName> {
+    let session = ask.session?;
+    let warm = group.iter().filter(|row| now.saturating_sub(row.since) >= WARM_TIME);
+    let first = warm.max_by_key(|row| rendezvous::score(session, &row.entry.id))?;
+    Some(first.entry.id.clone())
 }
 
 /// Tells for each replica whether it is kept for short prompts; zones take turns, so that the loss
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -73,6 +73,8 @@
     pub entry: ReplicaEntry,
     /// Version of the entry in the store.
     pub revision: u64,
+    /// When this process of the replica became known.
+    pub since: Duration,
     /// This node's requests.
     pub own: ReplicaLoad,
     /// Requests of all other nodes, as they told last.
@@ -118,7 +120,7 @@
 
 impl ReplicaTable {
     /// Takes in an entry; `false` means that it was no news.
-    pub fn put(&mut self, entry: ReplicaEntry, revision: u64) -> bool {
+    pub fn put(&mut self, entry: ReplicaEntry, revision: u64, now: Duration) -> bool {
         match self.rows.get_mut(&entry.id) {
             Some(row) if row.revision >= revision => {
                 row.lapses_at = None;
@@ -131,6 +133,7 @@
                 row.lapses_at = None;
                 if reborn {
                     (row.failures, row.avoided_until) = (0, Duration::ZERO);
+                    row.since = now;
                 }
                 row.entry = entry;
                 news
@@ -138,6 +141,7 @@
             None => {
                 let row = ReplicaRow {
                     revision,
+                    since: now,
                     own: ReplicaLoad::default(),
                     others: ReplicaLoad::default(),
                     avoided_until: Duration::ZERO,
