Test the gateway against replicas that fail in every way, and move runs off leaving replicas

A stream that will outlast its replica is copied to another one and goes on there after its last event. A node that has just started leaves the duties to older ones, and the window of the very first start is reported.

Found by the tests: the usage of the first window was never reported (it failed first).

The moves have not been measured yet.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -17,12 +17,13 @@
 pub mod request;
 pub mod settings;
 pub mod stop;
+pub mod stream;
 pub mod upstreams;
 pub mod usage;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -222,7 +223,7 @@
 }
 
 /// Waits for a signal to stop; a signal to reload checks the settings file.
-async fn wait_for_stop(signals: &mut Signals, path: &PathBuf) {
+async fn wait_for_stop(signals: &mut Signals, path: &Path) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => reload(path, "signal"),
@@ -245,12 +246,12 @@
     }
 }
 
-fn modification(path: &PathBuf) -> Option<std::time::SystemTime> {
+fn modification(path: &Path) -> Option<std::time::SystemTime> {
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
 
 /// Checks the settings file; addresses of a running node can't change.
-fn reload(path: &PathBuf, cause: &str) {
+fn reload(path: &Path, cause: &str) {
     match GatewaySettings::load(path) {
         Ok(settings) => log::info!("event=settings_reloaded cause={cause} node={}", settings.node),
         Err(err) => {
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -15,7 +15,9 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::request::{RequestDesk, RoutedRequest};
 use crate::gateway::upstreams::{UpstreamPool, UpstreamStream};
-use crate::platform::headers::{write_upstream, AnswerMarks, AnswerOwner, UpstreamMarks};
+use crate::platform::headers::{
+    write_header, write_upstream, AnswerMarks, AnswerOwner, MovedRun, UpstreamMarks,
+};
 
 /// Longest head of a replica's answer, in bytes.
 const MAX_ANSWER_HEAD: usize = 64 * 1024;
@@ -44,6 +46,8 @@
     pub last_event: Option<&'a str>,
     /// Time without an answer after which the attempt is given up before the deadline.
     pub silence: Option<Duration>,
+    /// Moved run that the request goes on from.
+    pub moved_run: Option<&'a MovedRun>,
 }
 
 /// How an attempt ended.
@@ -117,6 +121,11 @@
         self.decoder.is_complete()
     }
 
+    /// Replica that answers.
+    pub fn target(&self) -> &ReplicaTarget {
+        &self.target
+    }
+
     /// Reads more content.
     pub async fn read_content(&mut self, content: &mut Vec<u8>) -> Result<(), BodyError> {
         self.stream.read_content(&mut self.decoder, content).await
@@ -287,13 +296,14 @@
             organisation: request.organisation.as_deref(),
             priority: request.priority,
             last_event: terms.last_event,
-            fetch_from: target.warm,
+            fetch_from: target.warm.filter(|_| terms.moved_run.is_none()),
+            moved_run: terms.moved_run,
         };
         write_upstream(&message.headers, &marks, &mut bytes);
         let has_body = message.framing != berylstep_http::BodyFraming::Unframed;
         if has_body {
             let length = request.body.len().to_string();
-            crate::platform::headers::write_header("Content-Length", length.as_bytes(), &mut bytes);
+            write_header("Content-Length", length.as_bytes(), &mut bytes);
         }
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(request.body);
--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -46,6 +46,10 @@
 /// for a moment are in by then.
 const SEAL_AFTER: Duration = Duration::from_millis(4500);
 
+/// Difference of starts from which a node leaves the duties to older ones, which know the counts of
+/// nodes that have ended since.
+const NEWCOMER_TIME: Duration = Duration::from_secs(12);
+
 /// Windows after which sealed usage is removed from the store.
 const KEPT_WINDOWS: u64 = 12;
 
@@ -93,8 +97,9 @@
         let times = LeaseTimes { expiry: LEASE_EXPIRY };
         let lease =
             DutyLease::new(run.node.clone(), run.incarnation, times, ReceiverFencing::Checked);
-        // Windows before this node started can't be known whole.
-        let reported = Cell::new(usage.present_window());
+        // A window in which nodes ran before can't be known whole.
+        let known_from = usage.present_window() + u64::from(!settings.first_start);
+        let reported = Cell::new(known_from.saturating_sub(1));
         let orders = OrderDesk::new(clock.clone(), mirror.clone(), peers.clone(), demand);
         Self {
             settings,
@@ -174,9 +179,17 @@
         if live.iter().any(|row| row.pulse.duty_fencing > 0 && !row.pulse.leaving) {
             return None;
         }
-        let others = live.iter().filter(|row| row.pulse.ready).map(|row| &*row.pulse.node);
+        let started = live.iter().map(|row| row.pulse.incarnation);
+        let own_start = self.usage.run().incarnation;
+        let oldest = started.chain([own_start]).min().unwrap_or(own_start);
+        let knows_windows = |start: u64| start <= oldest + NEWCOMER_TIME.as_millis() as u64;
+        if !knows_windows(own_start) {
+            return None;
+        }
+        let others = live.iter().filter(|row| row.pulse.ready);
+        let others = others.filter(|row| knows_windows(row.pulse.incarnation));
         let own = &*self.settings.node;
-        let ranked = rendezvous::rank(LEASE_KEY, others.chain([own]));
+        let ranked = rendezvous::rank(LEASE_KEY, others.map(|row| &*row.pulse.node).chain([own]));
         let place = ranked.iter().position(|name| *name == own)?;
         (place < CANDIDATES).then_some(place as u32)
     }
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -188,7 +188,8 @@
                     "event=replica_entry_rejected replica={id} revision={revision} error=\"{err}\" \
                      outcome=not_used"
                 );
-                self.replicas.borrow_mut().remove(id);
+                let now = self.clock.now();
+                self.replicas.borrow_mut().remove(id, now);
             }
         }
     }
@@ -204,7 +205,7 @@
             log::info!(
                 "event=replica_lapsed replica={id} revision={revision} reason=store_trouble"
             );
-        } else if replicas.remove(id) {
+        } else if replicas.remove(id, now) {
             log::info!(
                 "event=replica_removed replica={id} revision={revision} reason=entry_removed"
             );
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -243,11 +243,11 @@
     fn pulse(&self, sequence: u64, now: Duration) -> FleetPulse {
         let stopping = self.stop.is_stopping();
         let run = self.usage.run();
-        let usage = match sequence.is_multiple_of(USAGE_EVERY) {
+        let usage = match sequence % USAGE_EVERY == 0 {
             true => self.usage.own_counts().into_iter().map(window_message).collect(),
             false => Vec::new(),
         };
-        let peers = match sequence.is_multiple_of(ADDRESSES_EVERY) {
+        let peers = match sequence % ADDRESSES_EVERY == 0 {
             true => self.peers.live(now).iter().map(|row| row.address.to_string()).collect(),
             false => Vec::new(),
         };
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -8,8 +8,7 @@
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::budget::ShareBudget;
 use berylstep_core::fleet::choice::{self, PlacementAsk};
-use berylstep_core::fleet::desired::{RouteEntry, RouteKind};
-use berylstep_core::fleet::events::EventCutter;
+use berylstep_core::fleet::desired::RouteEntry;
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -42,9 +41,6 @@
 /// Shortest time without an answer after which an idempotent request is tried elsewhere.
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 
-/// Pauses of a stream, in targets for one, after which it is continued elsewhere.
-const PAUSE_TARGETS: u32 = 4;
-
 /// Everything that serving a request uses.
 pub struct RequestDesk {
     /// Settings.
@@ -111,10 +107,13 @@
 
 /// Attempts of one request so far.
 #[derive(Debug, Default)]
-struct AttemptHistory {
-    tried: Vec<SharedName>,
-    sent: u32,
-    ran: u32,
+pub struct AttemptHistory {
+    /// Replicas to which it was sent.
+    pub tried: Vec<SharedName>,
+    /// Attempts that reached a replica.
+    pub sent: u32,
+    /// Attempts that may have run.
+    pub ran: u32,
 }
 
 impl RequestDesk {
@@ -209,7 +208,8 @@
                 trace.end(own_end(&own));
                 return self.finish(writer, &own).await;
             };
-            let terms = AttemptTerms { last_event: None, silence: self.silence(request, &history) };
+            let silence = self.silence(request, &history);
+            let terms = AttemptTerms { last_event: None, silence, moved_run: None };
             let end = self.attempt(request, &target, terms).await;
             trace.attempt(request, &target, &end, self.clock.now());
             match end {
@@ -242,7 +242,7 @@
     }
 
     /// Whether the request may run on one more replica.
-    fn may_repeat(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
+    pub(super) fn may_repeat(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
         request.route.is_repeatable()
             && history.ran < request.route.attempts
             && self.clock.now() < request.deadline
@@ -256,7 +256,7 @@
     }
 
     /// Chooses the next replica; a repeat is taken out of the retry budget.
-    fn next_target(
+    pub(super) fn next_target(
         &self,
         request: &RoutedRequest<'_>,
         history: &mut AttemptHistory,
@@ -285,7 +285,11 @@
         Some(target)
     }
 
-    fn place(&self, request: &RoutedRequest<'_>, tried: &[SharedName]) -> Option<ReplicaTarget> {
+    pub(super) fn place(
+        &self,
+        request: &RoutedRequest<'_>,
+        tried: &[SharedName],
+    ) -> Option<ReplicaTarget> {
         let replicas = self.mirror.replicas.borrow();
         let ask = PlacementAsk {
             service: &request.service,
@@ -363,90 +367,6 @@
         trace.end(end);
         result
     }
-
-    /// Passes a stream on, and continues it on another replica where it may be.
-    async fn relay_stream(
-        &self,
-        request: &RoutedRequest<'_>,
-        mut begun: BegunAnswer,
-        history: &mut AttemptHistory,
-        writer: &mut AnswerWriter,
-        trace: &RequestTrace,
-    ) -> RequestEnd {
-        let status = begun.response.status;
-        let resumable = request.route.kind == RouteKind::Stream && request.route.resumable;
-        let mut cutter = resumable.then(EventCutter::default);
-        let pause = cutter.as_ref().and(request.route.gap_target).map(|gap| gap * PAUSE_TARGETS);
-        let mut content = std::mem::take(&mut begun.content);
-        loop {
-            let whole = match &mut cutter {
-                Some(cutter) => cutter.accept(&content),
-                None => std::mem::take(&mut content),
-            };
-            content.clear();
-            let written = match writer.is_begun() {
-                false => writer.begin_stream(&begun.response, &whole).await,
-                true => writer.write_content(&whole).await,
-            };
-            if written.is_err() {
-                return RequestEnd::CallerLeft;
-            }
-            if begun.is_complete() {
-                let rest = cutter.as_mut().map(EventCutter::take_rest).unwrap_or_default();
-                begun.give_back(&self.upstreams);
-                return match writer.end_stream(&rest).await {
-                    Ok(()) => RequestEnd::Answered(status),
-                    Err(_) => RequestEnd::CallerLeft,
-                };
-            }
-            let left = request.deadline.saturating_sub(self.clock.now());
-            let wait = pause.filter(|_| self.may_repeat(request, history));
-            let limit = wait.map_or(left, |pause| pause.min(left));
-            let reading = begun.read_content(&mut content);
-            let reason = match self.clock.timeout(limit, reading).await {
-                Some(Ok(())) => continue,
-                Some(Err(err)) => format!("{err}"),
-                None => "no event in time".to_owned(),
-            };
-            begun.note_failure(self, &reason);
-            let Some(cutter) = &mut cutter else { return RequestEnd::Broken };
-            cutter.discard_partial();
-            match self.resume(request, cutter.last_id(), history, trace).await {
-                Some(next) => begun = next,
-                None => return RequestEnd::Broken,
-            }
-            content = std::mem::take(&mut begun.content);
-        }
-    }
-
-    /// Continues a stream after `last_event` on another replica.
-    async fn resume(
-        &self,
-        request: &RoutedRequest<'_>,
-        last_event: Option<&str>,
-        history: &mut AttemptHistory,
-        trace: &RequestTrace,
-    ) -> Option<BegunAnswer> {
-        while self.may_repeat(request, history) {
-            let target = self.next_target(request, history)?;
-            let terms = AttemptTerms { last_event, silence: None };
-            let end = self.attempt(request, &target, terms).await;
-            trace.attempt(request, &target, &end, self.clock.now());
-            match end {
-                AttemptEnd::Answer(begun) if begun.response.status < 300 => {
-                    history.ran += 1;
-                    return Some(*begun);
-                }
-                AttemptEnd::Answer(_) | AttemptEnd::Lost(_) | AttemptEnd::TimedOut => {
-                    history.ran += 1;
-                    history.sent += 1;
-                }
-                AttemptEnd::NotSent(_) => {}
-                AttemptEnd::NotExecuted(_) => history.sent += 1,
-            }
-        }
-        None
-    }
 }
 
 fn own_end(own: &OwnAnswer) -> RequestEnd {
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -50,6 +50,9 @@
     /// Addresses of some nodes, of which the IP address counts; may be stale.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Addresses to listen on.
     pub listen: ListenSettings,
     /// Port of the metrics; 0 serves none.
@@ -66,6 +69,9 @@
     /// Usage and order interface of the platform; absent where this deployment has none.
     #[serde(default)]
     pub cloud_address: Option<SocketAddr>,
+    /// Time for which a leaving replica serves on, in milliseconds.
+    #[serde(default = "default_drain")]
+    pub drain_ms: u64,
     /// Time between the signal to stop and the end of the process, in seconds.
     pub stop_grace_s: f64,
     /// Repeats allowed for each request, at all nodes together.
@@ -90,6 +96,11 @@
     1.0
 }
 
+/// Time for which a replica serves on where the deployment does not tell.
+fn default_drain() -> u64 {
+    2000
+}
+
 /// Usual limit of a process.
 fn default_descriptors() -> usize {
     4096
@@ -154,6 +165,11 @@
         }
     }
 
+    /// Time for which a leaving replica serves on.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
     /// Time between the signal to stop and the end of the process.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s)
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -6,6 +6,7 @@
 pub mod cloud;
 pub mod desired;
 pub mod endpoints;
+pub mod engines;
 pub mod entries;
 pub mod headers;
 pub mod store;
--- a/berylstep/src/platform/desired.rs
+++ b/berylstep/src/platform/desired.rs
@@ -82,6 +82,11 @@
 struct EngineBody {
     slots: u32,
     kv_cache_tokens: u64,
+    /// Output tokens of one event.
+    #[serde(default)]
+    stride: u64,
+    #[serde(default)]
+    moves: bool,
 }
 
 #[derive(Deserialize)]
@@ -177,6 +182,8 @@
         let engine = self.engine.map(|engine| EngineShape {
             slots: engine.slots,
             memory_tokens: engine.kv_cache_tokens,
+            event_tokens: engine.stride.max(1),
+            moves: engine.moves,
         });
         ServiceEntry {
             name: self.name.into(),
--- a/berylstep/src/platform/entries.rs
+++ b/berylstep/src/platform/entries.rs
@@ -1,6 +1,7 @@
 //! Entries in which replicas announce themselves.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState};
 use serde::Deserialize;
@@ -20,6 +21,9 @@
     /// Whether the platform may reclaim the replica with its zone.
     #[serde(default)]
     spot: bool,
+    /// Time until the replica ends, while it drains; spelled in lower case by the platform.
+    #[serde(rename = "leaves_ms", default)]
+    leaves_ms: Option<f64>,
     /// Start of the process; spelled in lower case by the platform.
     #[serde(rename = "born", default)]
     born: u64,
@@ -46,6 +50,7 @@
             StateBody::Draining => ReplicaState::Draining,
         },
         spot: body.spot,
+        leaves_in: body.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok()),
         born: body.born,
     })
 }
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -19,6 +19,7 @@
 const NOT_EXECUTED: &str = "Berylstep-Not-Executed";
 const LAST_EVENT: &str = "Last-Event-Id";
 const FETCH_FROM: &str = "Kv-Fetch";
+const MOVED_FROM: &str = "Kv-From";
 
 /// Lowest urgency that a replica knows.
 const LOWEST_URGENCY: u8 = 9;
@@ -34,7 +35,7 @@
     "Berylstep-Hold",
     "Berylstep-Pin-Milliseconds",
     "Berylstep-Kv-Backup",
-    "Kv-From",
+    MOVED_FROM,
     FETCH_FROM,
 ];
 
@@ -98,6 +99,17 @@
     pub last_event: Option<&'a str>,
     /// Replica from which it may fetch what that one keeps of the prompt.
     pub fetch_from: Option<SocketAddr>,
+    /// Moved run that the request goes on from.
+    pub moved_run: Option<&'a MovedRun>,
+}
+
+/// Memory of a run that was moved between replicas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MovedRun {
+    /// Replica at which it ran.
+    pub source: SocketAddr,
+    /// Name of the copy.
+    pub handle: String,
 }
 
 /// Appends the headers of a request to a replica, the caller's included.
@@ -118,6 +130,10 @@
     if let Some(last_event) = marks.last_event {
         write_header(LAST_EVENT, last_event.as_bytes(), out);
     }
+    if let Some(run) = marks.moved_run {
+        let value = format!("{}/{}", run.source, run.handle);
+        write_header(MOVED_FROM, value.as_bytes(), out);
+    }
     if let Some(address) = marks.fetch_from {
         write_header(FETCH_FROM, address.to_string().as_bytes(), out);
     }
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod choice;
+pub mod departure;
 pub mod desired;
 pub mod events;
 pub mod replica;
--- a/berylstep_core/src/fleet/desired.rs
+++ b/berylstep_core/src/fleet/desired.rs
@@ -98,6 +98,10 @@
     pub slots: u32,
     /// Tokens that one engine's memory holds.
     pub memory_tokens: u64,
+    /// Output tokens of one event of a stream.
+    pub event_tokens: u64,
+    /// Whether a run can be moved to another engine.
+    pub moves: bool,
 }
 
 /// How many upstreams of a service may be ordered in each availability zone.
--- a/berylstep_core/src/fleet/events.rs
+++ b/berylstep_core/src/fleet/events.rs
@@ -8,6 +8,7 @@
 pub struct EventCutter {
     pending: Vec<u8>,
     last_id: Option<String>,
+    events: u64,
 }
 
 impl EventCutter {
@@ -20,6 +21,7 @@
         if let Some(id) = last_identifier(&whole) {
             self.last_id = Some(id);
         }
+        self.events += count_events(&whole);
         whole
     }
 
@@ -33,6 +35,11 @@
         std::mem::take(&mut self.pending)
     }
 
+    /// Number of whole events.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Identifier of the last whole event.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
@@ -55,6 +62,12 @@
     end
 }
 
+/// Number of identifiers in whole events.
+fn count_events(events: &[u8]) -> u64 {
+    let lines = events.split(|byte| *byte == b'\n');
+    lines.filter(|line| line.starts_with(ID_FIELD)).count() as u64
+}
+
 fn last_identifier(events: &[u8]) -> Option<String> {
     let mut lines = events.split(|byte| *byte == b'\n');
     let line = lines.rfind(|line| line.starts_with(ID_FIELD))?;
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -53,6 +53,8 @@
     pub state: ReplicaState,
     /// Whether it may be reclaimed with its whole zone.
     pub spot: bool,
+    /// Time from the entry until it ends, where it tells.
+    pub leaves_in: Option<Duration>,
     /// Start of its process, in milliseconds since the Unix epoch; 0 where it is not told.
     pub born: u64,
 }
@@ -116,11 +118,28 @@
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
     rows: HashMap<SharedName, ReplicaRow>,
+    departures: HashMap<SharedName, Departure>,
 }
 
+/// A replica that is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// When that became known.
+    pub noticed: Duration,
+    /// Time from then until it ends, where it told.
+    pub leaves_in: Option<Duration>,
+}
+
+/// Time for which a departure is remembered; streams last no longer.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(30);
+
 impl ReplicaTable {
     /// Takes in an entry; `false` means that it was no news.
     pub fn put(&mut self, entry: ReplicaEntry, revision: u64, now: Duration) -> bool {
+        match entry.state {
+            ReplicaState::Ready => drop(self.departures.remove(&entry.id)),
+            ReplicaState::Draining => self.note_departure(&entry.id, entry.leaves_in, now),
+        }
         match self.rows.get_mut(&entry.id) {
             Some(row) if row.revision >= revision => {
                 row.lapses_at = None;
@@ -157,8 +176,21 @@
     }
 
     /// Forgets a replica whose entry was removed.
-    pub fn remove(&mut self, id: &str) -> bool {
-        self.rows.remove(id).is_some()
+    pub fn remove(&mut self, id: &str, now: Duration) -> bool {
+        let removed = self.rows.remove(id);
+        if let Some(row) = &removed {
+            self.note_departure(&row.entry.id, None, now);
+        }
+        removed.is_some()
+    }
+
+    /// Whether and how a replica is leaving.
+    pub fn departure(&self, id: &str) -> Option<Departure> {
+        self.departures.get(id).copied()
+    }
+
+    fn note_departure(&mut self, id: &SharedName, leaves_in: Option<Duration>, now: Duration) {
+        self.departures.entry(id.clone()).or_insert(Departure { noticed: now, leaves_in });
     }
 
     /// Notes that an entry went missing while the store was in trouble; the replica is used last,
@@ -171,6 +203,7 @@
 
     /// Forgets replicas whose entries did not come back in time, and returns them.
     pub fn expire(&mut self, now: Duration) -> Vec<SharedName> {
+        self.departures.retain(|_, left| now.saturating_sub(left.noticed) < DEPARTURE_MEMORY);
         let lapsed = |row: &&ReplicaRow| row.lapses_at.is_some_and(|at| at <= now);
         let expired: Vec<_> =
             self.rows.values().filter(lapsed).map(|row| row.entry.id.clone()).collect();
@@ -250,13 +283,11 @@
     }
 
     /// Notes a sign other than its entry that a replica is leaving; `false` means that it was known.
-    pub fn note_leaving(&mut self, id: &str) -> bool {
-        match self.rows.get_mut(id) {
-            Some(row) if row.is_ready() => {
-                row.entry.state = ReplicaState::Draining;
-                true
-            }
-            _ => false,
-        }
+    pub fn note_leaving(&mut self, id: &str, now: Duration) -> bool {
+        let Some(row) = self.rows.get_mut(id).filter(|row| row.is_ready()) else { return false };
+        row.entry.state = ReplicaState::Draining;
+        let id = row.entry.id.clone();
+        self.note_departure(&id, None, now);
+        true
     }
 }
--- /dev/null
+++ b/berylstep_core/tests/fleet_state.rs
@@ -0,0 +1,171 @@
+//! Desired state, the replica table and the events of resumable streams.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use berylstep_core::fleet::desired::{
+    CallerLimits, DesiredState, RouteEntry, RouteKind, RouteTarget,
+};
+use berylstep_core::fleet::events::EventCutter;
+use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState, ReplicaTable, LAPSE_GRACE};
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteEntry {
+    RouteEntry {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        gap_target: None,
+        priority: 0,
+        targets: vec![RouteTarget { service: "s".into(), weight: 1.0 }],
+        attempts: 1,
+        public: false,
+        resumable: false,
+    }
+}
+
+struct RouteCase {
+    host: &'static str,
+    path: &'static str,
+    found: Option<&'static str>,
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut desired = DesiredState::new(1, CallerLimits::default(), false);
+    for (name, host, prefix) in
+        [("short", "a.example", "/x/"), ("long", "a.example", "/x/y/"), ("root", "b.example", "/")]
+    {
+        desired.add_route(route(name, host, prefix));
+    }
+    let cases = [
+        RouteCase { host: "a.example", path: "/x/1", found: Some("short") },
+        RouteCase { host: "a.example", path: "/x/y/1", found: Some("long") },
+        RouteCase { host: "A.Example:80", path: "/x/y/", found: Some("long") },
+        RouteCase { host: "a.example", path: "/x", found: None },
+        RouteCase { host: "a.example", path: "/xy/", found: None },
+        RouteCase { host: "b.example", path: "/x/y/1", found: Some("root") },
+        RouteCase { host: "c.example", path: "/x/", found: None },
+    ];
+    for case in cases {
+        let found = desired.route(case.host, case.path).map(|route| &*route.name);
+        assert_eq!(found, case.found, "{}{}", case.host, case.path);
+    }
+}
+
+struct RankCase {
+    first: (Option<u8>, u8),
+    then: (Option<u8>, u8),
+}
+
+#[test]
+fn organisations_rank_before_routes() {
+    let rank = |(organisation, priority): (Option<u8>, u8)| {
+        RouteEntry { priority, ..route("r", "h", "/") }.rank(organisation)
+    };
+    let cases = [
+        RankCase { first: (Some(1), 0), then: (Some(1), 1) },
+        RankCase { first: (Some(1), 1), then: (Some(1), 2) },
+        RankCase { first: (Some(0), 2), then: (Some(1), 0) },
+        RankCase { first: (None, 0), then: (None, 2) },
+    ];
+    for case in cases {
+        assert!(rank(case.first) < rank(case.then), "{:?} before {:?}", case.first, case.then);
+    }
+}
+
+#[test]
+fn a_split_route_uses_its_targets_by_weight() {
+    let target = |service: &str, weight| RouteTarget { service: service.into(), weight };
+    let targets = vec![target("most", 90.0), target("few", 10.0), target("none", 0.0)];
+    let split = RouteEntry { targets, ..route("r", "h", "/") };
+    let drawn = |draw| split.service(draw).map(|service| &**service);
+    assert_eq!(drawn(0.0), Some("most"));
+    assert_eq!(drawn(0.89), Some("most"));
+    assert_eq!(drawn(0.95), Some("few"));
+    assert_eq!(drawn(1.0), Some("few"));
+    assert_eq!(RouteEntry { targets: Vec::new(), ..split }.service(0.5), None);
+}
+
+fn entry(id: &str, state: ReplicaState, born: u64) -> ReplicaEntry {
+    ReplicaEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 8000)),
+        zone: "a".into(),
+        slots: 4,
+        state,
+        spot: false,
+        leaves_in: None,
+        born,
+    }
+}
+
+#[test]
+fn an_older_entry_does_not_bring_a_draining_replica_back() {
+    let mut table = ReplicaTable::default();
+    let now = Duration::ZERO;
+    table.put(entry("r", ReplicaState::Draining, 1), 9, now);
+    assert!(!table.put(entry("r", ReplicaState::Ready, 1), 8, now));
+    assert_eq!(table.ready("s").count(), 0);
+    assert!(table.put(entry("r", ReplicaState::Ready, 2), 10, now));
+    assert_eq!(table.ready("s").count(), 1);
+}
+
+#[test]
+fn a_lapsed_replica_is_kept_for_a_while_and_comes_back_with_its_entry() {
+    let now = Duration::from_secs(10);
+    let mut table = ReplicaTable::default();
+    for id in ["back", "gone"] {
+        table.put(entry(id, ReplicaState::Ready, 1), 1, now);
+        table.lapse(id, now);
+    }
+    assert_eq!(table.ready("s").count(), 2);
+    table.put(entry("back", ReplicaState::Ready, 1), 2, now);
+    let expired = table.expire(now + LAPSE_GRACE);
+    assert_eq!(expired.iter().map(|id| &**id).collect::<Vec<_>>(), ["gone"]);
+    assert!(table.get("back").unwrap().is_sound(now));
+}
+
+struct CutCase {
+    name: &'static str,
+    pieces: &'static [&'static str],
+    passed: &'static str,
+    last_id: Option<&'static str>,
+}
+
+#[test]
+fn only_whole_events_are_passed_on() {
+    let cases = [
+        CutCase {
+            name: "two whole events",
+            pieces: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"],
+            passed: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            last_id: Some("2"),
+        },
+        CutCase {
+            name: "an event in pieces",
+            pieces: &["id: 1\nda", "ta: a\n", "\nid: 2\ndata"],
+            passed: "id: 1\ndata: a\n\n",
+            last_id: Some("1"),
+        },
+        CutCase {
+            name: "carriage returns",
+            pieces: &["id: 7\r\ndata: a\r\n\r\nid: 8\r\n"],
+            passed: "id: 7\r\ndata: a\r\n\r\n",
+            last_id: Some("7"),
+        },
+        CutCase { name: "nothing whole", pieces: &["id: 1\ndata: a\n"], passed: "", last_id: None },
+    ];
+    for case in cases {
+        let mut cutter = EventCutter::default();
+        let passed: Vec<u8> =
+            case.pieces.iter().flat_map(|piece| cutter.accept(piece.as_bytes())).collect();
+        assert_eq!(String::from_utf8(passed).unwrap(), case.passed, "{}", case.name);
+        assert_eq!(cutter.last_id(), case.last_id, "{}", case.name);
+        cutter.discard_partial();
+        assert!(cutter.take_rest().is_empty(), "{}", case.name);
+    }
+}
--- /dev/null
+++ b/berylstep_http/tests/message_cases.rs
@@ -0,0 +1,192 @@
+//! Messages that are passed on: heads, bodies in any pieces, and reads that are cancelled.
+
+use std::io::Write;
+use std::time::Duration;
+
+use berylstep_http::message::BodyError;
+use berylstep_http::{BodyDecoder, MessageStream, RequestMessage, ResponseMessage};
+use proptest::prelude::*;
+use smol::future;
+use smol::net::{TcpListener, TcpStream};
+
+struct HeadCase {
+    name: &'static str,
+    head: &'static str,
+    accepted: bool,
+}
+
+#[test]
+fn requests_that_could_hide_another_are_rejected() {
+    let cases = [
+        HeadCase { name: "plain", head: "GET /a//b/../c?x=%20 HTTP/1.1\r\nHost: h\r\n\r\n", accepted: true },
+        HeadCase { name: "two hosts", head: "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", accepted: false },
+        HeadCase { name: "no host", head: "GET / HTTP/1.1\r\n\r\n", accepted: false },
+        HeadCase {
+            name: "length and chunks",
+            head: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            accepted: false,
+        },
+        HeadCase {
+            name: "two lengths",
+            head: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+            accepted: false,
+        },
+        HeadCase {
+            name: "signed length",
+            head: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\n",
+            accepted: false,
+        },
+        HeadCase {
+            name: "unknown transfer encoding",
+            head: "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+            accepted: false,
+        },
+        HeadCase { name: "absolute target", head: "GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", accepted: false },
+        HeadCase { name: "old version", head: "GET / HTTP/1.0\r\nHost: h\r\n\r\n", accepted: false },
+    ];
+    for case in cases {
+        let parsed = RequestMessage::parse(case.head.as_bytes());
+        assert_eq!(parsed.is_ok(), case.accepted, "{}: {parsed:?}", case.name);
+    }
+}
+
+#[test]
+fn targets_and_header_values_are_kept_byte_for_byte() {
+    let head = "POST /a//b/../c?x=%20&y HTTP/1.1\r\nHost: H.example\r\nX-Odd: \u{e9}  b\r\n\r\n";
+    let message = RequestMessage::parse(head.as_bytes()).unwrap();
+    assert_eq!(message.target, "/a//b/../c?x=%20&y");
+    assert_eq!(message.path(), "/a//b/../c");
+    assert_eq!(message.headers.get("x-odd"), Some("\u{e9}  b"));
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+    let head = "GET / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Once\r\nX-Once: 1\r\n\
+                Keep-Alive: timeout=5\r\nTE: trailers\r\nUpgrade: h2c\r\nContent-Length: 0\r\n\
+                X-Kept: 2\r\n\r\n";
+    let message = RequestMessage::parse(head.as_bytes()).unwrap();
+    let kept: Vec<_> = message.headers.end_to_end().map(|field| &*field.name).collect();
+    assert_eq!(kept, ["Host", "X-Kept"]);
+}
+
+struct BodyCase {
+    name: &'static str,
+    head: &'static str,
+    body: &'static str,
+    /// Content, or `None` where the body is not whole at the end of the connection.
+    content: Option<&'static str>,
+    keep_alive: bool,
+}
+
+const BODY_CASES: &[BodyCase] = &[
+    BodyCase {
+        name: "length",
+        head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+        body: "hello",
+        content: Some("hello"),
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "short of its length",
+        head: "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n",
+        body: "hello",
+        content: None,
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "chunks with a trailer",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nX-T: 1\r\n\r\n",
+        content: Some("hello"),
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "chunks without the last",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "2\r\nhe\r\n3\r\nllo\r\n",
+        content: None,
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "chunk without its end",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "2\r\nhexx0\r\n\r\n",
+        content: None,
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "until the connection closes",
+        head: "HTTP/1.1 200 OK\r\n\r\n",
+        body: "hello",
+        content: Some("hello"),
+        keep_alive: false,
+    },
+    BodyCase {
+        name: "no body by status",
+        head: "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+        body: "",
+        content: Some(""),
+        keep_alive: true,
+    },
+];
+
+/// Decodes a body that arrives in pieces of `step` bytes and then ends in an orderly way.
+fn decode(case: &BodyCase, step: usize) -> Result<String, BodyError> {
+    let response = ResponseMessage::parse(case.head.as_bytes()).unwrap();
+    let mut decoder = BodyDecoder::response(&response, "GET");
+    let (mut input, mut content) = (Vec::new(), Vec::new());
+    for piece in case.body.as_bytes().chunks(step) {
+        input.extend_from_slice(piece);
+        decoder.decode(&mut input, &mut content)?;
+    }
+    if !decoder.is_complete() {
+        decoder.close()?;
+    }
+    Ok(String::from_utf8(content).unwrap())
+}
+
+#[test]
+fn keep_alive_follows_the_framing() {
+    for case in BODY_CASES {
+        let response = ResponseMessage::parse(case.head.as_bytes()).unwrap();
+        let expected = case.keep_alive && response.framing != berylstep_http::BodyFraming::Unframed;
+        assert_eq!(
+            response.keep_alive,
+            expected || case.name == "no body by status",
+            "{}",
+            case.name
+        );
+    }
+}
+
+proptest! {
+    #[test]
+    fn bodies_are_the_same_in_any_pieces(step in 1..40usize) {
+        for case in BODY_CASES {
+            let decoded = decode(case, step).ok();
+            prop_assert_eq!(decoded.as_deref(), case.content, "{} in pieces of {}", case.name, step);
+        }
+    }
+}
+
+#[test]
+fn a_cancelled_read_leaves_nothing_ahead_of_the_next_message() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (accepted, _): (TcpStream, _) = listener.accept().await.unwrap();
+        let mut stream = MessageStream::new(accepted);
+        for _ in 0..3 {
+            let waiting = async { stream.fill().await.map(|_| ()) };
+            let cancelling = async {
+                smol::Timer::after(Duration::from_millis(5)).await;
+                Ok(())
+            };
+            future::or(waiting, cancelling).await.unwrap();
+            assert_eq!(stream.buffered_bytes(), 0);
+        }
+        let head = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        peer.write_all(head).unwrap();
+        assert_eq!(stream.read_head(1024).await.unwrap().unwrap(), head);
+    });
+}
