--- a/berylstep/src/gateway/orders.rs
+++ b/berylstep/src/gateway/orders.rs
@@ -26,7 +26,10 @@
 const SETTLE_TIME: Duration = Duration::from_secs(20);
 
 /// Time after the first replicas were seen until all that run have announced themselves.
-const ANNOUNCE_TIME: Duration = Duration::from_secs(4);
+const ANNOUNCE_TIME: Duration = Duration::from_secs(3);
+
+/// Time over which the present demand is taken: about the start of a replica.
+const PRESENT_TIME: Duration = Duration::from_secs(4);
 
 /// What an order is about.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -104,7 +107,8 @@
             if present.is_empty() || self.observed_for(now) < ANNOUNCE_TIME {
                 continue;
             }
-            let work_per_second = self.peak_demand(&service.name);
+            let work_per_second = self.peak_demand(&service.name, now, DEMAND_MEMORY);
+            let present_work = self.peak_demand(&service.name, now, PRESENT_TIME);
             let exhausted = self.exhausted_zones(&service.name, now);
             let baseline = self.baseline(&service.name, now);
             let zones: Vec<_> =
@@ -113,6 +117,7 @@
                 bounds,
                 zones: &zones,
                 work_per_second,
+                present_work,
                 exhausted: &exhausted,
                 baseline,
             };
@@ -237,10 +242,11 @@
         peaks.retain(|(at, _)| now.saturating_sub(*at) <= DEMAND_MEMORY);
     }
 
-    /// Highest demand of late.
-    fn peak_demand(&self, service: &SharedName) -> f64 {
+    /// Highest demand within `memory`.
+    fn peak_demand(&self, service: &SharedName, now: Duration, memory: Duration) -> f64 {
         let state = self.state.borrow();
         let peaks = state.peaks.get(service).into_iter().flatten();
+        let peaks = peaks.filter(|(at, _)| now.saturating_sub(*at) <= memory);
         peaks.map(|(_, work)| *work).fold(0.0, f64::max)
     }
 
--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -180,6 +180,21 @@
     }
 }
 
+#[test]
+fn an_idempotent_request_runs_again_where_it_failed_but_on_no_further_replica() {
+    let flaky = |id: &str| {
+        FakeReplica::start(id, |request, index, stream| match index {
+            0 => respond(stream, request, 500, "", "broken"),
+            _ => respond(stream, request, 200, "", "answer"),
+        })
+    };
+    let replicas = [flaky("i-1"), flaky("i-2"), flaky("i-3")];
+    let trial = trial("safe", &[&replicas[0], &replicas[1], &replicas[2]]);
+    assert_eq!(trial.gateway.send("safe", KEY).unwrap().status(), 200);
+    let used = replicas.iter().filter(|replica| !replica.received().is_empty()).count();
+    assert_eq!(used, 2, "the route allows two replicas");
+}
+
 /// Fails the first request and answers all others.
 fn fail_once(
     fail: Failure,
--- a/berylstep_core/src/fleet/capacity.rs
+++ b/berylstep_core/src/fleet/capacity.rs
@@ -49,6 +49,8 @@
     pub zones: &'a [ZoneState],
     /// Work that arrives in a second, in prompt tokens; the highest of late.
     pub work_per_second: f64,
+    /// Work that arrives in a second at present.
+    pub present_work: f64,
     /// Zones in which no reclaimable replica is to be had at the moment.
     pub exhausted: &'a [SharedName],
     /// Replicas that are kept for as long as demand has not been seen for long enough.
@@ -67,7 +69,7 @@
     };
     let per_zone = (wanted / bearing as f64).ceil() as u32;
     let per_zone = per_zone.clamp(ask.bounds.minimum, ask.bounds.maximum);
-    let extra = replacement(ask, needed as u32, per_zone);
+    let extra = replacement(ask, per_zone);
     let plan_zone = |state: &ZoneState| match ask.bounds.spot_price {
         None => ZoneReplicas { zone: state.present.zone.clone(), dependable: per_zone, spot: 0 },
         Some(_) => mixed(ask.bounds, state, per_zone, extra),
@@ -77,11 +79,12 @@
 
 /// Dependable replicas that each zone gets beside its least while reclaimable ones are not to be
 /// had somewhere: together they make up for what is missing.
-fn replacement(ask: &CapacityAsk<'_>, needed: u32, per_zone: u32) -> Option<u32> {
+fn replacement(ask: &CapacityAsk<'_>, per_zone: u32) -> Option<u32> {
     if ask.exhausted.is_empty() {
         return None;
     }
     let zones = ask.zones.len().max(1) as u32;
+    let needed = (ask.present_work / REPLICA_WORK_PER_SECOND).ceil() as u32;
     let spot: u32 = ask.zones.iter().map(|zone| zone.present.spot).sum();
     let missing = needed.saturating_sub(spot + least_dependable(per_zone) * zones);
     Some(missing.div_ceil(zones))
--- a/berylstep_core/tests/fleet_capacity.rs
+++ b/berylstep_core/tests/fleet_capacity.rs
@@ -115,6 +115,7 @@
             bounds: &bounds(case.spot_price),
             zones: &case.zones,
             work_per_second: case.demand * REPLICA_WORK_PER_SECOND,
+            present_work: case.demand * REPLICA_WORK_PER_SECOND,
             exhausted: &exhausted,
             baseline: case.baseline,
         };
@@ -132,6 +133,7 @@
                 bounds: &bounds,
                 zones: &zones,
                 work_per_second: 16.0 * REPLICA_WORK_PER_SECOND,
+                present_work: 16.0 * REPLICA_WORK_PER_SECOND,
                 exhausted: &[],
                 baseline: 0,
             };
