--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod observe;
 pub mod orders;
 pub mod peers;
+pub mod pulse;
 pub mod request;
 pub mod settings;
 pub mod stop;
@@ -43,7 +44,8 @@
 use crate::gateway::handon::StateHandon;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::observe::GatewayMetrics;
-use crate::gateway::peers::{PeerTable, PulseDesk};
+use crate::gateway::peers::PeerTable;
+use crate::gateway::pulse::PulseDesk;
 use crate::gateway::request::RequestDesk;
 use crate::gateway::settings::{GatewaySettings, SettingsError};
 use crate::gateway::stop::StopSignal;
@@ -124,7 +126,7 @@
     );
     let stop = Rc::new(StopSignal::new(clock.clone(), settings.stop_grace()));
     let mirror = Rc::new(StoreMirror::new(clock.clone()));
-    let peers = Rc::new(PeerTable::default());
+    let peers = Rc::new(PeerTable::new(settings.known_node(run.incarnation)));
     let metrics = Rc::new(GatewayMetrics::default());
     let window = Duration::from_secs(settings.usage_window_s);
     let usage = Rc::new(UsageLedger::new(clock.clone(), run, window));
@@ -136,6 +138,7 @@
             clock: clock.clone(),
             store: store.clone(),
             mirror: mirror.clone(),
+            peers: peers.clone(),
             table,
         };
         tasks.spawn(follower.run()).detach();
--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -175,21 +175,17 @@
         if !self.mirror.is_complete() {
             return None;
         }
-        let live = self.peers.live(self.clock.now());
-        if live.iter().any(|row| row.pulse.duty_fencing > 0 && !row.pulse.leaving) {
+        let now = self.clock.now();
+        if self.peers.duty_fencing(now) > 0 {
             return None;
         }
-        let started = live.iter().map(|row| row.pulse.incarnation);
+        let candidates = self.peers.representatives(now);
         let own_start = self.usage.run().incarnation;
-        let oldest = started.chain([own_start]).min().unwrap_or(own_start);
-        let knows_windows = |start: u64| start <= oldest + NEWCOMER_TIME.as_millis() as u64;
-        if !knows_windows(own_start) {
-            return None;
-        }
-        let others = live.iter().filter(|row| row.pulse.ready);
-        let others = others.filter(|row| knows_windows(row.pulse.incarnation));
+        let oldest = candidates.iter().map(|node| node.incarnation).min().unwrap_or(own_start);
+        let newcomers_after = oldest + NEWCOMER_TIME.as_millis() as u64;
+        let candidates = candidates.iter().filter(|node| node.incarnation <= newcomers_after);
         let own = &*self.settings.node;
-        let ranked = rendezvous::rank(LEASE_KEY, others.map(|row| &*row.pulse.node).chain([own]));
+        let ranked = rendezvous::rank(LEASE_KEY, candidates.map(|node| &*node.node));
         let place = ranked.iter().position(|name| *name == own)?;
         (place < CANDIDATES).then_some(place as u32)
     }
--- a/berylstep/src/gateway/endpoints.rs
+++ b/berylstep/src/gateway/endpoints.rs
@@ -123,12 +123,9 @@
 
     /// Ready nodes of the caller's availability zone, and others where these are few.
     fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
-        let live = self.peers.live(self.clock.now());
-        let ready = live.iter().filter(|row| row.pulse.ready && !row.pulse.leaving);
-        let others = ready.filter_map(|row| {
-            let address: SocketAddr = row.pulse.caller_address.parse().ok()?;
-            Some((&*row.pulse.zone, address))
-        });
+        let nodes = self.peers.nodes(self.clock.now());
+        let ready = nodes.iter().filter(|node| node.ready);
+        let others = ready.map(|node| (&*node.zone, node.caller_address));
         let own = (&*self.settings.zone, self.settings.listen.callers);
         let own = self.is_ready().then_some(own);
         let (mut near, mut far) = (Vec::new(), Vec::new());
@@ -148,7 +145,7 @@
     fn metrics(&self) -> Response {
         let now = self.clock.now();
         self.metrics.open_requests.set(self.stop.open_requests().into());
-        self.metrics.live_peers.set(self.peers.live(now).len() as i64);
+        self.metrics.live_peers.set(self.peers.nodes(now).len() as i64);
         self.metrics.desired_version.set(self.mirror.desired_version() as i64);
         let ready = self.mirror.replicas.borrow().rows().filter(|row| row.is_ready()).count();
         self.metrics.ready_replicas.set(ready as i64);
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::RuntimeClock;
 use crate::gateway::mirror::{NewsSource, StoreMirror, StoredCopy};
+use crate::gateway::peers::PeerTable;
 use crate::platform::desired::{DESIRED_KEY, OPERATOR_TABLE};
 use crate::platform::entries::REPLICA_TABLE;
 use crate::platform::store::{FeedAnswer, RowSnapshot, StoreRow};
@@ -23,6 +24,9 @@
 /// Longest pause after failed calls; below the time within which entries must be back.
 const MAX_BACKOFF: Duration = Duration::from_millis(1000);
 
+/// Time between looks of a node for which others follow the store.
+const IDLE_LOOK: Duration = Duration::from_millis(250);
+
 /// A table that is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FollowedTable {
@@ -49,6 +53,8 @@
     pub store: Rc<PlatformClient>,
     /// Copy that is kept up to date.
     pub mirror: Rc<StoreMirror>,
+    /// Other nodes, which may follow the store for this one.
+    pub peers: Rc<PeerTable>,
     /// Table.
     pub table: FollowedTable,
 }
@@ -60,17 +66,35 @@
     newest: u64,
     /// Whether changes can be asked for from there on.
     has_snapshot: bool,
+    /// Whether this node counts as following the table.
+    follows: bool,
     /// Pause after the next failure.
     backoff: Duration,
 }
 
+impl Default for FollowProgress {
+    fn default() -> Self {
+        Self { newest: 0, has_snapshot: false, follows: false, backoff: FIRST_BACKOFF }
+    }
+}
+
 impl TableFollower {
     /// Reads the table and then its changes, again and again.
     pub async fn run(self) {
-        let mut progress =
-            FollowProgress { newest: 0, has_snapshot: false, backoff: FIRST_BACKOFF };
+        let mut progress = FollowProgress::default();
         loop {
-            let Err(err) = self.advance(&mut progress).await else { continue };
+            let now = self.clock.now();
+            if self.mirror.is_complete() && !self.peers.must_follow_store(now) {
+                self.set_following(&mut progress, false);
+                progress.has_snapshot = false;
+                self.clock.sleep(IDLE_LOOK).await;
+                continue;
+            }
+            let Err(err) = self.advance(&mut progress).await else {
+                self.set_following(&mut progress, true);
+                continue;
+            };
+            self.set_following(&mut progress, false);
             self.mirror.note_trouble();
             log::warn!(
                 "event=store_lost table={:?} revision={} retry_ms={} error=\"{err}\"",
@@ -84,6 +108,18 @@
         }
     }
 
+    fn set_following(&self, progress: &mut FollowProgress, follows: bool) {
+        if progress.follows != follows {
+            progress.follows = follows;
+            self.mirror.note_following(follows);
+            log::info!(
+                "event=store_following table={:?} follows={follows} revision={}",
+                self.table,
+                progress.newest
+            );
+        }
+    }
+
     /// Makes one call.
     async fn advance(&self, progress: &mut FollowProgress) -> Result<(), CallError> {
         match progress.has_snapshot {
--- a/berylstep/src/gateway/handon.rs
+++ b/berylstep/src/gateway/handon.rs
@@ -9,7 +9,7 @@
 
 use berylstep_wire::codec::FrameCodec;
 use berylstep_wire::frame::Body;
-use berylstep_wire::{FleetCopy, FleetQuery, Frame, ReplicaCopy};
+use berylstep_wire::{FleetCopy, FleetQuery, Frame, ReplicaCopy, ReplicaRemoval};
 use futures_util::{SinkExt, StreamExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
@@ -17,8 +17,8 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::clock::RuntimeClock;
-use crate::gateway::mirror::{NewsSource, StoreMirror, StoredCopy};
-use crate::gateway::peers::{PeerRow, PeerTable};
+use crate::gateway::mirror::{NewsSource, ReplicaChanges, StoreMirror, StoredCopy};
+use crate::gateway::peers::PeerTable;
 
 /// Time between looks at how far other nodes are.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -48,44 +48,30 @@
         let mut looks = 0;
         loop {
             self.clock.sleep(LOOK_INTERVAL).await;
-            let Some(ahead) = self.node_ahead() else {
+            let now = self.clock.now();
+            let (desired, replicas) =
+                (self.mirror.desired_version(), self.mirror.replica_revision());
+            let Some((peer, address)) = self.peers.ahead(desired, replicas, now) else {
                 looks = 0;
                 continue;
             };
             looks += 1;
-            if looks >= LOOKS_BEHIND {
-                self.ask(&ahead).await;
+            if looks >= LOOKS_BEHIND || !self.peers.must_follow_store(now) {
+                self.ask(&peer, address).await;
             }
         }
     }
 
-    /// A node that knows more than this one.
-    fn node_ahead(&self) -> Option<PeerRow> {
-        let (desired, replicas) = (self.mirror.desired_version(), self.mirror.replica_revision());
-        let mut live = self.peers.live(self.clock.now());
-        live.retain(|row| {
-            row.pulse.desired_version > desired || row.pulse.replica_revision > replicas
-        });
-        let place = live
-            .iter()
-            .enumerate()
-            .max_by_key(|(_, row)| (row.pulse.desired_version, row.pulse.replica_revision));
-        let place = place.map(|(place, _)| place)?;
-        Some(live.swap_remove(place))
-    }
-
-    async fn ask(&self, row: &PeerRow) {
+    async fn ask(&self, peer: &str, address: SocketAddr) {
         let query = FleetQuery {
             desired_version: self.mirror.desired_version(),
             replica_revision: self.mirror.replica_revision(),
         };
-        match self.clock.timeout(QUERY_TIMEOUT, query_peer(row.address, query)).await {
-            Some(Ok(Some(copy))) => self.take(copy, &row.pulse.node),
-            Some(Ok(None)) => log::warn!("event=handon_empty peer={}", row.pulse.node),
-            Some(Err(err)) => {
-                log::warn!("event=handon_failed peer={} error=\"{err}\"", row.pulse.node);
-            }
-            None => log::warn!("event=handon_failed peer={} error=timeout", row.pulse.node),
+        match self.clock.timeout(QUERY_TIMEOUT, query_peer(address, query)).await {
+            Some(Ok(Some(copy))) => self.take(copy, peer),
+            Some(Ok(None)) => log::warn!("event=handon_empty peer={peer}"),
+            Some(Err(err)) => log::warn!("event=handon_failed peer={peer} error=\"{err}\""),
+            None => log::warn!("event=handon_failed peer={peer} error=timeout"),
         }
     }
 
@@ -99,12 +85,22 @@
         if !copy.desired.is_empty() {
             self.mirror.take_desired(copy.desired, NewsSource::Peer);
         }
-        if copy.has_replicas {
-            let entries = copy.replicas.into_iter().map(|replica| {
-                (replica.id, StoredCopy { revision: replica.revision, value: replica.value })
-            });
-            self.mirror.take_replicas(copy.replica_revision, entries.collect());
+        if !copy.has_replicas {
+            return;
         }
+        let entries = copy.replicas.into_iter().map(|replica| {
+            (replica.id, StoredCopy { revision: replica.revision, value: replica.value })
+        });
+        if copy.complete {
+            return self.mirror.take_replicas(copy.replica_revision, entries.collect());
+        }
+        for (id, stored) in entries {
+            self.mirror.take_replica(&id, stored.revision, Some(stored.value));
+        }
+        for removal in copy.removed {
+            self.mirror.take_replica(&removal.id, removal.revision, None);
+        }
+        self.mirror.note_replica_revision(copy.replica_revision);
     }
 
     /// Answers other nodes, for as long as the node runs.
@@ -146,17 +142,25 @@
         let is_newer = self.mirror.desired_version() > query.desired_version;
         let desired = if is_newer { self.mirror.desired_bytes() } else { Vec::new() };
         let has_replicas = self.mirror.replica_revision() > query.replica_revision;
-        let copies = if has_replicas { self.mirror.replica_copies() } else { Vec::new() };
-        let replicas = copies.into_iter().map(|(id, copy)| ReplicaCopy {
+        let changes = match has_replicas {
+            true => self.mirror.replica_changes(query.replica_revision),
+            false => ReplicaChanges::default(),
+        };
+        let replicas = changes.entries.into_iter().map(|(id, copy)| ReplicaCopy {
             id: id.to_string(),
             revision: copy.revision,
             value: copy.value,
         });
+        let removed = changes.removed.into_iter();
+        let removed =
+            removed.map(|(id, revision)| ReplicaRemoval { id: id.to_string(), revision }).collect();
         FleetCopy {
             desired,
             has_replicas,
             replica_revision: self.mirror.replica_revision(),
             replicas: replicas.collect(),
+            complete: changes.complete,
+            removed,
         }
     }
 }
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -1,6 +1,7 @@
 //! This node's copy of the store: the desired state and the list of replicas.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,23 @@
 /// promises, and the way of the news.
 const TROUBLE_TIME: Duration = Duration::from_millis(2500);
 
+/// Tables of the store that are followed.
+const FOLLOWED_TABLES: u32 = 2;
+
+/// Removals that are remembered for nodes that ask for what changed.
+const MAX_REMOVALS: usize = 512;
+
+/// What changed in the list of replicas since a version.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaChanges {
+    /// Whether the list is whole.
+    pub complete: bool,
+    /// Entries.
+    pub entries: Vec<(SharedName, StoredCopy)>,
+    /// Removed entries with the versions of their removal.
+    pub removed: Vec<(SharedName, u64)>,
+}
+
 /// Where news came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NewsSource {
@@ -43,9 +61,13 @@
     /// Replicas with their health and load.
     pub replicas: RefCell<ReplicaTable>,
     copies: RefCell<HashMap<SharedName, StoredCopy>>,
+    removals: RefCell<VecDeque<(SharedName, u64)>>,
+    /// Version since which all removals are known.
+    removals_since: Cell<u64>,
     replica_revision: Cell<u64>,
     has_replicas: Cell<bool>,
     trouble_at: Cell<Option<Duration>>,
+    following: Cell<u32>,
 }
 
 impl StoreMirror {
@@ -57,9 +79,12 @@
             desired_bytes: RefCell::default(),
             replicas: RefCell::default(),
             copies: RefCell::default(),
+            removals: RefCell::default(),
+            removals_since: Cell::new(0),
             replica_revision: Cell::new(0),
             has_replicas: Cell::new(false),
             trouble_at: Cell::new(None),
+            following: Cell::new(0),
         }
     }
 
@@ -88,9 +113,32 @@
         self.replica_revision.get()
     }
 
-    /// Entries as stored.
-    pub fn replica_copies(&self) -> Vec<(SharedName, StoredCopy)> {
-        self.copies.borrow().iter().map(|(id, copy)| (id.clone(), copy.clone())).collect()
+    /// Entries and removals since `revision`, or the whole list where these are not known.
+    pub fn replica_changes(&self, revision: u64) -> ReplicaChanges {
+        let complete = revision < self.removals_since.get() || revision == 0;
+        let copies = self.copies.borrow();
+        let entries = copies.iter().filter(|(_, copy)| complete || copy.revision > revision);
+        let entries = entries.map(|(id, copy)| (id.clone(), copy.clone())).collect();
+        let removals = self.removals.borrow();
+        let removed = removals.iter().filter(|(_, at)| !complete && *at > revision);
+        ReplicaChanges { complete, entries, removed: removed.cloned().collect() }
+    }
+
+    /// Notes that all changes up to a version are known.
+    pub fn note_replica_revision(&self, revision: u64) {
+        self.replica_revision.set(self.replica_revision.get().max(revision));
+    }
+
+    /// Whether both tables of the store are followed at the moment.
+    pub fn hears_store(&self) -> bool {
+        self.following.get() == FOLLOWED_TABLES
+    }
+
+    /// Notes that one more table is followed, or one less.
+    pub fn note_following(&self, begins: bool) {
+        let following = self.following.get();
+        let changed = if begins { following + 1 } else { following.saturating_sub(1) };
+        self.following.set(changed);
     }
 
     /// Notes that the store failed to answer.
@@ -157,6 +205,7 @@
             self.take_replica(&id, copy.revision, Some(copy.value));
         }
         self.replica_revision.set(self.replica_revision.get().max(revision));
+        self.removals_since.set(revision);
         self.has_replicas.set(true);
     }
 
@@ -194,8 +243,19 @@
         }
     }
 
+    fn note_removal(&self, id: &str, revision: u64) {
+        let mut removals = self.removals.borrow_mut();
+        removals.push_back((id.into(), revision));
+        if removals.len() > MAX_REMOVALS {
+            if let Some((_, dropped)) = removals.pop_front() {
+                self.removals_since.set(self.removals_since.get().max(dropped));
+            }
+        }
+    }
+
     fn drop_replica(&self, id: &str, revision: u64) {
         self.copies.borrow_mut().remove(id);
+        self.note_removal(id, revision);
         let now = self.clock.now();
         let troubled = self.trouble_at.get().is_some_and(|at| now < at + TROUBLE_TIME);
         let mut replicas = self.replicas.borrow_mut();
--- a/berylstep/src/gateway/orders.rs
+++ b/berylstep/src/gateway/orders.rs
@@ -232,9 +232,8 @@
 
     /// Takes in the present demand of all nodes.
     fn note_demand(&self, service: &SharedName, now: Duration) {
-        let live = self.peers.live(now);
-        let others = live.iter().flat_map(|row| &row.pulse.demand);
-        let rate = self.demand.total_rate(service, others);
+        let others = self.peers.demand(now);
+        let rate = self.demand.total_rate(service, others.iter());
         self.demand.follow(service, rate);
         let mut state = self.state.borrow_mut();
         let peaks = state.peaks.entry(service.clone()).or_default();
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -1,80 +1,248 @@
-//! Heartbeats between gateways.
+//! Other gateways: who lives, what they have in progress and how far they follow the store.
 //!
-//! Each node tells the others a few times a second that it lives, what it has in progress at which
-//! replica and how far it has followed the store. Nodes find each other through the seeds and
-//! through what their peers tell; no node keeps a connection to another.
+//! In each availability zone a few nodes are representatives. They tell all other representatives
+//! what the nodes of their zone have in progress, and these nodes what all zones have; so that the
+//! messages of a node grow with its zone and those of most nodes not at all. In a zone with few
+//! nodes all are representatives, and each hears each other.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::replica::ReplicaLoad;
-use berylstep_core::fleet::window::{NodeRun, WindowCounts};
 use berylstep_core::rendezvous;
-use berylstep_wire::{FleetPulse, OrganisationUsage, ReplicaWork, WindowUsage};
-use prost::Message;
-use smol::net::UdpSocket;
+use berylstep_wire::{ClassDemand, FleetPulse, NodeEntry, ReplicaWork, RunUsage, ZoneSummary};
 
-use crate::clock::RuntimeClock;
-use crate::gateway::demand::DemandLedger;
-use crate::gateway::mirror::StoreMirror;
-use crate::gateway::settings::GatewaySettings;
-use crate::gateway::stop::StopSignal;
-use crate::gateway::usage::UsageLedger;
-
-/// Time between pulses; several fit into the time within which a dead node must leave the directory.
-const PULSE_INTERVAL: Duration = Duration::from_millis(250);
+/// Representatives of one availability zone: one is left when two fail at once.
+const REPRESENTATIVES: usize = 3;
 
 /// Time without a pulse after which a node is not named to callers: four lost pulses.
 const LIVE_TIME: Duration = Duration::from_millis(1100);
 
+/// Time for which a node that others told of is taken as living; they tell once a second.
+const TOLD_TIME: Duration = Duration::from_millis(2600);
+
 /// Time without a pulse after which a node is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(20);
 
-/// Pulses between two that carry usage.
-const USAGE_EVERY: u64 = 4;
-
-/// Pulses between two that carry addresses, and between two tries at silent addresses.
-const ADDRESSES_EVERY: u64 = 8;
+/// First pulses of a node, which are answered whoever it is.
+const FIRST_PULSES: u64 = 8;
 
-/// Largest datagram.
-const MAX_DATAGRAM: usize = 16 * 1024;
-
-/// Another node.
+/// A node that sends its pulses here.
 #[derive(Clone, Debug)]
 pub struct PeerRow {
     /// Its last pulse.
     pub pulse: FleetPulse,
+    /// Last usage that it told, by window.
+    pub usage: Vec<RunUsage>,
     /// Where its pulses come from.
     pub address: SocketAddr,
     /// When the pulse came.
     pub heard: Duration,
 }
 
-/// Other nodes, by name.
-#[derive(Debug, Default)]
+/// A living node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownNode {
+    /// Name.
+    pub node: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Address for pulses and queries.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+    /// Number of its start.
+    pub incarnation: u64,
+    /// Share of a core that it has, in thousandths.
+    pub core_permille: u32,
+}
+
+impl KnownNode {
+    /// Message about the node.
+    pub fn entry(&self) -> NodeEntry {
+        NodeEntry {
+            node: self.node.to_string(),
+            zone: self.zone.to_string(),
+            peer_address: self.peer_address.to_string(),
+            caller_address: self.caller_address.to_string(),
+            ready: self.ready,
+            incarnation: self.incarnation,
+            core_permille: self.core_permille,
+        }
+    }
+
+    fn from_entry(entry: &NodeEntry) -> Option<Self> {
+        Some(Self {
+            node: (&*entry.node).into(),
+            zone: (&*entry.zone).into(),
+            peer_address: entry.peer_address.parse().ok()?,
+            caller_address: entry.caller_address.parse().ok()?,
+            ready: entry.ready,
+            incarnation: entry.incarnation,
+            core_permille: entry.core_permille,
+        })
+    }
+
+    fn from_row(row: &PeerRow) -> Option<Self> {
+        Some(Self {
+            node: (&*row.pulse.node).into(),
+            zone: (&*row.pulse.zone).into(),
+            peer_address: row.address,
+            caller_address: row.pulse.caller_address.parse().ok()?,
+            ready: row.pulse.ready && !row.pulse.leaving,
+            incarnation: row.pulse.incarnation,
+            core_permille: row.pulse.core_permille,
+        })
+    }
+}
+
+/// What several nodes of one zone told.
+#[derive(Clone, Debug)]
+struct SummaryRow {
+    summary: ZoneSummary,
+    heard: Duration,
+}
+
+/// Other nodes.
+#[derive(Debug)]
 pub struct PeerTable {
+    own: KnownNode,
     rows: RefCell<HashMap<SharedName, PeerRow>>,
-    /// Addresses that may belong to nodes.
-    contacts: RefCell<HashMap<SocketAddr, Duration>>,
+    told: RefCell<HashMap<SharedName, (KnownNode, Duration)>>,
+    /// Nodes for which representatives of other zones speak.
+    spoken_for: RefCell<HashMap<SharedName, SummaryRow>>,
+    /// Whole zones, where a representative speaks for this node.
+    zones: RefCell<HashMap<SharedName, SummaryRow>>,
+    own_work: RefCell<Vec<ReplicaWork>>,
     most: Cell<usize>,
 }
 
 impl PeerTable {
-    /// Nodes that were heard a moment ago.
-    pub fn live(&self, now: Duration) -> Vec<PeerRow> {
+    /// A table of the node `own` that knows no other.
+    pub fn new(own: KnownNode) -> Self {
+        Self {
+            own,
+            rows: RefCell::default(),
+            told: RefCell::default(),
+            spoken_for: RefCell::default(),
+            zones: RefCell::default(),
+            own_work: RefCell::default(),
+            most: Cell::new(1),
+        }
+    }
+
+    /// Other nodes that live.
+    pub fn nodes(&self, now: Duration) -> Vec<KnownNode> {
+        let mut nodes: Vec<_> =
+            self.live_rows(now).iter().filter_map(KnownNode::from_row).collect();
         let rows = self.rows.borrow();
-        rows.values().filter(|row| now.saturating_sub(row.heard) < LIVE_TIME).cloned().collect()
+        let told = self.told.borrow();
+        let hearsay = told.values().filter(|(node, at)| {
+            // A node that fell silent here is not brought back by hearsay.
+            !rows.contains_key(&node.node) && now.saturating_sub(*at) < TOLD_TIME
+        });
+        nodes.extend(hearsay.map(|(node, _)| node.clone()));
+        nodes
+    }
+
+    /// Nodes that this one hears itself.
+    pub fn heard_nodes(&self, now: Duration) -> Vec<KnownNode> {
+        self.live_rows(now).iter().filter_map(KnownNode::from_row).collect()
     }
 
     /// Most nodes that were ever live at once, this one included.
     pub fn most_nodes(&self) -> usize {
-        self.most.get().max(1)
+        self.most.get()
     }
 
-    fn observe(&self, pulse: FleetPulse, from: SocketAddr, now: Duration) {
+    /// Representatives of all zones, this node included where it is one.
+    pub fn representatives(&self, now: Duration) -> Vec<KnownNode> {
+        let mut nodes = self.nodes(now);
+        nodes.push(self.own.clone());
+        representatives(nodes)
+    }
+
+    /// Whether this node speaks for its zone.
+    pub fn is_representative(&self, now: Duration) -> bool {
+        self.representatives(now).iter().any(|node| node.node == self.own.node)
+    }
+
+    /// Whether this node has to follow the store itself: it speaks for others, or hears no
+    /// representative that follows it.
+    pub fn must_follow_store(&self, now: Duration) -> bool {
+        self.is_representative(now)
+            || !self.live_rows(now).iter().any(|row| row.pulse.follows_store)
+    }
+
+    /// Demand at the other nodes.
+    pub fn demand(&self, now: Duration) -> Vec<ClassDemand> {
+        let rows = self.live_rows(now);
+        let direct = rows.iter().flat_map(|row| row.pulse.demand.clone());
+        let summaries = self.summaries(now);
+        let summed = summaries.iter().flat_map(|summary| summary.demand.clone());
+        match self.is_representative(now) {
+            true => direct.chain(summed).collect(),
+            false => summed.collect(),
+        }
+    }
+
+    /// Highest fencing number under which another node holds the duties; 0 where none does.
+    pub fn duty_fencing(&self, now: Duration) -> u64 {
+        let rows = self.live_rows(now);
+        let holding = rows.iter().filter(|row| !row.pulse.leaving);
+        let direct = holding.map(|row| row.pulse.duty_fencing);
+        let summaries = self.summaries(now);
+        direct.chain(summaries.iter().map(|summary| summary.duty_fencing)).max().unwrap_or_default()
+    }
+
+    /// A node that knows a newer desired state or list of replicas.
+    pub fn ahead(
+        &self,
+        desired: u64,
+        replicas: u64,
+        now: Duration,
+    ) -> Option<(SharedName, SocketAddr)> {
+        let rows = self.live_rows(now);
+        let ahead = rows.iter().filter(|row| {
+            row.pulse.desired_version > desired || row.pulse.replica_revision > replicas
+        });
+        let furthest =
+            ahead.max_by_key(|row| (row.pulse.desired_version, row.pulse.replica_revision))?;
+        Some(((&*furthest.pulse.node).into(), furthest.address))
+    }
+
+    /// Work of the other nodes by the short names of replicas.
+    pub fn loads(&self, now: Duration) -> HashMap<u32, ReplicaLoad> {
+        let mut sums: HashMap<u32, ReplicaLoad> = HashMap::default();
+        if self.is_representative(now) {
+            let rows = self.live_rows(now);
+            rows.iter().for_each(|row| add_work(&mut sums, &row.pulse.work));
+        }
+        let summaries = self.summaries(now);
+        summaries.iter().for_each(|summary| add_work(&mut sums, &summary.work));
+        if !self.is_representative(now) {
+            // The zone's sum holds what this node told a moment ago.
+            for work in self.own_work.borrow().iter() {
+                let sum = sums.entry(work.replica).or_default();
+                sum.requests = sum.requests.saturating_sub(work.requests);
+                sum.work = sum.work.saturating_sub(work.work);
+            }
+        }
+        sums
+    }
+
+    /// Notes what this node tells of its own work.
+    pub fn note_own_work(&self, work: Vec<ReplicaWork>) {
+        *self.own_work.borrow_mut() = work;
+    }
+
+    /// Takes in a pulse; `false` means that it was no news.
+    pub fn observe(&self, pulse: FleetPulse, from: SocketAddr, now: Duration) -> bool {
         let name = SharedName::from(&*pulse.node);
         let mut rows = self.rows.borrow_mut();
         let known = rows.get(&name);
@@ -82,7 +250,7 @@
             (row.pulse.incarnation, row.pulse.sequence) < (pulse.incarnation, pulse.sequence)
         });
         if !newer {
-            return;
+            return false;
         }
         if known.is_none_or(|row| row.pulse.incarnation != pulse.incarnation) {
             log::info!(
@@ -90,11 +258,40 @@
                 pulse.incarnation
             );
         }
-        rows.insert(name, PeerRow { pulse, address: from, heard: now });
+        self.observe_told(&pulse, now);
+        let mut usage = known.map(|row| row.usage.clone()).unwrap_or_default();
+        for told in &pulse.usage {
+            usage.retain(|run| run.usage.as_ref().is_some_and(|u| u.window + 2 > told.window));
+            usage.retain(|run| run.usage.as_ref().is_some_and(|u| u.window != told.window));
+            usage.push(RunUsage {
+                node: pulse.node.clone(),
+                incarnation: pulse.incarnation,
+                usage: Some(told.clone()),
+            });
+        }
+        rows.insert(name, PeerRow { pulse, usage, address: from, heard: now });
+        true
+    }
+
+    fn observe_told(&self, pulse: &FleetPulse, now: Duration) {
+        let mut told = self.told.borrow_mut();
+        for node in pulse.nodes.iter().filter_map(KnownNode::from_entry) {
+            if node.node != self.own.node {
+                told.insert(node.node.clone(), (node, now));
+            }
+        }
+        let note = |rows: &RefCell<HashMap<SharedName, SummaryRow>>, summary: &ZoneSummary| {
+            let row = SummaryRow { summary: summary.clone(), heard: now };
+            rows.borrow_mut().insert((&*summary.zone).into(), row);
+        };
+        if let Some(summary) = &pulse.spoken_for {
+            note(&self.spoken_for, summary);
+        }
+        pulse.zones.iter().for_each(|summary| note(&self.zones, summary));
     }
 
     /// Forgets nodes that were silent for long, and notes how many live.
-    fn tidy(&self, now: Duration) {
+    pub fn tidy(&self, now: Duration) {
         self.rows.borrow_mut().retain(|name, row| {
             let kept = now.saturating_sub(row.heard) < FORGET_TIME;
             if !kept {
@@ -102,197 +299,140 @@
             }
             kept
         });
-        self.contacts.borrow_mut().retain(|_, told| now.saturating_sub(*told) < FORGET_TIME);
-        self.most.set(self.most.get().max(self.live(now).len() + 1));
+        self.told.borrow_mut().retain(|_, (_, at)| now.saturating_sub(*at) < FORGET_TIME);
+        let summed: u32 = self.summaries(now).iter().map(|summary| summary.nodes).sum();
+        let heard = match self.is_representative(now) {
+            true => self.live_rows(now).len() + 1,
+            false => 0,
+        };
+        self.most.set(self.most.get().max(heard + summed as usize));
     }
 
-    fn targets(&self, seeds: &[SocketAddr], sequence: u64, now: Duration) -> Vec<SocketAddr> {
-        let rows = self.rows.borrow();
-        let is_live = |row: &&PeerRow| now.saturating_sub(row.heard) < LIVE_TIME;
-        let mut targets: Vec<_> = rows.values().filter(is_live).map(|row| row.address).collect();
-        if sequence % ADDRESSES_EVERY < 2 {
-            let silent = rows.values().map(|row| row.address);
-            let contacts = self.contacts.borrow();
-            let more = silent.chain(seeds.iter().copied()).chain(contacts.keys().copied());
-            for address in more {
-                if !targets.contains(&address) {
-                    targets.push(address);
-                }
-            }
-        }
-        targets
+    /// Nodes of this node's zone for which it speaks.
+    pub fn followers(&self, now: Duration) -> Vec<PeerRow> {
+        let representatives = self.representatives(now);
+        let is_follower = |row: &PeerRow| {
+            *row.pulse.zone == *self.own.zone
+                && !representatives.iter().any(|node| *node.node == *row.pulse.node)
+        };
+        self.live_rows(now).into_iter().filter(is_follower).collect()
     }
-}
 
-/// Sends and receives pulses.
-pub struct PulseDesk {
-    /// Settings.
-    pub settings: Rc<GatewaySettings>,
-    /// Clock.
-    pub clock: RuntimeClock,
-    /// Other nodes.
-    pub peers: Rc<PeerTable>,
-    /// Copy of the store.
-    pub mirror: Rc<StoreMirror>,
-    /// Usage.
-    pub usage: Rc<UsageLedger>,
-    /// Planned stop.
-    pub stop: Rc<StopSignal>,
-    /// Fencing token under which this node holds the duties; 0 where it does not.
-    pub duty_fencing: Rc<Cell<u64>>,
-    /// Demand.
-    pub demand: Rc<DemandLedger>,
-    /// Socket.
-    pub socket: UdpSocket,
-}
-
-impl PulseDesk {
-    /// Sends pulses for as long as the node runs.
-    pub async fn send(self: Rc<Self>) {
-        let mut sequence = 0;
-        loop {
-            self.send_once(sequence).await;
-            sequence += 1;
-            self.clock.sleep(PULSE_INTERVAL).await;
+    /// Sum over the nodes for which this one speaks.
+    pub fn followers_summary(&self, followers: &[PeerRow], with_usage: bool) -> ZoneSummary {
+        let mut summary = ZoneSummary { zone: self.own.zone.to_string(), ..Default::default() };
+        for row in followers {
+            add_pulse(&mut summary, &row.pulse);
+            if with_usage {
+                summary.usage.extend(row.usage.iter().cloned());
+            }
         }
+        summary
     }
 
-    /// Sends one pulse; `sequence` decides what it carries.
-    pub async fn send_once(&self, sequence: u64) {
-        let now = self.clock.now();
-        self.usage.read_own_clock();
-        self.peers.tidy(now);
-        self.mirror.expire();
-        self.take_loads(now);
-        let targets = self.peers.targets(&self.settings.seed_peers(), sequence, now);
-        if targets.is_empty() {
-            return;
+    /// Sums of all zones, for a node for which this one speaks; `own` is this node's pulse.
+    pub fn all_zones(&self, own: &FleetPulse, now: Duration) -> Vec<ZoneSummary> {
+        let mut zones: HashMap<SharedName, ZoneSummary> = HashMap::default();
+        for pulse in self.live_rows(now).iter().map(|row| &row.pulse).chain([own]) {
+            add_pulse(zones.entry((&*pulse.zone).into()).or_default(), pulse);
         }
-        let bytes = self.pulse(sequence, now).encode_to_vec();
-        for target in targets {
-            if let Err(err) = self.socket.send_to(&bytes, target).await {
-                log::debug!("event=pulse_not_sent peer={target} error=\"{err}\"");
-            }
+        for told in self.summaries(now) {
+            let zone = zones.entry((&*told.zone).into()).or_default();
+            add_summary(zone, &told);
+        }
+        for (name, zone) in &mut zones {
+            zone.zone = name.to_string();
         }
+        zones.into_values().collect()
     }
 
-    /// Receives pulses for as long as the node runs.
-    pub async fn receive(self: Rc<Self>) {
-        let mut buffer = vec![0; MAX_DATAGRAM];
-        loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((count, from)) => self.take(&buffer[..count], from),
-                Err(err) => {
-                    log::warn!("event=pulse_receive_failed error=\"{err}\"");
-                    self.clock.sleep(PULSE_INTERVAL).await;
-                }
-            }
-        }
+    /// Nodes to which a pulse is sent in any case: newcomers, and representatives that are known by
+    /// hearsay only.
+    pub fn newcomers(&self, now: Duration) -> Vec<SocketAddr> {
+        let rows = self.live_rows(now);
+        let fresh = rows.iter().filter(|row| row.pulse.sequence <= FIRST_PULSES);
+        fresh.map(|row| row.address).collect()
     }
 
-    fn take(&self, bytes: &[u8], from: SocketAddr) {
-        let pulse = match FleetPulse::decode(bytes) {
-            Ok(pulse) => pulse,
-            Err(err) => {
-                log::warn!("event=pulse_malformed peer={from} error=\"{err}\"");
-                return;
-            }
-        };
-        if *pulse.node == *self.settings.node {
-            return;
-        }
-        let now = self.clock.now();
-        let run = NodeRun { node: (&*pulse.node).into(), incarnation: pulse.incarnation };
-        self.usage.observe_clock(&run.node, pulse.unix_ms);
-        for window in &pulse.usage {
-            let counts = window.organisations.iter();
-            let counts: WindowCounts = counts
-                .map(|usage| (SharedName::from(&*usage.organisation), usage.requests))
-                .collect();
-            self.usage.merge(&run, window.window, &counts);
-        }
-        {
-            let own = self.settings.peer_address();
-            let mut contacts = self.peers.contacts.borrow_mut();
-            let told = pulse.peers.iter().filter_map(|address| address.parse().ok());
-            contacts.extend(told.filter(|address| *address != own).map(|address| (address, now)));
-        }
-        self.peers.observe(pulse, from, now);
+    /// Nodes that were heard and have fallen silent.
+    pub fn silent(&self, now: Duration) -> Vec<SocketAddr> {
+        let rows = self.rows.borrow();
+        let silent = rows.values().filter(|row| now.saturating_sub(row.heard) >= LIVE_TIME);
+        silent.map(|row| row.address).collect()
     }
 
-    /// Adds up what the other nodes have in progress.
-    fn take_loads(&self, now: Duration) {
-        let mut sums: HashMap<u32, ReplicaLoad> = HashMap::default();
-        for row in self.peers.live(now) {
-            for work in &row.pulse.work {
-                let sum = sums.entry(work.replica).or_default();
-                sum.requests += work.requests;
-                sum.work += work.work;
-            }
-        }
-        let mut replicas = self.mirror.replicas.borrow_mut();
-        let ids: Vec<SharedName> = replicas.rows().map(|row| row.entry.id.clone()).collect();
-        let loads = ids.into_iter().filter_map(|id| {
-            let load = sums.get(&replica_hash(&id)).copied()?;
-            Some((id, load))
-        });
-        let loads = loads.collect();
-        replicas.set_others(&loads);
+    fn live_rows(&self, now: Duration) -> Vec<PeerRow> {
+        let rows = self.rows.borrow();
+        rows.values().filter(|row| now.saturating_sub(row.heard) < LIVE_TIME).cloned().collect()
     }
 
-    fn pulse(&self, sequence: u64, now: Duration) -> FleetPulse {
-        let stopping = self.stop.is_stopping();
-        let run = self.usage.run();
-        let usage = match sequence % USAGE_EVERY == 0 {
-            true => self.usage.own_counts().into_iter().map(window_message).collect(),
-            false => Vec::new(),
-        };
-        let peers = match sequence % ADDRESSES_EVERY == 0 {
-            true => self.peers.live(now).iter().map(|row| row.address.to_string()).collect(),
-            false => Vec::new(),
+    /// Sums of nodes that this one does not hear itself.
+    fn summaries(&self, now: Duration) -> Vec<ZoneSummary> {
+        let rows = match self.is_representative(now) {
+            true => self.spoken_for.borrow(),
+            false => self.zones.borrow(),
         };
-        FleetPulse {
-            node: run.node.to_string(),
-            incarnation: run.incarnation,
-            sequence: sequence + 1,
-            zone: self.settings.zone.to_string(),
-            region: self.settings.region.to_string(),
-            caller_address: self.settings.listen.callers.to_string(),
-            ready: self.mirror.is_complete() && !stopping,
-            leaving: stopping,
-            unix_ms: self.clock.unix_ms(),
-            desired_version: self.mirror.desired_version(),
-            replica_revision: self.mirror.replica_revision(),
-            duty_fencing: self.duty_fencing.get(),
-            work: self.work(),
-            usage,
-            peers,
-            core_permille: (self.settings.core_share * 1000.0) as u32,
-            demand: self.demand.message(),
+        let own_zone = self.is_representative(now).then_some(&*self.own.zone);
+        let live = rows.values().filter(|row| now.saturating_sub(row.heard) < LIVE_TIME);
+        let others = live.filter(|row| Some(&*row.summary.zone) != own_zone);
+        others.map(|row| row.summary.clone()).collect()
+    }
+}
+
+/// First nodes of each zone: those with most processor time, then by an order that is the same at
+/// all nodes.
+fn representatives(mut nodes: Vec<KnownNode>) -> Vec<KnownNode> {
+    nodes.sort_by_cached_key(|node| {
+        let order = rendezvous::score(&node.zone, &node.node);
+        (node.zone.clone(), Reverse(node.core_permille), order)
+    });
+    let mut chosen: Vec<KnownNode> = Vec::new();
+    for node in nodes {
+        if chosen.iter().filter(|other| other.zone == node.zone).count() < REPRESENTATIVES {
+            chosen.push(node);
         }
     }
+    chosen
+}
 
-    fn work(&self) -> Vec<ReplicaWork> {
-        let replicas = self.mirror.replicas.borrow();
-        let busy = replicas.rows().filter(|row| row.own.requests > 0);
-        let message = |row: &berylstep_core::fleet::replica::ReplicaRow| ReplicaWork {
-            replica: replica_hash(&row.entry.id),
-            requests: row.own.requests,
-            work: row.own.work,
-        };
-        busy.map(message).collect()
+fn add_work(sums: &mut HashMap<u32, ReplicaLoad>, told: &[ReplicaWork]) {
+    for work in told {
+        let sum = sums.entry(work.replica).or_default();
+        sum.requests += work.requests;
+        sum.work += work.work;
     }
 }
 
-fn window_message((window, counts): (u64, WindowCounts)) -> WindowUsage {
-    let usage = |(organisation, requests): (SharedName, u64)| OrganisationUsage {
-        organisation: organisation.to_string(),
-        requests,
+fn add_pulse(summary: &mut ZoneSummary, pulse: &FleetPulse) {
+    let told = ZoneSummary {
+        work: pulse.work.clone(),
+        demand: pulse.demand.clone(),
+        duty_fencing: if pulse.leaving { 0 } else { pulse.duty_fencing },
+        nodes: 1,
+        ..Default::default()
     };
-    WindowUsage { window, organisations: counts.into_iter().map(usage).collect() }
+    add_summary(summary, &told);
 }
 
-/// Short name of a replica in pulses.
-fn replica_hash(id: &str) -> u32 {
-    rendezvous::score(id, "") as u32
+fn add_summary(summary: &mut ZoneSummary, told: &ZoneSummary) {
+    for work in &told.work {
+        match summary.work.iter_mut().find(|sum| sum.replica == work.replica) {
+            Some(sum) => {
+                sum.requests += work.requests;
+                sum.work += work.work;
+            }
+            None => summary.work.push(*work),
+        }
+    }
+    for demand in &told.demand {
+        match summary.demand.iter_mut().find(|sum| sum.service == demand.service) {
+            Some(sum) => {
+                sum.work_per_second += demand.work_per_second;
+                sum.short_work_per_second += demand.short_work_per_second;
+            }
+            None => summary.demand.push(demand.clone()),
+        }
+    }
+    summary.duty_fencing = summary.duty_fencing.max(told.duty_fencing);
+    summary.nodes += told.nodes;
 }
--- /dev/null
+++ b/berylstep/src/gateway/pulse.rs
@@ -0,0 +1,255 @@
+//! Sends and receives the heartbeats between gateways.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::replica::ReplicaRow;
+use berylstep_core::fleet::window::{NodeRun, WindowCounts};
+use berylstep_core::rendezvous;
+use berylstep_wire::{FleetPulse, OrganisationUsage, ReplicaWork, RunUsage, WindowUsage};
+use prost::Message;
+use smol::net::UdpSocket;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::demand::DemandLedger;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::peers::PeerTable;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::stop::StopSignal;
+use crate::gateway::usage::UsageLedger;
+
+/// Time between pulses; several fit into the time within which a dead node must leave the directory.
+const PULSE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Pulses between two that carry usage.
+const USAGE_EVERY: u64 = 2;
+
+/// Windows of which usage is told: the present one, and those that are not sealed yet.
+const TOLD_WINDOWS: u64 = 2;
+
+/// Pulses between two that name other nodes.
+const NODES_EVERY: u64 = 4;
+
+/// Pulses between two tries at seeds and silent nodes.
+const CONTACTS_EVERY: u64 = 8;
+
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 48 * 1024;
+
+/// Sends and receives pulses.
+pub struct PulseDesk {
+    /// Settings.
+    pub settings: Rc<GatewaySettings>,
+    /// Clock.
+    pub clock: RuntimeClock,
+    /// Other nodes.
+    pub peers: Rc<PeerTable>,
+    /// Copy of the store.
+    pub mirror: Rc<StoreMirror>,
+    /// Usage.
+    pub usage: Rc<UsageLedger>,
+    /// Planned stop.
+    pub stop: Rc<StopSignal>,
+    /// Fencing token under which this node holds the duties; 0 where it does not.
+    pub duty_fencing: Rc<Cell<u64>>,
+    /// Demand.
+    pub demand: Rc<DemandLedger>,
+    /// Socket.
+    pub socket: UdpSocket,
+}
+
+impl PulseDesk {
+    /// Sends pulses for as long as the node runs.
+    pub async fn send(self: Rc<Self>) {
+        let mut sequence = 0;
+        loop {
+            self.send_once(sequence).await;
+            sequence += 1;
+            self.clock.sleep(PULSE_INTERVAL).await;
+        }
+    }
+
+    /// Sends one pulse; `sequence` decides what it carries.
+    pub async fn send_once(&self, sequence: u64) {
+        let now = self.clock.now();
+        self.usage.read_own_clock();
+        self.peers.tidy(now);
+        self.mirror.expire();
+        self.take_loads(now);
+        let pulse = self.pulse(sequence, now);
+        self.peers.note_own_work(pulse.work.clone());
+        let own = &*self.settings.node;
+        let representatives = self.peers.representatives(now);
+        let speaks = representatives.iter().any(|node| &*node.node == own);
+        let mut sent = Vec::new();
+        if speaks {
+            let followers = self.peers.followers(now);
+            let with_usage = sequence % USAGE_EVERY == 0;
+            let summary = self.peers.followers_summary(&followers, with_usage);
+            let spoken_for = (!followers.is_empty()).then_some(summary);
+            let message = FleetPulse { spoken_for, ..pulse.clone() };
+            let others = representatives.iter().filter(|node| &*node.node != own);
+            self.send_to(&message, others.map(|node| node.peer_address), &mut sent).await;
+            let zones = self.peers.all_zones(&pulse, now);
+            let message = FleetPulse { zones, usage: Vec::new(), ..pulse.clone() };
+            self.send_to(&message, followers.iter().map(|row| row.address), &mut sent).await;
+        } else {
+            let near = representatives.iter().filter(|node| node.zone == self.settings.zone);
+            self.send_to(&pulse, near.map(|node| node.peer_address), &mut sent).await;
+        }
+        let mut contacts = self.peers.newcomers(now);
+        if sequence % CONTACTS_EVERY < 2 {
+            contacts.extend(self.settings.seed_peers());
+            contacts.extend(self.peers.silent(now));
+        }
+        self.send_to(&pulse, contacts.into_iter(), &mut sent).await;
+    }
+
+    /// Sends a pulse to each address that has not had one.
+    async fn send_to(
+        &self,
+        pulse: &FleetPulse,
+        addresses: impl Iterator<Item = SocketAddr>,
+        sent: &mut Vec<SocketAddr>,
+    ) {
+        let bytes = pulse.encode_to_vec();
+        for address in addresses {
+            if sent.contains(&address) {
+                continue;
+            }
+            sent.push(address);
+            if let Err(err) = self.socket.send_to(&bytes, address).await {
+                log::debug!("event=pulse_not_sent peer={address} error=\"{err}\"");
+            }
+        }
+    }
+
+    /// Receives pulses for as long as the node runs.
+    pub async fn receive(self: Rc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((count, from)) => self.take(&buffer[..count], from),
+                Err(err) => {
+                    log::warn!("event=pulse_receive_failed error=\"{err}\"");
+                    self.clock.sleep(PULSE_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, bytes: &[u8], from: SocketAddr) {
+        let pulse = match FleetPulse::decode(bytes) {
+            Ok(pulse) => pulse,
+            Err(err) => {
+                log::warn!("event=pulse_malformed peer={from} error=\"{err}\"");
+                return;
+            }
+        };
+        if *pulse.node == *self.settings.node {
+            return;
+        }
+        let run = NodeRun { node: (&*pulse.node).into(), incarnation: pulse.incarnation };
+        self.usage.observe_clock(&run.node, pulse.unix_ms);
+        pulse.usage.iter().for_each(|window| self.merge_usage(&run, window));
+        let told = pulse.spoken_for.iter().flat_map(|summary| &summary.usage);
+        told.for_each(|usage| self.merge_run(usage));
+        self.peers.observe(pulse, from, self.clock.now());
+    }
+
+    fn merge_run(&self, told: &RunUsage) {
+        let run = NodeRun { node: (&*told.node).into(), incarnation: told.incarnation };
+        if let (Some(usage), true) = (&told.usage, *run.node != *self.settings.node) {
+            self.merge_usage(&run, usage);
+        }
+    }
+
+    fn merge_usage(&self, run: &NodeRun, window: &WindowUsage) {
+        let counts = window.organisations.iter();
+        let counts: WindowCounts =
+            counts.map(|usage| (SharedName::from(&*usage.organisation), usage.requests)).collect();
+        self.usage.merge(run, window.window, &counts);
+    }
+
+    /// Adds up what the other nodes have in progress.
+    fn take_loads(&self, now: Duration) {
+        let sums = self.peers.loads(now);
+        let mut replicas = self.mirror.replicas.borrow_mut();
+        let ids: Vec<SharedName> = replicas.rows().map(|row| row.entry.id.clone()).collect();
+        let loads = ids.into_iter().filter_map(|id| {
+            let load = sums.get(&replica_hash(&id)).copied()?;
+            Some((id, load))
+        });
+        let loads = loads.collect();
+        replicas.set_others(&loads);
+    }
+
+    fn pulse(&self, sequence: u64, now: Duration) -> FleetPulse {
+        let stopping = self.stop.is_stopping();
+        let run = self.usage.run();
+        let nodes = match sequence % NODES_EVERY == 0 {
+            true => self.peers.heard_nodes(now).iter().map(|node| node.entry()).collect(),
+            false => Vec::new(),
+        };
+        FleetPulse {
+            node: run.node.to_string(),
+            incarnation: run.incarnation,
+            sequence: sequence + 1,
+            zone: self.settings.zone.to_string(),
+            region: self.settings.region.to_string(),
+            caller_address: self.settings.listen.callers.to_string(),
+            ready: self.mirror.is_complete() && !stopping,
+            leaving: stopping,
+            unix_ms: self.clock.unix_ms(),
+            desired_version: self.mirror.desired_version(),
+            replica_revision: self.mirror.replica_revision(),
+            duty_fencing: self.duty_fencing.get(),
+            work: self.work(),
+            usage: self.told_usage(sequence),
+            nodes,
+            core_permille: self.settings.core_permille(),
+            demand: self.demand.message(),
+            spoken_for: None,
+            zones: Vec::new(),
+            follows_store: self.mirror.hears_store(),
+        }
+    }
+
+    /// Usage of one of the windows that are told, in turn.
+    fn told_usage(&self, sequence: u64) -> Vec<WindowUsage> {
+        if sequence % USAGE_EVERY != 0 {
+            return Vec::new();
+        }
+        let back = (sequence / USAGE_EVERY) % TOLD_WINDOWS;
+        let window = self.usage.present_window().saturating_sub(back);
+        let counts = self.usage.own_counts().into_iter().find(|(counted, _)| *counted == window);
+        counts.map(window_message).into_iter().collect()
+    }
+
+    fn work(&self) -> Vec<ReplicaWork> {
+        let replicas = self.mirror.replicas.borrow();
+        let busy = replicas.rows().filter(|row| row.own.requests > 0);
+        let message = |row: &ReplicaRow| ReplicaWork {
+            replica: replica_hash(&row.entry.id),
+            requests: row.own.requests,
+            work: row.own.work,
+        };
+        busy.map(message).collect()
+    }
+}
+
+fn window_message((window, counts): (u64, WindowCounts)) -> WindowUsage {
+    let usage = |(organisation, requests): (SharedName, u64)| OrganisationUsage {
+        organisation: organisation.to_string(),
+        requests,
+    };
+    WindowUsage { window, organisations: counts.into_iter().map(usage).collect() }
+}
+
+/// Short name of a replica in pulses.
+fn replica_hash(id: &str) -> u32 {
+    rendezvous::score(id, "") as u32
+}
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -9,6 +9,8 @@
 use displaydoc::Display;
 use serde::Deserialize;
 
+use crate::gateway::peers::KnownNode;
+
 /// Why settings were not taken.
 #[derive(Debug, Display)]
 pub enum SettingsError {
@@ -156,6 +158,24 @@
         seeds.filter(|seed| *seed != self.peer_address()).collect()
     }
 
+    /// Share of a core that the node may use, in thousandths.
+    pub fn core_permille(&self) -> u32 {
+        (self.core_share * 1000.0) as u32
+    }
+
+    /// This node as others know it.
+    pub fn known_node(&self, incarnation: u64) -> KnownNode {
+        KnownNode {
+            node: self.node.clone(),
+            zone: self.zone.clone(),
+            peer_address: self.peer_address(),
+            caller_address: self.listen.callers,
+            ready: false,
+            incarnation,
+            core_permille: self.core_permille(),
+        }
+    }
+
     /// Bounds of the retry budget.
     pub fn retry_bounds(&self) -> BudgetBounds {
         BudgetBounds {
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -458,14 +458,69 @@
     pub work: ::prost::alloc::vec::Vec<ReplicaWork>,
     #[prost(message, repeated, tag = "14")]
     pub usage: ::prost::alloc::vec::Vec<WindowUsage>,
-    /// Addresses for datagrams of other nodes that the sender hears.
-    #[prost(string, repeated, tag = "15")]
-    pub peers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Nodes that the sender hears itself.
+    #[prost(message, repeated, tag = "15")]
+    pub nodes: ::prost::alloc::vec::Vec<NodeEntry>,
     /// Share of a core that the node has, in thousandths.
     #[prost(uint32, tag = "16")]
     pub core_permille: u32,
     #[prost(message, repeated, tag = "17")]
     pub demand: ::prost::alloc::vec::Vec<ClassDemand>,
+    /// From one representative to another: the nodes for which the sender speaks.
+    #[prost(message, optional, tag = "18")]
+    pub spoken_for: ::core::option::Option<ZoneSummary>,
+    /// From a representative to the nodes for which it speaks: all nodes, by availability zone.
+    #[prost(message, repeated, tag = "19")]
+    pub zones: ::prost::alloc::vec::Vec<ZoneSummary>,
+    /// Whether the sender follows the store and hears it.
+    #[prost(bool, tag = "20")]
+    pub follows_store: bool,
+}
+/// What several nodes of one availability zone told, added up.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ZoneSummary {
+    #[prost(string, tag = "1")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub work: ::prost::alloc::vec::Vec<ReplicaWork>,
+    #[prost(message, repeated, tag = "3")]
+    pub demand: ::prost::alloc::vec::Vec<ClassDemand>,
+    #[prost(message, repeated, tag = "4")]
+    pub usage: ::prost::alloc::vec::Vec<RunUsage>,
+    /// Highest fencing number under which one of them holds the duties.
+    #[prost(uint64, tag = "5")]
+    pub duty_fencing: u64,
+    /// Number of these nodes.
+    #[prost(uint32, tag = "6")]
+    pub nodes: u32,
+}
+/// One node.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NodeEntry {
+    #[prost(string, tag = "1")]
+    pub node: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub peer_address: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub caller_address: ::prost::alloc::string::String,
+    #[prost(bool, tag = "5")]
+    pub ready: bool,
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    #[prost(uint32, tag = "7")]
+    pub core_permille: u32,
+}
+/// Usage that one start of a node counted.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunUsage {
+    #[prost(string, tag = "1")]
+    pub node: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(message, optional, tag = "3")]
+    pub usage: ::core::option::Option<WindowUsage>,
 }
 /// Work in progress of the sender at one replica.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -526,6 +581,19 @@
     pub replica_revision: u64,
     #[prost(message, repeated, tag = "4")]
     pub replicas: ::prost::alloc::vec::Vec<ReplicaCopy>,
+    /// Whether the list is whole; otherwise it holds what changed since the asking node's version.
+    #[prost(bool, tag = "5")]
+    pub complete: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub removed: ::prost::alloc::vec::Vec<ReplicaRemoval>,
+}
+/// An entry that was removed.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ReplicaRemoval {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
 }
 /// One entry of the replica list as stored.
 #[derive(Clone, PartialEq, ::prost::Message)]
