Count each node once where a seed hears nodes of other zones

Cause: seeds are sent pulses by all nodes, so that a representative counted nodes of other zones by their own pulses and again by who speaks for them (119 requests in place of 77 in the test of 78 nodes, which failed first). A node that sends to its representatives only was taken as silent by the node to which it had said hello.

Change: only nodes of the own zone and representatives are counted by their own pulses; hearsay of a node counts again after five seconds without a pulse.

--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -24,6 +24,10 @@
 /// Time for which a node that others told of is taken as living; they tell once a second.
 const TOLD_TIME: Duration = Duration::from_millis(2600);
 
+/// Time of silence after which a node that others still tell of lives, and sends to them only: a
+/// dead one is no longer told of by then.
+const HEARSAY_SILENCE: Duration = Duration::from_secs(5);
+
 /// Time without a pulse after which a node is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(20);
 
@@ -143,8 +147,10 @@
         let rows = self.rows.borrow();
         let told = self.told.borrow();
         let hearsay = told.values().filter(|(node, at)| {
-            // A node that fell silent here is not brought back by hearsay.
-            !rows.contains_key(&node.node) && now.saturating_sub(*at) < TOLD_TIME
+            // A node that fell silent here a moment ago is not brought back by hearsay.
+            let silent = rows.get(&node.node).map(|row| now.saturating_sub(row.heard));
+            now.saturating_sub(*at) < TOLD_TIME
+                && silent.is_none_or(|silent| silent > HEARSAY_SILENCE)
         });
         nodes.extend(hearsay.map(|(node, _)| node.clone()));
         nodes
@@ -181,7 +187,7 @@
 
     /// Demand at the other nodes.
     pub fn demand(&self, now: Duration) -> Vec<ClassDemand> {
-        let rows = self.live_rows(now);
+        let rows = self.counted_rows(now);
         let direct = rows.iter().flat_map(|row| row.pulse.demand.clone());
         let summaries = self.summaries(now);
         let summed = summaries.iter().flat_map(|summary| summary.demand.clone());
@@ -220,7 +226,7 @@
     pub fn loads(&self, now: Duration) -> HashMap<u32, ReplicaLoad> {
         let mut sums: HashMap<u32, ReplicaLoad> = HashMap::default();
         if self.is_representative(now) {
-            let rows = self.live_rows(now);
+            let rows = self.counted_rows(now);
             rows.iter().for_each(|row| add_work(&mut sums, &row.pulse.work));
         }
         let summaries = self.summaries(now);
@@ -302,7 +308,7 @@
         self.told.borrow_mut().retain(|_, (_, at)| now.saturating_sub(*at) < FORGET_TIME);
         let summed: u32 = self.summaries(now).iter().map(|summary| summary.nodes).sum();
         let heard = match self.is_representative(now) {
-            true => self.live_rows(now).len() + 1,
+            true => self.counted_rows(now).len() + 1,
             false => 0,
         };
         self.most.set(self.most.get().max(heard + summed as usize));
@@ -333,7 +339,7 @@
     /// Sums of all zones, for a node for which this one speaks; `own` is this node's pulse.
     pub fn all_zones(&self, own: &FleetPulse, now: Duration) -> Vec<ZoneSummary> {
         let mut zones: HashMap<SharedName, ZoneSummary> = HashMap::default();
-        for pulse in self.live_rows(now).iter().map(|row| &row.pulse).chain([own]) {
+        for pulse in self.counted_rows(now).iter().map(|row| &row.pulse).chain([own]) {
             add_pulse(zones.entry((&*pulse.zone).into()).or_default(), pulse);
         }
         for told in self.summaries(now) {
@@ -366,6 +372,18 @@
         rows.values().filter(|row| now.saturating_sub(row.heard) < LIVE_TIME).cloned().collect()
     }
 
+    /// Nodes that are counted by their own pulses: representatives and those of this zone. Others
+    /// send here too, as to a seed, and are counted by who speaks for them.
+    fn counted_rows(&self, now: Duration) -> Vec<PeerRow> {
+        let representatives = self.representatives(now);
+        let mut rows = self.live_rows(now);
+        rows.retain(|row| {
+            *row.pulse.zone == *self.own.zone
+                || representatives.iter().any(|node| *node.node == *row.pulse.node)
+        });
+        rows
+    }
+
     /// Sums of nodes that this one does not hear itself.
     fn summaries(&self, now: Duration) -> Vec<ZoneSummary> {
         let rows = match self.is_representative(now) {
