Hear a silent store again within four seconds, and skip what earlier answers left behind

Feed calls waited for up to 16 s on connections that would deliver nothing more; a node that restarted meanwhile waited half a second before it asked others. In the gateway's tests one run of seven showed an answer without a name that came after its own answer and was taken for the next one's, which became 502.

Ruled out: keepalive probes alone; the store's side still acknowledges them.

Change: feed calls wait three seconds; a node that has just started asks others at once; nameless answers without a signature are skipped on reused connections. Broken streams are logged with reason and events.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -202,7 +202,7 @@
         let bytes = self.encode(request, target, terms);
         let UpstreamStream { mut stream, reused } = upstream;
         let method = &*request.message.method;
-        let received = send_and_receive(&mut stream, &bytes, request).await;
+        let received = send_and_receive(&mut stream, &bytes, request, reused).await;
         let (response, marks, sent_whole) = match received {
             Ok(received) => received,
             Err(reason) => {
@@ -316,10 +316,11 @@
     stream: &mut MessageStream,
     bytes: &[u8],
     request: &RoutedRequest<'_>,
+    reused: bool,
 ) -> Result<(ResponseMessage, AnswerMarks, bool), &'static str> {
     let mut writer = stream.stream.clone();
     let writing = Box::pin(async move { writer.write_all(bytes).await });
-    let reading = Box::pin(receive_head(stream, request));
+    let reading = Box::pin(receive_head(stream, request, reused));
     match select(writing, reading).await {
         Either::Left((Ok(()), reading)) => {
             reading.await.map(|(response, marks)| (response, marks, true))
@@ -332,10 +333,12 @@
     }
 }
 
-/// Receives the head of the answer to `request`; answers to other requests are skipped.
+/// Receives the head of the answer to `request`; answers to other requests are skipped, and so are
+/// nameless ones that an earlier request on a `reused` connection may have left.
 async fn receive_head(
     stream: &mut MessageStream,
     request: &RoutedRequest<'_>,
+    reused: bool,
 ) -> Result<(ResponseMessage, AnswerMarks), &'static str> {
     let mut skipped = 0;
     loop {
@@ -350,7 +353,12 @@
             continue;
         }
         let marks = AnswerMarks::read(&response, request.marks.request_id.as_deref());
-        if marks.owner != AnswerOwner::Other {
+        let is_leftover = match marks.owner {
+            AnswerOwner::Own => false,
+            AnswerOwner::Other => true,
+            AnswerOwner::Unnamed => reused && !marks.signed && response.status < 300,
+        };
+        if !is_leftover {
             return Ok((response, marks));
         }
         skipped += 1;
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -11,8 +11,9 @@
 use crate::platform::store::{FeedAnswer, RowSnapshot, StoreRow};
 use crate::platform::{CallError, PlatformClient};
 
-/// Time for which a feed call waits for news. Lost connections show earlier, by keepalive probes.
-const FEED_WAIT: Duration = Duration::from_secs(15);
+/// Time for which a feed call waits for news. A store that is silent on open connections shows by a
+/// late answer only, and its news must be known within a few seconds of its return.
+const FEED_WAIT: Duration = Duration::from_secs(3);
 
 /// Pause after news of replicas, so that changes that come together cost one call; a small part of
 /// the time within which a leaving replica must get no more requests.
--- a/berylstep/src/gateway/handon.rs
+++ b/berylstep/src/gateway/handon.rs
@@ -23,6 +23,9 @@
 /// Time between looks at how far other nodes are.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between looks of a node that has just started.
+const START_LOOK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Looks in a row at which another node is ahead before it is asked: its news may be on the way.
 const LOOKS_BEHIND: u32 = 2;
 
@@ -47,7 +50,9 @@
     pub async fn follow(self: Rc<Self>) {
         let mut looks = 0;
         loop {
-            self.clock.sleep(LOOK_INTERVAL).await;
+            // A node that has just started is of no use until it knows what others know.
+            let is_new = !self.mirror.is_complete();
+            self.clock.sleep(if is_new { START_LOOK_INTERVAL } else { LOOK_INTERVAL }).await;
             let now = self.clock.now();
             let (desired, replicas) =
                 (self.mirror.desired_version(), self.mirror.replica_revision());
@@ -56,7 +61,7 @@
                 continue;
             };
             looks += 1;
-            if looks >= LOOKS_BEHIND || !self.peers.must_follow_store(now) {
+            if is_new || looks >= LOOKS_BEHIND || !self.peers.must_follow_store(now) {
                 self.ask(&peer, address).await;
             }
         }
--- a/berylstep/src/gateway/observe.rs
+++ b/berylstep/src/gateway/observe.rs
@@ -28,8 +28,8 @@
     Lost(&'static str),
     /// No answer came in time.
     TimedOut,
-    /// The answer broke off.
-    Broken,
+    /// The answer broke off after this many events.
+    Broken(u64),
     /// The caller left.
     CallerLeft,
 }
@@ -42,7 +42,7 @@
             Self::Refused(_) => "refused",
             Self::Lost(_) => "lost",
             Self::TimedOut => "timed_out",
-            Self::Broken => "broken",
+            Self::Broken(_) => "broken",
             Self::CallerLeft => "caller_left",
         }
     }
@@ -53,7 +53,8 @@
             Self::Rejected(reason) | Self::Refused(reason) | Self::Lost(reason) => {
                 reason.to_owned()
             }
-            Self::TimedOut | Self::Broken | Self::CallerLeft => "-".to_owned(),
+            Self::Broken(events) => format!("after {events} events"),
+            Self::TimedOut | Self::CallerLeft => "-".to_owned(),
         }
     }
 }
@@ -242,7 +243,7 @@
 
     /// Counts and logs the request.
     pub fn settle(&self, metrics: &GatewayMetrics, id: Option<&str>, now: Duration) {
-        let end = self.end.get().unwrap_or(RequestEnd::Broken);
+        let end = self.end.get().unwrap_or(RequestEnd::Broken(0));
         let id = id.unwrap_or("-");
         let elapsed = now.saturating_sub(self.arrived);
         let Some(labels) = self.labels.borrow().clone() else {
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -93,7 +93,16 @@
             };
             match next {
                 Some(next) => self.begun = next,
-                None => return RequestEnd::Broken,
+                None => {
+                    log::info!(
+                        "event=stream_broken id={} replica={} events={} age_ms={} reason=\"{reason}\"",
+                        self.request.id(),
+                        self.begun.target().id,
+                        self.cutter.events(),
+                        self.desk.clock.now().saturating_sub(self.request.arrived).as_millis()
+                    );
+                    return RequestEnd::Broken(self.cutter.events());
+                }
             }
             content = std::mem::take(&mut self.begun.content);
         }
--- a/berylstep/src/platform/store.rs
+++ b/berylstep/src/platform/store.rs
@@ -13,7 +13,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time beyond the wait of a feed call after which its answer is lost.
-const FEED_SLACK: Duration = Duration::from_millis(1500);
+const FEED_SLACK: Duration = Duration::from_millis(1000);
 
 const GONE: u16 = 410;
 const PRECONDITION_FAILED: u16 = 412;
--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -226,7 +226,7 @@
             && stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra").is_ok()
     });
     let trial = trial("safe", &[&replica]);
-    for _ in 0..5 {
+    for _ in 0..100 {
         assert_eq!(trial.gateway.send("safe", KEY).unwrap().body, "answer");
     }
 }
@@ -348,6 +348,36 @@
     trial.store.set_down(false);
 }
 
+#[test]
+fn a_store_that_was_silent_is_heard_again_soon_after_its_return() {
+    let replica = good("i-1");
+    let trial = trial("safe", &[&replica]);
+    trial.store.set_silent(true);
+    std::thread::sleep(Duration::from_secs(1));
+    trial.store.set_silent(false);
+    let mut next = desired(5);
+    next["Tenants"][0]["Keys"] = serde_json::json!(["another-key"]);
+    trial.store.put("op", "config", Some(next));
+    let changed = Instant::now();
+    wait_until("the key is withdrawn", || trial.gateway.send("safe", KEY).unwrap().status() == 401);
+    assert!(changed.elapsed() < Duration::from_secs(6), "{:?}", changed.elapsed());
+}
+
+#[test]
+fn a_node_that_starts_while_the_store_turns_it_away_learns_from_others() {
+    let replica = good("i-1");
+    let (own, others) = (FakeStore::start(), FakeStore::start());
+    others.put("op", "config", Some(desired(1)));
+    others.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+    let port = free_address().port();
+    let _other = FleetGateway::start(&others, 3, port);
+    own.set_down(true);
+    let began = Instant::now();
+    let cut = FleetGateway::start(&own, 2, port);
+    assert!(began.elapsed() < Duration::from_secs(3), "ready after {:?}", began.elapsed());
+    assert_eq!(cut.send("safe", KEY).unwrap().status(), 200);
+}
+
 #[test]
 fn nodes_find_each_other_and_a_stop_cuts_nothing() {
     let replica = FakeReplica::start("i-1", |request, _, stream| {
--- a/berylstep/tests/support/fleet_site.rs
+++ b/berylstep/tests/support/fleet_site.rs
@@ -116,6 +116,8 @@
     version: u64,
     /// Whether calls are answered with 503.
     down: bool,
+    /// Whether open calls are never answered, not even after this ends.
+    silent: bool,
     /// Usage reports and orders, in order.
     duties: Vec<RawMessage>,
 }
@@ -134,6 +136,11 @@
         let address = listen(move |mut stream| {
             while let Some(message) = read_message(&mut stream) {
                 let (status, body) = answer_store(&kept, &message);
+                if kept.0.lock().unwrap().silent {
+                    // The connection stays open and delivers nothing more.
+                    std::thread::sleep(WAIT_LIMIT);
+                    return;
+                }
                 let body = body.to_string();
                 let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
                 if stream.write_all((head + &body).as_bytes()).is_err() {
@@ -154,6 +161,11 @@
         self.state.1.notify_all();
     }
 
+    pub fn set_silent(&self, silent: bool) {
+        self.state.0.lock().unwrap().silent = silent;
+        self.state.1.notify_all();
+    }
+
     pub fn set_down(&self, down: bool) {
         self.state.0.lock().unwrap().down = down;
         self.state.1.notify_all();
@@ -187,8 +199,9 @@
             let after: u64 = query(&target, "AfterRevision").parse().unwrap();
             let wait = Duration::from_millis(query(&target, "WaitMs").parse().unwrap());
             let table = query(&target, "Table");
-            let idle =
-                |state: &mut StoreState| !state.down && table_rows(state, &table, after).is_empty();
+            let idle = |state: &mut StoreState| {
+                !state.down && !state.silent && table_rows(state, &table, after).is_empty()
+            };
             state = shared.1.wait_timeout_while(state, wait, idle).unwrap().0;
             if state.down {
                 return (503, json!({}));
