Split the gateway's assembly, its peer table and the body decoder

No change of behaviour: the assembly is one function a part, the duties get their handles in one struct, nodes and sums have files of their own beside the peer table, and the decoder of bodies one beside messages.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -38,7 +38,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::callers::CallerListener;
 use crate::gateway::demand::DemandLedger;
-use crate::gateway::duties::DutyKeeper;
+use crate::gateway::duties::{DutyHandles, DutyKeeper};
 use crate::gateway::endpoints::EndpointDesk;
 use crate::gateway::feeds::{FollowedTable, TableFollower};
 use crate::gateway::handon::StateHandon;
@@ -115,102 +115,17 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(GatewayError::Signals)?;
     let sockets = GatewaySockets::bind(&settings).await?;
-    let clock = RuntimeClock::system();
-    let run = NodeRun { node: settings.node.clone(), incarnation: clock.unix_ms() };
-    log::info!(
-        "event=started node={} zone={} incarnation={} version={}",
-        run.node,
-        settings.zone,
-        run.incarnation,
-        env!("CARGO_PKG_VERSION")
-    );
-    let stop = Rc::new(StopSignal::new(clock.clone(), settings.stop_grace()));
-    let mirror = Rc::new(StoreMirror::new(clock.clone()));
-    let peers = Rc::new(PeerTable::new(settings.known_node(run.incarnation)));
-    let metrics = Rc::new(GatewayMetrics::default());
-    let window = Duration::from_secs(settings.usage_window_s);
-    let usage = Rc::new(UsageLedger::new(clock.clone(), run, window));
-    let duty_fencing = Rc::new(Cell::new(0));
-    let demand = Rc::new(DemandLedger::new(clock.clone()));
-    let store = Rc::new(PlatformClient::new(settings.store_address, clock.clone()));
-    for table in [FollowedTable::Desired, FollowedTable::Replicas] {
-        let follower = TableFollower {
-            clock: clock.clone(),
-            store: store.clone(),
-            mirror: mirror.clone(),
-            peers: peers.clone(),
-            table,
-        };
-        tasks.spawn(follower.run()).detach();
-    }
-    let pulses = Rc::new(PulseDesk {
-        settings: settings.clone(),
-        clock: clock.clone(),
-        peers: peers.clone(),
-        mirror: mirror.clone(),
-        usage: usage.clone(),
-        stop: stop.clone(),
-        duty_fencing: duty_fencing.clone(),
-        demand: demand.clone(),
-        socket: sockets.pulses,
-    });
-    tasks.spawn(pulses.clone().send()).detach();
-    tasks.spawn(pulses.clone().receive()).detach();
-    let handon =
-        Rc::new(StateHandon { clock: clock.clone(), peers: peers.clone(), mirror: mirror.clone() });
-    tasks.spawn(handon.clone().follow()).detach();
-    tasks.spawn(handon.listen(tasks.clone(), sockets.peers)).detach();
-    let endpoints = Rc::new(EndpointDesk {
-        settings: settings.clone(),
-        clock: clock.clone(),
-        mirror: mirror.clone(),
-        peers: peers.clone(),
-        stop: stop.clone(),
-        metrics: metrics.clone(),
-    });
+    let parts = GatewayParts::new(settings, tasks);
+    let pulses = parts.exchange_pulses(sockets.pulses);
+    parts.follow_store();
+    parts.hand_state_on(sockets.peers);
     let listeners = [Some(sockets.readiness), Some(sockets.directory), sockets.metrics];
-    for listener in listeners.into_iter().flatten() {
-        tasks.spawn(endpoints.clone().listen(tasks.clone(), listener)).detach();
-    }
-    let desk = Rc::new(RequestDesk {
-        settings: settings.clone(),
-        clock: clock.clone(),
-        mirror: mirror.clone(),
-        peers: peers.clone(),
-        upstreams: UpstreamPool::new(clock.clone()),
-        usage: usage.clone(),
-        stop: stop.clone(),
-        metrics: metrics.clone(),
-        demand: demand.clone(),
-        budgets: RefCell::default(),
-    });
-    tasks.spawn(close_idle(desk.clone())).detach();
-    let callers = CallerListener {
-        desk,
-        tasks: tasks.clone(),
-        descriptors: settings.file_descriptors,
-        open: Rc::default(),
-    };
-    tasks.spawn(callers.run(sockets.callers)).detach();
-    let duties = settings.cloud_address.map(|address| {
-        Rc::new(DutyKeeper::new(
-            settings.clone(),
-            clock.clone(),
-            store.clone(),
-            PlatformClient::new(address, clock.clone()),
-            mirror.clone(),
-            peers.clone(),
-            usage.clone(),
-            duty_fencing,
-            metrics.clone(),
-            demand,
-        ))
-    });
-    if let Some(duties) = &duties {
-        tasks.spawn(duties.clone().run()).detach();
-    }
-    tasks.spawn(watch_settings(path.clone(), clock.clone())).detach();
+    parts.serve_endpoints(listeners.into_iter().flatten());
+    parts.serve_callers(sockets.callers);
+    let duties = parts.keep_duties();
+    parts.tasks.spawn(watch_settings(path.clone(), parts.clock.clone())).detach();
     wait_for_stop(&mut signals, &path).await;
+    let GatewayParts { settings, stop, .. } = &parts;
     stop.begin();
     log::info!("event=stopping node={} open_requests={}", settings.node, stop.open_requests());
     pulses.send_once(0).await;
@@ -225,6 +140,146 @@
     Ok(())
 }
 
+/// Handles from which the parts of a gateway are assembled; each part gets those that it uses.
+struct GatewayParts {
+    settings: Rc<GatewaySettings>,
+    clock: RuntimeClock,
+    tasks: Rc<LocalExecutor<'static>>,
+    stop: Rc<StopSignal>,
+    mirror: Rc<StoreMirror>,
+    peers: Rc<PeerTable>,
+    metrics: Rc<GatewayMetrics>,
+    usage: Rc<UsageLedger>,
+    demand: Rc<DemandLedger>,
+    duty_fencing: Rc<Cell<u64>>,
+    store: Rc<PlatformClient>,
+}
+
+impl GatewayParts {
+    fn new(settings: Rc<GatewaySettings>, tasks: Rc<LocalExecutor<'static>>) -> Self {
+        let clock = RuntimeClock::system();
+        let run = NodeRun { node: settings.node.clone(), incarnation: clock.unix_ms() };
+        log::info!(
+            "event=started node={} zone={} incarnation={} version={}",
+            run.node,
+            settings.zone,
+            run.incarnation,
+            env!("CARGO_PKG_VERSION")
+        );
+        let peers = PeerTable::new(settings.known_node(run.incarnation));
+        let window = Duration::from_secs(settings.usage_window_s);
+        Self {
+            stop: Rc::new(StopSignal::new(clock.clone(), settings.stop_grace())),
+            mirror: Rc::new(StoreMirror::new(clock.clone())),
+            peers: Rc::new(peers),
+            metrics: Rc::default(),
+            usage: Rc::new(UsageLedger::new(clock.clone(), run, window)),
+            demand: Rc::new(DemandLedger::new(clock.clone())),
+            duty_fencing: Rc::default(),
+            store: Rc::new(PlatformClient::new(settings.store_address, clock.clone())),
+            settings,
+            clock,
+            tasks,
+        }
+    }
+
+    fn follow_store(&self) {
+        for table in [FollowedTable::Desired, FollowedTable::Replicas] {
+            let follower = TableFollower {
+                clock: self.clock.clone(),
+                store: self.store.clone(),
+                mirror: self.mirror.clone(),
+                peers: self.peers.clone(),
+                table,
+            };
+            self.tasks.spawn(follower.run()).detach();
+        }
+    }
+
+    fn exchange_pulses(&self, socket: UdpSocket) -> Rc<PulseDesk> {
+        let pulses = Rc::new(PulseDesk {
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+            peers: self.peers.clone(),
+            mirror: self.mirror.clone(),
+            usage: self.usage.clone(),
+            stop: self.stop.clone(),
+            duty_fencing: self.duty_fencing.clone(),
+            demand: self.demand.clone(),
+            socket,
+        });
+        self.tasks.spawn(pulses.clone().send()).detach();
+        self.tasks.spawn(pulses.clone().receive()).detach();
+        pulses
+    }
+
+    fn hand_state_on(&self, listener: TcpListener) {
+        let handon = Rc::new(StateHandon {
+            clock: self.clock.clone(),
+            peers: self.peers.clone(),
+            mirror: self.mirror.clone(),
+        });
+        self.tasks.spawn(handon.clone().follow()).detach();
+        self.tasks.spawn(handon.listen(self.tasks.clone(), listener)).detach();
+    }
+
+    fn serve_endpoints(&self, listeners: impl Iterator<Item = TcpListener>) {
+        let endpoints = Rc::new(EndpointDesk {
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+            mirror: self.mirror.clone(),
+            peers: self.peers.clone(),
+            stop: self.stop.clone(),
+            metrics: self.metrics.clone(),
+        });
+        for listener in listeners {
+            self.tasks.spawn(endpoints.clone().listen(self.tasks.clone(), listener)).detach();
+        }
+    }
+
+    fn serve_callers(&self, listener: TcpListener) {
+        let desk = Rc::new(RequestDesk {
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+            mirror: self.mirror.clone(),
+            peers: self.peers.clone(),
+            upstreams: UpstreamPool::new(self.clock.clone()),
+            usage: self.usage.clone(),
+            stop: self.stop.clone(),
+            metrics: self.metrics.clone(),
+            demand: self.demand.clone(),
+            budgets: RefCell::default(),
+        });
+        self.tasks.spawn(close_idle(desk.clone())).detach();
+        let callers = CallerListener {
+            desk,
+            tasks: self.tasks.clone(),
+            descriptors: self.settings.file_descriptors,
+            open: Rc::default(),
+        };
+        self.tasks.spawn(callers.run(listener)).detach();
+    }
+
+    /// Begins the duties where the deployment has any.
+    fn keep_duties(&self) -> Option<Rc<DutyKeeper>> {
+        let address = self.settings.cloud_address?;
+        let duties = Rc::new(DutyKeeper::new(DutyHandles {
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+            store: self.store.clone(),
+            cloud: PlatformClient::new(address, self.clock.clone()),
+            mirror: self.mirror.clone(),
+            peers: self.peers.clone(),
+            usage: self.usage.clone(),
+            fencing: self.duty_fencing.clone(),
+            metrics: self.metrics.clone(),
+            demand: self.demand.clone(),
+        }));
+        self.tasks.spawn(duties.clone().run()).detach();
+        Some(duties)
+    }
+}
+
 /// Waits for a signal to stop; a signal to reload checks the settings file.
 async fn wait_for_stop(signals: &mut Signals, path: &Path) {
     while let Some(signal) = signals.next().await {
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -7,8 +7,7 @@
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_core::fleet::desired::RouteKind;
-use berylstep_http::message::BodyError;
-use berylstep_http::{BodyDecoder, MessageStream, ResponseMessage};
+use berylstep_http::{BodyDecoder, BodyError, MessageStream, ResponseMessage};
 use futures_util::future::{select, Either};
 use smol::io::AsyncWriteExt;
 
--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -61,17 +61,33 @@
     token: String,
 }
 
+/// What the duties use.
+pub struct DutyHandles {
+    /// Settings.
+    pub settings: Rc<GatewaySettings>,
+    /// Clock.
+    pub clock: RuntimeClock,
+    /// The store.
+    pub store: Rc<PlatformClient>,
+    /// Usage and order interface of the platform.
+    pub cloud: PlatformClient,
+    /// Copy of the store.
+    pub mirror: Rc<StoreMirror>,
+    /// Other nodes.
+    pub peers: Rc<PeerTable>,
+    /// Usage.
+    pub usage: Rc<UsageLedger>,
+    /// Fencing token under which this node holds the duties, for its pulses.
+    pub fencing: Rc<Cell<u64>>,
+    /// Metrics.
+    pub metrics: Rc<GatewayMetrics>,
+    /// Demand.
+    pub demand: Rc<DemandLedger>,
+}
+
 /// Keeps the lease and does the duties while this node holds it.
 pub struct DutyKeeper {
-    settings: Rc<GatewaySettings>,
-    clock: RuntimeClock,
-    store: Rc<PlatformClient>,
-    cloud: PlatformClient,
-    mirror: Rc<StoreMirror>,
-    peers: Rc<PeerTable>,
-    usage: Rc<UsageLedger>,
-    fencing: Rc<Cell<u64>>,
-    metrics: Rc<GatewayMetrics>,
+    handles: DutyHandles,
     lease: RefCell<DutyLease>,
     closing: Cell<bool>,
     reported: Cell<u64>,
@@ -80,48 +96,28 @@
 
 impl DutyKeeper {
     /// A node that does not hold the lease.
-    #[allow(clippy::too_many_arguments, reason = "each handle is named at its only call")]
-    pub fn new(
-        settings: Rc<GatewaySettings>,
-        clock: RuntimeClock,
-        store: Rc<PlatformClient>,
-        cloud: PlatformClient,
-        mirror: Rc<StoreMirror>,
-        peers: Rc<PeerTable>,
-        usage: Rc<UsageLedger>,
-        fencing: Rc<Cell<u64>>,
-        metrics: Rc<GatewayMetrics>,
-        demand: Rc<DemandLedger>,
-    ) -> Self {
-        let run = usage.run();
+    pub fn new(handles: DutyHandles) -> Self {
+        let run = handles.usage.run();
         let times = LeaseTimes { expiry: LEASE_EXPIRY };
         let lease =
             DutyLease::new(run.node.clone(), run.incarnation, times, ReceiverFencing::Checked);
         // A window in which nodes ran before can't be known whole.
-        let known_from = usage.present_window() + u64::from(!settings.first_start);
-        let reported = Cell::new(known_from.saturating_sub(1));
-        let orders = OrderDesk::new(clock.clone(), mirror.clone(), peers.clone(), demand);
+        let known_from = handles.usage.present_window() + u64::from(!handles.settings.first_start);
+        let DutyHandles { clock, mirror, peers, demand, .. } = &handles;
+        let orders = OrderDesk::new(clock.clone(), mirror.clone(), peers.clone(), demand.clone());
         Self {
-            settings,
-            clock,
-            store,
-            cloud,
-            mirror,
-            peers,
-            usage,
-            fencing,
-            metrics,
             lease: RefCell::new(lease),
             closing: Cell::new(false),
-            reported,
+            reported: Cell::new(known_from.saturating_sub(1)),
             orders,
+            handles,
         }
     }
 
     /// Keeps the lease and does the duties, for as long as the node runs.
     pub async fn run(self: Rc<Self>) {
         loop {
-            self.clock.sleep(DUTY_LOOK).await;
+            self.handles.clock.sleep(DUTY_LOOK).await;
             self.orders.observe();
             if self.closing.get() {
                 continue;
@@ -159,32 +155,32 @@
 
     fn publish_fencing(&self) {
         let held = self.permit().unwrap_or_default();
-        if self.fencing.replace(held) != held {
+        if self.handles.fencing.replace(held) != held {
             let outcome = if held == 0 { "lost" } else { "held" };
             log::info!("event=lease_changed outcome={outcome} fencing={held}");
         }
-        self.metrics.duty_fencing.set(held as i64);
+        self.handles.metrics.duty_fencing.set(held as i64);
     }
 
     fn read_clocks(&self) -> ClockReading {
-        ClockReading { monotonic: self.clock.now(), boot: self.clock.boot_time() }
+        ClockReading { monotonic: self.handles.clock.now(), boot: self.handles.clock.boot_time() }
     }
 
     /// Place among the nodes that try to take the lease; `None` where this node leaves it to others.
     fn rank(&self) -> Option<u32> {
-        if !self.mirror.is_complete() {
+        if !self.handles.mirror.is_complete() {
             return None;
         }
-        let now = self.clock.now();
-        if self.peers.duty_fencing(now) > 0 {
+        let now = self.handles.clock.now();
+        if self.handles.peers.duty_fencing(now) > 0 {
             return None;
         }
-        let candidates = self.peers.representatives(now);
-        let own_start = self.usage.run().incarnation;
+        let candidates = self.handles.peers.representatives(now);
+        let own_start = self.handles.usage.run().incarnation;
         let oldest = candidates.iter().map(|node| node.incarnation).min().unwrap_or(own_start);
         let newcomers_after = oldest + NEWCOMER_TIME.as_millis() as u64;
         let candidates = candidates.iter().filter(|node| node.incarnation <= newcomers_after);
-        let own = &*self.settings.node;
+        let own = &*self.handles.settings.node;
         let ranked = rendezvous::rank(LEASE_KEY, candidates.map(|node| &*node.node));
         let place = ranked.iter().position(|name| *name == own)?;
         (place < CANDIDATES).then_some(place as u32)
@@ -199,7 +195,7 @@
         if !self.lease.borrow().needs_row(self.read_clocks()) {
             return Ok(());
         }
-        let snapshot = self.store.rows(DUTY_TABLE, LEASE_KEY).await?;
+        let snapshot = self.handles.store.rows(DUTY_TABLE, LEASE_KEY).await?;
         let row = snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY);
         let now = self.read_clocks();
         self.lease.borrow_mut().observe(now, row.and_then(parse_lease));
@@ -223,7 +219,7 @@
             expected: Some(write.expect),
         };
         self.lease.borrow_mut().begin_write(self.read_clocks(), token, write);
-        let result = self.store.commit(&[row], &[]).await;
+        let result = self.handles.store.commit(&[row], &[]).await;
         let outcome = match &result {
             Ok(CommitAnswer::Committed) => WriteOutcome::Committed,
             Ok(CommitAnswer::Conflict(_)) => WriteOutcome::Conflict,
@@ -237,8 +233,8 @@
     async fn place_orders(&self) {
         for order in self.orders.due() {
             let Some(fencing) = self.permit() else { return };
-            let terms = DutyTerms { holder: &self.settings.node, fencing };
-            let result = self.cloud.order_replicas(terms, &order).await;
+            let terms = DutyTerms { holder: &self.handles.settings.node, fencing };
+            let result = self.handles.cloud.order_replicas(terms, &order).await;
             let outcome = match &result {
                 Ok(()) => "accepted".to_owned(),
                 Err(err) => format!("failed: {err}"),
@@ -261,7 +257,7 @@
     /// Reads the lease anew after a call was turned away: either a newer holder was seen, or there
     /// was nothing to be had.
     async fn still_holds(&self) -> bool {
-        let read = self.store.rows(DUTY_TABLE, LEASE_KEY).await;
+        let read = self.handles.store.rows(DUTY_TABLE, LEASE_KEY).await;
         let row = match read {
             Ok(snapshot) => snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY),
             Err(err) => {
@@ -277,11 +273,11 @@
 
     /// Reports the windows that are due.
     async fn report_usage(&self) {
-        let present = self.usage.present_window();
+        let present = self.handles.usage.present_window();
         let oldest = present.saturating_sub(KEPT_WINDOWS / 2);
         let from = (self.reported.get() + 1).max(oldest);
         for window in from..present {
-            let is_due = self.usage.age(window).is_some_and(|age| age >= SEAL_AFTER);
+            let is_due = self.handles.usage.age(window).is_some_and(|age| age >= SEAL_AFTER);
             if !is_due {
                 return;
             }
@@ -300,12 +296,12 @@
 
     /// Seals the counts of a window in the store and reports what is sealed.
     async fn report_window(&self, window: u64) -> Result<(), CallError> {
-        let counts = self.seal(window, self.usage.total(window)).await?;
+        let counts = self.seal(window, self.handles.usage.total(window)).await?;
         let Some(fencing) = self.permit() else {
             return Err(CallError::NotSent("lease is no longer held".to_owned()));
         };
-        let terms = DutyTerms { holder: &self.settings.node, fencing };
-        self.cloud.report_usage(terms, window, &counts).await?;
+        let terms = DutyTerms { holder: &self.handles.settings.node, fencing };
+        self.handles.cloud.report_usage(terms, window, &counts).await?;
         log::info!(
             "event=usage_reported window={window} fencing={fencing} organisations={} requests={}",
             counts.len(),
@@ -324,7 +320,7 @@
             expected: Some(0),
         };
         let old = window_key(window.saturating_sub(KEPT_WINDOWS));
-        match self.store.commit(&[write], &[(USAGE_TABLE, old)]).await? {
+        match self.handles.store.commit(&[write], &[(USAGE_TABLE, old)]).await? {
             CommitAnswer::Committed => Ok(counts),
             CommitAnswer::Conflict(rows) => {
                 let sealed = rows.into_iter().find(|row| row.key == key);
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -5,18 +5,19 @@
 //! messages of a node grow with its zone and those of most nodes not at all. In a zone with few
 //! nodes all are representatives, and each hears each other.
 
+pub mod node;
+pub mod sums;
+
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::replica::ReplicaLoad;
-use berylstep_core::rendezvous;
-use berylstep_wire::{ClassDemand, FleetPulse, NodeEntry, ReplicaWork, RunUsage, ZoneSummary};
+use berylstep_wire::{ClassDemand, FleetPulse, ReplicaWork, RunUsage, ZoneSummary};
 
-/// Representatives of one availability zone: one is left when two fail at once.
-const REPRESENTATIVES: usize = 3;
+pub use node::KnownNode;
+use sums::{add_pulse, add_summary, add_work};
 
 /// Time without a pulse after which a node is not named to callers: four lost pulses.
 const LIVE_TIME: Duration = Duration::from_millis(1100);
@@ -47,61 +48,10 @@
     pub heard: Duration,
 }
 
-/// A living node.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KnownNode {
-    /// Name.
-    pub node: SharedName,
-    /// Availability zone.
-    pub zone: SharedName,
-    /// Address for pulses and queries.
-    pub peer_address: SocketAddr,
-    /// Address for callers.
-    pub caller_address: SocketAddr,
-    /// Whether callers may be sent to it.
-    pub ready: bool,
-    /// Number of its start.
-    pub incarnation: u64,
-    /// Share of a core that it has, in thousandths.
-    pub core_permille: u32,
-}
-
-impl KnownNode {
-    /// Message about the node.
-    pub fn entry(&self) -> NodeEntry {
-        NodeEntry {
-            node: self.node.to_string(),
-            zone: self.zone.to_string(),
-            peer_address: self.peer_address.to_string(),
-            caller_address: self.caller_address.to_string(),
-            ready: self.ready,
-            incarnation: self.incarnation,
-            core_permille: self.core_permille,
-        }
-    }
-
-    fn from_entry(entry: &NodeEntry) -> Option<Self> {
-        Some(Self {
-            node: (&*entry.node).into(),
-            zone: (&*entry.zone).into(),
-            peer_address: entry.peer_address.parse().ok()?,
-            caller_address: entry.caller_address.parse().ok()?,
-            ready: entry.ready,
-            incarnation: entry.incarnation,
-            core_permille: entry.core_permille,
-        })
-    }
-
-    fn from_row(row: &PeerRow) -> Option<Self> {
-        Some(Self {
-            node: (&*row.pulse.node).into(),
-            zone: (&*row.pulse.zone).into(),
-            peer_address: row.address,
-            caller_address: row.pulse.caller_address.parse().ok()?,
-            ready: row.pulse.ready && !row.pulse.leaving,
-            incarnation: row.pulse.incarnation,
-            core_permille: row.pulse.core_permille,
-        })
+impl PeerRow {
+    /// The node as others know it.
+    fn known(&self) -> Option<KnownNode> {
+        KnownNode::from_pulse(&self.pulse, self.address)
     }
 }
 
@@ -142,8 +92,7 @@
 
     /// Other nodes that live.
     pub fn nodes(&self, now: Duration) -> Vec<KnownNode> {
-        let mut nodes: Vec<_> =
-            self.live_rows(now).iter().filter_map(KnownNode::from_row).collect();
+        let mut nodes: Vec<_> = self.live_rows(now).iter().filter_map(PeerRow::known).collect();
         let rows = self.rows.borrow();
         let told = self.told.borrow();
         let hearsay = told.values().filter(|(node, at)| {
@@ -158,7 +107,7 @@
 
     /// Nodes that this one hears itself.
     pub fn heard_nodes(&self, now: Duration) -> Vec<KnownNode> {
-        self.live_rows(now).iter().filter_map(KnownNode::from_row).collect()
+        self.live_rows(now).iter().filter_map(PeerRow::known).collect()
     }
 
     /// Most nodes that were ever live at once, this one included.
@@ -170,7 +119,7 @@
     pub fn representatives(&self, now: Duration) -> Vec<KnownNode> {
         let mut nodes = self.nodes(now);
         nodes.push(self.own.clone());
-        representatives(nodes)
+        node::representatives(nodes)
     }
 
     /// Whether this node speaks for its zone.
@@ -396,61 +345,3 @@
         others.map(|row| row.summary.clone()).collect()
     }
 }
-
-/// First nodes of each zone: those with most processor time, then by an order that is the same at
-/// all nodes.
-fn representatives(mut nodes: Vec<KnownNode>) -> Vec<KnownNode> {
-    nodes.sort_by_cached_key(|node| {
-        let order = rendezvous::score(&node.zone, &node.node);
-        (node.zone.clone(), Reverse(node.core_permille), order)
-    });
-    let mut chosen: Vec<KnownNode> = Vec::new();
-    for node in nodes {
-        if chosen.iter().filter(|other| other.zone == node.zone).count() < REPRESENTATIVES {
-            chosen.push(node);
-        }
-    }
-    chosen
-}
-
-fn add_work(sums: &mut HashMap<u32, ReplicaLoad>, told: &[ReplicaWork]) {
-    for work in told {
-        let sum = sums.entry(work.replica).or_default();
-        sum.requests += work.requests;
-        sum.work += work.work;
-    }
-}
-
-fn add_pulse(summary: &mut ZoneSummary, pulse: &FleetPulse) {
-    let told = ZoneSummary {
-        work: pulse.work.clone(),
-        demand: pulse.demand.clone(),
-        duty_fencing: if pulse.leaving { 0 } else { pulse.duty_fencing },
-        nodes: 1,
-        ..Default::default()
-    };
-    add_summary(summary, &told);
-}
-
-fn add_summary(summary: &mut ZoneSummary, told: &ZoneSummary) {
-    for work in &told.work {
-        match summary.work.iter_mut().find(|sum| sum.replica == work.replica) {
-            Some(sum) => {
-                sum.requests += work.requests;
-                sum.work += work.work;
-            }
-            None => summary.work.push(*work),
-        }
-    }
-    for demand in &told.demand {
-        match summary.demand.iter_mut().find(|sum| sum.service == demand.service) {
-            Some(sum) => {
-                sum.work_per_second += demand.work_per_second;
-                sum.short_work_per_second += demand.short_work_per_second;
-            }
-            None => summary.demand.push(demand.clone()),
-        }
-    }
-    summary.duty_fencing = summary.duty_fencing.max(told.duty_fencing);
-    summary.nodes += told.nodes;
-}
--- a/berylstep_http/src/lib.rs
+++ b/berylstep_http/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod body;
 pub mod client;
+pub mod decoder;
 pub mod framed;
 pub mod head;
 pub mod message;
@@ -14,8 +15,7 @@
 
 pub use body::{fed_body, produced_body, BodySender};
 pub use client::{ClientAnswer, ClientConnection, ExchangeError, SendTerms};
+pub use decoder::{BodyDecoder, BodyError};
 pub use head::{BodyFraming, HeadError};
-pub use message::{
-    BodyDecoder, BodyError, HeaderList, MessageStream, RequestMessage, ResponseMessage,
-};
+pub use message::{HeaderList, MessageStream, RequestMessage, ResponseMessage};
 pub use server::{ReceiveError, ReceivedRequest, ServerConnection};
--- a/berylstep_http/tests/message_cases.rs
+++ b/berylstep_http/tests/message_cases.rs
@@ -3,8 +3,7 @@
 use std::io::Write;
 use std::time::Duration;
 
-use berylstep_http::message::BodyError;
-use berylstep_http::{BodyDecoder, MessageStream, RequestMessage, ResponseMessage};
+use berylstep_http::{BodyDecoder, BodyError, MessageStream, RequestMessage, ResponseMessage};
 use proptest::prelude::*;
 use smol::future;
 use smol::net::{TcpListener, TcpStream};
