Release the duties' lease with the version that its row has, and let nodes that stop speak for nobody

A holder that stopped wrote its release against the version that it had read before its last renewal, took the conflict for a success and logged lease_released; its successor waited for the lease to expire. Nodes that were stopping counted as representatives and as candidates meanwhile.

Ruled out: candidates that disagree; a trace of their ranking showed the same order at all nodes.

Change: the row is read before it is released, a conflict is an error, and nodes that leave are no representatives.

Figures: gateway::a_node_that_stops_hands_the_duties_over_at_once took 6.5 s and failed before, its limit is 4 s; peer_table::nodes_that_are_about_to_stop_speak_for_nobody failed before.

--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -135,16 +135,36 @@
 
     /// Gives the lease up before a planned stop.
     pub async fn release(&self) {
+        if self.permit().is_none() {
+            self.closing.set(true);
+            return;
+        }
         self.closing.set(true);
-        let write = self.lease.borrow_mut().release();
         self.publish_fencing();
-        let Some(write) = write else { return };
-        match self.write_lease(&write).await {
+        match self.give_up().await {
             Ok(()) => log::info!("event=lease_released"),
             Err(err) => log::info!("event=lease_left_to_expire error=\"{err}\""),
         }
     }
 
+    /// Writes that the lease is free; its row is read first, for its version grows with renewals.
+    async fn give_up(&self) -> Result<(), CallError> {
+        self.read_lease().await?;
+        let write = self.lease.borrow_mut().release();
+        match write {
+            Some(write) => self.write_lease(&write).await,
+            None => Err(CallError::NotSent("another node holds the lease".to_owned())),
+        }
+    }
+
+    async fn read_lease(&self) -> Result<(), CallError> {
+        let snapshot = self.handles.store.rows(DUTY_TABLE, LEASE_KEY).await?;
+        let row = snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY);
+        let now = self.read_clocks();
+        self.lease.borrow_mut().observe(now, row.and_then(parse_lease));
+        Ok(())
+    }
+
     /// Fencing token under which a call may be made now.
     fn permit(&self) -> Option<u64> {
         match self.closing.get() {
@@ -195,10 +215,8 @@
         if !self.lease.borrow().needs_row(self.read_clocks()) {
             return Ok(());
         }
-        let snapshot = self.handles.store.rows(DUTY_TABLE, LEASE_KEY).await?;
-        let row = snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY);
+        self.read_lease().await?;
         let now = self.read_clocks();
-        self.lease.borrow_mut().observe(now, row.and_then(parse_lease));
         let next = self.lease.borrow().next_write(now, rank.unwrap_or_default());
         match next {
             Some(write) => self.write_lease(&write).await,
@@ -226,7 +244,12 @@
             Err(_) => WriteOutcome::Unknown,
         };
         self.lease.borrow_mut().finish_write(outcome);
-        result.map(|_| ())
+        match result? {
+            CommitAnswer::Committed => Ok(()),
+            CommitAnswer::Conflict(_) => {
+                Err(CallError::NotSent("the lease's row has changed".to_owned()))
+            }
+        }
     }
 
     /// Places the orders that are due.
@@ -257,17 +280,10 @@
     /// Reads the lease anew after a call was turned away: either a newer holder was seen, or there
     /// was nothing to be had.
     async fn still_holds(&self) -> bool {
-        let read = self.handles.store.rows(DUTY_TABLE, LEASE_KEY).await;
-        let row = match read {
-            Ok(snapshot) => snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY),
-            Err(err) => {
-                log::warn!("event=lease_not_read error=\"{err}\" outcome=surrendered");
-                self.lease.borrow_mut().surrender();
-                return false;
-            }
-        };
-        let now = self.read_clocks();
-        self.lease.borrow_mut().observe(now, row.and_then(parse_lease));
+        if let Err(err) = self.read_lease().await {
+            log::warn!("event=lease_not_read error=\"{err}\" outcome=surrendered");
+            self.lease.borrow_mut().surrender();
+        }
         self.permit().is_some()
     }
 
--- a/berylstep/src/gateway/peers/node.rs
+++ b/berylstep/src/gateway/peers/node.rs
@@ -23,6 +23,8 @@
     pub caller_address: SocketAddr,
     /// Whether callers may be sent to it.
     pub ready: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
     /// Number of its start.
     pub incarnation: u64,
     /// Share of a core that it has, in thousandths.
@@ -38,6 +40,7 @@
             peer_address: self.peer_address.to_string(),
             caller_address: self.caller_address.to_string(),
             ready: self.ready,
+            leaving: self.leaving,
             incarnation: self.incarnation,
             core_permille: self.core_permille,
         }
@@ -51,6 +54,7 @@
             peer_address: entry.peer_address.parse().ok()?,
             caller_address: entry.caller_address.parse().ok()?,
             ready: entry.ready,
+            leaving: entry.leaving,
             incarnation: entry.incarnation,
             core_permille: entry.core_permille,
         })
@@ -64,15 +68,17 @@
             peer_address: address,
             caller_address: pulse.caller_address.parse().ok()?,
             ready: pulse.ready && !pulse.leaving,
+            leaving: pulse.leaving,
             incarnation: pulse.incarnation,
             core_permille: pulse.core_permille,
         })
     }
 }
 
-/// First nodes of each zone: those with most processor time, then by an order that is the same at
-/// all nodes.
+/// First nodes of each zone that stay: those with most processor time, then by an order that is the
+/// same at all nodes.
 pub fn representatives(mut nodes: Vec<KnownNode>) -> Vec<KnownNode> {
+    nodes.retain(|node| !node.leaving);
     nodes.sort_by_cached_key(|node| {
         let order = rendezvous::score(&node.zone, &node.node);
         (node.zone.clone(), Reverse(node.core_permille), order)
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -171,6 +171,7 @@
             peer_address: self.peer_address(),
             caller_address: self.listen.callers,
             ready: false,
+            leaving: false,
             incarnation,
             core_permille: self.core_permille(),
         }
--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -453,6 +453,33 @@
     assert!(fencing.is_some_and(|token| token.parse::<u64>().unwrap() > 0));
 }
 
+#[test]
+fn a_node_that_stops_hands_the_duties_over_at_once() {
+    let replica = good("i-1");
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired(1)));
+    store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+    let port = free_address().port();
+    let nodes = [2, 3].map(|number| FleetGateway::start(&store, number, port));
+    let holders = || -> Vec<String> {
+        let reports = store.duties("/usage");
+        reports
+            .iter()
+            .filter_map(|report| report.header("berylstep-duty-holder").map(str::to_owned))
+            .collect()
+    };
+    wait_until("usage is reported", || !holders().is_empty());
+    // The lease has been renewed a few times.
+    std::thread::sleep(Duration::from_secs(4));
+    let first = holders().pop().unwrap();
+    let holder = nodes.iter().position(|node| first.ends_with(&node.number.to_string())).unwrap();
+    nodes[holder].process.terminate();
+    let stopped = Instant::now();
+    wait_until("another node reports", || holders().pop().unwrap() != first);
+    let took = stopped.elapsed();
+    assert!(took < Duration::from_secs(4), "the duties stood still for {took:?}");
+}
+
 #[test]
 fn a_reload_keeps_old_settings_where_new_ones_are_invalid() {
     let replica = good("i-1");
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -17,6 +17,7 @@
         peer_address: address(7000),
         caller_address: address(8000),
         ready: true,
+        leaving: false,
         incarnation: 1,
         core_permille,
     }
@@ -172,6 +173,20 @@
     assert_eq!(known, [nodes[2].node.clone()]);
 }
 
+#[test]
+fn nodes_that_are_about_to_stop_speak_for_nobody() {
+    let nodes = fleet(4);
+    let table = PeerTable::new(nodes[0].clone());
+    for (index, node) in nodes.iter().enumerate().skip(1) {
+        let leaving = index == 1;
+        let message = FleetPulse { leaving, ready: !leaving, ..pulse(node, 1) };
+        table.observe(message, node.peer_address, START);
+    }
+    let names: Vec<_> = table.representatives(START).into_iter().map(|node| node.node).collect();
+    assert!(!names.contains(&nodes[1].node), "{names:?}");
+    assert_eq!(names.len(), 9);
+}
+
 #[test]
 fn an_old_pulse_changes_nothing() {
     let nodes = fleet(2);
--- a/berylstep/tests/support/fleet_site.rs
+++ b/berylstep/tests/support/fleet_site.rs
@@ -368,6 +368,7 @@
     pub readiness: SocketAddr,
     pub directory: SocketAddr,
     pub settings: PathBuf,
+    pub number: u8,
 }
 
 impl FleetGateway {
@@ -393,7 +394,7 @@
         // The log is not read, which must not stop the process.
         command.stdout(Stdio::piped());
         let process = ChildProcess::start(&mut command).unwrap();
-        let gateway = Self { process, callers, readiness, directory, settings: path };
+        let gateway = Self { process, callers, readiness, directory, settings: path, number };
         wait_until("the gateway is ready", || gateway.is_ready());
         gateway
     }
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -511,6 +511,8 @@
     pub incarnation: u64,
     #[prost(uint32, tag = "7")]
     pub core_permille: u32,
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
 }
 /// Usage that one start of a node counted.
 #[derive(Clone, PartialEq, ::prost::Message)]
