Give defaults to what a deployment leaves out

Cause: the settings template wrote a field without a value where a deployment has no such bound or no usage interface, which is no JSON, so that the process would not start there.

The settings that nobody read are gone.

--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -75,19 +75,20 @@
     #[serde(default = "default_drain")]
     pub drain_ms: u64,
     /// Time between the signal to stop and the end of the process, in seconds.
+    #[serde(default = "default_stop_grace")]
     pub stop_grace_s: f64,
     /// Repeats allowed for each request, at all nodes together.
+    #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
     /// Repeats allowed besides, at all nodes together.
+    #[serde(default = "default_retry_extra")]
     pub retry_extra: f64,
     /// Window of the retry budget, in seconds.
+    #[serde(default = "default_retry_window")]
     pub retry_window_s: f64,
     /// Length of a usage window, in seconds.
     #[serde(default = "default_usage_window")]
     pub usage_window_s: u64,
-    /// Time after the end of a window until its report is due, in seconds.
-    #[serde(default = "default_usage_due")]
-    pub usage_due_s: u64,
     /// Longest time for which callers may keep a list of addresses, in seconds.
     #[serde(default = "default_directory_ttl")]
     pub directory_ttl_max_s: f64,
@@ -108,16 +109,31 @@
     4096
 }
 
+/// Time of a stop where the deployment does not tell.
+fn default_stop_grace() -> f64 {
+    8.0
+}
+
+/// Repeats for each request where the deployment sets no budget.
+fn default_retry_ratio() -> f64 {
+    0.2
+}
+
+/// Further repeats where the deployment sets no budget.
+fn default_retry_extra() -> f64 {
+    50.0
+}
+
+/// Window of the budget where the deployment sets none.
+fn default_retry_window() -> f64 {
+    10.0
+}
+
 /// Usage window where the deployment does not tell.
 fn default_usage_window() -> u64 {
     5
 }
 
-/// Time to report usage where the deployment does not tell.
-fn default_usage_due() -> u64 {
-    10
-}
-
 /// Lifetime of an address list where the deployment does not tell.
 fn default_directory_ttl() -> f64 {
     5.0
