Add a randomised fault soak of gateways

Change: `soak` draws a fleet, traffic and faults from a seed, runs gateways as processes and breaks things from outside them: links between callers, gateways, replicas and the store (held, cut, delayed, answers held or cut), SIGTERM, SIGSTOP, SIGKILL and restarts, replicas that leave, crash and are replaced at the same address, the store down, silent, slow, losing answers or its history, storms of versions and withdrawn keys. Seventeen promises are judged from what callers, replicas and the store saw, by functions over a record, each of which a test shows to find its fault and nothing else. The store, replicas and gateways that gateway.rs used move from its support file into the stand-ins. Found on the way: the relay of the stand-ins could miss a change of mode between reading it and waiting for it.

Replaced in tests: set_down and set_silent of the store became modes; the holder and the fencing token of a duty's call are fields in place of headers. The assertions are the same.

--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -1,18 +1,18 @@
 //! A gateway as a process, before replicas that fail in every way: answers are whole and the
 //! caller's own, nothing runs twice that may not, and what a caller is told is true.
 
-#[path = "support/fleet_site.rs"]
-mod fleet_site;
-
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use berylstep_standins::process::free_address;
-use fleet_site::{
-    begin_events, desired, end_events, read_message, respond, wait_until, write_event,
-    write_request, FakeReplica, FakeStore, FleetGateway, RawMessage, KEY,
+use berylstep_standins::fleet::gateway::{wait_until, write_request, FleetGateway};
+use berylstep_standins::fleet::message::{
+    begin_events, end_events, read_message, respond, write_event, RawMessage,
 };
+use berylstep_standins::fleet::replica::FakeReplica;
+use berylstep_standins::fleet::store::{FakeStore, StoreMode};
+use berylstep_standins::fleet::{desired, KEY};
+use berylstep_standins::process::free_address;
 use rustix::process::Signal;
 use serde_json::Value;
 
@@ -240,7 +240,7 @@
 fn a_broken_stream_goes_on_elsewhere_without_a_gap_where_it_may() {
     let serve = |request: &RawMessage, index: usize, stream: &mut TcpStream| {
         let from = request.header("last-event-id").map_or(0, |id| id.parse::<u32>().unwrap());
-        begin_events(stream, request);
+        assert!(begin_events(stream, request));
         for number in from + 1..=6 {
             if index == 0 && from == 0 && number == 4 {
                 // The event breaks off in its middle.
@@ -260,7 +260,7 @@
 #[test]
 fn a_broken_stream_that_may_not_go_on_never_looks_whole() {
     let replica = FakeReplica::start("i-1", |request, _, stream| {
-        begin_events(stream, request);
+        assert!(begin_events(stream, request));
         write_event(stream, 1);
         false
     });
@@ -273,7 +273,7 @@
 #[test]
 fn a_caller_that_leaves_ends_its_work() {
     let replica = FakeReplica::start("i-1", |request, _, stream| {
-        begin_events(stream, request);
+        assert!(begin_events(stream, request));
         (1..1000).all(|number| {
             std::thread::sleep(Duration::from_millis(10));
             write_event(stream, number)
@@ -282,7 +282,7 @@
     let ended = std::sync::Arc::new(std::sync::Mutex::new(None));
     let noted = ended.clone();
     let watched = FakeReplica::start("i-1", move |request, _, stream| {
-        begin_events(stream, request);
+        assert!(begin_events(stream, request));
         let left = !(1..1000).all(|number| {
             std::thread::sleep(Duration::from_millis(10));
             write_event(stream, number)
@@ -341,20 +341,20 @@
 fn a_store_that_is_down_changes_nothing_for_callers() {
     let replica = good("i-1");
     let trial = trial("safe", &[&replica]);
-    trial.store.set_down(true);
+    trial.store.set_mode(StoreMode::Down);
     std::thread::sleep(Duration::from_secs(2));
     assert_eq!(trial.gateway.send("safe", KEY).unwrap().status(), 200);
     assert!(trial.gateway.is_ready());
-    trial.store.set_down(false);
+    trial.store.set_mode(StoreMode::Up);
 }
 
 #[test]
 fn a_store_that_was_silent_is_heard_again_soon_after_its_return() {
     let replica = good("i-1");
     let trial = trial("safe", &[&replica]);
-    trial.store.set_silent(true);
+    trial.store.set_mode(StoreMode::Silent);
     std::thread::sleep(Duration::from_secs(1));
-    trial.store.set_silent(false);
+    trial.store.set_mode(StoreMode::Up);
     let mut next = desired(5);
     next["Tenants"][0]["Keys"] = serde_json::json!(["another-key"]);
     trial.store.put("op", "config", Some(next));
@@ -371,7 +371,7 @@
     others.put("servers", "i-1", Some(replica.entry("safe", "ready")));
     let port = free_address().port();
     let _other = FleetGateway::start(&others, 3, port);
-    own.set_down(true);
+    own.set_mode(StoreMode::Down);
     let began = Instant::now();
     let cut = FleetGateway::start(&own, 2, port);
     assert!(began.elapsed() < Duration::from_secs(3), "ready after {:?}", began.elapsed());
@@ -415,7 +415,7 @@
     let cut = FleetGateway::start(&own, 2, port);
     let _other = FleetGateway::start(&others, 3, port);
     wait_until("the nodes hear each other", || cut.addresses().len() == 2);
-    own.set_down(true);
+    own.set_mode(StoreMode::Down);
     let mut next = desired(5);
     next["Tenants"][0]["Keys"] = serde_json::json!(["another-key"]);
     others.put("op", "config", Some(next));
@@ -449,8 +449,7 @@
     windows.dedup();
     assert_eq!(windows.len(), reported, "a window was reported twice");
     assert_eq!(counted(), 7);
-    let fencing = reports[0].header("berylstep-fencing-token");
-    assert!(fencing.is_some_and(|token| token.parse::<u64>().unwrap() > 0));
+    assert!(reports[0].fencing > 0);
 }
 
 #[test]
@@ -462,17 +461,13 @@
     let port = free_address().port();
     let nodes = [2, 3].map(|number| FleetGateway::start(&store, number, port));
     let holders = || -> Vec<String> {
-        let reports = store.duties("/usage");
-        reports
-            .iter()
-            .filter_map(|report| report.header("berylstep-duty-holder").map(str::to_owned))
-            .collect()
+        store.duties("/usage").into_iter().map(|report| report.holder).collect()
     };
     wait_until("usage is reported", || !holders().is_empty());
     // The lease has been renewed a few times.
     std::thread::sleep(Duration::from_secs(4));
     let first = holders().pop().unwrap();
-    let holder = nodes.iter().position(|node| first.ends_with(&node.number.to_string())).unwrap();
+    let holder = ["gateway-2", "gateway-3"].iter().position(|name| *name == first).unwrap();
     nodes[holder].process.terminate();
     let stopped = Instant::now();
     wait_until("another node reports", || holders().pop().unwrap() != first);
--- a/berylstep_standins/src/lib.rs
+++ b/berylstep_standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod client;
 pub mod engine;
+pub mod fleet;
 pub mod platform;
 pub mod process;
 pub mod record;
@@ -10,4 +11,5 @@
 pub mod serve;
 pub mod service;
 pub mod site;
+pub mod soak;
 pub mod trial;
--- a/berylstep_standins/src/relay.rs
+++ b/berylstep_standins/src/relay.rs
@@ -22,6 +22,10 @@
     Cut,
     /// Passes them on after this delay.
     Delay(Duration),
+    /// Passes requests on and holds what comes back, as where one direction is lost.
+    HoldAnswers,
+    /// Passes requests on and closes the connection when something comes back.
+    CutAnswers,
 }
 
 /// A relay in front of one address; it runs in the calling process and ends when dropped.
@@ -71,9 +75,13 @@
         *self.mode.lock().expect("relay lock")
     }
 
-    async fn changed(&self) {
+    /// Waits until the mode is no longer `seen`.
+    async fn changed(&self, seen: RelayMode) {
         let changed = self.changed.lock().expect("relay lock").1.clone();
-        let _ = changed.recv().await;
+        // A change before this line is seen here, a later one closes the channel.
+        if self.mode() == seen {
+            let _ = changed.recv().await;
+        }
     }
 }
 
@@ -87,26 +95,39 @@
 
 async fn relay(near: TcpStream, state: Arc<RelayState>) {
     while state.mode() == RelayMode::Hold {
-        state.changed().await;
+        state.changed(RelayMode::Hold).await;
     }
     if state.mode() == RelayMode::Cut {
         return;
     }
     let Ok(far) = TcpStream::connect(state.target).await else { return };
-    let both = future::or(copy(&near, &far, &state), copy(&far, &near, &state));
+    let there = copy(&near, &far, &state, CopyDirection::There);
+    let both = future::or(there, copy(&far, &near, &state, CopyDirection::Back));
     future::or(both, until_cut(&state)).await;
     let _ = near.shutdown(std::net::Shutdown::Both);
     let _ = far.shutdown(std::net::Shutdown::Both);
 }
 
 async fn until_cut(state: &RelayState) {
-    while state.mode() != RelayMode::Cut {
-        state.changed().await;
+    loop {
+        match state.mode() {
+            RelayMode::Cut => return,
+            mode => state.changed(mode).await,
+        }
     }
 }
 
+/// Whose bytes are copied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyDirection {
+    /// Those of the end that connected.
+    There,
+    /// Those of the target.
+    Back,
+}
+
 /// Copies one direction until its end.
-async fn copy(from: &TcpStream, to: &TcpStream, state: &RelayState) {
+async fn copy(from: &TcpStream, to: &TcpStream, state: &RelayState, direction: CopyDirection) {
     let (mut from, mut to) = (from.clone(), to.clone());
     let mut chunk = vec![0; COPY_BYTES];
     loop {
@@ -114,11 +135,17 @@
             Ok(0) | Err(_) => return,
             Ok(count) => count,
         };
-        while state.mode() == RelayMode::Hold {
-            state.changed().await;
-        }
-        if let RelayMode::Delay(delay) = state.mode() {
-            smol::Timer::after(delay).await;
+        loop {
+            match (state.mode(), direction) {
+                (mode @ RelayMode::Hold, _)
+                | (mode @ RelayMode::HoldAnswers, CopyDirection::Back) => state.changed(mode).await,
+                (RelayMode::CutAnswers, CopyDirection::Back) => return,
+                (RelayMode::Delay(delay), _) => {
+                    smol::Timer::after(delay).await;
+                    break;
+                }
+                _ => break,
+            }
         }
         if to.write_all(&chunk[..count]).await.is_err() {
             return;
--- /dev/null
+++ b/berylstep_standins/src/soak/replicas.rs
@@ -0,0 +1,130 @@
+//! Replicas of a soak: they do the work that a request asks for and note it.
+
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use super::record::{answer_body, event_count, ReplicaRun, RequestKind};
+use crate::fleet::lock;
+use crate::fleet::message::{begin_events, end_events, respond, write_event, RawMessage};
+use crate::fleet::replica::{entry, FakeReplica};
+use crate::fleet::store::FakeStore;
+use crate::relay::TcpRelay;
+
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest work on a request that is no stream.
+const LONGEST_WORK: Duration = Duration::from_millis(40);
+
+/// Table of the replicas' entries.
+const REPLICA_TABLE: &str = "servers";
+
+/// What is at one address: it changes when another replica takes it over.
+#[derive(Clone, Debug)]
+pub struct ReplicaIdentity {
+    /// Identifier.
+    pub id: String,
+    /// Service.
+    pub service: RequestKind,
+}
+
+/// A replica behind its link.
+#[derive(Debug)]
+pub struct SoakReplica {
+    /// Link between all gateways and the replica.
+    pub link: TcpRelay,
+    identity: Arc<Mutex<ReplicaIdentity>>,
+}
+
+impl SoakReplica {
+    /// Starts a replica that notes its runs in `runs`.
+    pub fn start(
+        identity: ReplicaIdentity,
+        start: Instant,
+        runs: &Arc<Mutex<Vec<ReplicaRun>>>,
+    ) -> std::io::Result<Self> {
+        let identity = Arc::new(Mutex::new(identity));
+        let (present, runs) = (identity.clone(), runs.clone());
+        let replica = FakeReplica::start("soak", move |request, _, stream| {
+            let identity = lock(&present).clone();
+            serve(&identity, start, &runs, request, stream)
+        });
+        Ok(Self { link: TcpRelay::start(replica.address)?, identity })
+    }
+
+    /// Address at which gateways reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.link.address()
+    }
+
+    /// Present identifier.
+    pub fn id(&self) -> String {
+        lock(&self.identity).id.clone()
+    }
+
+    /// Lets another replica of the same service take the address over.
+    pub fn replace(&self, id: String) {
+        lock(&self.identity).id = id;
+    }
+
+    /// Writes its entry.
+    pub fn announce(&self, store: &FakeStore, state: &str) {
+        let identity = lock(&self.identity).clone();
+        let row = entry(self.address(), identity.service.name(), state);
+        store.put(REPLICA_TABLE, &identity.id, Some(row));
+    }
+
+    /// Removes its entry.
+    pub fn withdraw(&self, store: &FakeStore) {
+        store.put(REPLICA_TABLE, &self.id(), None);
+    }
+}
+
+/// Does the work of one request; tells whether the connection is kept.
+fn serve(
+    identity: &ReplicaIdentity,
+    start: Instant,
+    runs: &Mutex<Vec<ReplicaRun>>,
+    request: &RawMessage,
+    stream: &mut TcpStream,
+) -> bool {
+    let id = request.header("berylstep-attempt-id").unwrap_or_default().to_owned();
+    if request.header("berylstep-expected-replica") != Some(&*identity.id) {
+        return respond(stream, request, 421, "Berylstep-Not-Executed: 1\r\n", "");
+    }
+    let line = format!("POST /{}/x?y=%20 HTTP/1.1", identity.service.name());
+    let run = ReplicaRun {
+        id: id.clone(),
+        replica: identity.id.clone(),
+        service: identity.service,
+        organisation: request.header("berylstep-tenant").unwrap_or_default().to_owned(),
+        has_key: request.header("x-api-key").is_some(),
+        is_unchanged: request.head.starts_with(&line) && request.body == "body",
+        began: start.elapsed(),
+        ended: Duration::MAX,
+    };
+    let index = {
+        let mut runs = lock(runs);
+        runs.push(run);
+        runs.len() - 1
+    };
+    let is_kept = answer(identity.service, &id, request, stream);
+    lock(runs)[index].ended = start.elapsed();
+    is_kept
+}
+
+fn answer(kind: RequestKind, id: &str, request: &RawMessage, stream: &mut TcpStream) -> bool {
+    if !kind.is_stream() {
+        let share = f64::from(event_count(id)) / 30.0;
+        std::thread::sleep(LONGEST_WORK.mul_f64(share));
+        return respond(stream, request, 200, "", &answer_body(id));
+    }
+    let from = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    begin_events(stream, request)
+        && (from + 1..=event_count(id)).all(|number| {
+            std::thread::sleep(EVENT_PAUSE);
+            write_event(stream, number)
+        })
+        && end_events(stream)
+}
