--- a/berylstep/src/burn.rs
+++ b/berylstep/src/burn.rs
@@ -1,18 +1,20 @@
 //! The service-level burn report over all nodes.
 
+pub mod report;
+
 use std::sync::Mutex;
 use std::time::Duration;
 
 use berylstep_core::burn::{
-    AgedBucket, BucketKind, BurnCount, BurnTable, TargetOutcome, WindowCounts, BURN_WINDOWS,
+    AgedBucket, BucketKind, BurnCount, BurnTable, TargetOutcome, WindowCounts,
 };
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::config::ClassEntity;
 use berylstep_wire::frame::Body;
 use berylstep_wire::{BurnBucket, BurnHandover, BurnReply, BurnRequest, BurnSpan, ClassBurn};
-use serde::{Deserialize, Serialize};
 use smol::channel::{bounded, Sender};
 
+use crate::burn::report::{BurnReport, ClassReport, ClassTarget};
 use crate::node::NodeContext;
 
 /// Longest wait for the counts of other nodes.
@@ -21,52 +23,6 @@
 /// Replies in flight for one report.
 const REPLY_QUEUE: usize = 64;
 
-/// Burn of all classes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct BurnReport {
-    /// Nodes whose counts are included.
-    pub nodes: usize,
-    /// Live nodes, this one included.
-    pub live_nodes: usize,
-    /// Longest time that any included node has counted for, in seconds; windows that are longer are
-    /// not full yet.
-    pub counted_s: u64,
-    /// Classes by name.
-    pub classes: Vec<ClassReport>,
-}
-
-/// Burn of one class.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ClassReport {
-    /// Class.
-    pub class: SharedName,
-    /// Tier.
-    pub tier: u8,
-    /// Target time to the first byte, in milliseconds.
-    pub latency_ms: u64,
-    /// Wanted fraction of requests that meet the target.
-    pub attainment: f64,
-    /// Part of the longest window's allowed misses that is left; below 0 it is overdrawn.
-    pub budget_left: Option<f64>,
-    /// Windows, shortest first.
-    pub windows: Vec<WindowReport>,
-}
-
-/// Burn of one class in one window.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct WindowReport {
-    /// Name of the window.
-    pub window: String,
-    /// Requests that met the target.
-    pub met: u64,
-    /// Requests that missed it.
-    pub missed: u64,
-    /// Fraction that met the target; absent without requests.
-    pub attainment: Option<f64>,
-    /// Misses as a multiple of the allowed ones; absent without requests.
-    pub burn_rate: Option<f64>,
-}
-
 /// This node's counts, and reports that wait for other nodes'.
 #[derive(Debug, Default)]
 pub struct BurnLedger {
@@ -183,9 +139,15 @@
     drop(waiting);
     let live_nodes = node.members().live(now).count();
     let config = node.config.read().expect("config lock");
-    let mut classes: Vec<_> = config.classes().map(|c| class_report(c, &counts)).collect();
+    let mut classes: Vec<_> = config.classes().map(|class| class_report(class, &counts)).collect();
     classes.sort_by(|left, right| (left.tier, &left.class).cmp(&(right.tier, &right.class)));
-    BurnReport { nodes, live_nodes, counted_s: counted.as_secs(), classes }
+    BurnReport {
+        nodes,
+        live_nodes,
+        counted_s: counted.as_secs(),
+        classes,
+        organisations: Vec::new(),
+    }
 }
 
 /// Registers a report that waits for replies, until dropped.
@@ -220,24 +182,13 @@
 }
 
 fn class_report(class: &ClassEntity, counts: &HashMap<SharedName, WindowCounts>) -> ClassReport {
-    let counts = counts.get(&class.name).copied().unwrap_or_default();
-    let windows = BURN_WINDOWS.iter().zip(counts).map(|(window, count)| WindowReport {
-        window: window.name.to_owned(),
-        met: count.met,
-        missed: count.missed,
-        attainment: count.attainment(),
-        burn_rate: count.burn_rate(class.attainment),
-    });
-    let windows: Vec<_> = windows.collect();
-    let longest_rate = windows.last().and_then(|window| window.burn_rate);
-    ClassReport {
+    let target = ClassTarget {
         class: class.name.clone(),
         tier: class.tier,
         latency_ms: class.latency_ms,
         attainment: class.attainment,
-        budget_left: longest_rate.map(|rate| 1.0 - rate),
-        windows,
-    }
+    };
+    ClassReport::new(target, counts.get(&class.name).copied().unwrap_or_default())
 }
 
 fn span(count: BurnCount) -> BurnSpan {
--- a/berylstep/src/cli.rs
+++ b/berylstep/src/cli.rs
@@ -3,6 +3,7 @@
 pub mod access;
 pub mod burn;
 pub mod change;
+pub mod fleet;
 pub mod report;
 pub mod status;
 
--- a/berylstep/src/cli/access.rs
+++ b/berylstep/src/cli/access.rs
@@ -60,39 +60,51 @@
         target: &str,
         body: Option<&Value>,
     ) -> Result<(u16, Value), AccessError> {
-        let url = Url::parse(&format!("http://{}{target}", self.address))
-            .map_err(|err| AccessError::NotSent(err.to_string()))?;
-        let mut request = Request::new(method, url);
+        let mut request = new_request(self.address, method, target)?;
         request.insert_header("authorization", format!("Bearer {}", self.key));
         if let Some(body) = body {
             request.set_body(body.to_string());
         }
-        let clock = RuntimeClock::system();
-        let answered = smol::block_on(clock.timeout(CALL_TIMEOUT, self.exchange(request)));
-        let (status, body) =
-            answered.unwrap_or_else(|| Err(AccessError::AnswerLost("timeout".to_owned())))?;
-        match serde_json::from_slice(&body) {
-            Ok(message) => Ok((status, message)),
-            Err(_) => {
-                let text = String::from_utf8_lossy(&body).trim().to_owned();
-                Err(AccessError::Refused(status, text))
-            }
-        }
+        call_node(self.address, request)
     }
+}
+
+/// Reads what a node tells without a key; returns status and body.
+pub fn read(address: SocketAddr, target: &str) -> Result<(u16, Value), AccessError> {
+    call_node(address, new_request(address, Method::Get, target)?)
+}
+
+fn new_request(address: SocketAddr, method: Method, target: &str) -> Result<Request, AccessError> {
+    let url = Url::parse(&format!("http://{address}{target}"));
+    Ok(Request::new(method, url.map_err(|err| AccessError::NotSent(err.to_string()))?))
+}
 
-    async fn exchange(&self, request: Request) -> Result<(u16, Vec<u8>), AccessError> {
-        let failed = |err: ExchangeError| match err.may_have_run() {
-            true => AccessError::AnswerLost(err.to_string()),
-            false => AccessError::NotSent(err.to_string()),
-        };
-        let connection = ClientConnection::connect(self.address).await.map_err(failed)?;
-        let mut answer = connection.exchange(request).await.map_err(failed)?;
-        let body = answer.response.body_bytes().await;
-        let body = body.map_err(|err| AccessError::AnswerLost(err.to_string()))?;
-        Ok((answer.response.status().into(), body))
+fn call_node(address: SocketAddr, request: Request) -> Result<(u16, Value), AccessError> {
+    let clock = RuntimeClock::system();
+    let answered = smol::block_on(clock.timeout(CALL_TIMEOUT, exchange(address, request)));
+    let (status, body) =
+        answered.unwrap_or_else(|| Err(AccessError::AnswerLost("timeout".to_owned())))?;
+    match serde_json::from_slice(&body) {
+        Ok(message) => Ok((status, message)),
+        Err(_) => {
+            let text = String::from_utf8_lossy(&body).trim().to_owned();
+            Err(AccessError::Refused(status, text))
+        }
     }
 }
 
+async fn exchange(address: SocketAddr, request: Request) -> Result<(u16, Vec<u8>), AccessError> {
+    let failed = |err: ExchangeError| match err.may_have_run() {
+        true => AccessError::AnswerLost(err.to_string()),
+        false => AccessError::NotSent(err.to_string()),
+    };
+    let connection = ClientConnection::connect(address).await.map_err(failed)?;
+    let mut answer = connection.exchange(request).await.map_err(failed)?;
+    let body = answer.response.body_bytes().await;
+    let body = body.map_err(|err| AccessError::AnswerLost(err.to_string()))?;
+    Ok((answer.response.status().into(), body))
+}
+
 /// Value of a flag, or of its variable.
 pub fn given(flag: &str, option: &Option<String>) -> Option<String> {
     option.clone().or_else(|| std::env::var(variable_of(flag)).ok())
--- a/berylstep/src/cli/burn.rs
+++ b/berylstep/src/cli/burn.rs
@@ -2,12 +2,17 @@
 
 use std::process::ExitCode;
 
+use super::access::given;
+use super::fleet;
 use super::report::{self, ReportOptions};
-use crate::burn::{BurnReport, ClassReport};
+use crate::burn::report::{BurnReport, ClassReport};
 
 /// Shows the service-level burn over all nodes.
 pub fn show(options: &ReportOptions) -> ExitCode {
-    report::show(options, "/operator/burn", print_text)
+    match given("gateways", &options.gateways) {
+        Some(addresses) => fleet::show_burn(&addresses, options.json, print_text),
+        None => report::show(options, "/operator/burn", print_text),
+    }
 }
 
 fn print_text(report: &BurnReport) {
@@ -31,6 +36,13 @@
     for class in &report.classes {
         print_class(class);
     }
+    if !report.organisations.is_empty() {
+        println!("{:<24} {:>10} {:>10}", "organisation", "met", "missed");
+    }
+    for organisation in &report.organisations {
+        let (met, missed) = (organisation.met, organisation.missed);
+        println!("{:<24} {met:>10} {missed:>10}", organisation.organisation);
+    }
 }
 
 fn print_class(class: &ClassReport) {
--- a/berylstep/src/cli/change.rs
+++ b/berylstep/src/cli/change.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 
 use super::access::{given, wants_json, AccessError, OperatorAccess};
-use super::{usage_errors, ServeOptions, EXIT_USAGE};
+use super::{fleet, usage_errors, ServeOptions, EXIT_USAGE};
 use crate::config::NodeSettings;
 use crate::operator::message::ChangeAnswer;
 
@@ -98,6 +98,12 @@
         help = "file with the operators' key [BERYLSTEP_OPERATOR_KEY_FILE, or the key in BERYLSTEP_OPERATOR_KEY]"
     )]
     operator_key_file: Option<String>,
+    /// Settings file of a gateway.
+    #[options(no_short, meta = "PATH", help = "check the settings file of a gateway")]
+    gateway: Option<String>,
+    /// File with a desired state.
+    #[options(no_short, meta = "PATH", help = "check a desired state as the platform stores it")]
+    desired: Option<String>,
     /// Prints the result as JSON.
     #[options(no_short, help = "print the result as JSON [BERYLSTEP_JSON=1]")]
     json: bool,
@@ -132,6 +138,9 @@
 /// Checks settings, or a file with a change.
 pub fn check(options: &CheckOptions) -> ExitCode {
     let is_json = wants_json(options.json);
+    if options.gateway.is_some() || options.desired.is_some() {
+        return fleet::check(options.gateway.as_deref(), options.desired.as_deref());
+    }
     let Some(first) = options.arguments.first() else { return check_settings(&[]) };
     if first.starts_with('-') {
         return check_settings(&options.arguments);
--- a/berylstep/src/cli/report.rs
+++ b/berylstep/src/cli/report.rs
@@ -25,9 +25,16 @@
         help = "file with the operators' key [BERYLSTEP_OPERATOR_KEY_FILE, or the key in BERYLSTEP_OPERATOR_KEY]"
     )]
     operator_key_file: Option<String>,
+    /// Metrics addresses of gateways.
+    #[options(
+        no_short,
+        meta = "ADDRESSES",
+        help = "metrics addresses of gateways, separated by commas, in place of an operator listener [BERYLSTEP_GATEWAYS]"
+    )]
+    pub gateways: Option<String>,
     /// Prints the answer as JSON.
     #[options(no_short, help = "print the answer as JSON [BERYLSTEP_JSON=1]")]
-    json: bool,
+    pub json: bool,
 }
 
 /// Reads the report at `target` from a node and prints it, as JSON or by `print_text`.
--- a/berylstep/src/cli/status.rs
+++ b/berylstep/src/cli/status.rs
@@ -2,12 +2,17 @@
 
 use std::process::ExitCode;
 
+use super::access::given;
+use super::fleet;
 use super::report::{self, ReportOptions};
 use crate::operator::status::StatusMessage;
 
 /// Shows what a node knows of its site.
 pub fn show(options: &ReportOptions) -> ExitCode {
-    report::show(options, "/operator/status", print_text)
+    match given("gateways", &options.gateways) {
+        Some(addresses) => fleet::show_status(&addresses, options.json),
+        None => report::show(options, "/operator/status", print_text),
+    }
 }
 
 fn print_text(status: &StatusMessage) {
--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod bell;
 pub mod callers;
 pub mod demand;
 pub mod duties;
@@ -16,7 +17,9 @@
 pub mod peers;
 pub mod pulse;
 pub mod request;
+pub mod service_level;
 pub mod settings;
+pub mod status;
 pub mod stop;
 pub mod stream;
 pub mod upstreams;
@@ -36,6 +39,7 @@
 use smol::LocalExecutor;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::bell::NewsBell;
 use crate::gateway::callers::CallerListener;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::duties::{DutyHandles, DutyKeeper};
@@ -47,7 +51,8 @@
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pulse::PulseDesk;
 use crate::gateway::request::RequestDesk;
-use crate::gateway::settings::{GatewaySettings, SettingsError};
+use crate::gateway::service_level::LevelLedger;
+use crate::gateway::settings::{GatewaySettings, LiveSettings, SettingsError};
 use crate::gateway::stop::StopSignal;
 use crate::gateway::upstreams::UpstreamPool;
 use crate::gateway::usage::UsageLedger;
@@ -123,8 +128,10 @@
     parts.serve_endpoints(listeners.into_iter().flatten());
     parts.serve_callers(sockets.callers);
     let duties = parts.keep_duties();
-    parts.tasks.spawn(watch_settings(path.clone(), parts.clock.clone())).detach();
-    wait_for_stop(&mut signals, &path).await;
+    let file =
+        Rc::new(SettingsFile { path, started: parts.settings.clone(), live: parts.live.clone() });
+    parts.tasks.spawn(file.clone().watch(parts.clock.clone())).detach();
+    file.wait_for_stop(&mut signals).await;
     let GatewayParts { settings, stop, .. } = &parts;
     stop.begin();
     log::info!("event=stopping node={} open_requests={}", settings.node, stop.open_requests());
@@ -149,9 +156,12 @@
     mirror: Rc<StoreMirror>,
     peers: Rc<PeerTable>,
     metrics: Rc<GatewayMetrics>,
+    live: Rc<LiveSettings>,
+    levels: Rc<LevelLedger>,
     usage: Rc<UsageLedger>,
     demand: Rc<DemandLedger>,
     duty_fencing: Rc<Cell<u64>>,
+    others_ahead: Rc<NewsBell>,
     store: Rc<PlatformClient>,
 }
 
@@ -173,9 +183,12 @@
             mirror: Rc::new(StoreMirror::new(clock.clone())),
             peers: Rc::new(peers),
             metrics: Rc::default(),
+            live: Rc::new(LiveSettings::new(&settings)),
+            levels: Rc::new(LevelLedger::new(clock.clone())),
             usage: Rc::new(UsageLedger::new(clock.clone(), run, window)),
             demand: Rc::new(DemandLedger::new(clock.clone())),
             duty_fencing: Rc::default(),
+            others_ahead: Rc::default(),
             store: Rc::new(PlatformClient::new(settings.store_address, clock.clone())),
             settings,
             clock,
@@ -206,6 +219,7 @@
             stop: self.stop.clone(),
             duty_fencing: self.duty_fencing.clone(),
             demand: self.demand.clone(),
+            others_ahead: self.others_ahead.clone(),
             socket,
         });
         self.tasks.spawn(pulses.clone().send()).detach();
@@ -218,6 +232,7 @@
             clock: self.clock.clone(),
             peers: self.peers.clone(),
             mirror: self.mirror.clone(),
+            others_ahead: self.others_ahead.clone(),
         });
         self.tasks.spawn(handon.clone().follow()).detach();
         self.tasks.spawn(handon.listen(self.tasks.clone(), listener)).detach();
@@ -231,6 +246,8 @@
             peers: self.peers.clone(),
             stop: self.stop.clone(),
             metrics: self.metrics.clone(),
+            live: self.live.clone(),
+            levels: self.levels.clone(),
         });
         for listener in listeners {
             self.tasks.spawn(endpoints.clone().listen(self.tasks.clone(), listener)).detach();
@@ -247,6 +264,8 @@
             usage: self.usage.clone(),
             stop: self.stop.clone(),
             metrics: self.metrics.clone(),
+            live: self.live.clone(),
+            levels: self.levels.clone(),
             demand: self.demand.clone(),
             budgets: RefCell::default(),
         });
@@ -280,26 +299,35 @@
     }
 }
 
-/// Waits for a signal to stop; a signal to reload checks the settings file.
-async fn wait_for_stop(signals: &mut Signals, path: &Path) {
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => reload(path, "signal"),
-            Ok(_) => return,
-            Err(err) => log::warn!("event=signal_failed error=\"{err}\""),
+/// The settings file of a running node.
+struct SettingsFile {
+    path: PathBuf,
+    started: Rc<GatewaySettings>,
+    live: Rc<LiveSettings>,
+}
+
+impl SettingsFile {
+    /// Waits for a signal to stop; a signal to reload reads the file anew.
+    async fn wait_for_stop(&self, signals: &mut Signals) {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => self.live.reload(&self.path, "signal", &self.started),
+                Ok(_) => return,
+                Err(err) => log::warn!("event=signal_failed error=\"{err}\""),
+            }
         }
     }
-}
 
-/// Reloads the settings whenever the file's content changes.
-async fn watch_settings(path: PathBuf, clock: RuntimeClock) {
-    let mut modified = modification(&path);
-    loop {
-        clock.sleep(SETTINGS_LOOK).await;
-        let present = modification(&path);
-        if present != modified {
-            modified = present;
-            reload(&path, "file_changed");
+    /// Reads the file anew whenever it has changed.
+    async fn watch(self: Rc<Self>, clock: RuntimeClock) {
+        let mut modified = modification(&self.path);
+        loop {
+            clock.sleep(SETTINGS_LOOK).await;
+            let present = modification(&self.path);
+            if present != modified {
+                modified = present;
+                self.live.reload(&self.path, "file_changed", &self.started);
+            }
         }
     }
 }
@@ -308,19 +336,11 @@
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
 
-/// Checks the settings file; addresses of a running node can't change.
-fn reload(path: &Path, cause: &str) {
-    match GatewaySettings::load(path) {
-        Ok(settings) => log::info!("event=settings_reloaded cause={cause} node={}", settings.node),
-        Err(err) => {
-            log::error!("event=settings_rejected cause={cause} error=\"{err}\" outcome=kept_old");
-        }
-    }
-}
-
+/// Closes idle connections and tells what is left of the retry budgets, again and again.
 async fn close_idle(desk: Rc<RequestDesk>) {
     loop {
         desk.clock.sleep(IDLE_LOOK).await;
         desk.upstreams.close_expired();
+        desk.note_budgets();
     }
 }
--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -8,7 +8,6 @@
 use berylstep_core::lease::{
     ClockReading, DutyLease, LeaseRow, LeaseTimes, ReceiverFencing, VersionedLease, WriteOutcome,
 };
-use berylstep_core::rendezvous;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::RuntimeClock;
@@ -47,10 +46,6 @@
 /// for a moment are in by then.
 const SEAL_AFTER: Duration = Duration::from_millis(4500);
 
-/// Difference of starts from which a node leaves the duties to older ones, which know the counts of
-/// nodes that have ended since.
-const NEWCOMER_TIME: Duration = Duration::from_secs(12);
-
 /// Windows after which sealed usage is removed from the store.
 const KEPT_WINDOWS: u64 = 12;
 
@@ -205,14 +200,8 @@
         if self.handles.peers.duty_fencing(now) > 0 {
             return None;
         }
-        let candidates = self.handles.peers.representatives(now);
-        let own_start = self.handles.usage.run().incarnation;
-        let oldest = candidates.iter().map(|node| node.incarnation).min().unwrap_or(own_start);
-        let newcomers_after = oldest + NEWCOMER_TIME.as_millis() as u64;
-        let candidates = candidates.iter().filter(|node| node.incarnation <= newcomers_after);
-        let own = &*self.handles.settings.node;
-        let ranked = rendezvous::rank(LEASE_KEY, candidates.map(|node| &*node.node));
-        let place = ranked.iter().position(|name| *name == own)?;
+        let order = self.handles.peers.duty_order(now);
+        let place = order.iter().position(|name| *name == self.handles.settings.node)?;
         (place < CANDIDATES).then_some(place as u32)
     }
 
--- a/berylstep/src/gateway/endpoints.rs
+++ b/berylstep/src/gateway/endpoints.rs
@@ -6,6 +6,7 @@
 
 use berylstep_http::ServerConnection;
 use http_types::{Request, Response, StatusCode};
+use serde::Serialize;
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
 
@@ -13,13 +14,20 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::observe::GatewayMetrics;
 use crate::gateway::peers::PeerTable;
-use crate::gateway::settings::GatewaySettings;
+use crate::gateway::service_level::LevelLedger;
+use crate::gateway::settings::{GatewaySettings, LiveSettings};
 use crate::gateway::stop::{StopSignal, DIRECTORY_TTL};
 use crate::platform::endpoints::{directory_body, CallerPlace, DIRECTORY_PATH, READINESS_PATH};
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of what the node knows of its fleet.
+pub const STATUS_PATH: &str = "/status";
+
+/// Path of the service-level burn.
+pub const BURN_PATH: &str = "/burn";
+
 /// Longest time for which a connection waits for its next request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -35,8 +43,10 @@
 
 /// Answers everything but callers' requests.
 pub struct EndpointDesk {
-    /// Settings.
+    /// Settings of the start.
     pub settings: Rc<GatewaySettings>,
+    /// Settings that may change.
+    pub live: Rc<LiveSettings>,
     /// Clock.
     pub clock: RuntimeClock,
     /// Copy of the store.
@@ -47,6 +57,8 @@
     pub stop: Rc<StopSignal>,
     /// Metrics.
     pub metrics: Rc<GatewayMetrics>,
+    /// Service levels.
+    pub levels: Rc<LevelLedger>,
 }
 
 impl EndpointDesk {
@@ -89,11 +101,21 @@
             READINESS_PATH => self.readiness(),
             DIRECTORY_PATH => self.directory(&CallerPlace::read(request)),
             METRICS_PATH => self.metrics(),
+            STATUS_PATH => report(&self.status()),
+            BURN_PATH => match self.mirror.desired() {
+                Some(desired) => {
+                    let nodes = self.peers.nodes(self.clock.now()).len() + 1;
+                    let wanted = self.live.get().wanted_attainment;
+                    report(&self.levels.report(&desired, wanted, nodes))
+                }
+                None => Response::new(StatusCode::ServiceUnavailable),
+            },
             _ => Response::new(StatusCode::NotFound),
         }
     }
 
-    fn is_ready(&self) -> bool {
+    /// Whether callers may be sent to this node.
+    pub(super) fn is_ready(&self) -> bool {
         self.mirror.is_complete() && !self.stop.is_stopping()
     }
 
@@ -109,7 +131,7 @@
         if addresses.is_empty() {
             return Response::new(StatusCode::ServiceUnavailable);
         }
-        let ttl = DIRECTORY_TTL.as_secs_f64().min(self.settings.directory_ttl_max_s);
+        let ttl = DIRECTORY_TTL.min(self.live.get().directory_ttl_max).as_secs_f64();
         let mut response = Response::new(StatusCode::Ok);
         match directory_body(&addresses, ttl) {
             Ok(body) => response.set_body(body),
@@ -146,6 +168,8 @@
         let now = self.clock.now();
         self.metrics.open_requests.set(self.stop.open_requests().into());
         self.metrics.live_peers.set(self.peers.nodes(now).len() as i64);
+        let store_age = self.mirror.store_age().map_or(-1, |age| age.as_millis() as i64);
+        self.metrics.store_age.set(store_age);
         self.metrics.desired_version.set(self.mirror.desired_version() as i64);
         let ready = self.mirror.replicas.borrow().rows().filter(|row| row.is_ready()).count();
         self.metrics.ready_replicas.set(ready as i64);
@@ -154,3 +178,18 @@
         response
     }
 }
+
+fn report(content: &impl Serialize) -> Response {
+    match serde_json::to_vec(content) {
+        Ok(body) => {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(body);
+            response.set_content_type(http_types::mime::JSON);
+            response
+        }
+        Err(err) => {
+            log::error!("event=report_failed error=\"{err}\"");
+            Response::new(StatusCode::InternalServerError)
+        }
+    }
+}
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -127,6 +127,7 @@
             true => self.read_changes(progress).await?,
             false => self.read_table(progress).await?,
         }
+        self.mirror.note_answer();
         if progress.backoff != FIRST_BACKOFF {
             log::info!("event=store_regained table={:?} revision={}", self.table, progress.newest);
             progress.backoff = FIRST_BACKOFF;
--- a/berylstep/src/gateway/handon.rs
+++ b/berylstep/src/gateway/handon.rs
@@ -17,6 +17,7 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::bell::NewsBell;
 use crate::gateway::mirror::{NewsSource, ReplicaChanges, StoreMirror, StoredCopy};
 use crate::gateway::peers::PeerTable;
 
@@ -43,6 +44,8 @@
     pub peers: Rc<PeerTable>,
     /// Copy of the store.
     pub mirror: Rc<StoreMirror>,
+    /// Rung when another node is ahead.
+    pub others_ahead: Rc<NewsBell>,
 }
 
 impl StateHandon {
@@ -52,7 +55,12 @@
         loop {
             // A node that has just started is of no use until it knows what others know.
             let is_new = !self.mirror.is_complete();
-            self.clock.sleep(if is_new { START_LOOK_INTERVAL } else { LOOK_INTERVAL }).await;
+            let interval = if is_new { START_LOOK_INTERVAL } else { LOOK_INTERVAL };
+            let follows = self.peers.must_follow_store(self.clock.now());
+            match is_new || !follows {
+                true => self.others_ahead.wait(&self.clock, interval).await,
+                false => self.clock.sleep(interval).await,
+            }
             let now = self.clock.now();
             let (desired, replicas) =
                 (self.mirror.desired_version(), self.mirror.replica_revision());
@@ -61,7 +69,7 @@
                 continue;
             };
             looks += 1;
-            if is_new || looks >= LOOKS_BEHIND || !self.peers.must_follow_store(now) {
+            if is_new || looks >= LOOKS_BEHIND || !follows {
                 self.ask(&peer, address).await;
             }
         }
@@ -90,6 +98,9 @@
         if !copy.desired.is_empty() {
             self.mirror.take_desired(copy.desired, NewsSource::Peer);
         }
+        if copy.store_troubled {
+            self.mirror.note_trouble();
+        }
         if !copy.has_replicas {
             return;
         }
@@ -166,6 +177,7 @@
             replicas: replicas.collect(),
             complete: changes.complete,
             removed,
+            store_troubled: self.mirror.is_troubled(),
         }
     }
 }
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -10,6 +10,7 @@
 use berylstep_core::fleet::replica::{ReplicaState, ReplicaTable};
 
 use crate::clock::RuntimeClock;
+use crate::gateway::bell::NewsBell;
 use crate::platform::desired::decode_desired;
 use crate::platform::entries::decode_entry;
 
@@ -67,7 +68,10 @@
     replica_revision: Cell<u64>,
     has_replicas: Cell<bool>,
     trouble_at: Cell<Option<Duration>>,
+    heard_store_at: Cell<Option<Duration>>,
     following: Cell<u32>,
+    /// Rung when something newer was taken in.
+    pub news: NewsBell,
 }
 
 impl StoreMirror {
@@ -84,7 +88,9 @@
             replica_revision: Cell::new(0),
             has_replicas: Cell::new(false),
             trouble_at: Cell::new(None),
+            heard_store_at: Cell::new(None),
             following: Cell::new(0),
+            news: NewsBell::default(),
         }
     }
 
@@ -141,6 +147,22 @@
         self.following.set(changed);
     }
 
+    /// Notes that the store answered.
+    pub fn note_answer(&self) {
+        self.heard_store_at.set(Some(self.clock.now()));
+    }
+
+    /// Time since the store last answered this node.
+    pub fn store_age(&self) -> Option<Duration> {
+        self.heard_store_at.get().map(|at| self.clock.now().saturating_sub(at))
+    }
+
+    /// Whether the store was in trouble a moment ago, so that entries may come back.
+    pub fn is_troubled(&self) -> bool {
+        let now = self.clock.now();
+        self.trouble_at.get().is_some_and(|at| now < at + TROUBLE_TIME)
+    }
+
     /// Notes that the store failed to answer.
     pub fn note_trouble(&self) {
         self.trouble_at.set(Some(self.clock.now()));
@@ -171,10 +193,14 @@
         );
         *self.desired.borrow_mut() = Some(Arc::new(desired));
         *self.desired_bytes.borrow_mut() = value;
+        self.news.ring();
     }
 
     /// Takes in the change of one entry; `None` is a removal.
     pub fn take_replica(&self, id: &str, revision: u64, value: Option<Vec<u8>>) {
+        if revision > self.replica_revision.get() {
+            self.news.ring();
+        }
         self.replica_revision.set(self.replica_revision.get().max(revision));
         let known = self.copies.borrow().get(id).map_or(0, |copy| copy.revision);
         if revision < known {
@@ -257,7 +283,7 @@
         self.copies.borrow_mut().remove(id);
         self.note_removal(id, revision);
         let now = self.clock.now();
-        let troubled = self.trouble_at.get().is_some_and(|at| now < at + TROUBLE_TIME);
+        let troubled = self.is_troubled();
         let mut replicas = self.replicas.borrow_mut();
         let is_ready = replicas.get(id).is_some_and(|row| row.entry.state == ReplicaState::Ready);
         if troubled && is_ready {
--- a/berylstep/src/gateway/observe.rs
+++ b/berylstep/src/gateway/observe.rs
@@ -3,13 +3,16 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
+use berylstep_core::burn::TargetOutcome;
 use berylstep_core::collections::SharedName;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::gateway::attempt::{AttemptEnd, ReplicaTarget};
 use crate::gateway::request::RoutedRequest;
+use crate::gateway::service_level::LevelLedger;
 
 /// Upper bounds of latency buckets, in seconds; they hold the usual latency targets.
 const LATENCY_BUCKETS: &[f64] =
@@ -47,6 +50,24 @@
         }
     }
 
+    /// Whether it counts as met or missed; a caller's own leaving counts as neither.
+    fn level(self, is_in_time: bool) -> Option<TargetOutcome> {
+        match self {
+            Self::Answered(status) if status < 500 && is_in_time => Some(TargetOutcome::Met),
+            Self::Rejected(_) | Self::CallerLeft => None,
+            _ => Some(TargetOutcome::Missed),
+        }
+    }
+
+    /// Level of its line in the log, where failures go before successes.
+    fn log_level(self) -> log::Level {
+        match self {
+            Self::Answered(status) if status < 500 => log::Level::Info,
+            Self::Rejected(_) | Self::CallerLeft => log::Level::Info,
+            _ => log::Level::Warn,
+        }
+    }
+
     fn detail(self) -> String {
         match self {
             Self::Answered(status) => status.to_string(),
@@ -77,6 +98,9 @@
     pub ready_replicas: IntGauge,
     /// Fencing token of the duties' lease; 0 where another node holds it.
     pub duty_fencing: IntGauge,
+    /// Time since the store last answered this node; -1 where it never did.
+    pub store_age: IntGauge,
+    retry_budget: IntGaugeVec,
 }
 
 impl Default for GatewayMetrics {
@@ -99,6 +123,11 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let gauges = |name, help, labels: &[&str]| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
         let gauge = |name, help| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -139,10 +168,24 @@
                 "berylstep_gateway_duty_fencing_token",
                 "Fencing token of the duties' lease; 0 where another node holds it.",
             )?,
+            store_age: gauge(
+                "berylstep_gateway_store_age_milliseconds",
+                "Time since the store last answered this node; -1 where it never did.",
+            )?,
+            retry_budget: gauges(
+                "berylstep_gateway_retry_budget_left",
+                "Repeats that this node may still make now, by service.",
+                &["service"],
+            )?,
             registry,
         })
     }
 
+    /// Notes how many repeats this node may still make for a service.
+    pub fn note_retry_budget(&self, service: &str, left: u32) {
+        self.retry_budget.with_label_values(&[service]).set(left.into());
+    }
+
     /// Writes all metrics in the text format.
     pub fn render(&self) -> String {
         let mut text = Vec::new();
@@ -168,6 +211,7 @@
     route: SharedName,
     organisation: Option<SharedName>,
     priority: u8,
+    target: Duration,
     replica: Option<SharedName>,
     prompt: u64,
     output: u64,
@@ -193,6 +237,7 @@
             route: request.route.name.clone(),
             organisation: request.organisation.clone(),
             priority: request.priority,
+            target: request.route.target,
             replica: None,
             prompt: size.prompt,
             output: size.output,
@@ -223,7 +268,7 @@
             AttemptEnd::Lost(reason) => ("lost", *reason),
             AttemptEnd::TimedOut => ("timed_out", "-"),
         };
-        log::info!(
+        log::warn!(
             "event=attempt_failed id={} service={} replica={} attempt={} result={result} \
              age_ms={} detail=\"{detail}\"",
             request.id(),
@@ -242,7 +287,13 @@
     }
 
     /// Counts and logs the request.
-    pub fn settle(&self, metrics: &GatewayMetrics, id: Option<&str>, now: Duration) {
+    pub fn settle(
+        &self,
+        metrics: &GatewayMetrics,
+        levels: &LevelLedger,
+        id: Option<&str>,
+        now: Duration,
+    ) {
         let end = self.end.get().unwrap_or(RequestEnd::Broken(0));
         let id = id.unwrap_or("-");
         let elapsed = now.saturating_sub(self.arrived);
@@ -267,7 +318,11 @@
         if let Some(first) = first {
             metrics.first_content.with_label_values(&labelled).observe(first.as_secs_f64());
         }
-        log::info!(
+        if let Some(outcome) = end.level(first.is_some_and(|first| first <= labels.target)) {
+            levels.count(&labels.route, labels.organisation.as_ref(), outcome);
+        }
+        log::log!(
+            end.log_level(),
             "event=request_ended id={id} outcome={} detail=\"{}\" route={} service={service} \
              organisation={} priority={priority} replica={} attempts={} prompt={} output={} \
              first_ms={} total_ms={}",
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 //! nodes all are representatives, and each hears each other.
 
 pub mod node;
+pub mod outbound;
 pub mod sums;
 
 use std::cell::{Cell, RefCell};
@@ -14,6 +15,7 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::replica::ReplicaLoad;
+use berylstep_core::rendezvous;
 use berylstep_wire::{ClassDemand, FleetPulse, ReplicaWork, RunUsage, ZoneSummary};
 
 pub use node::KnownNode;
@@ -32,6 +34,16 @@
 /// Time without a pulse after which a node is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(20);
 
+/// Difference of starts from which a node leaves the duties to older ones.
+const NEWCOMER_TIME: Duration = Duration::from_secs(12);
+
+/// Decides the order of the duties; any text that all nodes share.
+const DUTY_ORDER_KEY: &str = "holder";
+
+/// Nodes that hear of all usage besides the one that reports it: those that may take over at once,
+/// and one for each of them that fails in the same moment.
+const DUTY_HEIRS: usize = 4;
+
 /// First pulses of a node, which are answered whoever it is.
 const FIRST_PULSES: u64 = 8;
 
@@ -124,14 +136,54 @@
 
     /// Whether this node speaks for its zone.
     pub fn is_representative(&self, now: Duration) -> bool {
-        self.representatives(now).iter().any(|node| node.node == self.own.node)
+        self.place_in_zone(now).is_some()
+    }
+
+    /// Place among the representatives of its zone, where it is one.
+    pub fn place_in_zone(&self, now: Duration) -> Option<usize> {
+        let representatives = self.representatives(now);
+        let mut zone = representatives.iter().filter(|node| node.zone == self.own.zone);
+        zone.position(|node| node.node == self.own.node)
+    }
+
+    /// Names of the representatives in the order in which they take the duties over. Newcomers
+    /// leave them to older nodes, which know the counts of nodes that have ended since.
+    pub fn duty_order(&self, now: Duration) -> Vec<SharedName> {
+        let nodes = self.representatives(now);
+        let oldest = nodes.iter().map(|node| node.incarnation).min().unwrap_or_default();
+        let newcomers_after = oldest + NEWCOMER_TIME.as_millis() as u64;
+        let old = nodes.iter().filter(|node| node.incarnation <= newcomers_after);
+        let ranked = rendezvous::rank(DUTY_ORDER_KEY, old.map(|node| &*node.node));
+        ranked.into_iter().map(SharedName::from).collect()
     }
 
-    /// Whether this node has to follow the store itself: it speaks for others, or hears no
-    /// representative that follows it.
+    /// Nodes that report usage now or may within moments: the holder of the duties, and the first
+    /// in their order.
+    pub fn duty_heirs(&self, now: Duration) -> Vec<SharedName> {
+        let mut heirs = self.duty_order(now);
+        heirs.truncate(DUTY_HEIRS);
+        let rows = self.live_rows(now);
+        let holders = rows.iter().filter(|row| row.pulse.duty_fencing > 0);
+        heirs.extend(holders.map(|row| SharedName::from(&*row.pulse.node)));
+        heirs
+    }
+
+    /// Whether this node has to follow the store itself: it is a representative and too few of those
+    /// that go before it do, or it hears no node at all that does.
     pub fn must_follow_store(&self, now: Duration) -> bool {
-        self.is_representative(now)
-            || !self.live_rows(now).iter().any(|row| row.pulse.follows_store)
+        let rows = self.live_rows(now);
+        let follows = |node: &KnownNode| {
+            rows.iter().any(|row| *row.pulse.node == *node.node && row.pulse.follows_store)
+        };
+        let order = node::followers_order(&self.representatives(now));
+        let place = order.iter().position(|node| node.node == self.own.node);
+        match place {
+            Some(place) => {
+                let wanted = node::wanted_followers(&order);
+                order[..place].iter().filter(|node| follows(node)).count() < wanted
+            }
+            None => !rows.iter().any(|row| row.pulse.follows_store),
+        }
     }
 
     /// Demand at the other nodes.
@@ -264,7 +316,7 @@
     }
 
     /// Nodes of this node's zone for which it speaks.
-    pub fn followers(&self, now: Duration) -> Vec<PeerRow> {
+    fn followers(&self, now: Duration) -> Vec<PeerRow> {
         let representatives = self.representatives(now);
         let is_follower = |row: &PeerRow| {
             *row.pulse.zone == *self.own.zone
@@ -274,7 +326,7 @@
     }
 
     /// Sum over the nodes for which this one speaks.
-    pub fn followers_summary(&self, followers: &[PeerRow], with_usage: bool) -> ZoneSummary {
+    fn followers_summary(&self, followers: &[PeerRow], with_usage: bool) -> ZoneSummary {
         let mut summary = ZoneSummary { zone: self.own.zone.to_string(), ..Default::default() };
         for row in followers {
             add_pulse(&mut summary, &row.pulse);
@@ -286,7 +338,7 @@
     }
 
     /// Sums of all zones, for a node for which this one speaks; `own` is this node's pulse.
-    pub fn all_zones(&self, own: &FleetPulse, now: Duration) -> Vec<ZoneSummary> {
+    fn all_zones(&self, own: &FleetPulse, now: Duration) -> Vec<ZoneSummary> {
         let mut zones: HashMap<SharedName, ZoneSummary> = HashMap::default();
         for pulse in self.counted_rows(now).iter().map(|row| &row.pulse).chain([own]) {
             add_pulse(zones.entry((&*pulse.zone).into()).or_default(), pulse);
--- a/berylstep/src/gateway/peers/node.rs
+++ b/berylstep/src/gateway/peers/node.rs
@@ -10,6 +10,9 @@
 /// Representatives of one availability zone: one is left when two fail at once.
 const REPRESENTATIVES: usize = 3;
 
+/// Fewest nodes that follow the store, where there are as many.
+const LEAST_FOLLOWERS: usize = 2;
+
 /// A living node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownNode {
@@ -91,3 +94,24 @@
     }
     chosen
 }
+
+/// Representatives in the order in which they follow the store: the first of each zone, then the
+/// second of each.
+pub fn followers_order(representatives: &[KnownNode]) -> Vec<KnownNode> {
+    let place = |node: &KnownNode| {
+        let zone = representatives.iter().filter(|other| other.zone == node.zone);
+        zone.take_while(|other| other.node != node.node).count()
+    };
+    let mut order = representatives.to_vec();
+    order.sort_by_cached_key(|node| (place(node), node.zone.clone()));
+    order
+}
+
+/// Representatives that follow the store: one in each zone, and one more where there is one zone,
+/// so that a node whose connection to the store has gone silent delays no other.
+pub fn wanted_followers(representatives: &[KnownNode]) -> usize {
+    let mut zones: Vec<_> = representatives.iter().map(|node| &node.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones.len().max(LEAST_FOLLOWERS)
+}
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -14,6 +14,7 @@
 use smol::net::UdpSocket;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::bell::NewsBell;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
@@ -24,6 +25,9 @@
 /// Time between pulses; several fit into the time within which a dead node must leave the directory.
 const PULSE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Shortest time between two pulses, which bounds what many changes in a row cost.
+const LEAST_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Pulses between two that carry usage.
 const USAGE_EVERY: u64 = 2;
 
@@ -57,6 +61,8 @@
     pub duty_fencing: Rc<Cell<u64>>,
     /// Demand.
     pub demand: Rc<DemandLedger>,
+    /// Rung when another node is ahead of this one.
+    pub others_ahead: Rc<NewsBell>,
     /// Socket.
     pub socket: UdpSocket,
 }
@@ -68,7 +74,9 @@
         loop {
             self.send_once(sequence).await;
             sequence += 1;
-            self.clock.sleep(PULSE_INTERVAL).await;
+            // Nodes that do not follow the store learn of its news from the next pulse.
+            self.clock.sleep(LEAST_INTERVAL).await;
+            self.mirror.news.wait(&self.clock, PULSE_INTERVAL - LEAST_INTERVAL).await;
         }
     }
 
@@ -81,24 +89,9 @@
         self.take_loads(now);
         let pulse = self.pulse(sequence, now);
         self.peers.note_own_work(pulse.work.clone());
-        let own = &*self.settings.node;
-        let representatives = self.peers.representatives(now);
-        let speaks = representatives.iter().any(|node| &*node.node == own);
         let mut sent = Vec::new();
-        if speaks {
-            let followers = self.peers.followers(now);
-            let with_usage = sequence % USAGE_EVERY == 0;
-            let summary = self.peers.followers_summary(&followers, with_usage);
-            let spoken_for = (!followers.is_empty()).then_some(summary);
-            let message = FleetPulse { spoken_for, ..pulse.clone() };
-            let others = representatives.iter().filter(|node| &*node.node != own);
-            self.send_to(&message, others.map(|node| node.peer_address), &mut sent).await;
-            let zones = self.peers.all_zones(&pulse, now);
-            let message = FleetPulse { zones, usage: Vec::new(), ..pulse.clone() };
-            self.send_to(&message, followers.iter().map(|row| row.address), &mut sent).await;
-        } else {
-            let near = representatives.iter().filter(|node| node.zone == self.settings.zone);
-            self.send_to(&pulse, near.map(|node| node.peer_address), &mut sent).await;
+        for group in self.peers.outbound(&pulse, now) {
+            self.send_to(&group.pulse, group.addresses.into_iter(), &mut sent).await;
         }
         let mut contacts = self.peers.newcomers(now);
         if sequence % CONTACTS_EVERY < 2 {
@@ -157,6 +150,11 @@
         pulse.usage.iter().for_each(|window| self.merge_usage(&run, window));
         let told = pulse.spoken_for.iter().flat_map(|summary| &summary.usage);
         told.for_each(|usage| self.merge_run(usage));
+        if pulse.desired_version > self.mirror.desired_version()
+            || pulse.replica_revision > self.mirror.replica_revision()
+        {
+            self.others_ahead.ring();
+        }
         self.peers.observe(pulse, from, self.clock.now());
     }
 
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -19,7 +19,8 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::observe::{GatewayMetrics, RequestEnd, RequestTrace};
 use crate::gateway::peers::PeerTable;
-use crate::gateway::settings::GatewaySettings;
+use crate::gateway::service_level::LevelLedger;
+use crate::gateway::settings::{GatewaySettings, LiveSettings};
 use crate::gateway::stop::StopSignal;
 use crate::gateway::upstreams::UpstreamPool;
 use crate::gateway::usage::UsageLedger;
@@ -43,8 +44,10 @@
 
 /// Everything that serving a request uses.
 pub struct RequestDesk {
-    /// Settings.
+    /// Settings of the start.
     pub settings: Rc<GatewaySettings>,
+    /// Settings that may change.
+    pub live: Rc<LiveSettings>,
     /// Clock.
     pub clock: RuntimeClock,
     /// Copy of the store.
@@ -59,6 +62,8 @@
     pub stop: Rc<StopSignal>,
     /// Metrics.
     pub metrics: Rc<GatewayMetrics>,
+    /// Service levels.
+    pub levels: Rc<LevelLedger>,
     /// Demand.
     pub demand: Rc<DemandLedger>,
     /// Retry budgets by service.
@@ -145,7 +150,7 @@
         };
         let end = future::or(serving, leaving).await;
         let marks = CallerMarks::read(&message.headers);
-        trace.settle(&self.metrics, marks.request_id.as_deref(), self.clock.now());
+        trace.settle(&self.metrics, &self.levels, marks.request_id.as_deref(), self.clock.now());
         end == ServedEnd::Whole && keep_alive
     }
 
@@ -199,7 +204,7 @@
         trace.route(request);
         self.demand.note(&request.service, request.marks.size);
         self.with_budget(&request.service, |budget, desk| {
-            budget.note_request(&desk.settings.retry_bounds(), desk.clock.now());
+            budget.note_request(&desk.live.get().retry, desk.clock.now());
         });
         let mut history = AttemptHistory::default();
         let mut next = self.next_target(request, &mut history);
@@ -278,7 +283,7 @@
         }
         let target = self.place(request, &history.tried)?;
         if history.sent > 0 {
-            let bounds = self.settings.retry_bounds();
+            let bounds = self.live.get().retry;
             let nodes = self.peers.most_nodes();
             let granted =
                 self.with_budget(&request.service, |budget, _| budget.take(&bounds, nodes, now));
@@ -345,6 +350,15 @@
         change(budgets.entry(service.clone()).or_default(), self)
     }
 
+    /// Tells the metrics what is left of the retry budgets.
+    pub fn note_budgets(&self) {
+        let (bounds, nodes) = (self.live.get().retry, self.peers.most_nodes());
+        for (service, budget) in self.budgets.borrow_mut().iter_mut() {
+            let left = budget.left(&bounds, nodes, self.clock.now());
+            self.metrics.note_retry_budget(service, left);
+        }
+    }
+
     async fn finish(&self, writer: &mut AnswerWriter, own: &OwnAnswer) -> ServedEnd {
         match writer.write_own(own).await {
             Ok(()) => ServedEnd::Whole,
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway, from a JSON file that is rendered at deployment.
 
+use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
@@ -18,8 +19,8 @@
     Read(String, std::io::Error),
     /// {0} is not valid: {1}
     Parse(String, serde_json::Error),
-    /// {0}: {1} must be {2}
-    Range(String, &'static str, &'static str),
+    /// {0}: {1}
+    Range(String, String),
 }
 
 impl std::error::Error for SettingsError {}
@@ -92,6 +93,61 @@
     /// Longest time for which callers may keep a list of addresses, in seconds.
     #[serde(default = "default_directory_ttl")]
     pub directory_ttl_max_s: f64,
+    /// Fraction of a route's requests that is wanted within its latency target, for the burn report.
+    #[serde(default = "default_attainment")]
+    pub wanted_attainment: f64,
+}
+
+/// Settings that a running node takes over from a changed file; the others need a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChangeableSettings {
+    /// Bounds of the retry budget.
+    pub retry: BudgetBounds,
+    /// Time for which a leaving replica serves on.
+    pub drain: Duration,
+    /// Longest time for which callers may keep a list of addresses.
+    pub directory_ttl_max: Duration,
+    /// Fraction of a route's requests that is wanted within its latency target.
+    pub wanted_attainment: f64,
+}
+
+/// Changeable settings in force.
+#[derive(Debug)]
+pub struct LiveSettings {
+    present: Cell<ChangeableSettings>,
+}
+
+impl LiveSettings {
+    /// The settings of a start.
+    pub fn new(settings: &GatewaySettings) -> Self {
+        Self { present: Cell::new(settings.changeable()) }
+    }
+
+    /// Settings in force.
+    pub fn get(&self) -> ChangeableSettings {
+        self.present.get()
+    }
+
+    /// Takes over what may change of the file `path`, of which `started` is the content at the
+    /// start.
+    pub fn reload(&self, path: &Path, cause: &str, started: &GatewaySettings) {
+        let settings = match GatewaySettings::load(path) {
+            Ok(settings) => settings,
+            Err(err) => {
+                log::error!(
+                    "event=settings_rejected cause={cause} error=\"{err}\" outcome=kept_old"
+                );
+                return;
+            }
+        };
+        let before = self.present.replace(settings.changeable());
+        log::info!(
+            "event=settings_reloaded cause={cause} node={} changed={} needs_start={}",
+            started.node,
+            before != settings.changeable(),
+            !settings.has_same_base(started)
+        );
+    }
 }
 
 /// A whole core, where the deployment does not tell.
@@ -134,6 +190,11 @@
     5
 }
 
+/// A usual objective, where the deployment does not tell.
+fn default_attainment() -> f64 {
+    0.99
+}
+
 /// Lifetime of an address list where the deployment does not tell.
 fn default_directory_ttl() -> f64 {
     5.0
@@ -151,18 +212,62 @@
     pub fn parse(name: &str, content: &[u8]) -> Result<Self, SettingsError> {
         let settings: Self = serde_json::from_slice(content)
             .map_err(|err| SettingsError::Parse(name.to_owned(), err))?;
-        let range = |field, bounds| Err(SettingsError::Range(name.to_owned(), field, bounds));
-        match &settings {
-            s if s.node.is_empty() => range("node", "a name"),
-            s if s.peer_ports.0 == 0 => range("peer_ports", "above 0"),
-            s if s.stop_grace_s <= 0.0 => range("stop_grace_s", "above 0"),
-            s if s.retry_ratio < 0.0 => range("retry_ratio", "0 or above"),
-            s if s.retry_window_s <= 0.0 => range("retry_window_s", "above 0"),
-            s if s.usage_window_s == 0 => range("usage_window_s", "above 0"),
-            _ => Ok(settings),
+        let faults = settings.faults();
+        match faults.is_empty() {
+            true => Ok(settings),
+            false => Err(SettingsError::Range(name.to_owned(), faults.join("; "))),
         }
     }
 
+    /// What is out of bounds, all of it.
+    fn faults(&self) -> Vec<&'static str> {
+        let positive = |value: f64| value > 0.0 && value.is_finite();
+        let checks = [
+            (!self.node.is_empty(), "node must be a name"),
+            (!self.zone.is_empty(), "zone must be a name"),
+            (self.peer_ports.0 > 0, "peer_ports must be above 0"),
+            (self.file_descriptors > 0, "file_descriptors must be above 0"),
+            (positive(self.core_share), "core_share must be above 0"),
+            (positive(self.stop_grace_s), "stop_grace_s must be above 0"),
+            (self.retry_ratio >= 0.0, "retry_ratio must be 0 or above"),
+            (self.retry_extra >= 0.0, "retry_extra must be 0 or above"),
+            (positive(self.retry_window_s), "retry_window_s must be above 0"),
+            (self.usage_window_s > 0, "usage_window_s must be above 0"),
+            (positive(self.directory_ttl_max_s), "directory_ttl_max_s must be above 0"),
+            (
+                self.wanted_attainment > 0.0 && self.wanted_attainment < 1.0,
+                "wanted_attainment must be between 0 and 1",
+            ),
+        ];
+        checks.into_iter().filter(|(holds, _)| !holds).map(|(_, fault)| fault).collect()
+    }
+
+    /// What may change while the node runs.
+    fn changeable(&self) -> ChangeableSettings {
+        ChangeableSettings {
+            retry: BudgetBounds {
+                ratio: self.retry_ratio,
+                extra: self.retry_extra,
+                window: Duration::from_secs_f64(self.retry_window_s),
+            },
+            drain: Duration::from_millis(self.drain_ms),
+            directory_ttl_max: Duration::from_secs_f64(self.directory_ttl_max_s),
+            wanted_attainment: self.wanted_attainment,
+        }
+    }
+
+    /// Whether all that needs a start is as in `started`; what counts at a start only is left out.
+    fn has_same_base(&self, started: &Self) -> bool {
+        let base = |settings: &Self| {
+            let mut base = settings.clone();
+            (base.retry_ratio, base.retry_extra, base.retry_window_s) = (0.0, 0.0, 0.0);
+            (base.drain_ms, base.directory_ttl_max_s, base.wanted_attainment) = (0, 0.0, 0.0);
+            (base.first_start, base.seeds) = (false, Vec::new());
+            base
+        };
+        base(self) == base(started)
+    }
+
     /// Address for datagrams and queries of other nodes.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip_address, self.peer_ports.0)
@@ -193,20 +298,6 @@
         }
     }
 
-    /// Bounds of the retry budget.
-    pub fn retry_bounds(&self) -> BudgetBounds {
-        BudgetBounds {
-            ratio: self.retry_ratio,
-            extra: self.retry_extra,
-            window: Duration::from_secs_f64(self.retry_window_s),
-        }
-    }
-
-    /// Time for which a leaving replica serves on.
-    pub fn drain(&self) -> Duration {
-        Duration::from_millis(self.drain_ms)
-    }
-
     /// Time between the signal to stop and the end of the process.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s)
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -145,7 +145,7 @@
             expected: output.div_ceil(engine.event_tokens),
             elapsed: now.saturating_sub(self.first_event_at),
         };
-        engine.moves && is_move_due(departure, progress, self.desk.settings.drain(), now)
+        engine.moves && is_move_due(departure, progress, self.desk.live.get().drain, now)
     }
 
     /// Copies the run to another replica and stops it here; its stream then ends.
--- a/berylstep/tests/burn.rs
+++ b/berylstep/tests/burn.rs
@@ -1,6 +1,6 @@
 //! The burn report covers the requests of all nodes, and outlives a planned stop.
 
-use berylstep::burn::{BurnReport, ClassReport};
+use berylstep::burn::report::{BurnReport, ClassReport};
 use berylstep_standins::client::CallRequest;
 use berylstep_standins::site::{TrialSite, OPERATOR_KEY};
 use serde_json::json;
--- /dev/null
+++ b/berylstep/tests/log_sink.rs
@@ -0,0 +1,115 @@
+//! The log is bounded, keeps failures before other lines, and never waits for its reader.
+
+use std::io::Write;
+use std::time::Duration;
+
+use berylstep::clock::RuntimeClock;
+use berylstep::logging::{BoundedSink, LineOutput};
+
+/// Output that keeps what is written while its reader reads.
+#[derive(Debug, Default)]
+struct KeptOutput {
+    is_full: bool,
+    lines: Vec<String>,
+}
+
+impl LineOutput for KeptOutput {
+    fn is_writable(&self) -> bool {
+        !self.is_full
+    }
+
+    fn write_line(&mut self, line: &[u8]) {
+        self.lines.push(String::from_utf8_lossy(line).into_owned());
+    }
+}
+
+fn line(level: &str, number: usize) -> String {
+    format!("time=now level={level} event=test number={number} {}\n", "x".repeat(200))
+}
+
+struct SinkCase {
+    name: &'static str,
+    /// Lines of each level, in turn.
+    info: usize,
+    failures: usize,
+    /// Whether the reader has stopped.
+    is_full: bool,
+    all_failures: bool,
+    all_info: bool,
+}
+
+#[test]
+fn failures_are_kept_before_other_lines() {
+    let cases = [
+        SinkCase {
+            name: "few",
+            info: 20,
+            failures: 20,
+            is_full: false,
+            all_failures: true,
+            all_info: true,
+        },
+        SinkCase {
+            name: "many successes and few failures",
+            info: 5000,
+            failures: 40,
+            is_full: false,
+            all_failures: true,
+            all_info: false,
+        },
+        SinkCase {
+            name: "many of both",
+            info: 5000,
+            failures: 5000,
+            is_full: false,
+            all_failures: false,
+            all_info: false,
+        },
+        SinkCase {
+            name: "a reader that has stopped",
+            info: 20,
+            failures: 20,
+            is_full: true,
+            all_failures: false,
+            all_info: false,
+        },
+    ];
+    for case in cases {
+        let (clock, paused) = RuntimeClock::paused();
+        let output = KeptOutput { is_full: case.is_full, lines: Vec::new() };
+        let mut sink = BoundedSink::new(output, clock);
+        for number in 0..case.info {
+            sink.write_all(line("info", number).as_bytes()).unwrap();
+        }
+        for number in 0..case.failures {
+            sink.write_all(line("warn", number).as_bytes()).unwrap();
+        }
+        let kept = |sink: &mut BoundedSink<KeptOutput>, level: &str| {
+            let wanted = format!("level={level} event=test");
+            sink.output().lines.iter().filter(|line| line.contains(&wanted)).count()
+        };
+        let (info, failures) = (kept(&mut sink, "info"), kept(&mut sink, "warn"));
+        assert_eq!(info == case.info, case.all_info, "{}: {info} info lines", case.name);
+        assert_eq!(failures == case.failures, case.all_failures, "{}: {failures}", case.name);
+        let bytes: usize = sink.output().lines.iter().map(String::len).sum();
+        assert!(bytes <= 68 * 1024, "{}: {bytes} bytes in a second", case.name);
+        // What is missing is counted by kind as soon as lines are taken again.
+        sink.output().is_full = false;
+        paused.advance(Duration::from_secs(1));
+        sink.write_all(line("info", 0).as_bytes()).unwrap();
+        let noted = noted_counts(&sink.output().lines);
+        assert_eq!(noted, (case.info - info, case.failures - failures), "{}", case.name);
+    }
+}
+
+/// Lines that were left out by what the notes say, information first.
+fn noted_counts(lines: &[String]) -> (usize, usize) {
+    let number = |line: &str, name: &str| -> usize {
+        let field = line.split_whitespace().find_map(|field| field.strip_prefix(name));
+        field.unwrap().parse().unwrap()
+    };
+    let notes = lines.iter().filter(|line| line.contains("event=log_lines_left_out"));
+    notes.fold((0, 0), |(info, failures), line| {
+        (info + number(line, "info="), failures + number(line, "failures="))
+    })
+}
--- a/berylstep_core/src/fleet/budget.rs
+++ b/berylstep_core/src/fleet/budget.rs
@@ -41,16 +41,21 @@
 
     /// Takes one repeat out of this node's share; `false` means that there is none left.
     pub fn take(&mut self, bounds: &BudgetBounds, nodes: usize, now: Duration) -> bool {
+        let granted = self.left(bounds, nodes, now) > 0;
+        if granted {
+            self.bucket(bounds, now).repeats += 1;
+        }
+        granted
+    }
+
+    /// Repeats that are left of this node's share.
+    pub fn left(&mut self, bounds: &BudgetBounds, nodes: usize, now: Duration) -> u32 {
         self.bucket(bounds, now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let share = bounds.extra / nodes.max(1) as f64;
         let allowed = (f64::from(requests) * bounds.ratio + share) * USED_SHARE;
-        let granted = f64::from(repeats + 1) <= allowed;
-        if granted {
-            self.bucket(bounds, now).repeats += 1;
-        }
-        granted
+        (allowed as u32).saturating_sub(repeats)
     }
 
     /// Bucket of `now`; drops those that left the window.
--- a/berylstep_core/src/fleet/desired.rs
+++ b/berylstep_core/src/fleet/desired.rs
@@ -227,6 +227,41 @@
         self.services.values()
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteEntry>> {
+        self.routes.values().flatten()
+    }
+
+    /// What cannot be served as it stands, each with its place.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for route in self.routes() {
+            let mut fault = |text: String| faults.push(format!("route {}: {text}", route.name));
+            if route.targets.iter().all(|target| target.weight <= 0.0) {
+                fault("no service gets its requests".to_owned());
+            }
+            for target in &route.targets {
+                if !self.services.contains_key(&target.service) {
+                    fault(format!("service {} is not defined", target.service));
+                }
+            }
+            if route.timeout.is_zero() {
+                fault("its timeout is 0".to_owned());
+            }
+            if route.target > route.timeout {
+                fault("its latency target is above its timeout".to_owned());
+            }
+        }
+        for service in self.services() {
+            let bounds = service.scaling.as_ref();
+            if bounds.is_some_and(|bounds| bounds.minimum > bounds.maximum) {
+                faults.push(format!("service {}: minimum is above maximum", service.name));
+            }
+        }
+        faults.sort();
+        faults
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -588,6 +588,9 @@
     pub complete: bool,
     #[prost(message, repeated, tag = "6")]
     pub removed: ::prost::alloc::vec::Vec<ReplicaRemoval>,
+    /// Whether the store was in trouble a moment ago, so that removed entries may come back.
+    #[prost(bool, tag = "7")]
+    pub store_troubled: bool,
 }
 /// An entry that was removed.
 #[derive(Clone, PartialEq, ::prost::Message)]
