Share the registration of metrics and the parsing of heads, log what was swallowed

Cause: two copies of the registration of metrics and of the first steps of parsing a head; eight sends of the product's own node whose failure left no trace.

Change: InstrumentSet, parse_request and parse_response; debug lines with the reason, and one warning where a node's burn counts are left out of a report. No behaviour changes; the tests are those that were there.

--- a/berylstep/src/burn.rs
+++ b/berylstep/src/burn.rs
@@ -76,7 +76,9 @@
 /// Takes in another node's counts.
 pub fn receive(node: &NodeContext, reply: BurnReply) {
     if let Some(sender) = node.burn.lock().waiting.get(&reply.report) {
-        let _ = sender.try_send(reply);
+        if let Err(err) = sender.try_send(reply) {
+            log::warn!("burn counts of a node are left out of a report: {err}");
+        }
     }
 }
 
--- a/berylstep/src/config/settings.rs
+++ b/berylstep/src/config/settings.rs
@@ -329,12 +329,14 @@
         accepted: &'static str,
     ) -> Option<T> {
         let value = self.given(flag, option)?;
-        let parsed = value.parse().ok();
-        if parsed.is_none() {
-            let variable = variable_of(flag);
-            self.errors.push(SettingError::Invalid { flag, variable, value, accepted });
+        match value.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(_) => {
+                let variable = variable_of(flag);
+                self.errors.push(SettingError::Invalid { flag, variable, value, accepted });
+                None
+            }
         }
-        parsed
     }
 
     fn required<T: FromStr>(
--- a/berylstep/src/entry/at_most_once.rs
+++ b/berylstep/src/entry/at_most_once.rs
@@ -116,7 +116,9 @@
     }
 
     async fn tell(&self, answer: CallerAnswer) {
-        let _ = self.answers.send(answer).await;
+        if self.answers.send(answer).await.is_err() {
+            log::debug!("the caller left before its answer");
+        }
     }
 
     async fn take_claim(&mut self) -> Result<Option<ClaimGuard>, RequestRefusal> {
@@ -216,7 +218,9 @@
         let begun = BegunAnswer { id, head, first, ended, length, body, reuse };
         let Self { forwarded, answers, _in_flight, .. } = self;
         let (response, following) = relay::relay_to_end(forwarded, begun, slot);
-        let _ = answers.send(Ok(response)).await;
+        if answers.send(Ok(response)).await.is_err() {
+            log::debug!("the caller left before its answer, which is read to its end");
+        }
         following.await;
     }
 }
--- a/berylstep/src/gateway/observe.rs
+++ b/berylstep/src/gateway/observe.rs
@@ -5,14 +5,12 @@
 
 use berylstep_core::burn::TargetOutcome;
 use berylstep_core::collections::SharedName;
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::gateway::attempt::{AttemptEnd, ReplicaTarget};
 use crate::gateway::request::RoutedRequest;
 use crate::gateway::service_level::LevelLedger;
+use crate::instruments::InstrumentSet;
 
 /// Upper bounds of latency buckets, in seconds; they hold the usual latency targets.
 const LATENCY_BUCKETS: &[f64] =
@@ -83,7 +81,7 @@
 /// Metrics of a gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
-    registry: Registry,
+    instruments: InstrumentSet,
     requests: IntCounterVec,
     attempts: IntCounterVec,
     first_content: HistogramVec,
@@ -111,73 +109,52 @@
 
 impl GatewayMetrics {
     fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counters = |name, help, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let histograms = |name, help, labels: &[&str]| {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-            let histogram = HistogramVec::new(options, labels)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok::<_, prometheus::Error>(histogram)
-        };
-        let gauges = |name, help, labels: &[&str]| {
-            let gauge = IntGaugeVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let gauge = |name, help| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let set = InstrumentSet::default();
         Ok(Self {
-            requests: counters(
+            requests: set.counters(
                 "berylstep_gateway_requests_total",
                 "Ended requests by service, priority and outcome.",
                 &["service", "priority", "outcome"],
             )?,
-            attempts: counters(
+            attempts: set.counters(
                 "berylstep_gateway_attempts_total",
                 "Attempts at replicas by service and result.",
                 &["service", "result"],
             )?,
-            first_content: histograms(
+            first_content: set.histograms(
                 "berylstep_gateway_first_content_seconds",
                 "Time from arrival to the first content of the answer.",
                 &["service", "priority"],
+                LATENCY_BUCKETS,
             )?,
-            duration: histograms(
+            duration: set.histograms(
                 "berylstep_gateway_request_seconds",
                 "Time from arrival to the end of the answer.",
                 &["service", "priority"],
+                LATENCY_BUCKETS,
             )?,
-            open_requests: gauge("berylstep_gateway_open_requests", "Requests in progress.")?,
-            live_peers: gauge("berylstep_gateway_live_peers", "Other nodes heard of late.")?,
-            desired_version: gauge(
+            open_requests: set.gauge("berylstep_gateway_open_requests", "Requests in progress.")?,
+            live_peers: set.gauge("berylstep_gateway_live_peers", "Other nodes heard of late.")?,
+            desired_version: set.gauge(
                 "berylstep_gateway_desired_version",
                 "Version of the desired state in force.",
             )?,
-            ready_replicas: gauge(
-                "berylstep_gateway_ready_replicas",
-                "Replicas that take requests.",
-            )?,
-            duty_fencing: gauge(
+            ready_replicas: set
+                .gauge("berylstep_gateway_ready_replicas", "Replicas that take requests.")?,
+            duty_fencing: set.gauge(
                 "berylstep_gateway_duty_fencing_token",
                 "Fencing token of the duties' lease; 0 where another node holds it.",
             )?,
-            store_age: gauge(
+            store_age: set.gauge(
                 "berylstep_gateway_store_age_milliseconds",
                 "Time since the store last answered this node; -1 where it never did.",
             )?,
-            retry_budget: gauges(
+            retry_budget: set.gauges(
                 "berylstep_gateway_retry_budget_left",
                 "Repeats that this node may still make now, by service.",
                 &["service"],
             )?,
-            registry,
+            instruments: set,
         })
     }
 
@@ -188,10 +165,7 @@
 
     /// Writes all metrics in the text format.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        encoded.expect("metrics are valid and a vector takes every byte");
-        String::from_utf8_lossy(&text).into_owned()
+        self.instruments.render()
     }
 }
 
--- a/berylstep/src/lib.rs
+++ b/berylstep/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duty;
 pub mod entry;
 pub mod gateway;
+pub mod instruments;
 pub mod lease;
 pub mod logging;
 pub mod member;
--- a/berylstep/src/metrics.rs
+++ b/berylstep/src/metrics.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
-};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
+use crate::instruments::InstrumentSet;
 use crate::node::NodeContext;
 
 /// Upper bounds of latency buckets, in seconds.
@@ -16,7 +14,7 @@
 /// Metrics of one node.
 #[derive(Debug)]
 pub struct NodeMetrics {
-    registry: Registry,
+    instruments: InstrumentSet,
     /// Ended requests by class and outcome.
     pub requests: IntCounterVec,
     /// Time from arrival to the first byte of the answer, in seconds, by class.
@@ -45,52 +43,37 @@
 
 impl NodeMetrics {
     fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counters = |name, help, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let gauge = |name, help| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let requests = counters(
+        let set = InstrumentSet::default();
+        let requests = set.counters(
             "berylstep_requests_total",
             "Ended requests by class and outcome.",
             &["class", "outcome"],
         )?;
-        let targets = counters(
+        let targets = set.counters(
             "berylstep_targets_total",
             "Ended requests by class and whether they met its target.",
             &["class", "result"],
         )?;
-        let failed_attempts = counters(
+        let failed_attempts = set.counters(
             "berylstep_failed_attempts_total",
             "Attempts at upstreams that failed, by pool.",
             &["pool"],
         )?;
-        let output_tokens = counters(
+        let output_tokens = set.counters(
             "berylstep_output_tokens_total",
             "Output tokens delivered, by class.",
             &["class"],
         )?;
-        let first_byte_opts = HistogramOpts::new(
+        let first_byte = set.histograms(
             "berylstep_first_byte_seconds",
             "Time from arrival to the first byte of the answer, by class.",
-        );
-        let first_byte =
-            HistogramVec::new(first_byte_opts.buckets(LATENCY_BUCKETS.to_vec()), &["class"])?;
-        registry.register(Box::new(first_byte.clone()))?;
-        let rejected_peers =
-            IntCounter::new("berylstep_rejected_peers_total", "Peer links turned away.")?;
-        registry.register(Box::new(rejected_peers.clone()))?;
-        let class_target = IntGaugeVec::new(
-            Opts::new("berylstep_class_target_ms", "Latency target of a class."),
             &["class"],
+            LATENCY_BUCKETS,
         )?;
-        registry.register(Box::new(class_target.clone()))?;
+        let rejected_peers =
+            set.counter("berylstep_rejected_peers_total", "Peer links turned away.")?;
+        let class_target =
+            set.gauges("berylstep_class_target_ms", "Latency target of a class.", &["class"])?;
         Ok(Self {
             requests,
             first_byte,
@@ -98,29 +81,28 @@
             failed_attempts,
             output_tokens,
             rejected_peers,
-            in_flight: gauge("berylstep_in_flight", "Requests in progress.")?,
-            live_members: gauge("berylstep_live_members", "Nodes that live, this one included.")?,
-            config_version: gauge("berylstep_config_version", "Configuration version in force.")?,
-            store_age: gauge(
+            in_flight: set.gauge("berylstep_in_flight", "Requests in progress.")?,
+            live_members: set
+                .gauge("berylstep_live_members", "Nodes that live, this one included.")?,
+            config_version: set
+                .gauge("berylstep_config_version", "Configuration version in force.")?,
+            store_age: set.gauge(
                 "berylstep_store_age_ms",
                 "Time since the table service last answered; -1 before its first answer.",
             )?,
-            isolated: gauge(
+            isolated: set.gauge(
                 "berylstep_isolated",
                 "1 where keyed work is refused for want of contact with table service and peers.",
             )?,
             class_target,
-            registry,
+            instruments: set,
         })
     }
 
     /// Writes all metrics in the text format.
     pub fn render(&self, node: &NodeContext) -> String {
         self.update(node);
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        encoded.expect("metrics are valid and a vector takes every byte");
-        String::from_utf8_lossy(&text).into_owned()
+        self.instruments.render()
     }
 
     fn update(&self, node: &NodeContext) {
--- a/berylstep/src/peer/link.rs
+++ b/berylstep/src/peer/link.rs
@@ -39,6 +39,15 @@
     seen_pulse: u64,
 }
 
+impl PeerLink {
+    /// Queues a message; a peer whose queue is full loses it and never delays this node.
+    fn offer(&self, body: Body) {
+        if let Err(err) = self.queue.try_send(body) {
+            log::debug!("message to a peer is lost, link {}: {err}", self.link);
+        }
+    }
+}
+
 impl PeerMesh {
     /// Queues a message; false where there is no link or its queue is full.
     pub fn send(&self, peer: &str, body: Body) -> bool {
@@ -50,8 +59,7 @@
     pub fn broadcast(&self, body: &Body) {
         let links = self.links.lock().expect("link lock");
         for link in links.values() {
-            // A peer whose queue is full loses the message and never delays this node.
-            let _ = link.queue.try_send(body.clone());
+            link.offer(body.clone());
         }
     }
 
@@ -60,7 +68,7 @@
         let links = self.links.lock().expect("link lock");
         for link in links.values() {
             let pulse = Pulse { echo: link.seen_pulse, ..pulse.clone() };
-            let _ = link.queue.try_send(Body::Pulse(pulse));
+            link.offer(Body::Pulse(pulse));
         }
     }
 
--- a/berylstep/src/slots/ledger.rs
+++ b/berylstep/src/slots/ledger.rs
@@ -140,8 +140,9 @@
             return;
         }
         if let Some(row) = self.leave(now, request) {
-            // The caller may have left in the meantime.
-            let _ = row.answer.try_send(Err(refusal));
+            if row.answer.try_send(Err(refusal)).is_err() {
+                log::debug!("request {request} left before its refusal");
+            }
         }
     }
 
@@ -150,7 +151,9 @@
         let Some(row) = self.rows.get_mut(&request) else { return };
         if row.held.is_some() && !row.started {
             row.recalled = true;
-            let _ = row.recall.try_send(());
+            if row.recall.try_send(()).is_err() {
+                log::debug!("request {request} ended before its recall");
+            }
         }
     }
 
--- a/berylstep/src/tail.rs
+++ b/berylstep/src/tail.rs
@@ -73,7 +73,9 @@
         let mut progress = self.progress.lock().expect("progress lock");
         progress.note_newest(node.clock.now(), newest, own);
         if progress.is_behind() {
-            let _ = self.waker.try_send(());
+            if self.waker.try_send(()).is_err() {
+                // A signal that was not taken yet stands for this one too.
+            }
         }
     }
 
--- a/berylstep_http/src/head.rs
+++ b/berylstep_http/src/head.rs
@@ -111,14 +111,7 @@
 /// Checks a request head.
 pub fn check_request(bytes: &[u8]) -> Result<RequestHead, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
-    let status = request.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
-    if status.is_partial() {
-        return Err(HeadError::Malformed("incomplete"));
-    }
-    if request.version != Some(1) {
-        return Err(HeadError::Version);
-    }
+    let request = parse_request(bytes, &mut headers)?;
     let (method, path) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
     if !path.starts_with('/') && !path.starts_with("http://") {
         return Err(HeadError::Malformed("request target is not a path"));
@@ -152,11 +145,7 @@
 /// Checks a response head.
 pub fn check_response(bytes: &[u8]) -> Result<ResponseHead, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut headers);
-    let status = response.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
-    if status.is_partial() {
-        return Err(HeadError::Malformed("incomplete"));
-    }
+    let response = parse_response(bytes, &mut headers)?;
     if response.version != Some(1) {
         return Err(HeadError::Version);
     }
@@ -166,6 +155,35 @@
     Ok(ResponseHead { bytes: bytes.to_vec(), status, framing, keep_alive })
 }
 
+/// Parses a whole request head of HTTP/1.1.
+pub(crate) fn parse_request<'h, 'b>(
+    bytes: &'b [u8],
+    headers: &'h mut [httparse::Header<'b>],
+) -> Result<httparse::Request<'h, 'b>, HeadError> {
+    let mut request = httparse::Request::new(headers);
+    let status = request.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
+    if status.is_partial() {
+        return Err(HeadError::Malformed("incomplete"));
+    }
+    match request.version {
+        Some(1) => Ok(request),
+        _ => Err(HeadError::Version),
+    }
+}
+
+/// Parses a whole response head of any version.
+pub(crate) fn parse_response<'h, 'b>(
+    bytes: &'b [u8],
+    headers: &'h mut [httparse::Header<'b>],
+) -> Result<httparse::Response<'h, 'b>, HeadError> {
+    let mut response = httparse::Response::new(headers);
+    let status = response.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
+    match status.is_partial() {
+        true => Err(HeadError::Malformed("incomplete")),
+        false => Ok(response),
+    }
+}
+
 pub(crate) fn find_head_end(buffer: &[u8], from: usize) -> Option<usize> {
     let found = buffer[from..].windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
     Some(from + found + HEAD_END.len())
--- a/berylstep_http/src/message.rs
+++ b/berylstep_http/src/message.rs
@@ -13,7 +13,8 @@
 
 use crate::decoder::{BodyDecoder, BodyError};
 use crate::head::{
-    body_framing, find_head_end, has_token, BodyFraming, HeadError, HEAD_END, MAX_HEADERS,
+    body_framing, find_head_end, has_token, parse_request, parse_response, BodyFraming, HeadError,
+    HEAD_END, MAX_HEADERS,
 };
 
 /// Bytes read from a socket at once; holds a usual prompt in two reads.
@@ -124,14 +125,7 @@
     /// Parses a whole request head.
     pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut request = httparse::Request::new(&mut headers);
-        let status = request.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
-        if status.is_partial() {
-            return Err(HeadError::Malformed("incomplete"));
-        }
-        if request.version != Some(1) {
-            return Err(HeadError::Version);
-        }
+        let request = parse_request(bytes, &mut headers)?;
         let target = request.path.unwrap_or_default();
         if !target.starts_with('/') {
             return Err(HeadError::Malformed("request target is not a path"));
@@ -161,11 +155,7 @@
     /// Parses a whole response head.
     pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut response = httparse::Response::new(&mut headers);
-        let status = response.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
-        if status.is_partial() {
-            return Err(HeadError::Malformed("incomplete"));
-        }
+        let response = parse_response(bytes, &mut headers)?;
         let framing = body_framing(response.headers)?;
         let closes = has_token(response.headers, "connection", "close");
         Ok(Self {
