Report a usage window only where its counts are known

Ruled out: counts lost with the nodes that ended (their last counts were told); a wrong seal (it was the first).

Change: nodes mark the counts of a window that has ended as their last. A window is reported when the last counts of all living nodes that were there are known, or 8.5 s after its end when 1 in 40 at most are missing; otherwise it is left out with a line in the log, for a figure would be false. A holder that has not been a representative for two looks hands the lease over.

Tests: fleet_usage (verdicts, new starts), failing to compile before.

--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use berylstep_core::fleet::window::WindowCounts;
+use berylstep_core::fleet::window::{NodeRun, WindowCounts, WindowVerdict};
 use berylstep_core::lease::{
     ClockReading, DutyLease, LeaseRow, LeaseTimes, ReceiverFencing, VersionedLease, WriteOutcome,
 };
@@ -46,6 +46,12 @@
 /// for a moment are in by then.
 const SEAL_AFTER: Duration = Duration::from_millis(4500);
 
+/// Time after the end of a window until which last counts are waited for; a report is due after 10 s.
+const LAST_SEAL: Duration = Duration::from_millis(8500);
+
+/// Looks in a row at which a holder is not among those that hear all usage before it hands over.
+const LOOKS_OUTRANKED: u32 = 2;
+
 /// Windows after which sealed usage is removed from the store.
 const KEPT_WINDOWS: u64 = 12;
 
@@ -89,6 +95,8 @@
     /// Whether the last call for the lease failed: others then begin to watch its row.
     in_doubt: Cell<bool>,
     held: Cell<u64>,
+    /// Looks in a row at which this node held the duties without being a representative.
+    outranked: Cell<u32>,
     reported: Cell<u64>,
     orders: OrderDesk,
 }
@@ -109,6 +117,7 @@
             closing: Cell::new(false),
             in_doubt: Cell::new(false),
             held: Cell::new(0),
+            outranked: Cell::new(0),
             reported: Cell::new(known_from.saturating_sub(1)),
             orders,
             handles,
@@ -123,7 +132,10 @@
             if self.closing.get() {
                 continue;
             }
-            let kept = self.keep_lease().await;
+            let kept = match self.is_outranked() {
+                true => self.hand_over().await,
+                false => self.keep_lease().await,
+            };
             self.in_doubt.set(kept.is_err());
             if let Err(err) = kept {
                 log::info!("event=lease_not_kept error=\"{err}\"");
@@ -136,6 +148,20 @@
         }
     }
 
+    /// Whether this node holds the duties and has not been a representative for some looks: others
+    /// then tell it no usage.
+    fn is_outranked(&self) -> bool {
+        let now = self.handles.clock.now();
+        let is_outside = self.permit().is_some() && !self.handles.peers.is_representative(now);
+        self.outranked.set(if is_outside { self.outranked.get() + 1 } else { 0 });
+        self.outranked.get() >= LOOKS_OUTRANKED
+    }
+
+    async fn hand_over(&self) -> Result<(), CallError> {
+        log::info!("event=lease_handed_over reason=not_representative");
+        self.give_up().await
+    }
+
     /// Gives the lease up before a planned stop.
     pub async fn release(&self) {
         if self.permit().is_none() {
@@ -292,9 +318,16 @@
         let oldest = present.saturating_sub(KEPT_WINDOWS / 2);
         let from = (self.reported.get() + 1).max(oldest);
         for window in from..present {
-            let is_due = self.handles.usage.age(window).is_some_and(|age| age >= SEAL_AFTER);
-            if !is_due {
+            let Some(age) = self.handles.usage.age(window).filter(|age| *age >= SEAL_AFTER) else {
                 return;
+            };
+            match self.judge_window(window, age) {
+                WindowVerdict::Report => {}
+                WindowVerdict::Wait => return,
+                WindowVerdict::Unknown => {
+                    self.reported.set(window);
+                    continue;
+                }
             }
             match self.report_window(window).await {
                 Ok(()) => self.reported.set(window),
@@ -309,6 +342,24 @@
         }
     }
 
+    /// Whether the counts of a window are known well enough to be reported.
+    fn judge_window(&self, window: u64, age: Duration) -> WindowVerdict {
+        let nodes = self.handles.peers.nodes(self.handles.clock.now());
+        let runs = nodes
+            .iter()
+            .map(|node| NodeRun { node: node.node.clone(), incarnation: node.incarnation });
+        let missing = self.handles.usage.unfinished(window, runs);
+        let verdict = WindowVerdict::judge(missing.len(), nodes.len(), age >= LAST_SEAL);
+        if verdict == WindowVerdict::Unknown {
+            log::warn!(
+                "event=usage_unknown window={window} nodes={} missing={} outcome=not_reported",
+                nodes.len(),
+                missing.len()
+            );
+        }
+        verdict
+    }
+
     /// Seals the counts of a window in the store and reports what is sealed.
     async fn report_window(&self, window: u64) -> Result<(), CallError> {
         let counts = self.seal(window, self.handles.usage.total(window)).await?;
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -170,6 +170,9 @@
         let counts: WindowCounts =
             counts.map(|usage| (SharedName::from(&*usage.organisation), usage.requests)).collect();
         self.usage.merge(run, window.window, &counts);
+        if window.ended {
+            self.usage.note_finished(run, window.window);
+        }
     }
 
     /// Adds up what the other nodes have in progress.
@@ -223,8 +226,7 @@
         }
         let back = (sequence / USAGE_EVERY) % TOLD_WINDOWS;
         let window = self.usage.present_window().saturating_sub(back);
-        let counts = self.usage.own_counts().into_iter().find(|(counted, _)| *counted == window);
-        counts.map(window_message).into_iter().collect()
+        vec![window_message(window, back > 0, self.usage.own_counts(window))]
     }
 
     fn work(&self) -> Vec<ReplicaWork> {
@@ -239,12 +241,12 @@
     }
 }
 
-fn window_message((window, counts): (u64, WindowCounts)) -> WindowUsage {
+fn window_message(window: u64, ended: bool, counts: WindowCounts) -> WindowUsage {
     let usage = |(organisation, requests): (SharedName, u64)| OrganisationUsage {
         organisation: organisation.to_string(),
         requests,
     };
-    WindowUsage { window, organisations: counts.into_iter().map(usage).collect() }
+    WindowUsage { window, organisations: counts.into_iter().map(usage).collect(), ended }
 }
 
 /// Short name of a replica in pulses.
--- a/berylstep/src/gateway/usage.rs
+++ b/berylstep/src/gateway/usage.rs
@@ -70,11 +70,23 @@
         self.windows.borrow_mut().merge(run, window, counts);
     }
 
-    /// This node's counts of the windows that may still be reported.
-    pub fn own_counts(&self) -> Vec<(u64, WindowCounts)> {
+    /// This node's counts of a window.
+    pub fn own_counts(&self, window: u64) -> WindowCounts {
         let windows = self.windows.borrow();
-        let counts = windows.of_run(&self.run);
-        counts.map(|(window, counts)| (window, counts.clone())).collect()
+        let counts = windows.of_run(&self.run).find(|(counted, _)| *counted == window);
+        counts.map(|(_, counts)| counts.clone()).unwrap_or_default()
+    }
+
+    /// Notes that what another node told of a window is its last count.
+    pub fn note_finished(&self, run: &NodeRun, window: u64) {
+        self.windows.borrow_mut().note_finished(run, window);
+    }
+
+    /// Nodes among `runs` that were there before a window ended and whose last counts are not known.
+    pub fn unfinished(&self, window: u64, runs: impl Iterator<Item = NodeRun>) -> Vec<NodeRun> {
+        let end_ms = (window + 1) * self.window.as_millis() as u64;
+        let were_there = runs.filter(|run| run.incarnation < end_ms);
+        self.windows.borrow().unfinished(window, were_there)
     }
 
     /// Sum over all nodes of one window.
--- a/berylstep_core/src/fleet/window.rs
+++ b/berylstep_core/src/fleet/window.rs
@@ -6,11 +6,39 @@
 
 use std::collections::BTreeMap;
 
-use crate::collections::{HashMap, SharedName};
+use crate::collections::{HashMap, HashSet, SharedName};
 
 /// Windows that are kept; a report is due two windows after its window ended.
 const KEPT_WINDOWS: u64 = 6;
 
+/// Part of the nodes whose last counts may be missing from a report: half of the share by which the
+/// platform lets a figure be off.
+const MISSING_SHARE: f64 = 0.025;
+
+/// What to do with a window that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WindowVerdict {
+    /// The counts are whole, or as good as.
+    Report,
+    /// Counts are still to come.
+    Wait,
+    /// Too many counts are missing and will not come: a figure would be false.
+    Unknown,
+}
+
+impl WindowVerdict {
+    /// Judges a window of which the counts of `missing` of `nodes` nodes are not known; `is_last`
+    /// tells that there is no time to wait.
+    pub fn judge(missing: usize, nodes: usize, is_last: bool) -> Self {
+        match is_last {
+            _ if missing == 0 => Self::Report,
+            false => Self::Wait,
+            true if missing as f64 <= nodes as f64 * MISSING_SHARE => Self::Report,
+            true => Self::Unknown,
+        }
+    }
+}
+
 /// Counts of one window by organisation.
 pub type WindowCounts = BTreeMap<SharedName, u64>;
 
@@ -27,6 +55,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsageWindows {
     counts: HashMap<u64, HashMap<NodeRun, WindowCounts>>,
+    /// Runs whose counts of a window are their last.
+    finished: HashMap<u64, HashSet<NodeRun>>,
     newest: u64,
 }
 
@@ -50,6 +80,20 @@
         }
     }
 
+    /// Notes that what a run told of a window is its last count.
+    pub fn note_finished(&mut self, run: &NodeRun, window: u64) {
+        self.advance(window);
+        if window + KEPT_WINDOWS > self.newest {
+            self.finished.entry(window).or_default().insert(run.clone());
+        }
+    }
+
+    /// Runs among `runs` whose last count of a window is not known.
+    pub fn unfinished(&self, window: u64, runs: impl Iterator<Item = NodeRun>) -> Vec<NodeRun> {
+        let finished = self.finished.get(&window);
+        runs.filter(|run| !finished.is_some_and(|known| known.contains(run))).collect()
+    }
+
     /// Counts of one run, by window.
     pub fn of_run<'a>(
         &'a self,
@@ -77,6 +121,7 @@
         }
         self.newest = window;
         self.counts.retain(|kept, _| kept + KEPT_WINDOWS > window);
+        self.finished.retain(|kept, _| kept + KEPT_WINDOWS > window);
     }
 
     fn entry(&mut self, run: &NodeRun, window: u64) -> Option<&mut WindowCounts> {
--- a/berylstep_core/tests/fleet_usage.rs
+++ b/berylstep_core/tests/fleet_usage.rs
@@ -5,7 +5,7 @@
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::truth::TrueTime;
-use berylstep_core::fleet::window::{NodeRun, UsageWindows, WindowCounts};
+use berylstep_core::fleet::window::{NodeRun, UsageWindows, WindowCounts, WindowVerdict};
 use proptest::prelude::*;
 
 fn run(node: &str, incarnation: u64) -> NodeRun {
@@ -33,6 +33,63 @@
     assert!(windows.total(7).is_empty());
 }
 
+struct VerdictCase {
+    name: &'static str,
+    /// Nodes, and how many of them have told their last counts.
+    nodes: usize,
+    finished: usize,
+    is_last: bool,
+    verdict: WindowVerdict,
+}
+
+#[test]
+fn a_window_is_reported_only_where_its_counts_are_known() {
+    use WindowVerdict::{Report, Unknown, Wait};
+    let cases = [
+        VerdictCase { name: "all", nodes: 78, finished: 78, is_last: false, verdict: Report },
+        VerdictCase { name: "one late", nodes: 78, finished: 77, is_last: false, verdict: Wait },
+        VerdictCase { name: "one lost", nodes: 78, finished: 77, is_last: true, verdict: Report },
+        VerdictCase {
+            name: "few of many",
+            nodes: 78,
+            finished: 3,
+            is_last: true,
+            verdict: Unknown,
+        },
+        VerdictCase {
+            name: "one of eight",
+            nodes: 8,
+            finished: 7,
+            is_last: true,
+            verdict: Unknown,
+        },
+        VerdictCase { name: "alone", nodes: 0, finished: 0, is_last: false, verdict: Report },
+    ];
+    for case in cases {
+        let runs: Vec<_> = (0..case.nodes).map(|number| run(&format!("n{number}"), 1)).collect();
+        let mut windows = UsageWindows::default();
+        for run in &runs {
+            windows.merge(run, 7, &counts(&[("org", 1)]));
+        }
+        for run in &runs[..case.finished] {
+            windows.note_finished(run, 7);
+        }
+        let missing = windows.unfinished(7, runs.into_iter()).len();
+        assert_eq!(missing, case.nodes - case.finished, "{}", case.name);
+        let verdict = WindowVerdict::judge(missing, case.nodes, case.is_last);
+        assert_eq!(verdict, case.verdict, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_new_start_of_a_node_has_to_tell_its_own_last_counts() {
+    let mut windows = UsageWindows::default();
+    windows.note_finished(&run("n", 1), 7);
+    assert_eq!(windows.unfinished(7, [run("n", 2)].into_iter()), [run("n", 2)]);
+    windows.note_finished(&run("n", 2), 7);
+    assert!(windows.unfinished(7, [run("n", 2)].into_iter()).is_empty());
+}
+
 proptest! {
     #[test]
     fn messages_in_any_order_give_the_last_count(order in Just(()).prop_perturb(|_, mut rng| {
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -542,6 +542,9 @@
     pub window: u64,
     #[prost(message, repeated, tag = "2")]
     pub organisations: ::prost::alloc::vec::Vec<OrganisationUsage>,
+    /// Whether the window had ended when the node told, so that the counts are its last.
+    #[prost(bool, tag = "3")]
+    pub ended: bool,
 }
 /// Count of one organisation.
 #[derive(Clone, PartialEq, ::prost::Message)]
