Let a holder of the duties hear all usage, and hand over only to a node that knows the windows

A node that had just started took over without the windows that were open; the old holder heard no usage once it was a follower; last counts were told for one window only, and the counts of a window of 1 s were dropped after 6 s, before a window with missing counts is given up.

Change: representatives of all zones tell usage to a node that still holds the duties, which tells all of them of itself. It hands over when the next in the order has run for two windows and the time within which a window is reported. Last counts are told for 6 s after a window's end. Counts are kept for 30 s, at least 6 windows, and seals for twice as many, so that a window whose seal is gone is never sealed again.

Tests: gateway_duties::a_holder_that_is_no_longer_a_representative… (timed out waiting for the reports before), peer_table::a_holder_of_the_duties_hears_all…. The two tests of duties in gateway.rs move to gateway_duties.rs unchanged.

--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -15,7 +15,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::observe::GatewayMetrics;
 use crate::gateway::orders::OrderDesk;
-use crate::gateway::peers::PeerTable;
+use crate::gateway::peers::{KnownNode, PeerTable};
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::usage::UsageLedger;
 use crate::platform::cloud::DutyTerms;
@@ -49,11 +49,12 @@
 /// Time after the end of a window until which last counts are waited for; a report is due after 10 s.
 const LAST_SEAL: Duration = Duration::from_millis(8500);
 
-/// Looks in a row at which a holder is not among those that hear all usage before it hands over.
+/// Looks in a row at which a holder is not a representative before it hands over.
 const LOOKS_OUTRANKED: u32 = 2;
 
-/// Windows after which sealed usage is removed from the store.
-const KEPT_WINDOWS: u64 = 12;
+/// Time for which sealed usage stays in the store, as a multiple of that for which counts are kept:
+/// a window whose seal is gone must never be sealed again.
+const SEAL_KEPT_FACTOR: u64 = 2;
 
 /// Lease as stored.
 #[derive(Serialize, Deserialize)]
@@ -148,11 +149,19 @@
         }
     }
 
-    /// Whether this node holds the duties and has not been a representative for some looks: others
-    /// then tell it no usage.
+    /// Whether this node holds the duties and has not been a representative for some looks, while
+    /// the next in the order knows all windows that are not reported yet.
     fn is_outranked(&self) -> bool {
-        let now = self.handles.clock.now();
-        let is_outside = self.permit().is_some() && !self.handles.peers.is_representative(now);
+        let DutyHandles { clock, peers, usage, settings, .. } = &self.handles;
+        let now = clock.now();
+        let open_windows = 2 * Duration::from_secs(settings.usage_window_s) + LAST_SEAL;
+        let knows_windows = |heir: &KnownNode| {
+            let age_ms = usage.unix_ms().saturating_sub(heir.incarnation);
+            age_ms >= open_windows.as_millis() as u64
+        };
+        let is_outside = self.permit().is_some()
+            && !peers.is_representative(now)
+            && peers.duty_order(now).first().is_some_and(knows_windows);
         self.outranked.set(if is_outside { self.outranked.get() + 1 } else { 0 });
         self.outranked.get() >= LOOKS_OUTRANKED
     }
@@ -227,7 +236,7 @@
             return None;
         }
         let order = self.handles.peers.duty_order(now);
-        let place = order.iter().position(|name| *name == self.handles.settings.node)?;
+        let place = order.iter().position(|node| node.node == self.handles.settings.node)?;
         (place < CANDIDATES).then_some(place as u32)
     }
 
@@ -315,7 +324,7 @@
     /// Reports the windows that are due.
     async fn report_usage(&self) {
         let present = self.handles.usage.present_window();
-        let oldest = present.saturating_sub(KEPT_WINDOWS / 2);
+        let oldest = present.saturating_sub(self.handles.usage.kept_windows());
         let from = (self.reported.get() + 1).max(oldest);
         for window in from..present {
             let Some(age) = self.handles.usage.age(window).filter(|age| *age >= SEAL_AFTER) else {
@@ -350,12 +359,18 @@
             .map(|node| NodeRun { node: node.node.clone(), incarnation: node.incarnation });
         let missing = self.handles.usage.unfinished(window, runs);
         let verdict = WindowVerdict::judge(missing.len(), nodes.len(), age >= LAST_SEAL);
-        if verdict == WindowVerdict::Unknown {
-            log::warn!(
-                "event=usage_unknown window={window} nodes={} missing={} outcome=not_reported",
+        match verdict {
+            WindowVerdict::Report => {}
+            WindowVerdict::Wait => {
+                log::debug!("event=usage_awaited window={window} of={missing:?}")
+            }
+            WindowVerdict::Unknown => log::warn!(
+                "event=usage_unknown window={window} nodes={} missing={} first_missing={} \
+                 outcome=not_reported",
                 nodes.len(),
-                missing.len()
-            );
+                missing.len(),
+                missing.first().map_or("-", |run| &*run.node)
+            ),
         }
         verdict
     }
@@ -385,7 +400,8 @@
             value: serde_json::to_vec(&counts).expect("counts are valid JSON"),
             expected: Some(0),
         };
-        let old = window_key(window.saturating_sub(KEPT_WINDOWS));
+        let kept = SEAL_KEPT_FACTOR * self.handles.usage.kept_windows();
+        let old = window_key(window.saturating_sub(kept));
         match self.handles.store.commit(&[write], &[(USAGE_TABLE, old)]).await? {
             CommitAnswer::Committed => Ok(counts),
             CommitAnswer::Conflict(rows) => {
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -10,6 +10,7 @@
 pub mod sums;
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -34,6 +35,10 @@
 /// Time without a pulse after which a node is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(20);
 
+/// Time for which usage that a follower told is handed on; it tells each window once a second for
+/// as long as that may matter.
+const TOLD_USAGE_TIME: Duration = Duration::from_millis(2200);
+
 /// Difference of starts from which a node leaves the duties to older ones.
 const NEWCOMER_TIME: Duration = Duration::from_secs(12);
 
@@ -52,8 +57,8 @@
 pub struct PeerRow {
     /// Its last pulse.
     pub pulse: FleetPulse,
-    /// Last usage that it told, by window.
-    pub usage: Vec<RunUsage>,
+    /// Last usage that it told, by window, and when.
+    usage: Vec<(RunUsage, Duration)>,
     /// Where its pulses come from.
     pub address: SocketAddr,
     /// When the pulse came.
@@ -146,22 +151,22 @@
         zone.position(|node| node.node == self.own.node)
     }
 
-    /// Names of the representatives in the order in which they take the duties over. Newcomers
-    /// leave them to older nodes, which know the counts of nodes that have ended since.
-    pub fn duty_order(&self, now: Duration) -> Vec<SharedName> {
-        let nodes = self.representatives(now);
+    /// Representatives in the order in which they take the duties over. Newcomers leave them to
+    /// older nodes, which know the counts of nodes that have ended since.
+    pub fn duty_order(&self, now: Duration) -> Vec<KnownNode> {
+        let mut nodes = self.representatives(now);
         let oldest = nodes.iter().map(|node| node.incarnation).min().unwrap_or_default();
         let newcomers_after = oldest + NEWCOMER_TIME.as_millis() as u64;
-        let old = nodes.iter().filter(|node| node.incarnation <= newcomers_after);
-        let ranked = rendezvous::rank(DUTY_ORDER_KEY, old.map(|node| &*node.node));
-        ranked.into_iter().map(SharedName::from).collect()
+        nodes.retain(|node| node.incarnation <= newcomers_after);
+        nodes.sort_by_cached_key(|node| Reverse(rendezvous::score(DUTY_ORDER_KEY, &node.node)));
+        nodes
     }
 
     /// Nodes that report usage now or may within moments: the holder of the duties, and the first
     /// in their order.
     pub fn duty_heirs(&self, now: Duration) -> Vec<SharedName> {
-        let mut heirs = self.duty_order(now);
-        heirs.truncate(DUTY_HEIRS);
+        let order = self.duty_order(now).into_iter().take(DUTY_HEIRS);
+        let mut heirs: Vec<_> = order.map(|node| node.node).collect();
         let rows = self.live_rows(now);
         let holders = rows.iter().filter(|row| row.pulse.duty_fencing > 0);
         heirs.extend(holders.map(|row| SharedName::from(&*row.pulse.node)));
@@ -267,14 +272,15 @@
         }
         self.observe_told(&pulse, now);
         let mut usage = known.map(|row| row.usage.clone()).unwrap_or_default();
+        usage.retain(|(_, heard)| now.saturating_sub(*heard) < TOLD_USAGE_TIME);
         for told in &pulse.usage {
-            usage.retain(|run| run.usage.as_ref().is_some_and(|u| u.window + 2 > told.window));
-            usage.retain(|run| run.usage.as_ref().is_some_and(|u| u.window != told.window));
-            usage.push(RunUsage {
+            usage.retain(|(run, _)| run.usage.as_ref().is_some_and(|u| u.window != told.window));
+            let run = RunUsage {
                 node: pulse.node.clone(),
                 incarnation: pulse.incarnation,
                 usage: Some(told.clone()),
-            });
+            };
+            usage.push((run, now));
         }
         rows.insert(name, PeerRow { pulse, usage, address: from, heard: now });
         true
@@ -331,7 +337,7 @@
         for row in followers {
             add_pulse(&mut summary, &row.pulse);
             if with_usage {
-                summary.usage.extend(row.usage.iter().cloned());
+                summary.usage.extend(row.usage.iter().map(|(run, _)| run.clone()));
             }
         }
         summary
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -31,8 +31,9 @@
 /// Pulses between two that carry usage.
 const USAGE_EVERY: u64 = 2;
 
-/// Windows of which usage is told: the present one, and those that are not sealed yet.
-const TOLD_WINDOWS: u64 = 2;
+/// Time after its end for which the counts of a window are told: until it is sealed, and a little
+/// longer for a node that has taken the duties over.
+const TOLD_TIME: Duration = Duration::from_secs(6);
 
 /// Pulses between two that name other nodes.
 const NODES_EVERY: u64 = 4;
@@ -219,14 +220,18 @@
         }
     }
 
-    /// Usage of one of the windows that are told, in turn.
+    /// Usage of the present window and of those that have ended, in turn.
     fn told_usage(&self, sequence: u64) -> Vec<WindowUsage> {
         if sequence % USAGE_EVERY != 0 {
             return Vec::new();
         }
-        let back = (sequence / USAGE_EVERY) % TOLD_WINDOWS;
-        let window = self.usage.present_window().saturating_sub(back);
-        vec![window_message(window, back > 0, self.usage.own_counts(window))]
+        let present = self.usage.present_window();
+        if sequence / USAGE_EVERY % 2 == 0 {
+            return vec![window_message(present, false, self.usage.own_counts(present))];
+        }
+        let is_told = |window: &u64| self.usage.age(*window).is_some_and(|age| age < TOLD_TIME);
+        let ended = (0..present).rev().take_while(is_told);
+        ended.map(|window| window_message(window, true, self.usage.own_counts(window))).collect()
     }
 
     fn work(&self) -> Vec<ReplicaWork> {
--- a/berylstep/src/gateway/usage.rs
+++ b/berylstep/src/gateway/usage.rs
@@ -9,6 +9,13 @@
 
 use crate::clock::RuntimeClock;
 
+/// Time for which counts are kept; several times that within which a report is due.
+const KEPT_TIME: Duration = Duration::from_secs(30);
+
+/// Fewest windows that are kept: the present one, those that are not sealed yet, and some to spare
+/// for a node that takes the duties over.
+const LEAST_KEPT_WINDOWS: u64 = 6;
+
 /// Counts by window of true time.
 #[derive(Debug)]
 pub struct UsageLedger {
@@ -22,12 +29,18 @@
 impl UsageLedger {
     /// An empty ledger of the run `run`.
     pub fn new(clock: RuntimeClock, run: NodeRun, window: Duration) -> Self {
-        let ledger =
-            Self { clock, run, window, windows: RefCell::default(), time: RefCell::default() };
+        let kept = (KEPT_TIME.as_millis() / window.as_millis()) as u64;
+        let windows = RefCell::new(UsageWindows::keeping(kept.max(LEAST_KEPT_WINDOWS)));
+        let ledger = Self { clock, run, window, windows, time: RefCell::default() };
         ledger.read_own_clock();
         ledger
     }
 
+    /// Windows that are kept, the present one included.
+    pub fn kept_windows(&self) -> u64 {
+        self.windows.borrow().kept()
+    }
+
     /// This start of this node.
     pub fn run(&self) -> &NodeRun {
         &self.run
--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -14,7 +14,6 @@
 use berylstep_standins::fleet::{desired, KEY};
 use berylstep_standins::process::free_address;
 use rustix::process::Signal;
-use serde_json::Value;
 
 /// One gateway before replicas of one service.
 struct FleetTrial {
@@ -424,57 +423,6 @@
     assert!(changed.elapsed() < Duration::from_secs(2), "{:?}", changed.elapsed());
 }
 
-#[test]
-fn usage_is_reported_once_for_each_window_with_the_true_counts() {
-    let replica = good("i-1");
-    let trial = trial("safe", &[&replica]);
-    for _ in 0..7 {
-        assert_eq!(trial.gateway.send("safe", KEY).unwrap().status(), 200);
-    }
-    let counted = || -> u64 {
-        let reports = trial.store.duties("/usage");
-        let bodies = reports.iter().map(|report| serde_json::from_str(&report.body).unwrap());
-        bodies.filter_map(|body: Value| body["Counts"]["org"].as_u64()).sum()
-    };
-    wait_until("the requests are reported", || counted() == 7);
-    std::thread::sleep(Duration::from_secs(1));
-    let reports = trial.store.duties("/usage");
-    let mut windows: Vec<u64> = reports
-        .iter()
-        .map(|report| serde_json::from_str::<Value>(&report.body).unwrap())
-        .filter_map(|body| body["WindowIndex"].as_u64())
-        .collect();
-    let reported = windows.len();
-    windows.sort_unstable();
-    windows.dedup();
-    assert_eq!(windows.len(), reported, "a window was reported twice");
-    assert_eq!(counted(), 7);
-    assert!(reports[0].fencing > 0);
-}
-
-#[test]
-fn a_node_that_stops_hands_the_duties_over_at_once() {
-    let replica = good("i-1");
-    let store = FakeStore::start();
-    store.put("op", "config", Some(desired(1)));
-    store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
-    let port = free_address().port();
-    let nodes = [2, 3].map(|number| FleetGateway::start(&store, number, port));
-    let holders = || -> Vec<String> {
-        store.duties("/usage").into_iter().map(|report| report.holder).collect()
-    };
-    wait_until("usage is reported", || !holders().is_empty());
-    // The lease has been renewed a few times.
-    std::thread::sleep(Duration::from_secs(4));
-    let first = holders().pop().unwrap();
-    let holder = ["gateway-2", "gateway-3"].iter().position(|name| *name == first).unwrap();
-    nodes[holder].process.terminate();
-    let stopped = Instant::now();
-    wait_until("another node reports", || holders().pop().unwrap() != first);
-    let took = stopped.elapsed();
-    assert!(took < Duration::from_secs(4), "the duties stood still for {took:?}");
-}
-
 #[test]
 fn a_reload_keeps_old_settings_where_new_ones_are_invalid() {
     let replica = good("i-1");
--- /dev/null
+++ b/berylstep/tests/gateway_duties.rs
@@ -0,0 +1,127 @@
+//! The duties of a fleet of gateways as processes: one node reports each window once with the true
+//! counts, also after it stopped or stopped being one of those that hear of all usage.
+
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+use berylstep_core::rendezvous;
+use berylstep_standins::fleet::gateway::{wait_until, FleetGateway, GatewayPlan};
+use berylstep_standins::fleet::message::respond;
+use berylstep_standins::fleet::replica::FakeReplica;
+use berylstep_standins::fleet::store::FakeStore;
+use berylstep_standins::fleet::{desired, KEY};
+use berylstep_standins::process::free_address;
+use serde_json::Value;
+
+fn good(id: &str) -> FakeReplica {
+    FakeReplica::start(id, |request, _, stream| respond(stream, request, 200, "", "answer"))
+}
+
+fn store_with(replica: &FakeReplica) -> FakeStore {
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired(1)));
+    store.put("servers", &replica.id, Some(replica.entry("safe", "ready")));
+    store
+}
+
+#[test]
+fn usage_is_reported_once_for_each_window_with_the_true_counts() {
+    let replica = good("i-1");
+    let store = store_with(&replica);
+    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    for _ in 0..7 {
+        assert_eq!(gateway.send("safe", KEY).unwrap().status(), 200);
+    }
+    let counted = || -> u64 {
+        let reports = store.duties("/usage");
+        let bodies = reports.iter().map(|report| serde_json::from_str(&report.body).unwrap());
+        bodies.filter_map(|body: Value| body["Counts"]["org"].as_u64()).sum()
+    };
+    wait_until("the requests are reported", || counted() == 7);
+    std::thread::sleep(Duration::from_secs(1));
+    let reports = store.duties("/usage");
+    let mut windows: Vec<u64> = reports
+        .iter()
+        .map(|report| serde_json::from_str::<Value>(&report.body).unwrap())
+        .filter_map(|body| body["WindowIndex"].as_u64())
+        .collect();
+    let reported = windows.len();
+    windows.sort_unstable();
+    windows.dedup();
+    assert_eq!(windows.len(), reported, "a window was reported twice");
+    assert_eq!(counted(), 7);
+    assert!(reports[0].fencing > 0);
+}
+
+#[test]
+fn a_node_that_stops_hands_the_duties_over_at_once() {
+    let replica = good("i-1");
+    let store = store_with(&replica);
+    let port = free_address().port();
+    let nodes = [2, 3].map(|number| FleetGateway::start(&store, number, port));
+    let holders = || -> Vec<String> {
+        store.duties("/usage").into_iter().map(|report| report.holder).collect()
+    };
+    wait_until("usage is reported", || !holders().is_empty());
+    // The lease has been renewed a few times.
+    std::thread::sleep(Duration::from_secs(4));
+    let first = holders().pop().unwrap();
+    let holder = ["gateway-2", "gateway-3"].iter().position(|name| *name == first).unwrap();
+    nodes[holder].process.terminate();
+    let stopped = Instant::now();
+    wait_until("another node reports", || holders().pop().unwrap() != first);
+    let took = stopped.elapsed();
+    assert!(took < Duration::from_secs(4), "the duties stood still for {took:?}");
+}
+
+/// Requests that were reported so far.
+fn reported(store: &FakeStore) -> u64 {
+    let bodies = store.duties("/usage").into_iter().filter(|call| call.is_accepted);
+    let mut windows: Vec<(u64, u64)> = bodies
+        .filter_map(|call| serde_json::from_str::<Value>(&call.body).ok())
+        .map(|body| {
+            let window = body["WindowIndex"].as_u64().unwrap();
+            (window, body["Counts"]["org"].as_u64().unwrap_or_default())
+        })
+        .collect();
+    // A node that takes over repeats what is sealed.
+    windows.sort_unstable();
+    windows.dedup();
+    windows.iter().map(|(_, count)| count).sum()
+}
+
+#[test]
+fn a_holder_that_is_no_longer_a_representative_hands_over_and_no_count_is_lost() {
+    let replica = good("i-1");
+    let store = store_with(&replica);
+    let port = free_address().port();
+    // The last in the order of representatives starts first; three others take its place.
+    let mut numbers: Vec<u8> = (2..6).collect();
+    numbers.sort_by_key(|number| rendezvous::score("a", &format!("gateway-{number}")));
+    let start = |number: u8, first_start: bool| {
+        let mut plan = GatewayPlan::new(store.address, number, port);
+        plan.first_start = first_start;
+        plan.seeds = numbers.clone();
+        let gateway = plan.spawn(Stdio::piped()).unwrap();
+        wait_until("the gateway is ready", || gateway.is_ready());
+        gateway
+    };
+    let mut gateways = vec![start(numbers[3], true)];
+    let holder = || store.duties("/usage").last().map(|call| call.holder.clone());
+    wait_until("the first node holds the duties", || holder().is_some());
+    let first = holder();
+    gateways.extend(numbers[..3].iter().map(|number| start(*number, false)));
+    let mut sent = 0;
+    let mut send_to_all = || {
+        for gateway in &gateways {
+            assert_eq!(gateway.send("safe", KEY).unwrap().status(), 200);
+            sent += 1;
+        }
+    };
+    wait_until("another node holds the duties", || {
+        send_to_all();
+        holder() != first
+    });
+    send_to_all();
+    wait_until("every request is reported", || reported(&store) == sent);
+}
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -197,6 +197,29 @@
     assert_eq!(speeches, 3 * (4 + 1 + 1) * 8);
 }
 
+#[test]
+fn a_holder_of_the_duties_hears_all_usage_also_as_a_follower() {
+    const ROUNDS: u64 = 36;
+    let nodes = fleet(26);
+    let tables = play(&nodes, ROUNDS);
+    let now = last(ROUNDS);
+    let holder = tables.iter().position(|table| !table.is_representative(now)).unwrap();
+    let pulse_of_holder = FleetPulse { duty_fencing: 3, ..pulse(&nodes[holder], ROUNDS + 1) };
+    send(&nodes, &tables, holder, &pulse_of_holder, now);
+    for (table, node) in tables.iter().zip(&nodes).filter(|(t, _)| t.is_representative(now)) {
+        let usage = vec![WindowUsage::default()];
+        let pulse = FleetPulse { usage, ..pulse(node, ROUNDS + 2) };
+        let groups = table.outbound(&pulse, now);
+        let to_holder: Vec<_> = groups
+            .iter()
+            .filter(|group| group.addresses.contains(&nodes[holder].peer_address))
+            .collect();
+        assert_eq!(to_holder.len(), 1, "from {}", node.node);
+        let told = &to_holder[0].pulse;
+        assert!(!told.usage.is_empty() && !told.zones.is_empty(), "from {}", node.node);
+    }
+}
+
 #[test]
 fn two_nodes_follow_the_store_where_there_is_one_zone() {
     const ROUNDS: u64 = 36;
--- a/berylstep_core/src/fleet/window.rs
+++ b/berylstep_core/src/fleet/window.rs
@@ -8,9 +8,6 @@
 
 use crate::collections::{HashMap, HashSet, SharedName};
 
-/// Windows that are kept; a report is due two windows after its window ended.
-const KEPT_WINDOWS: u64 = 6;
-
 /// Part of the nodes whose last counts may be missing from a report: half of the share by which the
 /// platform lets a figure be off.
 const MISSING_SHARE: f64 = 0.025;
@@ -52,8 +49,10 @@
 }
 
 /// Counts of all nodes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct UsageWindows {
+    /// Windows that are kept, the newest included.
+    kept: u64,
     counts: HashMap<u64, HashMap<NodeRun, WindowCounts>>,
     /// Runs whose counts of a window are their last.
     finished: HashMap<u64, HashSet<NodeRun>>,
@@ -61,6 +60,11 @@
 }
 
 impl UsageWindows {
+    /// No counts; the newest `kept` windows will be kept.
+    pub fn keeping(kept: u64) -> Self {
+        Self { kept, counts: HashMap::default(), finished: HashMap::default(), newest: 0 }
+    }
+
     /// Counts one request of `organisation`.
     pub fn count(&mut self, run: &NodeRun, window: u64, organisation: &SharedName) {
         self.advance(window);
@@ -83,7 +87,7 @@
     /// Notes that what a run told of a window is its last count.
     pub fn note_finished(&mut self, run: &NodeRun, window: u64) {
         self.advance(window);
-        if window + KEPT_WINDOWS > self.newest {
+        if self.is_kept(window) {
             self.finished.entry(window).or_default().insert(run.clone());
         }
     }
@@ -120,12 +124,22 @@
             return;
         }
         self.newest = window;
-        self.counts.retain(|kept, _| kept + KEPT_WINDOWS > window);
-        self.finished.retain(|kept, _| kept + KEPT_WINDOWS > window);
+        let oldest = (window + 1).saturating_sub(self.kept);
+        self.counts.retain(|kept, _| *kept >= oldest);
+        self.finished.retain(|kept, _| *kept >= oldest);
+    }
+
+    /// Windows that are kept, the newest included.
+    pub fn kept(&self) -> u64 {
+        self.kept
+    }
+
+    fn is_kept(&self, window: u64) -> bool {
+        window + self.kept > self.newest
     }
 
     fn entry(&mut self, run: &NodeRun, window: u64) -> Option<&mut WindowCounts> {
-        if window + KEPT_WINDOWS <= self.newest {
+        if !self.is_kept(window) {
             return None;
         }
         Some(self.counts.entry(window).or_default().entry(run.clone()).or_default())
--- a/berylstep_core/tests/fleet_usage.rs
+++ b/berylstep_core/tests/fleet_usage.rs
@@ -18,7 +18,7 @@
 
 #[test]
 fn a_restarted_node_adds_to_what_it_counted_before() {
-    let mut windows = UsageWindows::default();
+    let mut windows = UsageWindows::keeping(6);
     windows.merge(&run("n", 1), 7, &counts(&[("org", 40)]));
     windows.merge(&run("n", 2), 7, &counts(&[("org", 2)]));
     assert_eq!(windows.total(7), counts(&[("org", 42)]));
@@ -26,7 +26,7 @@
 
 #[test]
 fn old_windows_are_dropped_and_not_reopened() {
-    let mut windows = UsageWindows::default();
+    let mut windows = UsageWindows::keeping(6);
     windows.merge(&run("n", 1), 7, &counts(&[("org", 1)]));
     windows.advance(20);
     windows.merge(&run("n", 1), 7, &counts(&[("org", 1)]));
@@ -67,7 +67,7 @@
     ];
     for case in cases {
         let runs: Vec<_> = (0..case.nodes).map(|number| run(&format!("n{number}"), 1)).collect();
-        let mut windows = UsageWindows::default();
+        let mut windows = UsageWindows::keeping(6);
         for run in &runs {
             windows.merge(run, 7, &counts(&[("org", 1)]));
         }
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_new_start_of_a_node_has_to_tell_its_own_last_counts() {
-    let mut windows = UsageWindows::default();
+    let mut windows = UsageWindows::keeping(6);
     windows.note_finished(&run("n", 1), 7);
     assert_eq!(windows.unfinished(7, [run("n", 2)].into_iter()), [run("n", 2)]);
     windows.note_finished(&run("n", 2), 7);
@@ -99,7 +99,7 @@
         }
         told
     })) {
-        let mut windows = UsageWindows::default();
+        let mut windows = UsageWindows::keeping(6);
         for count in order {
             windows.merge(&run("n", 1), 3, &counts(&[("org", count)]));
         }
