--- a/berylstep/src/tail.rs
+++ b/berylstep/src/tail.rs
@@ -72,10 +72,8 @@
         let own = node.config.read().expect("config lock").version();
         let mut progress = self.progress.lock().expect("progress lock");
         progress.note_newest(node.clock.now(), newest, own);
-        if progress.is_behind() {
-            if self.waker.try_send(()).is_err() {
-                // A signal that was not taken yet stands for this one too.
-            }
+        if progress.is_behind() && self.waker.try_send(()).is_err() {
+            // A signal that was not taken yet stands for this one too.
         }
     }
 
