Count requests whose answers were lost where their replica goes on

Change: a request whose answer is lost for good counts in the window in which it was sent if the same replica answers another request within 3 s; so does a plain request that timed out.

Tests: fleet_losses; gateway_duties::a_request_whose_answer_was_lost… (not seen red: before, nothing counted such requests).

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -234,6 +234,7 @@
             return AttemptEnd::Lost("answer broke off");
         }
         self.count(request);
+        self.usage.note_answer(&target.id);
         load.note_begun();
         let held = !streams && decoder.is_complete();
         AttemptEnd::Answer(Box::new(BegunAnswer {
@@ -279,6 +280,15 @@
         }
     }
 
+    /// Notes that the answer of a replica that was sent the request is lost for good.
+    pub fn note_lost_answer(&self, request: &RoutedRequest<'_>, replica: &SharedName) {
+        let Some(organisation) = &request.organisation else { return };
+        if !request.counted.replace(true) {
+            let elapsed = self.clock.now().saturating_sub(request.arrived);
+            self.usage.note_lost(replica, organisation, elapsed);
+        }
+    }
+
     fn encode(
         &self,
         request: &RoutedRequest<'_>,
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -8,7 +8,7 @@
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::budget::ShareBudget;
 use berylstep_core::fleet::choice::{self, PlacementAsk};
-use berylstep_core::fleet::desired::RouteEntry;
+use berylstep_core::fleet::desired::{RouteEntry, RouteKind};
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -242,6 +242,7 @@
                     history.sent += 1;
                     history.ran += 1;
                     if !self.may_repeat(request, &history) {
+                        self.note_lost_answer(request, &target.id);
                         let own = OwnAnswer::lost(reason);
                         trace.end(own_end(&own));
                         return self.finish(writer, &own).await;
@@ -249,6 +250,10 @@
                     self.next_target(request, &mut history)
                 }
                 AttemptEnd::TimedOut => {
+                    // A stream may have waited for its turn until now.
+                    if request.route.kind != RouteKind::Stream {
+                        self.note_lost_answer(request, &target.id);
+                    }
                     let own = OwnAnswer::timed_out();
                     trace.end(own_end(&own));
                     return self.finish(writer, &own).await;
--- a/berylstep/src/gateway/usage.rs
+++ b/berylstep/src/gateway/usage.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::losses::{LossTable, LostAnswer};
 use berylstep_core::fleet::truth::TrueTime;
 use berylstep_core::fleet::window::{NodeRun, UsageWindows, WindowCounts};
 
@@ -23,6 +24,7 @@
     run: NodeRun,
     window: Duration,
     windows: RefCell<UsageWindows>,
+    losses: RefCell<LossTable>,
     time: RefCell<TrueTime>,
 }
 
@@ -31,7 +33,8 @@
     pub fn new(clock: RuntimeClock, run: NodeRun, window: Duration) -> Self {
         let kept = (KEPT_TIME.as_millis() / window.as_millis()) as u64;
         let windows = RefCell::new(UsageWindows::keeping(kept.max(LEAST_KEPT_WINDOWS)));
-        let ledger = Self { clock, run, window, windows, time: RefCell::default() };
+        let (losses, time) = (RefCell::default(), RefCell::default());
+        let ledger = Self { clock, run, window, windows, losses, time };
         ledger.read_own_clock();
         ledger
     }
@@ -78,6 +81,27 @@
         self.windows.borrow_mut().count(&self.run, window, organisation);
     }
 
+    /// Notes that the answer of `replica` to a request of `organisation` that was sent `elapsed` ago
+    /// was lost; it is counted if the replica answers others soon.
+    pub fn note_lost(&self, replica: &SharedName, organisation: &SharedName, elapsed: Duration) {
+        let sent_ms = self.unix_ms().saturating_sub(elapsed.as_millis() as u64);
+        let lost = LostAnswer {
+            organisation: organisation.clone(),
+            window: sent_ms / self.window.as_millis() as u64,
+            at: self.clock.now(),
+        };
+        self.losses.borrow_mut().note_lost(replica, lost);
+    }
+
+    /// Notes that `replica` answers, and counts the requests whose answers it had lost.
+    pub fn note_answer(&self, replica: &str) {
+        let run = self.losses.borrow_mut().note_answer(replica, self.clock.now());
+        let mut windows = self.windows.borrow_mut();
+        for lost in run {
+            windows.count(&self.run, lost.window, &lost.organisation);
+        }
+    }
+
     /// Takes in what another node counted so far.
     pub fn merge(&self, run: &NodeRun, window: u64, counts: &WindowCounts) {
         self.windows.borrow_mut().merge(run, window, counts);
--- a/berylstep/tests/gateway_duties.rs
+++ b/berylstep/tests/gateway_duties.rs
@@ -90,6 +90,23 @@
     windows.iter().map(|(_, count)| count).sum()
 }
 
+#[test]
+fn a_request_whose_answer_was_lost_is_reported_where_its_replica_goes_on() {
+    // The first unsafe request runs and its connection is closed without an answer.
+    let replica = FakeReplica::start("i-1", |request, index, stream| {
+        index > 0 && respond(stream, request, 200, "", "answer")
+    });
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired(1)));
+    store.put("servers", "i-1", Some(replica.entry("unsafe", "ready")));
+    let gateway = FleetGateway::start(&store, 6, free_address().port());
+    assert_eq!(gateway.send("unsafe", KEY).unwrap().status(), 502);
+    for _ in 0..3 {
+        assert_eq!(gateway.send("unsafe", KEY).unwrap().status(), 200);
+    }
+    wait_until("all four are reported", || reported(&store) == 4);
+}
+
 #[test]
 fn a_holder_that_is_no_longer_a_representative_hands_over_and_no_count_is_lost() {
     let replica = good("i-1");
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -6,6 +6,7 @@
 pub mod departure;
 pub mod desired;
 pub mod events;
+pub mod losses;
 pub mod replica;
 pub mod truth;
 pub mod window;
--- /dev/null
+++ b/berylstep_core/tests/fleet_losses.rs
@@ -0,0 +1,37 @@
+//! Requests whose answers were lost count as run where their replica lives on.
+
+use std::time::Duration;
+
+use berylstep_core::fleet::losses::{LossTable, LostAnswer};
+
+fn lost(window: u64, at: u64) -> LostAnswer {
+    LostAnswer { organisation: "org".into(), window, at: Duration::from_millis(at) }
+}
+
+struct LossCase {
+    name: &'static str,
+    /// Replica that answers, and when, in milliseconds.
+    answer: (&'static str, u64),
+    /// Windows whose requests have run.
+    run: &'static [u64],
+}
+
+#[test]
+fn a_request_has_run_if_its_replica_answers_others_soon_after() {
+    let cases = [
+        LossCase { name: "the same replica", answer: ("a", 1500), run: &[7, 8] },
+        LossCase { name: "another replica", answer: ("b", 1500), run: &[] },
+        LossCase { name: "long after one of two", answer: ("a", 4050), run: &[8] },
+        LossCase { name: "long after both", answer: ("a", 9000), run: &[] },
+    ];
+    for case in cases {
+        let mut table = LossTable::default();
+        table.note_lost(&"a".into(), lost(7, 1000));
+        table.note_lost(&"a".into(), lost(8, 1100));
+        let (replica, at) = case.answer;
+        let answered = table.note_answer(replica, Duration::from_millis(at));
+        let windows: Vec<u64> = answered.iter().map(|lost| lost.window).collect();
+        assert_eq!(windows, case.run, "{}", case.name);
+        assert!(table.note_answer(replica, Duration::from_millis(at)).is_empty(), "{}", case.name);
+    }
+}
