Measure the cost of a placement

Cause: the users ask for under 20 us at 12 replicas and 60 us at 112; nothing measured it.

Change: a test that bounds it in release builds and only runs it in debug ones.

--- /dev/null
+++ b/berylstep_core/tests/fleet_choice_cost.rs
@@ -0,0 +1,78 @@
+//! Cost of a placement. The bounds hold for release builds; debug builds only run it.
+//!
+//!     cargo test --release -p berylstep_core --test fleet_choice_cost -- --nocapture
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use berylstep_core::fleet::choice::{choose, PlacementAsk, RequestSize, LEAST_SHORT_SHARE};
+use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState, ReplicaTable};
+
+const NOW: Duration = Duration::from_secs(100);
+
+/// Placements in one batch, and batches, of which the fastest counts: others share the machine.
+const BATCH: u32 = 500;
+const BATCHES: u32 = 10;
+
+struct CostCase {
+    replicas: usize,
+    /// Longest time for one placement.
+    bound: Duration,
+}
+
+fn fleet(size: usize) -> ReplicaTable {
+    let mut table = ReplicaTable::default();
+    for index in 0..size {
+        let id = format!("i-{index:010x}");
+        let entry = ReplicaEntry {
+            id: id.as_str().into(),
+            service: "model".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 8000)),
+            zone: ["a", "b", "c"][index % 3].into(),
+            slots: 12,
+            state: ReplicaState::Ready,
+            spot: false,
+            leaves_in: None,
+            born: 0,
+        };
+        table.put(entry, 1, Duration::from_secs(1));
+        table.add_load(&id, (index as u64 * 7919) % 50_000);
+    }
+    table
+}
+
+#[test]
+fn a_placement_costs_little_at_today_s_sizes() {
+    let cases = [
+        CostCase { replicas: 12, bound: Duration::from_micros(20) },
+        CostCase { replicas: 112, bound: Duration::from_micros(60) },
+    ];
+    for case in cases {
+        let table = fleet(case.replicas);
+        let sessions: Vec<String> = (0..64).map(|number| format!("{number:08x}")).collect();
+        let batch = || {
+            let began = Instant::now();
+            for number in 0..BATCH {
+                let ask = PlacementAsk {
+                    service: "model",
+                    size: Some(RequestSize {
+                        prompt: if number % 2 == 0 { 800 } else { 12_000 },
+                        output: 380,
+                    }),
+                    session: Some(&sessions[number as usize % sessions.len()]),
+                    short_share: LEAST_SHORT_SHARE,
+                    zone: "a",
+                    excluded: &[],
+                };
+                black_box(choose(&table, &ask, NOW));
+            }
+            began.elapsed() / BATCH
+        };
+        let cost = (0..BATCHES).map(|_| batch()).min().unwrap();
+        println!("{} replicas: {cost:?} a placement", case.replicas);
+        if !cfg!(debug_assertions) {
+            assert!(cost <= case.bound, "{} replicas: {cost:?}", case.replicas);
+        }
+    }
+}
