--- a/berylstep_standins/src/soak/record.rs
+++ b/berylstep_standins/src/soak/record.rs
@@ -127,7 +127,7 @@
     Store,
 }
 
-/// A disturbance.
+/// A time of trouble.
 #[derive(Clone, Copy, Debug)]
 pub struct TroubleSpan {
     /// Where.
@@ -176,7 +176,7 @@
     pub requests: Vec<CallerRequest>,
     /// Runs.
     pub runs: Vec<ReplicaRun>,
-    /// Disturbances.
+    /// Times of trouble.
     pub troubles: Vec<TroubleSpan>,
     /// Versions, in order.
     pub changes: Vec<StateChange>,
