--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -145,12 +145,12 @@
     let GatewayContext { settings, stop, .. } = &context;
     stop.begin_stop();
     log::info!("event=stopping node={} open_requests={}", settings.node, stop.open_requests());
-    pulses.send_once(0).await;
+    pulses.send_once().await;
     if let Some(duties) = &duties {
         duties.release().await;
     }
     stop.wait_drained().await;
-    pulses.send_once(0).await;
+    pulses.send_once().await;
     // The handlers stay registered until here, because a second signal would otherwise end the
     // process before it has drained.
     drop(signals);
@@ -231,6 +231,8 @@
             duty_fencing: self.duty_fencing.clone(),
             demand: self.demand.clone(),
             peer_ahead: self.peer_ahead.clone(),
+            sequence: Cell::new(0),
+            sent_revisions: RefCell::default(),
             socket,
         });
         self.tasks.spawn(pulses.clone().send_pulses()).detach();
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 use crate::platform::headers::{
     write_header, write_request_headers, MovedRun, ResponseHeaders, ResponseOwner, UpstreamHeaders,
 };
+use crate::platform::ReplicaStatement;
 
 /// Largest head of a replica's response.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -188,6 +189,23 @@
         }
     }
 
+    /// Applies what a replica has said about itself in a response.
+    pub fn record_statement(&self, id: &str, statement: ReplicaStatement) {
+        if statement.leaving {
+            self.mirror.record_replica_leaving(id);
+        }
+        if let Some(pause) = statement.pause {
+            self.mirror.replicas.borrow_mut().record_quiet(id, pause, self.clock.now());
+            log::info!("event=replica_quiet replica={id} pause_ms={}", pause.as_millis());
+        }
+    }
+
+    /// Returns whether a replica has asked this node to send nothing at present.
+    pub fn is_quiet(&self, id: &str) -> bool {
+        let replicas = self.mirror.replicas.borrow();
+        replicas.get(id).is_some_and(|row| row.quiet_until(self.clock.now()).is_some())
+    }
+
     /// Records a failure of a replica, which placement then avoids for a while.
     pub fn record_replica_failure(&self, id: &str, reason: &str) {
         let avoided = self.mirror.replicas.borrow_mut().record_failure(id, self.clock.now());
@@ -215,6 +233,7 @@
                 return AttemptOutcome::Lost(reason);
             }
         };
+        self.record_statement(&target.id, headers.statement);
         let mut decoder = BodyDecoder::response(&head, method);
         if headers.not_executed {
             return self.handle_refusal(target, head, decoder, stream, sent_whole).await;
@@ -354,7 +373,7 @@
     request: &RoutedRequest<'_>,
     reused: bool,
 ) -> Result<(ResponseMessage, ResponseHeaders), &'static str> {
-    let mut skipped = 0;
+    let (mut skipped, mut leaving) = (0, false);
     loop {
         let head = stream.read_head(MAX_HEAD_BYTES).await;
         let bytes = match head {
@@ -366,7 +385,10 @@
         if response.status < 200 {
             continue;
         }
-        let headers = ResponseHeaders::read(&response, request.headers.request_id.as_deref());
+        let mut headers = ResponseHeaders::read(&response, request.headers.request_id.as_deref());
+        // A late response to another request is still one of the same replica.
+        leaving |= headers.statement.leaving;
+        headers.statement.leaving = leaving;
         let is_stale = match headers.owner {
             ResponseOwner::Own => false,
             ResponseOwner::Other => true,
--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -36,6 +36,10 @@
 /// still reported within 10 s.
 const LEASE_EXPIRY: Duration = Duration::from_millis(3600);
 
+/// Time after which a lease expires where the platform ignores fencing tokens. A successor waits
+/// twice as long there, so the lease is shorter for the same deadline of the windows.
+const UNFENCED_LEASE_EXPIRY: Duration = Duration::from_millis(1800);
+
 /// Interval at which the lease and the duties are checked.
 const DUTY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -110,9 +114,12 @@
     /// Creates the keeper of a node that does not hold the lease.
     pub fn new(context: DutyContext) -> Self {
         let run = context.usage.run();
-        let times = LeaseTimes { expiry: LEASE_EXPIRY };
-        let lease =
-            DutyLease::new(run.node.clone(), run.incarnation, times, ReceiverFencing::Checked);
+        let (expiry, fencing) = match context.settings.receiver_checks_fencing {
+            true => (LEASE_EXPIRY, ReceiverFencing::Checked),
+            false => (UNFENCED_LEASE_EXPIRY, ReceiverFencing::Ignored),
+        };
+        let times = LeaseTimes { expiry };
+        let lease = DutyLease::new(run.node.clone(), run.incarnation, times, fencing);
         // After a restart, counts of the current window from before the start may be lost.
         let known_from = context.usage.current_window() + u64::from(!context.settings.first_start);
         let DutyContext { clock, mirror, peers, demand, .. } = &context;
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -7,7 +7,8 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::desired::DesiredState;
-use berylstep_core::fleet::replica::{ReplicaState, ReplicaTable};
+use berylstep_core::fleet::replica::{LeavingMark, ReplicaState, ReplicaTable};
+use berylstep_wire::{LeavingReplica, ReplicaCopy, ReplicaRemoval};
 
 use crate::clock::RuntimeClock;
 use crate::gateway::notifier::ChangeNotifier;
@@ -21,6 +22,10 @@
 /// Number of store tables that are followed.
 const FOLLOWED_TABLE_COUNT: u32 = 2;
 
+/// Time for which this node tells its peers that a replica is shutting down, so that the notice
+/// reaches all nodes although pulses may be lost.
+const LEAVING_NOTICE_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum number of removals retained for incremental responses to peers.
 const MAX_REMOVALS: usize = 512;
 
@@ -35,6 +40,20 @@
     pub removed: Vec<(SharedName, u64)>,
 }
 
+impl ReplicaChanges {
+    /// Returns the changes as messages between nodes.
+    pub fn into_messages(self) -> (Vec<ReplicaCopy>, Vec<ReplicaRemoval>) {
+        let replicas = self.entries.into_iter().map(|(id, copy)| ReplicaCopy {
+            id: id.to_string(),
+            revision: copy.revision,
+            value: copy.value,
+        });
+        let removed = self.removed.into_iter();
+        let removed = removed.map(|(id, revision)| ReplicaRemoval { id: id.to_string(), revision });
+        (replicas.collect(), removed.collect())
+    }
+}
+
 /// Origin of a state update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StateSource {
@@ -70,6 +89,9 @@
     store_failed_at: Cell<Option<Duration>>,
     store_responded_at: Cell<Option<Duration>>,
     following: Cell<u32>,
+    /// Replicas that have said that they are shutting down, with the time at which this node
+    /// learnt of it.
+    leaving_notices: RefCell<Vec<(Duration, LeavingReplica)>>,
     /// Notified when newer state has been applied.
     pub changed: ChangeNotifier,
 }
@@ -90,6 +112,7 @@
             store_failed_at: Cell::new(None),
             store_responded_at: Cell::new(None),
             following: Cell::new(0),
+            leaving_notices: RefCell::default(),
             changed: ChangeNotifier::default(),
         }
     }
@@ -238,6 +261,37 @@
         self.has_replicas.set(true);
     }
 
+    /// Records that a replica has said in a response that it is shutting down.
+    pub fn record_replica_leaving(&self, id: &str) {
+        let mark = self.replicas.borrow_mut().record_leaving(id, self.clock.now());
+        self.announce_leaving(mark, "response");
+    }
+
+    /// Applies a peer's notice that a replica is shutting down.
+    pub fn apply_leaving_notice(&self, notice: &LeavingReplica) {
+        let mut replicas = self.replicas.borrow_mut();
+        let mark = replicas.apply_leaving_notice(notice.replica, notice.born, self.clock.now());
+        drop(replicas);
+        self.announce_leaving(mark, "peer");
+    }
+
+    /// Returns the replicas that are shutting down, for peers that may not have heard of it.
+    pub fn leaving_notices(&self) -> Vec<LeavingReplica> {
+        let now = self.clock.now();
+        let mut notices = self.leaving_notices.borrow_mut();
+        notices.retain(|(noticed, _)| now.saturating_sub(*noticed) < LEAVING_NOTICE_TIME);
+        notices.iter().map(|(_, notice)| *notice).collect()
+    }
+
+    fn announce_leaving(&self, mark: Option<LeavingMark>, source: &str) {
+        let Some(mark) = mark else { return };
+        log::info!("event=replica_leaving replica={} source={source}", mark.replica);
+        let hash = self.replicas.borrow().get(&mark.replica).map_or(0, |row| row.hash);
+        let notice = LeavingReplica { replica: hash, born: mark.born };
+        self.leaving_notices.borrow_mut().push((self.clock.now(), notice));
+        self.changed.notify();
+    }
+
     /// Removes replicas whose entries went missing and have not returned in time.
     pub fn expire(&self) {
         for id in self.replicas.borrow_mut().expire(self.clock.now()) {
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -3,7 +3,7 @@
 //!
 //! Nodes exchange pulses, periodic heartbeats over UDP that carry this state. Each availability
 //! zone elects a few representatives; its other nodes are followers. A representative sends the
-//! work of its zone's followers to all other representatives, and the totals of all zones to its
+//! work of its zone's followers to all other representatives, and the totals of the fleet to its
 //! followers. The number of messages a representative sends thus grows with the size of its zone,
 //! while that of a follower stays constant. In a small zone every node is a representative, and all
 //! of them hear each other directly.
@@ -11,19 +11,22 @@
 pub mod node;
 pub mod outbound;
 pub mod sums;
+pub mod view;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::replica::ReplicaLoad;
 use berylstep_core::rendezvous;
-use berylstep_wire::{ClassDemand, FleetPulse, ReplicaWork, RunUsage, ZoneSummary};
+use berylstep_wire::{ClassDemand, FleetPulse, NodeEntry, ReplicaWork, RunUsage, ZoneSummary};
 
 pub use node::KnownNode;
-use sums::{add_pulse, add_summary, add_work};
+use sums::SummaryBuilder;
+use view::{FleetView, ViewCache};
 
 /// Time without a pulse after which a peer no longer counts as live: four lost pulses.
 const LIVE_TIMEOUT: Duration = Duration::from_millis(1100);
@@ -57,10 +60,14 @@
 const INITIAL_PULSES: u64 = 8;
 
 /// A peer that sends its pulses to this node.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct PeerRow {
     /// Latest pulse.
     pub pulse: FleetPulse,
+    /// Membership record from that pulse; `None` if its caller address is malformed.
+    node: Option<KnownNode>,
+    /// Whether the peer is expected to send its pulses here regularly.
+    is_regular: bool,
     /// Latest usage for each window, with the time of its arrival.
     usage: Vec<(RunUsage, Duration)>,
     /// Source address of its pulses.
@@ -70,32 +77,41 @@
 }
 
 impl PeerRow {
-    /// Returns the membership record of the peer; `None` if its caller address is malformed.
-    fn known_node(&self) -> Option<KnownNode> {
-        KnownNode::from_pulse(&self.pulse, self.address)
+    fn is_live(&self, now: Duration) -> bool {
+        now.saturating_sub(self.received) < LIVE_TIMEOUT
     }
 }
 
-/// A zone summary and the time of its arrival.
-#[derive(Clone, Debug)]
+/// A summary and the time of its arrival.
+#[derive(Debug)]
 struct SummaryRow {
     summary: ZoneSummary,
     received: Duration,
 }
 
+impl SummaryRow {
+    fn is_live(&self, now: Duration) -> bool {
+        now.saturating_sub(self.received) < LIVE_TIMEOUT
+    }
+}
+
+/// Peers by name.
+type PeerRows = HashMap<SharedName, PeerRow>;
+
 /// The other nodes of the fleet, as known from pulses and gossip.
 #[derive(Debug)]
 pub struct PeerTable {
     own: KnownNode,
-    rows: RefCell<HashMap<SharedName, PeerRow>>,
+    rows: RefCell<PeerRows>,
     /// Nodes named in the pulses of others, with the time of the latest mention.
     gossip: RefCell<HashMap<SharedName, (KnownNode, Duration)>>,
     /// Followers of other zones, as summarised by their representatives; used by a representative.
     follower_summaries: RefCell<HashMap<SharedName, SummaryRow>>,
-    /// Totals of whole zones, as sent by a representative; used by a follower.
-    zone_totals: RefCell<HashMap<SharedName, SummaryRow>>,
+    /// Totals of the fleet, as sent by a representative; used by a follower.
+    fleet_total: RefCell<Option<SummaryRow>>,
     own_work: RefCell<Vec<ReplicaWork>>,
     peak: Cell<usize>,
+    view: ViewCache,
 }
 
 impl PeerTable {
@@ -106,22 +122,36 @@
             rows: RefCell::default(),
             gossip: RefCell::default(),
             follower_summaries: RefCell::default(),
-            zone_totals: RefCell::default(),
+            fleet_total: RefCell::default(),
             own_work: RefCell::default(),
             peak: Cell::new(1),
+            view: ViewCache::default(),
         }
     }
 
+    /// Returns the live nodes and the representatives elected among them.
+    pub fn view(&self, now: Duration) -> Rc<FleetView> {
+        self.view.get_or(now, || FleetView::new(self.collect_nodes(now), &self.own, now))
+    }
+
     /// Returns the live peers, known directly or by gossip.
     pub fn nodes(&self, now: Duration) -> Vec<KnownNode> {
-        let mut nodes: Vec<_> =
-            self.live_rows(now).iter().filter_map(PeerRow::known_node).collect();
+        self.view(now).nodes.clone()
+    }
+
+    fn collect_nodes(&self, now: Duration) -> Vec<KnownNode> {
+        let mut nodes = self.direct_nodes(now);
         let rows = self.rows.borrow();
         let gossip = self.gossip.borrow();
         let gossiped = gossip.values().filter(|(node, at)| {
             // Gossip must not revive a direct peer that has only just fallen silent.
-            let silent = rows.get(&node.node).map(|row| now.saturating_sub(row.received));
+            let silent = rows
+                .get(&node.node)
+                .filter(|row| row.is_regular)
+                .map(|row| now.saturating_sub(row.received));
+            let is_direct = rows.get(&node.node).is_some_and(|row| row.is_live(now));
             now.saturating_sub(*at) < GOSSIP_TIMEOUT
+                && !is_direct
                 && silent.is_none_or(|silent| silent > GOSSIP_TRUST_DELAY)
         });
         nodes.extend(gossiped.map(|(node, _)| node.clone()));
@@ -130,7 +160,45 @@
 
     /// Returns the live peers whose pulses arrive here directly.
     pub fn direct_nodes(&self, now: Duration) -> Vec<KnownNode> {
-        self.live_rows(now).iter().filter_map(PeerRow::known_node).collect()
+        let rows = self.rows.borrow();
+        live(&rows, now).filter_map(|row| row.node.clone()).collect()
+    }
+
+    /// Returns the nodes to name in gossip: the representatives, and those of this zone whose
+    /// pulses arrive here if this node is a representative.
+    pub fn gossip_entries(&self, now: Duration) -> Vec<NodeEntry> {
+        let view = self.view(now);
+        let named = view.representatives.iter().filter(|node| node.node != self.own.node);
+        let mut entries: Vec<_> = named.map(KnownNode::entry).collect();
+        if view.rank.is_some() {
+            let rows = self.rows.borrow();
+            let nodes = live(&rows, now).filter_map(|row| row.node.as_ref());
+            let followers = nodes
+                .filter(|node| node.zone == self.own.zone && !view.is_representative(&node.node));
+            entries.extend(followers.map(KnownNode::entry));
+        }
+        entries
+    }
+
+    /// Returns the representatives for the gossip of a node that has just started, which learns the
+    /// other nodes from them.
+    pub fn representative_entries(&self, now: Duration) -> Vec<NodeEntry> {
+        let view = self.view(now);
+        let named = view.representatives.iter().filter(|node| node.node != self.own.node);
+        named.map(KnownNode::entry).collect()
+    }
+
+    /// Returns whether this node exchanges pulses with the representatives of its zone, so that it
+    /// does not depend on the seeds.
+    pub fn is_connected(&self, now: Duration) -> bool {
+        let view = self.view(now);
+        let rows = self.rows.borrow();
+        let hears = |node: &KnownNode| rows.get(&node.node).is_some_and(|row| row.is_live(now));
+        let mut zone = view.representatives.iter().filter(|node| node.zone == self.own.zone);
+        match view.rank {
+            Some(_) => view.representatives.iter().any(hears),
+            None => zone.any(hears),
+        }
     }
 
     /// Returns the highest number of nodes seen live at once, including this one.
@@ -140,9 +208,7 @@
 
     /// Returns the representatives of all zones, including this node if it is one.
     pub fn representatives(&self, now: Duration) -> Vec<KnownNode> {
-        let mut nodes = self.nodes(now);
-        nodes.push(self.own.clone());
-        node::representatives(nodes)
+        self.view(now).representatives.clone()
     }
 
     /// Returns whether this node is a representative of its zone.
@@ -153,9 +219,7 @@
     /// Returns this node's rank among the representatives of its zone, from 0; `None` if it is not
     /// one.
     pub fn rank_in_zone(&self, now: Duration) -> Option<usize> {
-        let representatives = self.representatives(now);
-        let mut zone = representatives.iter().filter(|node| node.zone == self.own.zone);
-        zone.position(|node| node.node == self.own.node)
+        self.view(now).rank
     }
 
     /// Returns the representatives in the order in which they may take over the duties. Recently
@@ -175,8 +239,8 @@
     pub fn usage_reporters(&self, now: Duration) -> Vec<SharedName> {
         let order = self.duty_order(now).into_iter().take(STANDBY_REPORTERS);
         let mut reporters: Vec<_> = order.map(|node| node.node).collect();
-        let rows = self.live_rows(now);
-        let holders = rows.iter().filter(|row| row.pulse.duty_fencing > 0);
+        let rows = self.rows.borrow();
+        let holders = live(&rows, now).filter(|row| row.pulse.duty_fencing > 0);
         reporters.extend(holders.map(|row| SharedName::from(&*row.pulse.node)));
         reporters
     }
@@ -184,40 +248,36 @@
     /// Returns whether this node must follow the store itself. A representative must if too few of
     /// its predecessors in the order do; a follower must if it hears from no node that does.
     pub fn must_follow_store(&self, now: Duration) -> bool {
-        let rows = self.live_rows(now);
+        let view = self.view(now);
+        let rows = self.rows.borrow();
+        if view.rank.is_none() {
+            return !live(&rows, now).any(|row| row.pulse.follows_store);
+        }
         let follows = |node: &KnownNode| {
-            rows.iter().any(|row| *row.pulse.node == *node.node && row.pulse.follows_store)
+            let row = rows.get(&node.node).filter(|row| row.is_live(now));
+            row.is_some_and(|row| row.pulse.follows_store)
         };
-        let order = node::store_follower_order(&self.representatives(now));
-        let rank = order.iter().position(|node| node.node == self.own.node);
-        match rank {
-            Some(rank) => {
-                let required = node::required_store_followers(&order);
-                order[..rank].iter().filter(|node| follows(node)).count() < required
-            }
-            None => !rows.iter().any(|row| row.pulse.follows_store),
-        }
+        let order = node::store_follower_order(&view.representatives);
+        let rank = order.iter().position(|node| node.node == self.own.node).unwrap_or_default();
+        let required = node::required_store_followers(&order);
+        order[..rank].iter().filter(|node| follows(node)).count() < required
     }
 
     /// Returns the demand reported by the other nodes.
     pub fn demand(&self, now: Duration) -> Vec<ClassDemand> {
-        let rows = self.counted_rows(now);
-        let direct = rows.iter().flat_map(|row| row.pulse.demand.clone());
-        let summaries = self.summaries(now);
-        let summed = summaries.iter().flat_map(|summary| summary.demand.clone());
-        match self.is_representative(now) {
-            true => direct.chain(summed).collect(),
-            false => summed.collect(),
-        }
+        let mut builder = SummaryBuilder::default();
+        self.sum_others(&mut builder, now);
+        builder.build("").demand
     }
 
     /// Returns the highest fencing token under which another node holds the duties; 0 if none does.
     pub fn duty_fencing(&self, now: Duration) -> u64 {
-        let rows = self.live_rows(now);
-        let holding = rows.iter().filter(|row| !row.pulse.leaving);
-        let direct = holding.map(|row| row.pulse.duty_fencing);
-        let summaries = self.summaries(now);
-        direct.chain(summaries.iter().map(|summary| summary.duty_fencing)).max().unwrap_or_default()
+        let rows = self.rows.borrow();
+        let holding = live(&rows, now).filter(|row| !row.pulse.leaving);
+        let direct = holding.map(|row| row.pulse.duty_fencing).max().unwrap_or_default();
+        let mut summarised = 0;
+        self.for_summaries(now, |summary| summarised = summary.duty_fencing.max(summarised));
+        direct.max(summarised)
     }
 
     /// Returns the name and address of the peer furthest ahead of the desired-state version
@@ -228,8 +288,8 @@
         replicas: u64,
         now: Duration,
     ) -> Option<(SharedName, SocketAddr)> {
-        let rows = self.live_rows(now);
-        let ahead = rows.iter().filter(|row| {
+        let rows = self.rows.borrow();
+        let ahead = live(&rows, now).filter(|row| {
             row.pulse.desired_version > desired || row.pulse.replica_revision > replicas
         });
         let furthest =
@@ -239,15 +299,11 @@
 
     /// Returns the work in progress at the other nodes, by replica hash.
     pub fn loads(&self, now: Duration) -> HashMap<u32, ReplicaLoad> {
-        let mut sums: HashMap<u32, ReplicaLoad> = HashMap::default();
-        if self.is_representative(now) {
-            let rows = self.counted_rows(now);
-            rows.iter().for_each(|row| add_work(&mut sums, &row.pulse.work));
-        }
-        let summaries = self.summaries(now);
-        summaries.iter().for_each(|summary| add_work(&mut sums, &summary.work));
+        let mut builder = SummaryBuilder::default();
+        self.sum_others(&mut builder, now);
+        let mut sums = builder.into_loads();
         if !self.is_representative(now) {
-            // The zone's total includes this node's last report.
+            // The total includes this node's last report.
             for work in self.own_work.borrow().iter() {
                 let sum = sums.entry(work.replica).or_default();
                 sum.requests = sum.requests.saturating_sub(work.requests);
@@ -257,30 +313,39 @@
         sums
     }
 
+    /// Adds the reports of the other nodes to `builder`. At a follower they include its own.
+    fn sum_others(&self, builder: &mut SummaryBuilder, now: Duration) {
+        if self.is_representative(now) {
+            let rows = self.rows.borrow();
+            self.counted(&rows, now).for_each(|row| builder.add_pulse(&row.pulse));
+        }
+        self.for_summaries(now, |summary| builder.add_summary(summary));
+    }
+
     /// Records the work that this node last reported as its own.
     pub fn record_own_work(&self, work: Vec<ReplicaWork>) {
         *self.own_work.borrow_mut() = work;
     }
 
     /// Records a pulse; returns `false` if it is not newer than the latest one of that node.
-    pub fn record_pulse(&self, pulse: FleetPulse, from: SocketAddr, now: Duration) -> bool {
+    pub fn record_pulse(&self, mut pulse: FleetPulse, from: SocketAddr, now: Duration) -> bool {
         let name = SharedName::from(&*pulse.node);
+        let is_representative = self.view(now).is_representative(&name);
         let mut rows = self.rows.borrow_mut();
-        let known = rows.get(&name);
-        let newer = known.is_none_or(|row| {
+        let known = rows.get_mut(&name);
+        let newer = known.as_ref().is_none_or(|row| {
             (row.pulse.incarnation, row.pulse.sequence) < (pulse.incarnation, pulse.sequence)
         });
         if !newer {
             return false;
         }
-        if known.is_none_or(|row| row.pulse.incarnation != pulse.incarnation) {
+        if known.as_ref().is_none_or(|row| row.pulse.incarnation != pulse.incarnation) {
             log::info!(
                 "event=peer_found peer={name} address={from} incarnation={}",
                 pulse.incarnation
             );
         }
-        self.record_gossip(&pulse, now);
-        let mut usage = known.map(|row| row.usage.clone()).unwrap_or_default();
+        let mut usage = known.map(|row| std::mem::take(&mut row.usage)).unwrap_or_default();
         usage.retain(|(_, received)| now.saturating_sub(*received) < USAGE_RETENTION);
         for sent in &pulse.usage {
             usage.retain(|(run, _)| run.usage.as_ref().is_some_and(|u| u.window != sent.window));
@@ -291,25 +356,37 @@
             };
             usage.push((run, now));
         }
-        rows.insert(name, PeerRow { pulse, usage, address: from, received: now });
+        let node = KnownNode::from_pulse(&pulse, from);
+        let is_regular = is_representative || *pulse.zone == *self.own.zone;
+        let gossip = GossipPart::take(&mut pulse);
+        let row = PeerRow { pulse, node, is_regular, usage, address: from, received: now };
+        let changed = rows.get(&name).is_none_or(|old| old.node != row.node || !old.is_live(now));
+        rows.insert(name, row);
+        drop(rows);
+        if changed {
+            self.view.invalidate();
+        }
+        self.record_gossip(gossip, now);
         true
     }
 
-    fn record_gossip(&self, pulse: &FleetPulse, now: Duration) {
+    fn record_gossip(&self, part: GossipPart, now: Duration) {
         let mut gossip = self.gossip.borrow_mut();
-        for node in pulse.nodes.iter().filter_map(KnownNode::from_entry) {
+        for node in part.nodes.iter().filter_map(KnownNode::from_entry) {
             if node.node != self.own.node {
-                gossip.insert(node.node.clone(), (node, now));
+                let known = gossip.insert(node.node.clone(), (node.clone(), now));
+                if known.is_none_or(|(known, _)| known != node) {
+                    self.view.invalidate();
+                }
             }
         }
-        let record = |rows: &RefCell<HashMap<SharedName, SummaryRow>>, summary: &ZoneSummary| {
-            let row = SummaryRow { summary: summary.clone(), received: now };
-            rows.borrow_mut().insert((&*summary.zone).into(), row);
-        };
-        if let Some(summary) = &pulse.spoken_for {
-            record(&self.follower_summaries, summary);
+        if let Some(summary) = part.spoken_for {
+            let row = SummaryRow { summary, received: now };
+            self.follower_summaries.borrow_mut().insert((&*row.summary.zone).into(), row);
+        }
+        if let Some(summary) = part.fleet {
+            *self.fleet_total.borrow_mut() = Some(SummaryRow { summary, received: now });
         }
-        pulse.zones.iter().for_each(|summary| record(&self.zone_totals, summary));
     }
 
     /// Removes peers that have been silent for too long, and updates the peak number of live nodes.
@@ -322,97 +399,90 @@
             retained
         });
         self.gossip.borrow_mut().retain(|_, (_, at)| now.saturating_sub(*at) < FORGET_TIMEOUT);
-        let summed: u32 = self.summaries(now).iter().map(|summary| summary.nodes).sum();
+        let mut summed = 0;
+        self.for_summaries(now, |summary| summed += summary.nodes as usize);
         let direct = match self.is_representative(now) {
-            true => self.counted_rows(now).len() + 1,
+            true => self.counted(&self.rows.borrow(), now).count() + 1,
             false => 0,
         };
-        self.peak.set(self.peak.get().max(direct + summed as usize));
+        self.peak.set(self.peak.get().max(direct + summed));
     }
 
-    /// Returns the live followers in this node's zone.
-    fn followers(&self, now: Duration) -> Vec<PeerRow> {
-        let representatives = self.representatives(now);
-        let is_follower = |row: &PeerRow| {
-            *row.pulse.zone == *self.own.zone
-                && !representatives.iter().any(|node| *node.node == *row.pulse.node)
-        };
-        self.live_rows(now).into_iter().filter(is_follower).collect()
-    }
-
-    /// Sums the state of the followers; usage is included on request.
-    fn followers_summary(&self, followers: &[PeerRow], with_usage: bool) -> ZoneSummary {
-        let mut summary = ZoneSummary { zone: self.own.zone.to_string(), ..Default::default() };
-        for row in followers {
-            add_pulse(&mut summary, &row.pulse);
-            if with_usage {
-                summary.usage.extend(row.usage.iter().map(|(run, _)| run.clone()));
-            }
-        }
-        summary
-    }
-
-    /// Returns the totals of all zones, as sent to followers; `own` is this node's pulse.
-    fn all_zones(&self, own: &FleetPulse, now: Duration) -> Vec<ZoneSummary> {
-        let mut zones: HashMap<SharedName, ZoneSummary> = HashMap::default();
-        for pulse in self.counted_rows(now).iter().map(|row| &row.pulse).chain([own]) {
-            add_pulse(zones.entry((&*pulse.zone).into()).or_default(), pulse);
-        }
-        for summary in self.summaries(now) {
-            let zone = zones.entry((&*summary.zone).into()).or_default();
-            add_summary(zone, &summary);
-        }
-        for (name, zone) in &mut zones {
-            zone.zone = name.to_string();
-        }
-        zones.into_values().collect()
+    /// Returns the sums of this node and all others, as sent to followers; `own` is this node's
+    /// pulse.
+    fn fleet_summary(&self, own: &FleetPulse, now: Duration) -> ZoneSummary {
+        let mut builder = SummaryBuilder::default();
+        builder.add_pulse(own);
+        self.sum_others(&mut builder, now);
+        builder.build("")
     }
 
     /// Returns the addresses of peers that have just started, which receive a pulse regardless of
     /// their role.
     pub fn new_peers(&self, now: Duration) -> Vec<SocketAddr> {
-        let rows = self.live_rows(now);
-        let started = rows.iter().filter(|row| row.pulse.sequence <= INITIAL_PULSES);
+        let rows = self.rows.borrow();
+        let started = live(&rows, now).filter(|row| row.pulse.sequence <= INITIAL_PULSES);
         started.map(|row| row.address).collect()
     }
 
-    /// Returns the addresses of peers that have fallen silent and are not yet forgotten.
+    /// Returns the addresses of regular peers that have fallen silent and are not yet forgotten.
     pub fn silent_peers(&self, now: Duration) -> Vec<SocketAddr> {
         let rows = self.rows.borrow();
-        let silent = rows.values().filter(|row| now.saturating_sub(row.received) >= LIVE_TIMEOUT);
+        let silent = rows.values().filter(|row| row.is_regular && !row.is_live(now));
         silent.map(|row| row.address).collect()
     }
 
-    fn live_rows(&self, now: Duration) -> Vec<PeerRow> {
-        let rows = self.rows.borrow();
-        rows.values()
-            .filter(|row| now.saturating_sub(row.received) < LIVE_TIMEOUT)
-            .cloned()
-            .collect()
-    }
-
     /// Returns the peers counted by their own pulses: representatives and the nodes of this zone.
     /// Other nodes may also send pulses here, for example because this node is a seed, but are
     /// counted in the summaries of their representatives.
-    fn counted_rows(&self, now: Duration) -> Vec<PeerRow> {
-        let representatives = self.representatives(now);
-        let mut rows = self.live_rows(now);
-        rows.retain(|row| {
-            *row.pulse.zone == *self.own.zone
-                || representatives.iter().any(|node| *node.node == *row.pulse.node)
-        });
-        rows
+    fn counted<'a>(
+        &'a self,
+        rows: &'a PeerRows,
+        now: Duration,
+    ) -> impl Iterator<Item = &'a PeerRow> {
+        let view = self.view(now);
+        live(rows, now).filter(move |row| {
+            *row.pulse.zone == *self.own.zone || view.is_representative(&row.pulse.node)
+        })
     }
 
-    /// Returns the summaries of nodes that are not counted by their own pulses.
-    fn summaries(&self, now: Duration) -> Vec<ZoneSummary> {
-        let rows = match self.is_representative(now) {
-            true => self.follower_summaries.borrow(),
-            false => self.zone_totals.borrow(),
-        };
-        let own_zone = self.is_representative(now).then_some(&*self.own.zone);
-        let live = rows.values().filter(|row| now.saturating_sub(row.received) < LIVE_TIMEOUT);
-        let others = live.filter(|row| Some(&*row.summary.zone) != own_zone);
-        others.map(|row| row.summary.clone()).collect()
+    /// Calls `visit` for each summary of nodes that are not counted by their own pulses.
+    fn for_summaries(&self, now: Duration, mut visit: impl FnMut(&ZoneSummary)) {
+        if !self.is_representative(now) {
+            let total = self.fleet_total.borrow();
+            total.iter().filter(|row| row.is_live(now)).for_each(|row| visit(&row.summary));
+            return;
+        }
+        let rows = self.follower_summaries.borrow();
+        let others = rows.values().filter(|row| *row.summary.zone != *self.own.zone);
+        others.filter(|row| row.is_live(now)).for_each(|row| visit(&row.summary));
+    }
+}
+
+/// Parts of a pulse that concern other nodes than its sender.
+#[derive(Debug)]
+struct GossipPart {
+    nodes: Vec<NodeEntry>,
+    spoken_for: Option<ZoneSummary>,
+    fleet: Option<ZoneSummary>,
+}
+
+impl GossipPart {
+    /// Moves these parts out of a pulse, so that the retained pulse stays small.
+    fn take(pulse: &mut FleetPulse) -> Self {
+        pulse.usage = Vec::new();
+        pulse.replica_delta = None;
+        Self {
+            nodes: std::mem::take(&mut pulse.nodes),
+            spoken_for: pulse.spoken_for.take().map(|mut summary| {
+                summary.usage = Vec::new();
+                summary
+            }),
+            fleet: pulse.fleet.take(),
+        }
     }
 }
+
+fn live(rows: &PeerRows, now: Duration) -> impl Iterator<Item = &PeerRow> + '_ {
+    rows.values().filter(move |row| row.is_live(now))
+}
--- a/berylstep/src/gateway/peers/node.rs
+++ b/berylstep/src/gateway/peers/node.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows about another node, and the election of zone representatives.
 
 use std::cmp::Reverse;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::rendezvous;
@@ -40,8 +40,13 @@
         NodeEntry {
             node: self.node.to_string(),
             zone: self.zone.to_string(),
-            peer_address: self.peer_address.to_string(),
-            caller_address: self.caller_address.to_string(),
+            peer_ip: ip_bytes(self.peer_address.ip()),
+            peer_port: self.peer_address.port().into(),
+            caller_ip: match self.caller_address.ip() == self.peer_address.ip() {
+                true => Vec::new(),
+                false => ip_bytes(self.caller_address.ip()),
+            },
+            caller_port: self.caller_address.port().into(),
             ready: self.ready,
             leaving: self.leaving,
             incarnation: self.incarnation,
@@ -51,11 +56,16 @@
 
     /// Decodes a gossip entry; `None` if an address is malformed.
     pub fn from_entry(entry: &NodeEntry) -> Option<Self> {
+        let peer_ip = parse_ip(&entry.peer_ip)?;
+        let caller_ip = match entry.caller_ip.is_empty() {
+            true => peer_ip,
+            false => parse_ip(&entry.caller_ip)?,
+        };
         Some(Self {
             node: (&*entry.node).into(),
             zone: (&*entry.zone).into(),
-            peer_address: entry.peer_address.parse().ok()?,
-            caller_address: entry.caller_address.parse().ok()?,
+            peer_address: SocketAddr::new(peer_ip, entry.peer_port.try_into().ok()?),
+            caller_address: SocketAddr::new(caller_ip, entry.caller_port.try_into().ok()?),
             ready: entry.ready,
             leaving: entry.leaving,
             incarnation: entry.incarnation,
@@ -79,6 +89,18 @@
     }
 }
 
+fn ip_bytes(ip: IpAddr) -> Vec<u8> {
+    match ip {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    }
+}
+
+fn parse_ip(bytes: &[u8]) -> Option<IpAddr> {
+    let v4 = <[u8; 4]>::try_from(bytes).map(IpAddr::from);
+    v4.or_else(|_| <[u8; 16]>::try_from(bytes).map(IpAddr::from)).ok()
+}
+
 /// Returns the representatives of every zone, skipping nodes that are leaving. Nodes with the
 /// largest CPU share come first; ties are broken by a rendezvous hash, so all nodes agree on the
 /// result.
--- a/berylstep/src/gateway/peers/outbound.rs
+++ b/berylstep/src/gateway/peers/outbound.rs
@@ -4,15 +4,25 @@
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
-use berylstep_wire::{FleetPulse, ZoneSummary};
+use berylstep_wire::{FleetPulse, ReplicaDelta, RunUsage, ZoneSummary};
 
-use super::{KnownNode, PeerRow, PeerTable};
+use super::sums::SummaryBuilder;
+use super::view::FleetView;
+use super::{live, KnownNode, PeerTable};
 
 /// Interval, in pulses, at which a standby representative sends the summary of its zone's
 /// followers, and at which any representative includes their usage. Shorter than the retention of a
 /// received summary.
 const STANDBY_PULSE_INTERVAL: u64 = 4;
 
+/// Interval, in pulses, at which a standby representative sends to its followers; two of these
+/// pulses may be lost before it no longer counts as live.
+const STANDBY_CONTACT_INTERVAL: u64 = 2;
+
+/// Maximum size of the usage in one datagram, in bytes. A summary with more is continued in further
+/// datagrams.
+const MAX_USAGE_BYTES: usize = 16 * 1024;
+
 /// A pulse and its recipients.
 #[derive(Clone, Debug)]
 pub struct PulseGroup {
@@ -27,45 +37,72 @@
     ///
     /// A follower sends to the representatives of its zone, and to those of all zones while it
     /// holds the duties. A representative sends to all other representatives and to its followers.
-    /// The first representative of a zone sends the summary of its followers with every pulse; the
-    /// others do so at intervals, in case the first is unreachable from some nodes. Usage is sent
-    /// only to nodes that may report it.
-    pub fn outbound(&self, pulse: &FleetPulse, now: Duration) -> Vec<PulseGroup> {
-        let representatives = self.representatives(now);
-        let others = representatives.iter().filter(|node| node.node != self.own.node);
-        let Some(rank) = self.rank_in_zone(now) else {
+    /// The first representative of a zone sends sums with every pulse; the others do so at
+    /// intervals, in case the first is unreachable from some nodes. Usage is sent only to nodes
+    /// that may report it; changes of the replica list, `delta`, only to followers.
+    pub fn outbound(
+        &self,
+        pulse: &FleetPulse,
+        delta: Option<ReplicaDelta>,
+        now: Duration,
+    ) -> Vec<PulseGroup> {
+        let view = self.view(now);
+        let others = view.representatives.iter().filter(|node| node.node != self.own.node);
+        let Some(rank) = view.rank else {
             let is_holder = pulse.duty_fencing > 0;
             let recipients = others.filter(|node| is_holder || node.zone == self.own.zone);
             return vec![PulseGroup { pulse: pulse.clone(), addresses: addresses(recipients) }];
         };
-        let followers = self.followers(now);
         let reporters = self.usage_reporters(now);
-        let outside = self.outside_reporters(&reporters, &representatives, now);
+        let outside = self.outside_reporters(&reporters, &view, now);
         let (reporters, others): (Vec<_>, Vec<_>) =
             others.partition(|node| reporters.contains(&node.node));
-        let spoken_for = self.summary_to_send(&followers, rank, pulse.sequence);
-        let without_usage =
-            spoken_for.clone().map(|summary| ZoneSummary { usage: Vec::new(), ..summary });
-        let zones = self.all_zones(pulse, now);
-        let followers = followers.iter().map(|row| row.address);
-        vec![
+        let is_turn =
+            pulse.sequence % STANDBY_PULSE_INTERVAL == rank as u64 % STANDBY_PULSE_INTERVAL;
+        let spoken_for = (rank == 0 || is_turn).then(|| self.followers_summary(&view, now));
+        let spoken_for = spoken_for.filter(|summary| summary.nodes > 0);
+        let usage = if is_turn { self.followers_usage(&view, now) } else { Vec::new() };
+        let mut usage = usage_chunks(usage).into_iter();
+        let with_usage = spoken_for
+            .clone()
+            .map(|summary| ZoneSummary { usage: usage.next().unwrap_or_default(), ..summary });
+        let sends_sums = rank == 0 || is_turn;
+        let fleet = (sends_sums || !outside.is_empty()).then(|| self.fleet_summary(pulse, now));
+        let to_outside = FleetPulse {
+            fleet: fleet.clone(),
+            replica_delta: delta.clone(),
+            spoken_for: with_usage.clone(),
+            ..pulse.clone()
+        };
+        let to_follower = FleetPulse {
+            fleet: fleet.filter(|_| sends_sums),
+            replica_delta: delta,
+            usage: Vec::new(),
+            ..pulse.clone()
+        };
+        let mut groups = vec![
             PulseGroup {
-                pulse: FleetPulse { spoken_for: spoken_for.clone(), ..pulse.clone() },
-                addresses: addresses(reporters.into_iter()),
+                pulse: FleetPulse { spoken_for: with_usage, ..pulse.clone() },
+                addresses: addresses(reporters.iter().copied()),
             },
             PulseGroup {
-                pulse: FleetPulse { spoken_for: without_usage, usage: Vec::new(), ..pulse.clone() },
+                pulse: FleetPulse { spoken_for, usage: Vec::new(), ..pulse.clone() },
                 addresses: addresses(others.into_iter()),
             },
-            PulseGroup {
-                pulse: FleetPulse { zones: zones.clone(), usage: Vec::new(), ..pulse.clone() },
-                addresses: followers.filter(|address| !outside.contains(address)).collect(),
-            },
-            PulseGroup {
-                pulse: FleetPulse { zones, spoken_for, ..pulse.clone() },
-                addresses: outside,
-            },
-        ]
+            PulseGroup { pulse: to_outside, addresses: outside.clone() },
+        ];
+        if rank == 0 || pulse.sequence.is_multiple_of(STANDBY_CONTACT_INTERVAL) {
+            let followers = self.follower_addresses(&view, now);
+            let addresses = followers.into_iter().filter(|to| !outside.contains(to)).collect();
+            groups.push(PulseGroup { pulse: to_follower, addresses });
+        }
+        let mut reporters = addresses(reporters.into_iter());
+        reporters.extend(outside);
+        groups.extend(usage.map(|usage| PulseGroup {
+            pulse: usage_continuation(pulse, &self.own.zone, usage),
+            addresses: reporters.clone(),
+        }));
+        groups
     }
 
     /// Returns the addresses of usage reporters that are not representatives, such as a node that
@@ -73,29 +110,80 @@
     fn outside_reporters(
         &self,
         reporters: &[SharedName],
-        representatives: &[KnownNode],
+        view: &FleetView,
         now: Duration,
     ) -> Vec<SocketAddr> {
-        let is_outside = |row: &PeerRow| {
+        let rows = self.rows.borrow();
+        let outside = live(&rows, now).filter(|row| {
             let name = &*row.pulse.node;
-            reporters.iter().any(|reporter| **reporter == *name)
-                && !representatives.iter().any(|node| *node.node == *name)
-        };
-        let outside = self.live_rows(now).into_iter().filter(is_outside);
+            !view.is_representative(name) && reporters.iter().any(|reporter| **reporter == *name)
+        });
         outside.map(|row| row.address).collect()
     }
 
-    /// Returns the summary of the followers for the pulse `sequence`; `None` if this representative
-    /// sends none.
-    fn summary_to_send(
-        &self,
-        followers: &[PeerRow],
-        rank: usize,
-        sequence: u64,
-    ) -> Option<ZoneSummary> {
-        let is_turn = sequence % STANDBY_PULSE_INTERVAL == rank as u64 % STANDBY_PULSE_INTERVAL;
-        let sends_summary = !followers.is_empty() && (rank == 0 || is_turn);
-        sends_summary.then(|| self.followers_summary(followers, is_turn))
+    fn follower_addresses(&self, view: &FleetView, now: Duration) -> Vec<SocketAddr> {
+        let rows = self.rows.borrow();
+        self.followers(&rows, view, now).map(|row| row.address).collect()
+    }
+
+    /// Returns the live followers in this node's zone.
+    fn followers<'a>(
+        &'a self,
+        rows: &'a super::PeerRows,
+        view: &'a FleetView,
+        now: Duration,
+    ) -> impl Iterator<Item = &'a super::PeerRow> {
+        live(rows, now).filter(|row| {
+            *row.pulse.zone == *self.own.zone && !view.is_representative(&row.pulse.node)
+        })
+    }
+
+    /// Sums the state of the followers.
+    fn followers_summary(&self, view: &FleetView, now: Duration) -> ZoneSummary {
+        let rows = self.rows.borrow();
+        let mut builder = SummaryBuilder::default();
+        self.followers(&rows, view, now).for_each(|row| builder.add_pulse(&row.pulse));
+        builder.build(&self.own.zone)
+    }
+
+    /// Returns the latest usage of the followers.
+    fn followers_usage(&self, view: &FleetView, now: Duration) -> Vec<RunUsage> {
+        let rows = self.rows.borrow();
+        let usage = self.followers(&rows, view, now).flat_map(|row| &row.usage);
+        usage.map(|(run, _)| run.clone()).collect()
+    }
+}
+
+/// Splits usage into parts that each fit into a datagram.
+fn usage_chunks(usage: Vec<RunUsage>) -> Vec<Vec<RunUsage>> {
+    let mut chunks: Vec<Vec<RunUsage>> = Vec::new();
+    let mut bytes = 0;
+    for run in usage {
+        let size = prost::Message::encoded_len(&run);
+        match chunks.last_mut() {
+            Some(chunk) if bytes + size <= MAX_USAGE_BYTES => {
+                bytes += size;
+                chunk.push(run);
+            }
+            _ => {
+                bytes = size;
+                chunks.push(vec![run]);
+            }
+        }
+    }
+    chunks
+}
+
+/// Returns a message that carries only more usage of the followers. Without a sequence number, it
+/// doesn't replace the state from `pulse`.
+fn usage_continuation(pulse: &FleetPulse, zone: &str, usage: Vec<RunUsage>) -> FleetPulse {
+    FleetPulse {
+        node: pulse.node.clone(),
+        incarnation: pulse.incarnation,
+        zone: pulse.zone.clone(),
+        unix_ms: pulse.unix_ms,
+        spoken_for: Some(ZoneSummary { zone: zone.to_owned(), usage, ..Default::default() }),
+        ..Default::default()
     }
 }
 
--- a/berylstep/src/gateway/peers/sums.rs
+++ b/berylstep/src/gateway/peers/sums.rs
@@ -2,49 +2,76 @@
 
 use berylstep_core::collections::HashMap;
 use berylstep_core::fleet::replica::ReplicaLoad;
-use berylstep_wire::{FleetPulse, ReplicaWork, ZoneSummary};
-
-/// Adds reported work in progress to the per-replica sums, keyed by replica hash.
-pub fn add_work(sums: &mut HashMap<u32, ReplicaLoad>, reported: &[ReplicaWork]) {
-    for work in reported {
-        let sum = sums.entry(work.replica).or_default();
-        sum.requests += work.requests;
-        sum.work += work.work;
-    }
-}
+use berylstep_wire::{ClassDemand, FleetPulse, ZoneSummary};
 
-/// Adds the state reported in one node's pulse to a zone summary.
-pub fn add_pulse(summary: &mut ZoneSummary, pulse: &FleetPulse) {
-    let reported = ZoneSummary {
-        work: pulse.work.clone(),
-        demand: pulse.demand.clone(),
-        duty_fencing: if pulse.leaving { 0 } else { pulse.duty_fencing },
-        nodes: 1,
-        ..Default::default()
-    };
-    add_summary(summary, &reported);
+/// Sums of the state that several nodes report.
+#[derive(Debug, Default)]
+pub struct SummaryBuilder {
+    loads: HashMap<u32, ReplicaLoad>,
+    demand: Vec<ClassDemand>,
+    duty_fencing: u64,
+    nodes: u32,
 }
 
-/// Adds one zone summary to another.
-pub fn add_summary(summary: &mut ZoneSummary, reported: &ZoneSummary) {
-    for work in &reported.work {
-        match summary.work.iter_mut().find(|sum| sum.replica == work.replica) {
-            Some(sum) => {
-                sum.requests += work.requests;
-                sum.work += work.work;
-            }
-            None => summary.work.push(*work),
+impl SummaryBuilder {
+    /// Adds the state reported in one node's pulse.
+    pub fn add_pulse(&mut self, pulse: &FleetPulse) {
+        for work in &pulse.work {
+            self.add_load(work.replica, work.requests, work.work);
+        }
+        self.add_demand(&pulse.demand);
+        if !pulse.leaving {
+            self.duty_fencing = self.duty_fencing.max(pulse.duty_fencing);
         }
+        self.nodes += 1;
     }
-    for demand in &reported.demand {
-        match summary.demand.iter_mut().find(|sum| sum.service == demand.service) {
-            Some(sum) => {
-                sum.work_per_second += demand.work_per_second;
-                sum.short_work_per_second += demand.short_work_per_second;
+
+    /// Adds the sums over other nodes.
+    pub fn add_summary(&mut self, summary: &ZoneSummary) {
+        let loads = summary.replicas.iter().zip(&summary.requests).zip(&summary.work);
+        for ((replica, requests), work) in loads {
+            self.add_load(*replica, *requests, *work);
+        }
+        self.add_demand(&summary.demand);
+        self.duty_fencing = self.duty_fencing.max(summary.duty_fencing);
+        self.nodes += summary.nodes;
+    }
+
+    /// Returns the sums as a summary of `zone`.
+    pub fn build(self, zone: &str) -> ZoneSummary {
+        let loads: Vec<_> = self.loads.into_iter().collect();
+        ZoneSummary {
+            zone: zone.to_owned(),
+            replicas: loads.iter().map(|(replica, _)| *replica).collect(),
+            requests: loads.iter().map(|(_, load)| load.requests).collect(),
+            work: loads.iter().map(|(_, load)| load.work).collect(),
+            demand: self.demand,
+            usage: Vec::new(),
+            duty_fencing: self.duty_fencing,
+            nodes: self.nodes,
+        }
+    }
+
+    /// Returns the work in progress by replica hash.
+    pub fn into_loads(self) -> HashMap<u32, ReplicaLoad> {
+        self.loads
+    }
+
+    fn add_load(&mut self, replica: u32, requests: u32, work: u64) {
+        let sum = self.loads.entry(replica).or_default();
+        sum.requests += requests;
+        sum.work += work;
+    }
+
+    fn add_demand(&mut self, reported: &[ClassDemand]) {
+        for demand in reported {
+            match self.demand.iter_mut().find(|sum| sum.service == demand.service) {
+                Some(sum) => {
+                    sum.work_per_second += demand.work_per_second;
+                    sum.short_work_per_second += demand.short_work_per_second;
+                }
+                None => self.demand.push(demand.clone()),
             }
-            None => summary.demand.push(demand.clone()),
         }
     }
-    summary.duty_fencing = summary.duty_fencing.max(reported.duty_fencing);
-    summary.nodes += reported.nodes;
 }
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -1,15 +1,16 @@
 //! Sends and receives pulses, the periodic heartbeats between gateways over UDP.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use berylstep_core::collections::SharedName;
+use berylstep_core::collections::HashSet;
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_core::fleet::window::{NodeRun, WindowCounts};
 use berylstep_core::rendezvous;
-use berylstep_wire::{FleetPulse, OrganisationUsage, ReplicaWork, RunUsage, WindowUsage};
+use berylstep_wire::{FleetPulse, ReplicaDelta, ReplicaWork, RunUsage, WindowUsage};
 use prost::Message;
 use smol::net::UdpSocket;
 
@@ -20,7 +21,7 @@
 use crate::gateway::peers::PeerTable;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stop::GracefulStop;
-use crate::gateway::usage::UsageLedger;
+use crate::gateway::usage::{organisation_hash, UsageLedger};
 
 /// Interval between pulses; a small part of the time within which a dead node must leave the
 /// directory.
@@ -36,12 +37,26 @@
 /// sealed, and a little longer for a node that has just taken over the duties.
 const ENDED_WINDOW_SEND_TIME: Duration = Duration::from_secs(6);
 
-/// Interval, in pulses, at which other nodes are named.
+/// Interval, in pulses, at which other nodes are named. A standby representative names them half as
+/// often.
 const GOSSIP_PULSE_INTERVAL: u64 = 4;
 
 /// Interval, in pulses, at which seeds and silent peers are contacted, each time with two pulses.
 const CONTACT_PULSE_INTERVAL: u64 = 8;
 
+/// Interval, in pulses, at which a connected node contacts the seeds, which heals a fleet that has
+/// split into parts.
+const CONNECTED_CONTACT_INTERVAL: u64 = 48;
+
+/// Number of initial pulses that are all sent to the seeds.
+const INITIAL_CONTACTS: u64 = 3;
+
+/// Time for which changes of the replica list are repeated to followers, in case of a lost pulse.
+const DELTA_REPEAT_TIME: Duration = Duration::from_millis(600);
+
+/// Maximum size of the replica changes in a pulse, in bytes. Followers query larger changes.
+const MAX_DELTA_BYTES: usize = 12 * 1024;
+
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 48 * 1024;
 
@@ -65,6 +80,10 @@
     pub demand: Rc<DemandLedger>,
     /// Notified when a peer has newer state than this node.
     pub peer_ahead: Rc<ChangeNotifier>,
+    /// Number of pulses sent.
+    pub sequence: Cell<u64>,
+    /// Replica revisions of recent pulses, with their times, oldest first.
+    pub sent_revisions: RefCell<VecDeque<(Duration, u64)>>,
     /// UDP socket bound to the peer address.
     pub socket: UdpSocket,
 }
@@ -72,18 +91,21 @@
 impl PulseExchange {
     /// Sends pulses for as long as the node runs.
     pub async fn send_pulses(self: Rc<Self>) {
-        let mut sequence = 0;
         loop {
-            self.send_once(sequence).await;
-            sequence += 1;
-            // Peers that do not follow the store learn of its changes from the next pulse.
+            self.send_once().await;
             self.clock.sleep(MIN_PULSE_INTERVAL).await;
-            self.mirror.changed.wait(&self.clock, PULSE_INTERVAL - MIN_PULSE_INTERVAL).await;
+            let rest = PULSE_INTERVAL - MIN_PULSE_INTERVAL;
+            match self.peers.is_representative(self.clock.now()) {
+                // Peers that do not follow the store learn of its changes from the next pulse.
+                true => self.mirror.changed.wait(&self.clock, rest).await,
+                false => self.clock.sleep(rest).await,
+            }
         }
     }
 
-    /// Sends one pulse; `sequence` selects the optional fields that it carries.
-    pub async fn send_once(&self, sequence: u64) {
+    /// Sends one pulse.
+    pub async fn send_once(&self) {
+        let sequence = self.sequence.replace(self.sequence.get() + 1);
         let now = self.clock.now();
         self.usage.observe_own_clock();
         self.peers.expire(now);
@@ -91,31 +113,66 @@
         self.update_peer_loads(now);
         let pulse = self.pulse(sequence, now);
         self.peers.record_own_work(pulse.work.clone());
-        let mut sent = Vec::new();
-        for group in self.peers.outbound(&pulse, now) {
-            self.send_to(&group.pulse, group.addresses.into_iter(), &mut sent).await;
+        let mut reached = HashSet::default();
+        let delta = self.replica_delta(now);
+        for group in self.peers.outbound(&pulse, delta, now) {
+            reached.extend(group.addresses.iter().copied());
+            self.send_to(&group.pulse, group.addresses.into_iter()).await;
         }
-        let mut contacts = self.peers.new_peers(now);
+        let mut contacts: HashSet<_> = self.peers.new_peers(now).into_iter().collect();
         if sequence % CONTACT_PULSE_INTERVAL < 2 {
-            contacts.extend(self.settings.seed_peers());
             contacts.extend(self.peers.silent_peers(now));
         }
-        self.send_to(&pulse, contacts.into_iter(), &mut sent).await;
+        if self.is_seed_contact_due(sequence, now) {
+            contacts.extend(self.settings.seed_peers());
+        }
+        contacts.retain(|address| !reached.contains(address));
+        if !contacts.is_empty() {
+            let nodes = self.peers.representative_entries(now);
+            let pulse = FleetPulse { nodes, usage: Vec::new(), ..pulse };
+            self.send_to(&pulse, contacts.into_iter()).await;
+        }
+    }
+
+    /// Returns whether the seeds are contacted with the pulse `sequence`.
+    fn is_seed_contact_due(&self, sequence: u64, now: Duration) -> bool {
+        match self.peers.is_connected(now) {
+            false => sequence < INITIAL_CONTACTS || sequence % CONTACT_PULSE_INTERVAL < 2,
+            true => {
+                // Nodes that started together contact the seeds at different times.
+                let offset = rendezvous::score(&self.settings.node, "");
+                (sequence + offset % CONNECTED_CONTACT_INTERVAL) % CONNECTED_CONTACT_INTERVAL < 2
+            }
+        }
+    }
+
+    /// Returns the changes of the replica list within [`DELTA_REPEAT_TIME`], for followers.
+    fn replica_delta(&self, now: Duration) -> Option<ReplicaDelta> {
+        let mut sent = self.sent_revisions.borrow_mut();
+        sent.push_back((now, self.mirror.replica_revision()));
+        while sent.get(1).is_some_and(|(at, _)| now.saturating_sub(*at) >= DELTA_REPEAT_TIME) {
+            sent.pop_front();
+        }
+        let since = sent.front().map(|(_, revision)| *revision)?;
+        if since == 0 || since == self.mirror.replica_revision() {
+            return None;
+        }
+        let changes = self.mirror.replica_changes(since);
+        let bytes: usize = changes.entries.iter().map(|(_, copy)| copy.value.len()).sum();
+        if changes.complete || bytes > MAX_DELTA_BYTES || self.mirror.has_store_failed_recently() {
+            return None;
+        }
+        let (replicas, removed) = changes.into_messages();
+        Some(ReplicaDelta { since, replicas, removed })
     }
 
-    /// Sends a pulse to each address not yet in `sent`.
-    async fn send_to(
-        &self,
-        pulse: &FleetPulse,
-        addresses: impl Iterator<Item = SocketAddr>,
-        sent: &mut Vec<SocketAddr>,
-    ) {
+    async fn send_to(&self, pulse: &FleetPulse, addresses: impl Iterator<Item = SocketAddr>) {
+        let mut addresses = addresses.peekable();
+        if addresses.peek().is_none() {
+            return;
+        }
         let bytes = pulse.encode_to_vec();
         for address in addresses {
-            if sent.contains(&address) {
-                continue;
-            }
-            sent.push(address);
             if let Err(err) = self.socket.send_to(&bytes, address).await {
                 log::debug!("event=pulse_not_sent peer={address} error=\"{err}\"");
             }
@@ -147,11 +204,23 @@
         if *pulse.node == *self.settings.node {
             return;
         }
+        if let Some(desired) = self.mirror.desired() {
+            self.usage.learn_organisations(&desired);
+        }
         let run = NodeRun { node: (&*pulse.node).into(), incarnation: pulse.incarnation };
         self.usage.observe_clock(&run.node, pulse.unix_ms);
         pulse.usage.iter().for_each(|window| self.merge_usage(&run, window));
         let forwarded = pulse.spoken_for.iter().flat_map(|summary| &summary.usage);
         forwarded.for_each(|usage| self.merge_run(usage));
+        if pulse.sequence == 0 {
+            return;
+        }
+        for notice in &pulse.leaving_replicas {
+            self.mirror.apply_leaving_notice(notice);
+        }
+        if let Some(delta) = &pulse.replica_delta {
+            self.apply_delta(delta, pulse.replica_revision);
+        }
         if pulse.desired_version > self.mirror.desired_version()
             || pulse.replica_revision > self.mirror.replica_revision()
         {
@@ -160,6 +229,22 @@
         self.peers.record_pulse(pulse, from, self.clock.now());
     }
 
+    /// Applies changes of the replica list if no earlier ones are missing here.
+    fn apply_delta(&self, delta: &ReplicaDelta, revision: u64) {
+        let known = self.mirror.replica_revision();
+        if known < delta.since || known >= revision || !self.mirror.is_complete() {
+            return;
+        }
+        for replica in &delta.replicas {
+            let value = Some(replica.value.clone());
+            self.mirror.apply_replica_change(&replica.id, replica.revision, value);
+        }
+        for removal in &delta.removed {
+            self.mirror.apply_replica_change(&removal.id, removal.revision, None);
+        }
+        self.mirror.advance_replica_revision(revision);
+    }
+
     fn merge_run(&self, forwarded: &RunUsage) {
         let run = NodeRun { node: (&*forwarded.node).into(), incarnation: forwarded.incarnation };
         if let (Some(usage), true) = (&forwarded.usage, *run.node != *self.settings.node) {
@@ -168,9 +253,10 @@
     }
 
     fn merge_usage(&self, run: &NodeRun, window: &WindowUsage) {
-        let counts = window.organisations.iter();
-        let counts: WindowCounts =
-            counts.map(|usage| (SharedName::from(&*usage.organisation), usage.requests)).collect();
+        let counts = window.organisations.iter().zip(&window.requests);
+        let counts = counts
+            .filter_map(|(hash, requests)| Some((self.usage.organisation_name(*hash)?, *requests)));
+        let counts: WindowCounts = counts.collect();
         self.usage.merge(run, window.window, &counts);
         if window.ended {
             self.usage.record_finished(run, window.window);
@@ -181,20 +267,18 @@
     fn update_peer_loads(&self, now: Duration) {
         let sums = self.peers.loads(now);
         let mut replicas = self.mirror.replicas.borrow_mut();
-        let ids: Vec<SharedName> = replicas.rows().map(|row| row.entry.id.clone()).collect();
-        let loads = ids.into_iter().filter_map(|id| {
-            let load = sums.get(&replica_hash(&id)).copied()?;
-            Some((id, load))
-        });
-        let loads = loads.collect();
-        replicas.set_peer_loads(&loads);
+        replicas.set_peer_loads(&sums);
     }
 
     fn pulse(&self, sequence: u64, now: Duration) -> FleetPulse {
         let stopping = self.stop.is_stopping();
         let run = self.usage.run();
-        let nodes = match sequence % GOSSIP_PULSE_INTERVAL == 0 {
-            true => self.peers.direct_nodes(now).iter().map(|node| node.entry()).collect(),
+        let gossip_interval = match self.peers.rank_in_zone(now) {
+            Some(rank) if rank > 0 => 2 * GOSSIP_PULSE_INTERVAL,
+            _ => GOSSIP_PULSE_INTERVAL,
+        };
+        let nodes = match sequence.is_multiple_of(gossip_interval) {
+            true => self.peers.gossip_entries(now),
             false => Vec::new(),
         };
         FleetPulse {
@@ -216,7 +300,9 @@
             core_permille: self.settings.core_permille(),
             demand: self.demand.message(),
             spoken_for: None,
-            zones: Vec::new(),
+            fleet: None,
+            replica_delta: None,
+            leaving_replicas: self.mirror.leaving_notices(),
             follows_store: self.mirror.is_following_store(),
         }
     }
@@ -240,7 +326,7 @@
         let replicas = self.mirror.replicas.borrow();
         let busy = replicas.rows().filter(|row| row.own.requests > 0);
         let message = |row: &ReplicaRow| ReplicaWork {
-            replica: replica_hash(&row.entry.id),
+            replica: row.hash,
             requests: row.own.requests,
             work: row.own.work,
         };
@@ -249,14 +335,7 @@
 }
 
 fn window_message(window: u64, ended: bool, counts: WindowCounts) -> WindowUsage {
-    let usage = |(organisation, requests): (SharedName, u64)| OrganisationUsage {
-        organisation: organisation.to_string(),
-        requests,
-    };
-    WindowUsage { window, organisations: counts.into_iter().map(usage).collect(), ended }
-}
-
-/// Returns the 32-bit hash that identifies a replica in pulses.
-fn replica_hash(id: &str) -> u32 {
-    rendezvous::score(id, "") as u32
+    let (organisations, requests) =
+        counts.iter().map(|(name, requests)| (organisation_hash(name), *requests)).unzip();
+    WindowUsage { window, organisations, requests, ended }
 }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -211,7 +211,7 @@
         let mut next = self.select_replica(request, &mut history);
         loop {
             let Some(target) = next else {
-                let reply = self.failure_reply(&history, "no replica takes the request");
+                let reply = self.failure_reply(request, &history, "no replica takes the request");
                 trace.record_outcome(reply_outcome(&reply));
                 return self.send_reply(writer, &reply).await;
             };
@@ -274,8 +274,8 @@
 
     fn has_untried_replica(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
         let replicas = self.mirror.replicas.borrow();
-        let mut ready = replicas.ready(&request.service);
-        ready.any(|row| !history.tried.contains(&row.entry.id))
+        let mut available = replicas.available(&request.service, self.clock.now());
+        available.any(|row| !history.tried.contains(&row.entry.id))
     }
 
     /// Selects the next replica. A retry is charged to the retry budget.
@@ -342,13 +342,30 @@
         retryable.then(|| request.route.target.mul_f64(TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT))
     }
 
-    fn failure_reply(&self, history: &AttemptHistory, reason: &'static str) -> LocalReply {
+    fn failure_reply(
+        &self,
+        request: &RoutedRequest<'_>,
+        history: &AttemptHistory,
+        reason: &'static str,
+    ) -> LocalReply {
         match history.ran {
-            0 => LocalReply::refused(reason, self.retry_after()),
+            0 => LocalReply::refused(reason, self.service_retry_after(&request.service)),
             _ => LocalReply::lost("replicas failed"),
         }
     }
 
+    /// Returns the time after which a refused request to `service` may be sent again. If all its
+    /// replicas have asked for quiet, it is the time until the first accepts requests again.
+    fn service_retry_after(&self, service: &str) -> Duration {
+        let now = self.clock.now();
+        let replicas = self.mirror.replicas.borrow();
+        let quiet = match replicas.available(service, now).next() {
+            Some(_) => None,
+            None => replicas.ready(service).filter_map(|row| row.quiet_until(now)).min(),
+        };
+        quiet.map_or(Duration::ZERO, |until| until - now) + self.retry_after()
+    }
+
     fn retry_after(&self) -> Duration {
         RETRY_AFTER.mul_f64(0.5 + fastrand::f64())
     }
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -87,6 +87,9 @@
     /// Window of the retry budget, in seconds.
     #[serde(default = "default_retry_window")]
     pub retry_window_s: f64,
+    /// Whether the platform rejects duty calls with an older fencing token than it has seen.
+    #[serde(default = "default_fencing")]
+    pub receiver_checks_fencing: bool,
     /// Length of a usage window, in seconds.
     #[serde(default = "default_usage_window")]
     pub usage_window_s: u64,
@@ -186,6 +189,10 @@
 }
 
 /// Default usage window, in seconds.
+fn default_fencing() -> bool {
+    true
+}
+
 fn default_usage_window() -> u64 {
     5
 }
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -9,7 +9,7 @@
 
 use berylstep_wire::codec::FrameCodec;
 use berylstep_wire::frame::Body;
-use berylstep_wire::{FleetCopy, FleetQuery, Frame, ReplicaCopy, ReplicaRemoval};
+use berylstep_wire::{FleetCopy, FleetQuery, Frame};
 use futures_util::{SinkExt, StreamExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
@@ -166,20 +166,14 @@
             true => self.mirror.replica_changes(query.replica_revision),
             false => ReplicaChanges::default(),
         };
-        let replicas = changes.entries.into_iter().map(|(id, copy)| ReplicaCopy {
-            id: id.to_string(),
-            revision: copy.revision,
-            value: copy.value,
-        });
-        let removed = changes.removed.into_iter();
-        let removed =
-            removed.map(|(id, revision)| ReplicaRemoval { id: id.to_string(), revision }).collect();
+        let complete = changes.complete;
+        let (replicas, removed) = changes.into_messages();
         FleetCopy {
             desired,
             has_replicas,
             replica_revision: self.mirror.replica_revision(),
-            replicas: replicas.collect(),
-            complete: changes.complete,
+            replicas,
+            complete,
             removed,
             store_troubled: self.mirror.has_store_failed_recently(),
         }
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -175,10 +175,17 @@
         source: &ReplicaTarget,
         target: &ReplicaTarget,
     ) -> Result<MovedRun, CallError> {
+        if self.handler.is_quiet(&source.id) {
+            return Err(CallError::NotSent("replica wants no calls for now".to_owned()));
+        }
         let engine = PlatformClient::new(source.address, self.handler.clock.clone());
         let id = self.request.id();
-        engine.move_run(id, target.address, MovePhase::Copy).await?;
-        engine.move_run(id, target.address, MovePhase::Stop).await
+        let copied = engine.move_run(id, target.address, MovePhase::Copy).await;
+        self.handler.record_statement(&source.id, engine.statement());
+        copied?;
+        let stopped = engine.move_run(id, target.address, MovePhase::Stop).await;
+        self.handler.record_statement(&source.id, engine.statement());
+        stopped
     }
 
     /// Continues the stream on the replica that the run was moved to.
--- a/berylstep/src/gateway/usage.rs
+++ b/berylstep/src/gateway/usage.rs
@@ -3,10 +3,12 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use berylstep_core::collections::SharedName;
+use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::clock::MedianClock;
+use berylstep_core::fleet::desired::DesiredState;
 use berylstep_core::fleet::losses::{LossTable, LostResponse};
 use berylstep_core::fleet::window::{NodeRun, UsageWindows, WindowCounts};
+use berylstep_core::rendezvous;
 
 use crate::clock::RuntimeClock;
 
@@ -27,6 +29,20 @@
     windows: RefCell<UsageWindows>,
     losses: RefCell<LossTable>,
     median_clock: RefCell<MedianClock>,
+    names: RefCell<OrganisationNames>,
+}
+
+/// Names of all organisations that some desired state contained, by hash.
+#[derive(Debug, Default)]
+struct OrganisationNames {
+    /// Newest version of the desired state whose organisations are known.
+    version: u64,
+    by_hash: HashMap<u64, SharedName>,
+}
+
+/// Returns the hash that identifies an organisation in messages between nodes.
+pub fn organisation_hash(name: &str) -> u64 {
+    rendezvous::score(name, "")
 }
 
 impl UsageLedger {
@@ -37,11 +53,29 @@
         let windows =
             RefCell::new(UsageWindows::with_retention(retained.max(MIN_RETAINED_WINDOWS)));
         let (losses, median_clock) = (RefCell::default(), RefCell::default());
-        let ledger = Self { clock, run, window, windows, losses, median_clock };
+        let names = RefCell::default();
+        let ledger = Self { clock, run, window, windows, losses, median_clock, names };
         ledger.observe_own_clock();
         ledger
     }
 
+    /// Makes the organisations of a desired state known by their hashes.
+    pub fn learn_organisations(&self, desired: &DesiredState) {
+        let mut names = self.names.borrow_mut();
+        if names.version == desired.version {
+            return;
+        }
+        names.version = desired.version;
+        for organisation in desired.organisations() {
+            names.by_hash.insert(organisation_hash(&organisation.name), organisation.name.clone());
+        }
+    }
+
+    /// Returns the organisation with this hash; `None` if no desired state known here has it.
+    pub fn organisation_name(&self, hash: u64) -> Option<SharedName> {
+        self.names.borrow().by_hash.get(&hash).cloned()
+    }
+
     /// Returns the number of windows that are retained, including the current one.
     pub fn retained_windows(&self) -> u64 {
         self.windows.borrow().retention()
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -11,6 +11,7 @@
 pub mod headers;
 pub mod store;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -73,6 +74,16 @@
     address: SocketAddr,
     clock: RuntimeClock,
     connections: ConnectionPool,
+    statement: Cell<ReplicaStatement>,
+}
+
+/// What a replica has said about itself in the headers of its latest response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaStatement {
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Time for which it wants no requests from this node.
+    pub pause: Option<Duration>,
 }
 
 /// Status code and body of a response.
@@ -82,7 +93,13 @@
     /// Creates a client of the service at `address`.
     pub fn new(address: SocketAddr, clock: RuntimeClock) -> Self {
         let pool = ConnectionPool::new(clock.clone(), CONNECT_TIMEOUT);
-        Self { address, clock, connections: pool.with_loss_detection(UNACKNOWLEDGED_TIMEOUT) }
+        let connections = pool.with_loss_detection(UNACKNOWLEDGED_TIMEOUT);
+        Self { address, clock, connections, statement: Cell::default() }
+    }
+
+    /// Returns what the receiver said about itself in its latest response, if it is a replica.
+    pub fn statement(&self) -> ReplicaStatement {
+        self.statement.get()
     }
 
     /// Builds a request for `path` with a query string.
@@ -118,6 +135,7 @@
         let body = response.body_bytes().await;
         let body = body.map_err(|err| CallError::AnswerLost(err.to_string()))?;
         let status = response.status().into();
+        self.statement.set(headers::read_statement(&response));
         self.connections.release(self.address, reuse);
         Ok((status, body))
     }
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -1,12 +1,14 @@
 //! Headers exchanged with callers and replicas.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_http::{HeaderList, ResponseMessage};
 
+use super::ReplicaStatement;
+
 const ATTEMPT_ID: &str = "Berylstep-Attempt-Id";
 const DEADLINE: &str = "Berylstep-Deadline-Milliseconds";
 const KEY: &str = "X-Api-Key";
@@ -17,6 +19,8 @@
 const URGENCY: &str = "Berylstep-Urgency-Level";
 const SIGNATURE: &str = "Berylstep-Replica-Signature";
 const NOT_EXECUTED: &str = "Berylstep-Not-Executed";
+const SERVER_LEAVING: &str = "Server-Leaving";
+const RETRY_AFTER: &str = "Retry-After";
 const LAST_EVENT: &str = "Last-Event-Id";
 const FETCH_FROM: &str = "Kv-Fetch";
 const MOVED_FROM: &str = "Kv-From";
@@ -173,6 +177,41 @@
     pub signed: bool,
     /// Whether the replica guarantees that it has not run the request and never will.
     pub not_executed: bool,
+    /// What the replica says about itself.
+    pub statement: ReplicaStatement,
+}
+
+/// Status with which a replica may ask for a pause.
+const UNAVAILABLE: u16 = 503;
+
+/// Largest pause that is read; a longer one is shortened to it.
+const MAX_PAUSE_SECONDS: f64 = 86_400.0;
+
+/// Reads a pause, given in seconds with an optional fraction or as an HTTP date; `None` if it is
+/// malformed, negative or over.
+pub fn parse_pause(value: &str, now: SystemTime) -> Option<Duration> {
+    let value = value.trim();
+    let seconds = match value.parse::<f64>() {
+        Ok(seconds) => seconds,
+        Err(_) => {
+            let until = httpdate::parse_http_date(value).ok()?;
+            until.duration_since(now).ok()?.as_secs_f64()
+        }
+    };
+    let is_pause = seconds.is_finite() && seconds > 0.0;
+    is_pause.then(|| Duration::from_secs_f64(seconds.min(MAX_PAUSE_SECONDS)))
+}
+
+/// Reads what a replica says about itself in a response to a call of the gateway's own.
+pub fn read_statement(response: &http_types::Response) -> ReplicaStatement {
+    let value = |name| response.header(name).map(|values| values.as_str());
+    let is_unavailable = response.status() == http_types::StatusCode::ServiceUnavailable;
+    ReplicaStatement {
+        leaving: value(SERVER_LEAVING).is_some_and(|value| value.trim() == "1"),
+        pause: value(RETRY_AFTER)
+            .filter(|_| is_unavailable)
+            .and_then(|value| parse_pause(value, SystemTime::now())),
+    }
 }
 
 /// Status with which a replica refuses a request intended for another one.
@@ -192,6 +231,13 @@
             owner,
             signed: headers.contains(SIGNATURE),
             not_executed: headers.contains(NOT_EXECUTED) || misdirected,
+            statement: ReplicaStatement {
+                leaving: headers.get(SERVER_LEAVING).is_some_and(|value| value.trim() == "1"),
+                pause: headers
+                    .get(RETRY_AFTER)
+                    .filter(|_| response.status == UNAVAILABLE)
+                    .and_then(|value| parse_pause(value, SystemTime::now())),
+            },
         }
     }
 
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use berylstep::gateway::peers::{KnownNode, PeerTable};
+use berylstep_core::collections::HashMap;
 use berylstep_wire::{ClassDemand, FleetPulse, ReplicaWork, WindowUsage};
 
 const START: Duration = Duration::from_secs(10);
@@ -74,14 +75,14 @@
     let (table, own) = (&tables[from], &nodes[from]);
     table.expire(now);
     table.record_own_work(pulse.work.clone());
-    let entries = table.direct_nodes(now).iter().map(KnownNode::entry).collect();
-    let pulse = FleetPulse { nodes: entries, ..pulse.clone() };
+    let pulse = FleetPulse { nodes: table.gossip_entries(now), ..pulse.clone() };
+    let indices: HashMap<_, _> =
+        nodes.iter().enumerate().map(|(index, node)| (node.peer_address, index)).collect();
     let deliver = |to: SocketAddr, message: FleetPulse| {
-        let index = nodes.iter().position(|node| node.peer_address == to).unwrap();
-        tables[index].record_pulse(message, own.peer_address, now);
+        tables[indices[&to]].record_pulse(message, own.peer_address, now);
     };
     let mut sent = Vec::new();
-    for group in table.outbound(&pulse, now) {
+    for group in table.outbound(&pulse, None, now) {
         for address in group.addresses {
             sent.push(address);
             deliver(address, group.pulse.clone());
@@ -186,7 +187,7 @@
         for (table, node) in tables.iter().zip(&nodes).filter(|(t, _)| t.is_representative(now)) {
             let usage = vec![WindowUsage::default()];
             let pulse = FleetPulse { usage, sequence, ..pulse(node, sequence) };
-            for group in table.outbound(&pulse, now) {
+            for group in table.outbound(&pulse, None, now) {
                 let has_usage = !group.pulse.usage.is_empty();
                 for address in &group.addresses {
                     let to = nodes.iter().find(|node| node.peer_address == *address).unwrap();
@@ -222,14 +223,14 @@
     for (table, node) in tables.iter().zip(&nodes).filter(|(t, _)| t.is_representative(now)) {
         let usage = vec![WindowUsage::default()];
         let pulse = FleetPulse { usage, ..pulse(node, ROUNDS + 2) };
-        let groups = table.outbound(&pulse, now);
+        let groups = table.outbound(&pulse, None, now);
         let to_holder: Vec<_> = groups
             .iter()
             .filter(|group| group.addresses.contains(&nodes[holder].peer_address))
             .collect();
         assert_eq!(to_holder.len(), 1, "from {}", node.node);
         let sent = &to_holder[0].pulse;
-        assert!(!sent.usage.is_empty() && !sent.zones.is_empty(), "from {}", node.node);
+        assert!(!sent.usage.is_empty() && sent.fleet.is_some(), "from {}", node.node);
     }
 }
 
@@ -277,3 +278,66 @@
     let restarted = KnownNode { incarnation: 2, ..nodes[1].clone() };
     assert!(table.record_pulse(pulse(&restarted, 1), restarted.peer_address, START));
 }
+
+/// Builds five zones of 59 nodes, three large ones in each.
+fn large_fleet() -> Vec<KnownNode> {
+    let zones = ["a", "b", "c", "d", "e"].into_iter();
+    let nodes = zones.flat_map(|zone| {
+        (0..59).map(move |number| node(zone, number, if number < 3 { 500 } else { 120 }))
+    });
+    nodes.collect()
+}
+
+/// Returns a pulse of a node that works with 12 of 255 replicas and counted usage of 21 of 40
+/// organisations in three windows.
+fn busy_pulse(node: &KnownNode, index: usize, sequence: u64) -> FleetPulse {
+    let replicas = (0..12).map(|number| (index * 7 + number * 21) as u32 % 255);
+    let work = replicas.map(|replica| ReplicaWork { replica, requests: 2, work: 12_000 });
+    let organisations = (0..21).map(|number| (index + 2 * number) as u64 % 40 + (1 << 60));
+    let usage = (0..3).map(|window| WindowUsage {
+        window,
+        organisations: organisations.clone().collect(),
+        requests: vec![3; 21],
+        ended: window < 2,
+    });
+    FleetPulse { work: work.collect(), usage: usage.collect(), ..pulse(node, sequence) }
+}
+
+#[test]
+fn no_message_grows_with_the_fleet_beyond_a_datagram() {
+    const ROUNDS: u64 = 16;
+    const MAX_DATAGRAM_BYTES: usize = 48 * 1024;
+    // Control may use 19 KB/s at any node; a follower also decodes all that it receives.
+    const MAX_FOLLOWER_BYTES_PER_SECOND: usize = 19 * 1024;
+    let nodes = large_fleet();
+    let tables: Vec<_> = nodes.iter().map(|node| PeerTable::new(node.clone())).collect();
+    for round in 0..ROUNDS {
+        let now = START + Duration::from_millis(250) * round as u32;
+        for (index, node) in nodes.iter().enumerate() {
+            send_pulse(&nodes, &tables, index, &busy_pulse(node, index, round + 1), now);
+        }
+    }
+    let now = time_of_last(ROUNDS);
+    let mut received = vec![0; nodes.len()];
+    for sequence in ROUNDS..ROUNDS + 4 {
+        for (index, table) in tables.iter().enumerate() {
+            let entries = match table.rank_in_zone(now) {
+                Some(0) if sequence % 4 == 0 => table.gossip_entries(now),
+                _ => Vec::new(),
+            };
+            let pulse = FleetPulse { nodes: entries, ..busy_pulse(&nodes[index], index, sequence) };
+            for group in table.outbound(&pulse, None, now) {
+                let bytes = prost::Message::encoded_len(&group.pulse);
+                assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes} bytes from {}", nodes[index].node);
+                for address in group.addresses {
+                    let to = nodes.iter().position(|node| node.peer_address == address).unwrap();
+                    received[to] += bytes;
+                }
+            }
+        }
+    }
+    for (table, bytes) in tables.iter().zip(&received) {
+        let is_follower = !table.is_representative(now);
+        assert!(!is_follower || *bytes <= MAX_FOLLOWER_BYTES_PER_SECOND, "{bytes} bytes a second");
+    }
+}
--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -128,7 +128,7 @@
     query: &PlacementQuery<'_>,
     now: Duration,
 ) -> Option<Placement> {
-    let mut rows: Vec<&ReplicaRow> = table.ready(query.service).collect();
+    let mut rows: Vec<&ReplicaRow> = table.available(query.service, now).collect();
     rows.sort_unstable_by(|left, right| left.entry.id.cmp(&right.entry.id));
     let is_allowed = |row: &&ReplicaRow| !query.excluded.contains(&row.entry.id);
     let Some(size) = query.size else {
--- a/berylstep_core/src/fleet/desired.rs
+++ b/berylstep_core/src/fleet/desired.rs
@@ -218,6 +218,11 @@
         self.keys.get(key)
     }
 
+    /// Returns the organisations of all keys; one with several keys is repeated.
+    pub fn organisations(&self) -> impl Iterator<Item = &OrganisationEntry> {
+        self.keys.values()
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
         self.services.get(name)
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
+use crate::rendezvous;
 
 /// Time for which a replica is avoided after its first failure; about the restart time of its
 /// process. Doubles with each further failure, up to [`MAX_AVOIDANCE`].
@@ -74,6 +75,8 @@
 pub struct ReplicaRow {
     /// Latest registration entry.
     pub entry: ReplicaEntry,
+    /// Hash of the identifier, which names the replica in messages between nodes.
+    pub hash: u32,
     /// Revision of the entry in the store.
     pub revision: u64,
     /// Time at which this process of the replica was first seen.
@@ -85,6 +88,8 @@
     avoided_until: Duration,
     failures: u32,
     full_until: Duration,
+    /// Time until which the replica has asked this node to send nothing.
+    quiet_until: Duration,
     expires_at: Option<Duration>,
 }
 
@@ -99,11 +104,17 @@
         self.own.requests + self.others.requests
     }
 
-    /// Returns whether the replica accepts new requests.
+    /// Returns whether the replica accepts new requests from some node.
     pub fn is_ready(&self) -> bool {
         self.entry.state == ReplicaState::Ready
     }
 
+    /// Returns the time until which the replica has asked this node to send nothing, if it is later
+    /// than `now`.
+    pub fn quiet_until(&self, now: Duration) -> Option<Duration> {
+        Some(self.quiet_until).filter(|until| *until > now)
+    }
+
     /// Returns whether the replica is neither avoided, full nor lapsed at `now`.
     pub fn is_healthy(&self, now: Duration) -> bool {
         self.avoided_until <= now && self.full_until <= now && self.expires_at.is_none()
@@ -120,8 +131,35 @@
 pub struct ReplicaTable {
     rows: HashMap<SharedName, ReplicaRow>,
     departures: HashMap<SharedName, Departure>,
+    leaving: HashMap<SharedName, LeavingMark>,
+}
+
+/// A replica's own statement that it is shutting down. It outlasts entries that say otherwise, and
+/// ends with a new process of the replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingMark {
+    /// Identifier of the replica.
+    pub replica: SharedName,
+    /// Start time of the process that made the statement, as in [`ReplicaEntry::born`].
+    pub born: u64,
+    address: SocketAddr,
+    noticed_at: Duration,
+}
+
+impl LeavingMark {
+    /// Returns whether `entry` was published by the process that is shutting down.
+    fn applies_to(&self, entry: &ReplicaEntry) -> bool {
+        entry.born == self.born && entry.address == self.address
+    }
 }
 
+/// Time for which a leaving mark is retained without an entry of its replica; no entry of a process
+/// that has ended appears later.
+const LEAVING_MARK_RETENTION: Duration = Duration::from_secs(120);
+
+/// Upper bound of the time for which a replica may ask a node to send nothing.
+const MAX_QUIET: Duration = Duration::from_secs(3600);
+
 /// Announced or observed shutdown of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Departure {
@@ -137,16 +175,21 @@
 impl ReplicaTable {
     /// Inserts or updates an entry; returns `false` if it is outdated or unchanged. An entry whose
     /// revision is not newer than the known one doesn't replace it, but ends the replica's lapse.
-    pub fn put(&mut self, entry: ReplicaEntry, revision: u64, now: Duration) -> bool {
+    pub fn put(&mut self, mut entry: ReplicaEntry, revision: u64, now: Duration) -> bool {
+        if let Some(row) = self.rows.get_mut(&entry.id).filter(|row| row.revision >= revision) {
+            row.expires_at = None;
+            return false;
+        }
+        match self.leaving.get(&entry.id) {
+            Some(mark) if mark.applies_to(&entry) => entry.state = ReplicaState::Draining,
+            Some(_) => drop(self.leaving.remove(&entry.id)),
+            None => {}
+        }
         match entry.state {
             ReplicaState::Ready => drop(self.departures.remove(&entry.id)),
             ReplicaState::Draining => self.record_departure(&entry.id, entry.leaves_in, now),
         }
         match self.rows.get_mut(&entry.id) {
-            Some(row) if row.revision >= revision => {
-                row.expires_at = None;
-                false
-            }
             Some(row) => {
                 let restarted = row.entry.born != entry.born || row.entry.address != entry.address;
                 let changed = row.entry != entry || row.expires_at.is_some();
@@ -154,6 +197,7 @@
                 row.expires_at = None;
                 if restarted {
                     (row.failures, row.avoided_until) = (0, Duration::ZERO);
+                    (row.full_until, row.quiet_until) = (Duration::ZERO, Duration::ZERO);
                     row.since = now;
                 }
                 row.entry = entry;
@@ -161,6 +205,7 @@
             }
             None => {
                 let row = ReplicaRow {
+                    hash: rendezvous::score(&entry.id, "") as u32,
                     revision,
                     since: now,
                     own: ReplicaLoad::default(),
@@ -168,6 +213,7 @@
                     avoided_until: Duration::ZERO,
                     failures: 0,
                     full_until: Duration::ZERO,
+                    quiet_until: Duration::ZERO,
                     expires_at: None,
                     entry,
                 };
@@ -208,6 +254,10 @@
     pub fn expire(&mut self, now: Duration) -> Vec<SharedName> {
         self.departures
             .retain(|_, departure| now.saturating_sub(departure.noticed_at) < DEPARTURE_RETENTION);
+        let rows = &self.rows;
+        self.leaving.retain(|id, mark| {
+            rows.contains_key(id) || now.saturating_sub(mark.noticed_at) < LEAVING_MARK_RETENTION
+        });
         let lapsed = |row: &&ReplicaRow| row.expires_at.is_some_and(|at| at <= now);
         let expired: Vec<_> =
             self.rows.values().filter(lapsed).map(|row| row.entry.id.clone()).collect();
@@ -227,6 +277,16 @@
         self.rows.values()
     }
 
+    /// Returns the replicas of a service that accept a new request from this node at `now`, in no
+    /// particular order.
+    pub fn available<'a>(
+        &'a self,
+        service: &'a str,
+        now: Duration,
+    ) -> impl Iterator<Item = &'a ReplicaRow> {
+        self.ready(service).filter(move |row| row.quiet_until(now).is_none())
+    }
+
     /// Returns the replicas of a service that accept new requests, in no particular order.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaRow> {
         self.rows.values().filter(move |row| row.is_ready() && &*row.entry.service == service)
@@ -255,10 +315,11 @@
         }
     }
 
-    /// Replaces the loads from the other nodes; a replica that is not in `loads` has none.
-    pub fn set_peer_loads(&mut self, loads: &HashMap<SharedName, ReplicaLoad>) {
-        for (id, row) in &mut self.rows {
-            row.others = loads.get(id).copied().unwrap_or_default();
+    /// Replaces the loads from the other nodes, given by [`ReplicaRow::hash`]; a replica that is
+    /// not in `loads` has none.
+    pub fn set_peer_loads(&mut self, loads: &HashMap<u32, ReplicaLoad>) {
+        for row in self.rows.values_mut() {
+            row.others = loads.get(&row.hash).copied().unwrap_or_default();
         }
     }
 
@@ -286,13 +347,43 @@
         }
     }
 
-    /// Marks a replica as draining on evidence other than its entry; returns `false` if it is not
-    /// known or already draining.
-    pub fn mark_draining(&mut self, id: &str, now: Duration) -> bool {
-        let Some(row) = self.rows.get_mut(id).filter(|row| row.is_ready()) else { return false };
+    /// Records that a replica rejected a request and wants no other from this node for `pause`.
+    pub fn record_quiet(&mut self, id: &str, pause: Duration, now: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.quiet_until = row.quiet_until.max(now + pause.min(MAX_QUIET));
+        }
+    }
+
+    /// Records that the process of a replica has said that it is shutting down; returns the mark
+    /// unless it was known or the replica isn't.
+    pub fn record_leaving(&mut self, id: &str, now: Duration) -> Option<LeavingMark> {
+        let row = self.rows.get_mut(id)?;
+        if self.leaving.get(id).is_some_and(|mark| mark.applies_to(&row.entry)) {
+            return None;
+        }
         row.entry.state = ReplicaState::Draining;
+        let mark = LeavingMark {
+            replica: row.entry.id.clone(),
+            born: row.entry.born,
+            address: row.entry.address,
+            noticed_at: now,
+        };
+        self.leaving.insert(mark.replica.clone(), mark.clone());
+        self.record_departure(&mark.replica, None, now);
+        Some(mark)
+    }
+
+    /// Applies the notice of a peer that the process of a replica that started at `born` is
+    /// shutting down; `hash` is [`ReplicaRow::hash`]. Returns the mark if it was not known.
+    pub fn apply_leaving_notice(
+        &mut self,
+        hash: u32,
+        born: u64,
+        now: Duration,
+    ) -> Option<LeavingMark> {
+        let mut rows = self.rows.values();
+        let row = rows.find(|row| row.hash == hash && row.entry.born == born)?;
         let id = row.entry.id.clone();
-        self.record_departure(&id, None, now);
-        true
+        self.record_leaving(&id, now)
     }
 }
--- a/berylstep_core/tests/fleet_choice.rs
+++ b/berylstep_core/tests/fleet_choice.rs
@@ -156,10 +156,22 @@
         },
         AvoidCase {
             name: "leaving",
-            inject: |table, id| assert!(table.mark_draining(id, NOW)),
+            inject: |table, id| assert!(table.record_leaving(id, NOW).is_some()),
             later: Duration::from_secs(60),
             used_later: false,
         },
+        AvoidCase {
+            name: "quiet",
+            inject: |table, id| table.record_quiet(id, Duration::from_secs(5), NOW),
+            later: Duration::from_millis(4999),
+            used_later: false,
+        },
+        AvoidCase {
+            name: "quiet no longer",
+            inject: |table, id| table.record_quiet(id, Duration::from_secs(5), NOW),
+            later: Duration::from_secs(5),
+            used_later: true,
+        },
         AvoidCase {
             name: "removed",
             inject: |table, id| assert!(table.remove(id, NOW)),
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -475,20 +475,45 @@
     /// Sent between zone representatives: summary of the nodes that the sender represents.
     #[prost(message, optional, tag = "18")]
     pub spoken_for: ::core::option::Option<ZoneSummary>,
-    /// Sent by a representative to the nodes that it represents: summaries of all availability zones.
-    #[prost(message, repeated, tag = "19")]
-    pub zones: ::prost::alloc::vec::Vec<ZoneSummary>,
     /// Whether the sender follows the store and receives its changes.
     #[prost(bool, tag = "20")]
     pub follows_store: bool,
+    /// Sent by a representative to the nodes that it represents: sums over all nodes of the fleet.
+    #[prost(message, optional, tag = "21")]
+    pub fleet: ::core::option::Option<ZoneSummary>,
+    /// Sent by a representative to the nodes that it represents: recent changes of the replica list.
+    #[prost(message, optional, tag = "22")]
+    pub replica_delta: ::core::option::Option<ReplicaDelta>,
+    /// Replicas that have recently said in their responses that they are shutting down.
+    #[prost(message, repeated, tag = "23")]
+    pub leaving_replicas: ::prost::alloc::vec::Vec<LeavingReplica>,
+}
+/// A replica whose process is shutting down.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct LeavingReplica {
+    /// Hash of the replica's identifier.
+    #[prost(fixed32, tag = "1")]
+    pub replica: u32,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+}
+/// Changes of the replica list after one store version, up to the sender's `replica_revision`.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ReplicaDelta {
+    /// Version that a receiver must have reached for the changes to be complete.
+    #[prost(uint64, tag = "1")]
+    pub since: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub replicas: ::prost::alloc::vec::Vec<ReplicaCopy>,
+    #[prost(message, repeated, tag = "3")]
+    pub removed: ::prost::alloc::vec::Vec<ReplicaRemoval>,
 }
 /// Sums over several nodes of one availability zone, as collected by a representative of the zone.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ZoneSummary {
     #[prost(string, tag = "1")]
     pub zone: ::prost::alloc::string::String,
-    #[prost(message, repeated, tag = "2")]
-    pub work: ::prost::alloc::vec::Vec<ReplicaWork>,
     #[prost(message, repeated, tag = "3")]
     pub demand: ::prost::alloc::vec::Vec<ClassDemand>,
     #[prost(message, repeated, tag = "4")]
@@ -499,6 +524,14 @@
     /// Number of these nodes.
     #[prost(uint32, tag = "6")]
     pub nodes: u32,
+    /// Hashes of the replicas that have requests in progress, with the number of these requests and
+    /// their work in prompt tokens, in the same order.
+    #[prost(fixed32, repeated, tag = "7")]
+    pub replicas: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "8")]
+    pub requests: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint64, repeated, tag = "9")]
+    pub work: ::prost::alloc::vec::Vec<u64>,
 }
 /// Entry of the list of nodes.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -507,10 +540,6 @@
     pub node: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub zone: ::prost::alloc::string::String,
-    #[prost(string, tag = "3")]
-    pub peer_address: ::prost::alloc::string::String,
-    #[prost(string, tag = "4")]
-    pub caller_address: ::prost::alloc::string::String,
     #[prost(bool, tag = "5")]
     pub ready: bool,
     #[prost(uint64, tag = "6")]
@@ -519,6 +548,16 @@
     pub core_permille: u32,
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    /// IPv4 or IPv6 address in network byte order, and port, for traffic between nodes.
+    #[prost(bytes = "vec", tag = "9")]
+    pub peer_ip: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "10")]
+    pub peer_port: u32,
+    /// Address for callers; the IP is empty if it is `peer_ip`.
+    #[prost(bytes = "vec", tag = "11")]
+    pub caller_ip: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "12")]
+    pub caller_port: u32,
 }
 /// Usage counted by one incarnation of a node.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -547,19 +586,14 @@
 pub struct WindowUsage {
     #[prost(uint64, tag = "1")]
     pub window: u64,
-    #[prost(message, repeated, tag = "2")]
-    pub organisations: ::prost::alloc::vec::Vec<OrganisationUsage>,
     /// Whether the window had ended, which makes the counts final.
     #[prost(bool, tag = "3")]
     pub ended: bool,
-}
-/// Requests of one organisation.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct OrganisationUsage {
-    #[prost(string, tag = "1")]
-    pub organisation: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "2")]
-    pub requests: u64,
+    /// Hashes of the organisations' names, and their requests in the same order.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub organisations: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint64, repeated, tag = "5")]
+    pub requests: ::prost::alloc::vec::Vec<u64>,
 }
 /// Recent demand of one service at the sender.
 #[derive(Clone, PartialEq, ::prost::Message)]
