Follow a store that goes back to an older copy, and spread requests over idle replicas

Cause: the newest revision decided everywhere, so that after a restore nothing that was written reached a node until the numbers had passed the old ones, and a lease or seal of the lost seconds was taken for granted. Change: positions are ordered by era and revision in the mirror, in pulses, in state transfer and in feeds; a rise of the era reads the list anew, keeps what was draining or gone so until a new process or an entry written since, and ends the lease. Every node then waits as for a takeover, and fencing tokens carry the era. Nodes tell each other which window was sealed; one whose seal the store has lost is not reported a second time with other figures.

Cause: among replicas with equal work the first by name got every request, from every node. Change: a random order decides among equals.

--- a/berylstep/src/gateway/duties.rs
+++ b/berylstep/src/gateway/duties.rs
@@ -107,6 +107,8 @@
     outranked_checks: Cell<u32>,
     /// Newest window that needs no further report.
     last_handled: Cell<u64>,
+    /// Window whose seal this node has written, until its report is confirmed.
+    own_seal: RefCell<Option<(u64, WindowCounts)>>,
     orders: OrderPlanner,
 }
 
@@ -132,6 +134,7 @@
             held_token: Cell::new(0),
             outranked_checks: Cell::new(0),
             last_handled: Cell::new(known_from.saturating_sub(1)),
+            own_seal: RefCell::default(),
             orders,
             context,
         }
@@ -142,6 +145,7 @@
         loop {
             self.context.clock.sleep(DUTY_INTERVAL).await;
             self.orders.observe_fleet();
+            self.follow_era();
             if self.closing.get() {
                 continue;
             }
@@ -207,8 +211,23 @@
         }
     }
 
+    /// Ends a lease of an era of the store that is over, and learns which fencing tokens were used.
+    fn follow_era(&self) {
+        let DutyContext { store, mirror, peers, clock, .. } = &self.context;
+        mirror.enter_era(store.newest_era());
+        let mut lease = self.lease.borrow_mut();
+        lease.raise_fencing(peers.duty_fencing(clock.now()));
+        if lease.enter_era(mirror.era()) {
+            log::warn!("event=lease_lost reason=store_restored era={}", mirror.era());
+        }
+    }
+
     async fn read_lease(&self) -> Result<(), CallError> {
         let snapshot = self.context.store.rows(DUTY_TABLE, LEASE_KEY).await?;
+        self.follow_era();
+        if snapshot.era < self.context.mirror.era() {
+            return Err(CallError::NotSent("answer from before a restore".to_owned()));
+        }
         let row = snapshot.rows.into_iter().find(|row| row.key == LEASE_KEY);
         let now = self.read_clocks();
         self.lease.borrow_mut().observe(now, row.and_then(parse_lease));
@@ -286,6 +305,8 @@
         };
         self.lease.borrow_mut().begin_write(self.read_clocks(), token, write);
         let result = self.context.store.commit(&[row], &[]).await;
+        // A write that a restore has undone must not make this node the holder.
+        self.follow_era();
         let outcome = match &result {
             Ok(CommitResult::Committed) => WriteOutcome::Committed,
             Ok(CommitResult::Conflict(_)) => WriteOutcome::Conflict,
@@ -357,7 +378,9 @@
                 Err(err) => {
                     log::warn!("event=usage_not_reported window={window} error=\"{err}\"");
                     if err.is_fenced() {
-                        self.lease.borrow_mut().invalidate();
+                        let mut lease = self.lease.borrow_mut();
+                        lease.record_rejection();
+                        lease.invalidate();
                     }
                     return;
                 }
@@ -391,7 +414,23 @@
 
     /// Seals the counts of a window in the store and reports the sealed counts.
     async fn report_window(&self, window: u64) -> Result<(), CallError> {
-        let counts = self.seal_window(window, self.context.usage.total(window)).await?;
+        let own = self.own_seal.borrow().clone().filter(|(sealed, _)| *sealed == window);
+        let counts = match own {
+            Some((_, counts)) => counts,
+            None if window <= self.context.usage.sealed_window() => {
+                match self.read_seal(window).await? {
+                    Some(counts) => counts,
+                    None => {
+                        // The seal was lost with a restore, and its figures may have been sent.
+                        log::warn!("event=usage_seal_lost window={window} outcome=not_reported");
+                        return Ok(());
+                    }
+                }
+            }
+            None => self.seal_window(window, self.context.usage.total(window)).await?,
+        };
+        self.context.usage.record_sealed(window);
+        *self.own_seal.borrow_mut() = Some((window, counts.clone()));
         let Some(fencing) = self.permit() else {
             return Err(CallError::NotSent("this node no longer holds the lease".to_owned()));
         };
@@ -405,6 +444,16 @@
         Ok(())
     }
 
+    /// Reads the sealed counts of a window; `None` if there is no seal.
+    async fn read_seal(&self, window: u64) -> Result<Option<WindowCounts>, CallError> {
+        let key = window_key(window);
+        let snapshot = self.context.store.rows(USAGE_TABLE, &key).await?;
+        let row = snapshot.rows.into_iter().find(|row| row.key == key);
+        let Some(value) = row.and_then(|row| row.value) else { return Ok(None) };
+        let decoded = serde_json::from_slice(&value);
+        decoded.map(Some).map_err(|err| CallError::Malformed(err.to_string()))
+    }
+
     /// Writes the counts of a window unless it is already sealed; returns the sealed counts.
     async fn seal_window(
         &self,
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylstep_core::fleet::position::StorePosition;
+
 use crate::clock::RuntimeClock;
 use crate::gateway::mirror::{StateSource, StoreMirror, StoredCopy};
 use crate::gateway::peers::PeerTable;
@@ -63,6 +65,8 @@
 /// Position in a table and state of its following.
 #[derive(Clone, Copy, Debug)]
 struct FollowProgress {
+    /// Era of the store to which `newest` belongs.
+    era: u64,
     /// Newest store revision read.
     newest: u64,
     /// Whether the changes since `newest` can be requested.
@@ -75,7 +79,7 @@
 
 impl Default for FollowProgress {
     fn default() -> Self {
-        Self { newest: 0, has_snapshot: false, follows: false, backoff: MIN_BACKOFF }
+        Self { era: 0, newest: 0, has_snapshot: false, follows: false, backoff: MIN_BACKOFF }
     }
 }
 
@@ -123,6 +127,7 @@
 
     /// Reads the snapshot or the next changes with one call.
     async fn advance(&self, progress: &mut FollowProgress) -> Result<(), CallError> {
+        self.follow_era(progress);
         match progress.has_snapshot {
             true => self.read_changes(progress).await?,
             false => self.read_snapshot(progress).await?,
@@ -135,8 +140,36 @@
         Ok(())
     }
 
+    /// Starts over if the store has been restored from an older copy, in which other revisions hold.
+    fn follow_era(&self, progress: &mut FollowProgress) {
+        let era = self.mirror.era();
+        if era > progress.era {
+            log::info!(
+                "event=store_restored table={:?} era={era} previous={} revision={}",
+                self.table,
+                progress.era,
+                progress.newest
+            );
+            (progress.era, progress.newest, progress.has_snapshot) = (era, 0, false);
+        }
+    }
+
+    /// Returns whether a response of this era belongs to the history that is followed. A higher era
+    /// becomes the one to follow; a response of a lower one has been overtaken by a restore.
+    fn accepts_era(&self, progress: &mut FollowProgress, era: u64) -> bool {
+        self.mirror.enter_era(era);
+        let is_current = era == self.mirror.era() && era == progress.era;
+        self.follow_era(progress);
+        is_current
+    }
+
     async fn read_snapshot(&self, progress: &mut FollowProgress) -> Result<(), CallError> {
         let snapshot = self.store.rows(self.table.name(), "").await?;
+        if !self.accepts_era(progress, snapshot.era) && snapshot.era < progress.era {
+            log::info!("event=stale_era table={:?} era={}", self.table, snapshot.era);
+            self.clock.sleep(MIN_BACKOFF).await;
+            return Ok(());
+        }
         if snapshot.revision < progress.newest {
             // A stale read must not restore rows that have been removed since.
             log::info!(
@@ -163,8 +196,10 @@
                     progress.newest
                 );
                 self.mirror.record_store_failure();
+                self.mirror.enter_era(self.store.newest_era());
                 progress.has_snapshot = false;
             }
+            FeedResult::Changes(changes) if !self.accepts_era(progress, changes.era) => {}
             FeedResult::Changes(changes) => {
                 let is_changed = !changes.rows.is_empty();
                 progress.newest = progress.newest.max(changes.revision);
@@ -185,7 +220,8 @@
                     let copy = StoredCopy { revision: row.revision, value: row.value? };
                     Some((row.key, copy))
                 });
-                self.mirror.apply_replica_snapshot(snapshot.revision, entries.collect());
+                let position = StorePosition::new(snapshot.era, snapshot.revision);
+                self.mirror.apply_replica_snapshot(position, entries.collect());
             }
         }
     }
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::collections::{HashMap, HashSet, SharedName};
 use berylstep_core::fleet::desired::DesiredState;
+use berylstep_core::fleet::position::StorePosition;
 use berylstep_core::fleet::replica::{LeavingMark, ReplicaState, ReplicaTable};
 use berylstep_wire::{LeavingReplica, ReplicaCopy, ReplicaRemoval};
 
@@ -84,7 +85,11 @@
     removals: RefCell<VecDeque<(SharedName, u64)>>,
     /// Revision after which all removals are retained.
     removals_since: Cell<u64>,
-    replica_revision: Cell<u64>,
+    /// Newest known position of the list of replicas.
+    position: Cell<StorePosition>,
+    /// Replicas that were removed before a restore of the store. Entries of the older copy don't
+    /// bring them back; only an entry written since does.
+    gone: RefCell<HashSet<SharedName>>,
     has_replicas: Cell<bool>,
     store_failed_at: Cell<Option<Duration>>,
     store_responded_at: Cell<Option<Duration>>,
@@ -107,7 +112,8 @@
             copies: RefCell::default(),
             removals: RefCell::default(),
             removals_since: Cell::new(0),
-            replica_revision: Cell::new(0),
+            position: Cell::default(),
+            gone: RefCell::default(),
             has_replicas: Cell::new(false),
             store_failed_at: Cell::new(None),
             store_responded_at: Cell::new(None),
@@ -140,7 +146,40 @@
 
     /// Returns the newest known revision of the list of replicas.
     pub fn replica_revision(&self) -> u64 {
-        self.replica_revision.get()
+        self.position.get().revision
+    }
+
+    /// Returns the newest known position of the list of replicas in the history of the store.
+    pub fn position(&self) -> StorePosition {
+        self.position.get()
+    }
+
+    /// Returns the newest known era of the store.
+    pub fn era(&self) -> u64 {
+        self.position.get().era
+    }
+
+    /// Takes note that the store has been restored from an older copy, if `era` is a newer one.
+    ///
+    /// What is known stays in use until the list is read anew. A replica known as leaving or removed
+    /// stays so, although the older copy may show it as ready.
+    pub fn enter_era(&self, era: u64) {
+        let previous = self.position.get();
+        if era <= previous.era {
+            return;
+        }
+        self.position.set(StorePosition::new(era, 0));
+        let first_contact = previous == StorePosition::default();
+        if !first_contact {
+            log::warn!("event=store_restored era={era} previous={}", previous.era);
+            let removed = self.removals.borrow_mut().drain(..).collect::<Vec<_>>();
+            self.gone.borrow_mut().extend(removed.into_iter().map(|(id, _)| id));
+            self.replicas.borrow_mut().begin_era(self.clock.now());
+            self.copies.borrow_mut().values_mut().for_each(|copy| copy.revision = 0);
+            self.record_store_failure();
+        }
+        self.removals_since.set(0);
+        self.changed.notify();
     }
 
     /// Returns the entries and removals since `revision`, or the whole list if the removals are no
@@ -157,7 +196,8 @@
 
     /// Records that all changes up to `revision` are known.
     pub fn advance_replica_revision(&self, revision: u64) {
-        self.replica_revision.set(self.replica_revision.get().max(revision));
+        let known = self.position.get();
+        self.position.set(StorePosition { revision: known.revision.max(revision), ..known });
     }
 
     /// Returns whether both tables of the store are currently followed.
@@ -224,10 +264,11 @@
 
     /// Applies a change of one entry; the value `None` removes it.
     pub fn apply_replica_change(&self, id: &str, revision: u64, value: Option<Vec<u8>>) {
-        if revision > self.replica_revision.get() {
+        if revision > self.replica_revision() {
             self.changed.notify();
         }
-        self.replica_revision.set(self.replica_revision.get().max(revision));
+        self.gone.borrow_mut().remove(id);
+        self.advance_replica_revision(revision);
         let known = self.copies.borrow().get(id).map_or(0, |copy| copy.revision);
         if revision < known {
             return;
@@ -238,13 +279,21 @@
         }
     }
 
-    /// Replaces the list by all entries as of `revision`.
+    /// Replaces the list by all entries as of `position`.
     ///
     /// A list older than the known one is ignored, because it may name replicas removed since.
-    pub fn apply_replica_snapshot(&self, revision: u64, entries: Vec<(String, StoredCopy)>) {
-        if self.has_replicas.get() && revision < self.replica_revision.get() {
+    pub fn apply_replica_snapshot(
+        &self,
+        position: StorePosition,
+        mut entries: Vec<(String, StoredCopy)>,
+    ) {
+        self.enter_era(position.era);
+        if self.has_replicas.get() && position < self.position.get() {
             return;
         }
+        let revision = position.revision;
+        let gone = self.gone.borrow().clone();
+        entries.retain(|(id, _)| !gone.contains(&**id));
         let listed: Vec<&str> = entries.iter().map(|(id, _)| &**id).collect();
         let known: Vec<SharedName> = self.copies.borrow().keys().cloned().collect();
         for id in known.iter().filter(|id| !listed.contains(&&***id)) {
@@ -256,7 +305,7 @@
         for (id, copy) in entries {
             self.apply_replica_change(&id, copy.revision, Some(copy.value));
         }
-        self.replica_revision.set(self.replica_revision.get().max(revision));
+        self.advance_replica_revision(revision);
         self.removals_since.set(revision);
         self.has_replicas.set(true);
     }
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::position::StorePosition;
 use berylstep_core::fleet::replica::ReplicaLoad;
 use berylstep_core::rendezvous;
 use berylstep_wire::{ClassDemand, FleetPulse, NodeEntry, ReplicaWork, RunUsage, ZoneSummary};
@@ -281,19 +282,19 @@
     }
 
     /// Returns the name and address of the peer furthest ahead of the desired-state version
-    /// `desired` or the replica revision `replicas`.
+    /// `desired` or the position `replicas` of the list of replicas.
     pub fn most_advanced(
         &self,
         desired: u64,
-        replicas: u64,
+        replicas: StorePosition,
         now: Duration,
     ) -> Option<(SharedName, SocketAddr)> {
+        let position =
+            |row: &PeerRow| StorePosition::new(row.pulse.store_era, row.pulse.replica_revision);
         let rows = self.rows.borrow();
-        let ahead = live(&rows, now).filter(|row| {
-            row.pulse.desired_version > desired || row.pulse.replica_revision > replicas
-        });
-        let furthest =
-            ahead.max_by_key(|row| (row.pulse.desired_version, row.pulse.replica_revision))?;
+        let ahead = live(&rows, now)
+            .filter(|row| row.pulse.desired_version > desired || position(row) > replicas);
+        let furthest = ahead.max_by_key(|row| (row.pulse.desired_version, position(row)))?;
         Some(((&*furthest.pulse.node).into(), furthest.address))
     }
 
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::HashSet;
+use berylstep_core::fleet::position::StorePosition;
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_core::fleet::window::{NodeRun, WindowCounts};
 use berylstep_core::rendezvous;
@@ -149,7 +150,12 @@
     /// Returns the changes of the replica list within [`DELTA_REPEAT_TIME`], for followers.
     fn replica_delta(&self, now: Duration) -> Option<ReplicaDelta> {
         let mut sent = self.sent_revisions.borrow_mut();
-        sent.push_back((now, self.mirror.replica_revision()));
+        let position = self.mirror.position();
+        if sent.back().is_some_and(|(_, latest)| *latest > position.revision) {
+            // The store was restored from an older copy, whose revisions are lower.
+            sent.clear();
+        }
+        sent.push_back((now, position.revision));
         while sent.get(1).is_some_and(|(at, _)| now.saturating_sub(*at) >= DELTA_REPEAT_TIME) {
             sent.pop_front();
         }
@@ -218,11 +224,14 @@
         for notice in &pulse.leaving_replicas {
             self.mirror.apply_leaving_notice(notice);
         }
-        if let Some(delta) = &pulse.replica_delta {
+        let delta = pulse.replica_delta.as_ref();
+        if let Some(delta) = delta.filter(|_| pulse.store_era == self.mirror.era()) {
             self.apply_delta(delta, pulse.replica_revision);
         }
+        self.usage.record_sealed(pulse.sealed_window);
+        let position = StorePosition::new(pulse.store_era, pulse.replica_revision);
         if pulse.desired_version > self.mirror.desired_version()
-            || pulse.replica_revision > self.mirror.replica_revision()
+            || position > self.mirror.position()
         {
             self.peer_ahead.notify();
         }
@@ -302,6 +311,8 @@
             spoken_for: None,
             fleet: None,
             replica_delta: None,
+            store_era: self.mirror.era(),
+            sealed_window: self.usage.sealed_window(),
             leaving_replicas: self.mirror.leaving_notices(),
             follows_store: self.mirror.is_following_store(),
         }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -322,6 +322,7 @@
             short_share: self.demand.short_share(&request.service),
             zone: &self.settings.zone,
             excluded: tried,
+            draw: fastrand::u64(..),
         };
         let placement = choice::choose_replica(&replicas, &query, self.clock.now())?;
         let address = replicas.get(&placement.replica)?.entry.address;
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylstep_core::fleet::position::StorePosition;
 use berylstep_wire::codec::FrameCodec;
 use berylstep_wire::frame::Body;
 use berylstep_wire::{FleetCopy, FleetQuery, Frame};
@@ -63,8 +64,7 @@
                 false => self.clock.sleep(interval).await,
             }
             let now = self.clock.now();
-            let (desired, replicas) =
-                (self.mirror.desired_version(), self.mirror.replica_revision());
+            let (desired, replicas) = (self.mirror.desired_version(), self.mirror.position());
             let Some((peer, address)) = self.peers.most_advanced(desired, replicas, now) else {
                 polls_behind = 0;
                 continue;
@@ -80,6 +80,7 @@
         let query = FleetQuery {
             desired_version: self.mirror.desired_version(),
             replica_revision: self.mirror.replica_revision(),
+            store_era: self.mirror.era(),
         };
         match self.clock.timeout(QUERY_TIMEOUT, query_peer(address, query)).await {
             Some(Ok(Some(copy))) => self.apply_copy(copy, peer),
@@ -102,14 +103,19 @@
         if copy.store_troubled {
             self.mirror.record_store_failure();
         }
-        if !copy.has_replicas {
+        if !copy.has_replicas || copy.store_era < self.mirror.era() {
             return;
         }
         let entries = copy.replicas.into_iter().map(|replica| {
             (replica.id, StoredCopy { revision: replica.revision, value: replica.value })
         });
         if copy.complete {
-            return self.mirror.apply_replica_snapshot(copy.replica_revision, entries.collect());
+            let position = StorePosition::new(copy.store_era, copy.replica_revision);
+            return self.mirror.apply_replica_snapshot(position, entries.collect());
+        }
+        if copy.store_era != self.mirror.era() {
+            log::info!("event=handon_ignored peer={peer} era={}", copy.store_era);
+            return;
         }
         for (id, stored) in entries {
             self.mirror.apply_replica_change(&id, stored.revision, Some(stored.value));
@@ -161,9 +167,12 @@
     fn newer_state(&self, query: &FleetQuery) -> FleetCopy {
         let is_newer = self.mirror.desired_version() > query.desired_version;
         let desired = if is_newer { self.mirror.desired_bytes() } else { Vec::new() };
-        let has_replicas = self.mirror.replica_revision() > query.replica_revision;
+        let known = StorePosition::new(query.store_era, query.replica_revision);
+        // A node that has only heard of a new era has nothing of it to hand on yet.
+        let has_replicas = self.mirror.position() > known && self.mirror.replica_revision() > 0;
+        let since = if query.store_era == self.mirror.era() { query.replica_revision } else { 0 };
         let changes = match has_replicas {
-            true => self.mirror.replica_changes(query.replica_revision),
+            true => self.mirror.replica_changes(since),
             false => ReplicaChanges::default(),
         };
         let complete = changes.complete;
@@ -175,6 +184,7 @@
             replicas,
             complete,
             removed,
+            store_era: self.mirror.era(),
             store_troubled: self.mirror.has_store_failed_recently(),
         }
     }
--- a/berylstep/src/gateway/usage.rs
+++ b/berylstep/src/gateway/usage.rs
@@ -1,6 +1,6 @@
 //! Usage counted by this node and reported by its peers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
@@ -30,6 +30,7 @@
     losses: RefCell<LossTable>,
     median_clock: RefCell<MedianClock>,
     names: RefCell<OrganisationNames>,
+    sealed_window: Cell<u64>,
 }
 
 /// Names of all organisations that some desired state contained, by hash.
@@ -54,11 +55,25 @@
             RefCell::new(UsageWindows::with_retention(retained.max(MIN_RETAINED_WINDOWS)));
         let (losses, median_clock) = (RefCell::default(), RefCell::default());
         let names = RefCell::default();
-        let ledger = Self { clock, run, window, windows, losses, median_clock, names };
+        let sealed_window = Cell::new(0);
+        let ledger =
+            Self { clock, run, window, windows, losses, median_clock, names, sealed_window };
         ledger.observe_own_clock();
         ledger
     }
 
+    /// Returns the newest window that some node is known to have sealed; 0 if there is none.
+    pub fn sealed_window(&self) -> u64 {
+        self.sealed_window.get()
+    }
+
+    /// Records that some node has sealed the windows up to `window`.
+    pub fn record_sealed(&self, window: u64) {
+        if window <= self.current_window() {
+            self.sealed_window.set(self.sealed_window.get().max(window));
+        }
+    }
+
     /// Makes the organisations of a desired state known by their hashes.
     pub fn learn_organisations(&self, desired: &DesiredState) {
         let mut names = self.names.borrow_mut();
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -75,6 +75,7 @@
     clock: RuntimeClock,
     connections: ConnectionPool,
     statement: Cell<ReplicaStatement>,
+    newest_era: Cell<u64>,
 }
 
 /// What a replica has said about itself in the headers of its latest response.
@@ -89,12 +90,21 @@
 /// Status code and body of a response.
 type CallResponse = (u16, Vec<u8>);
 
+/// Response of the store with the era in which it was given.
+type StoreResponse = (u16, Vec<u8>, u64);
+
 impl PlatformClient {
     /// Creates a client of the service at `address`.
     pub fn new(address: SocketAddr, clock: RuntimeClock) -> Self {
         let pool = ConnectionPool::new(clock.clone(), CONNECT_TIMEOUT);
         let connections = pool.with_loss_detection(UNACKNOWLEDGED_TIMEOUT);
-        Self { address, clock, connections, statement: Cell::default() }
+        Self {
+            address,
+            clock,
+            connections,
+            statement: Cell::default(),
+            newest_era: Cell::default(),
+        }
     }
 
     /// Returns what the receiver said about itself in its latest response, if it is a replica.
@@ -102,6 +112,11 @@
         self.statement.get()
     }
 
+    /// Returns the newest era that a response of the store has told; 0 before the first.
+    pub fn newest_era(&self) -> u64 {
+        self.newest_era.get()
+    }
+
     /// Builds a request for `path` with a query string.
     fn request(
         &self,
@@ -120,24 +135,36 @@
     /// Sends a request and waits for its response for at most `timeout`. Status codes that promise
     /// that the call had no effect are returned as errors.
     async fn call(&self, request: Request, timeout: Duration) -> Result<CallResponse, CallError> {
+        let (status, body, _) = self.store_call(request, timeout).await?;
+        Ok((status, body))
+    }
+
+    /// Sends a request like [`Self::call`], and returns the era of the response too.
+    async fn store_call(
+        &self,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<StoreResponse, CallError> {
         let exchanged = self.clock.timeout(timeout, self.exchange(request)).await;
         match exchanged {
-            Some(Ok((TOO_MANY_REQUESTS, _))) => Err(CallError::Refused(TOO_MANY_REQUESTS)),
-            Some(Ok((UNAVAILABLE, _))) => Err(CallError::Refused(UNAVAILABLE)),
+            Some(Ok((TOO_MANY_REQUESTS, ..))) => Err(CallError::Refused(TOO_MANY_REQUESTS)),
+            Some(Ok((UNAVAILABLE, ..))) => Err(CallError::Refused(UNAVAILABLE)),
             Some(answer) => answer,
             None => Err(CallError::AnswerLost("timeout".to_owned())),
         }
     }
 
-    async fn exchange(&self, request: Request) -> Result<CallResponse, CallError> {
+    async fn exchange(&self, request: Request) -> Result<StoreResponse, CallError> {
         let exchanged = self.connections.exchange(self.address, request, ConnectionChoice::Any);
         let ClientResponse { mut response, reuse } = exchanged.await?;
         let body = response.body_bytes().await;
         let body = body.map_err(|err| CallError::AnswerLost(err.to_string()))?;
         let status = response.status().into();
         self.statement.set(headers::read_statement(&response));
+        let era = headers::read_store_era(&response);
+        self.newest_era.set(self.newest_era.get().max(era));
         self.connections.release(self.address, reuse);
-        Ok((status, body))
+        Ok((status, body, era))
     }
 }
 
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -20,6 +20,7 @@
 const SIGNATURE: &str = "Berylstep-Replica-Signature";
 const NOT_EXECUTED: &str = "Berylstep-Not-Executed";
 const SERVER_LEAVING: &str = "Server-Leaving";
+const STORE_ERA: &str = "Store-Era";
 const RETRY_AFTER: &str = "Retry-After";
 const LAST_EVENT: &str = "Last-Event-Id";
 const FETCH_FROM: &str = "Kv-Fetch";
@@ -202,6 +203,12 @@
     is_pause.then(|| Duration::from_secs_f64(seconds.min(MAX_PAUSE_SECONDS)))
 }
 
+/// Returns the era of the store in which a response was given; 0 if it names none.
+pub fn read_store_era(response: &http_types::Response) -> u64 {
+    let value = response.header(STORE_ERA).and_then(|values| values.as_str().trim().parse().ok());
+    value.unwrap_or_default()
+}
+
 /// Reads what a replica says about itself in a response to a call of the gateway's own.
 pub fn read_statement(response: &http_types::Response) -> ReplicaStatement {
     let value = |name| response.header(name).map(|values| values.as_str());
--- a/berylstep/src/platform/store.rs
+++ b/berylstep/src/platform/store.rs
@@ -37,6 +37,8 @@
     pub rows: Vec<StoreRow>,
     /// Revision of the store at the time of reading.
     pub revision: u64,
+    /// Era of the store, which rises with each restore from an older copy.
+    pub era: u64,
 }
 
 /// Result of reading a change feed.
@@ -132,18 +134,27 @@
 }
 
 impl PlatformClient {
-    /// Reads all rows of a table whose keys are not less than `from`.
+    /// Reads all rows of a table whose keys are not less than `from`. A read that a restore of the
+    /// store interrupts is started again.
     pub async fn rows(&self, table: &str, from: &str) -> Result<RowSnapshot, CallError> {
-        let mut snapshot = RowSnapshot { rows: Vec::new(), revision: 0 };
-        let mut from = from.to_owned();
+        let first = from.to_owned();
+        let mut from = first.clone();
+        let mut snapshot = RowSnapshot { rows: Vec::new(), revision: 0, era: 0 };
         loop {
             let query = [("Table", table), ("part", ""), ("From", &*from)];
             let request = self.request(Method::Get, "/v1/rows-get", &query)?;
-            let (status, body) = self.call(request, CALL_TIMEOUT).await?;
+            let (status, body, era) = self.store_call(request, CALL_TIMEOUT).await?;
             if status != OK {
                 return Err(rejected(status, &body));
             }
             let page: RowsBody = decode(&body)?;
+            if era != snapshot.era {
+                snapshot = RowSnapshot { rows: Vec::new(), revision: 0, era };
+                if from != first {
+                    from = first.clone();
+                    continue;
+                }
+            }
             // Later pages may be newer; the feed repeats the changes since the first page.
             if snapshot.revision == 0 {
                 snapshot.revision = page.row_version;
@@ -167,12 +178,12 @@
         let (after, wait_ms) = (after.to_string(), wait.as_millis().to_string());
         let query = [("Table", table), ("AfterRevision", &*after), ("WaitMs", &*wait_ms)];
         let request = self.request(Method::Get, "/v1/rows-feed", &query)?;
-        let (status, body) = self.call(request, wait + FEED_SLACK).await?;
+        let (status, body, era) = self.store_call(request, wait + FEED_SLACK).await?;
         match status {
             OK => {
                 let body: RowsBody = decode(&body)?;
                 let rows = body.rows.into_iter().map(decode_row).collect();
-                Ok(FeedResult::Changes(RowSnapshot { rows, revision: body.row_version }))
+                Ok(FeedResult::Changes(RowSnapshot { rows, revision: body.row_version, era }))
             }
             GONE => Ok(FeedResult::HistoryGone),
             status => Err(rejected(status, &body)),
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -9,5 +9,6 @@
 pub mod desired;
 pub mod events;
 pub mod losses;
+pub mod position;
 pub mod replica;
 pub mod window;
--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -100,6 +100,9 @@
     pub zone: &'a str,
     /// Replicas that must not be selected.
     pub excluded: &'a [SharedName],
+    /// Random number that selects among equally loaded replicas, so that nodes which see the same
+    /// loads spread their requests.
+    pub draw: u64,
 }
 
 /// Time after which a replica has cached the prompts of the sessions that are routed to it. Prompt
@@ -132,7 +135,7 @@
     rows.sort_unstable_by(|left, right| left.entry.id.cmp(&right.entry.id));
     let is_allowed = |row: &&ReplicaRow| !query.excluded.contains(&row.entry.id);
     let Some(size) = query.size else {
-        let replica = least_loaded(rows.into_iter().filter(is_allowed), query.zone, now)?;
+        let replica = least_loaded(rows.into_iter().filter(is_allowed), query, now)?;
         return Some(Placement { replica, warm: None });
     };
     let group = match size.prompt <= MAX_SHORT_PROMPT_TOKENS {
@@ -152,7 +155,7 @@
     };
     let replica = session_replica(&own_group, query)
         .or_else(|| session_replica(&members(other).collect::<Vec<_>>(), query))
-        .or_else(|| least_loaded(rows.iter().copied().filter(is_allowed), query.zone, now))?;
+        .or_else(|| least_loaded(rows.iter().copied().filter(is_allowed), query, now))?;
     let warm = warm_replica(&own_group, query, now).filter(|warm| *warm != replica);
     Some(Placement { replica, warm })
 }
@@ -196,7 +199,7 @@
     let total: u64 = group.iter().map(|row| row.work()).sum();
     let mean = total as f64 / group.len().max(1) as f64;
     let bound = (mean * SESSION_LOAD_FACTOR) as u64 + SESSION_LOAD_SLACK;
-    let least = group.iter().min_by_key(|row| row.work())?;
+    let least = group.iter().min_by_key(|row| (row.work(), tie_order(row, query.draw)))?;
     let Some(session) = query.session else {
         return Some(least.entry.id.clone());
     };
@@ -207,12 +210,17 @@
 
 fn least_loaded<'a>(
     rows: impl Iterator<Item = &'a ReplicaRow>,
-    zone: &str,
+    query: &PlacementQuery<'_>,
     now: Duration,
 ) -> Option<SharedName> {
     let cost = |row: &&ReplicaRow| {
-        let zone_work = if &*row.entry.zone == zone { 0 } else { CROSS_ZONE_WORK };
-        (!row.is_healthy(now), row.work() + zone_work)
+        let zone_work = if &*row.entry.zone == query.zone { 0 } else { CROSS_ZONE_WORK };
+        (!row.is_healthy(now), row.work() + zone_work, tie_order(row, query.draw))
     };
     rows.min_by_key(cost).map(|row| row.entry.id.clone())
 }
+
+/// Returns the position of a replica in a random order that depends on `draw`.
+fn tie_order(row: &ReplicaRow, draw: u64) -> u64 {
+    (u64::from(row.hash) ^ draw).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -347,6 +347,17 @@
         }
     }
 
+    /// Prepares for entries from a store that has been restored from an older copy: revisions start
+    /// anew, and a replica known as draining stays so until it has a new process.
+    pub fn begin_era(&mut self, now: Duration) {
+        let draining = self.rows.values().filter(|row| !row.is_ready());
+        let draining: Vec<_> = draining.map(|row| row.entry.id.clone()).collect();
+        for id in draining {
+            self.record_leaving(&id, now);
+        }
+        self.rows.values_mut().for_each(|row| row.revision = 0);
+    }
+
     /// Records that a replica rejected a request and wants no other from this node for `pause`.
     pub fn record_quiet(&mut self, id: &str, pause: Duration, now: Duration) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/berylstep_core/src/lease.rs
+++ b/berylstep_core/src/lease.rs
@@ -26,6 +26,13 @@
 /// Factor on a successor's wait if the receiver ignores fencing tokens.
 const UNFENCED_FACTOR: u32 = 2;
 
+/// Position of the era in a fencing token. Tokens of a newer era are thus above those that were used
+/// in an older one, of which the store may have lost the last ones.
+const ERA_FENCING_BITS: u32 = 20;
+
+/// Rejections after which fencing tokens don't grow faster.
+const MAX_REJECTIONS: u32 = 16;
+
 /// Whether the receiver of a duty's messages rejects old fencing tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReceiverFencing {
@@ -158,6 +165,14 @@
     observed: Option<ObservedRow>,
     pending: Option<PendingWrite>,
     invalidated: bool,
+    /// Era of the store in which the row is read and written.
+    era: u64,
+    /// Whether this node has written the row in this era.
+    written_in_era: bool,
+    /// Highest fencing token known to have been used.
+    known_fencing: u64,
+    /// Messages rejected since this node last held the lease.
+    rejections: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -199,9 +214,44 @@
             observed: None,
             pending: None,
             invalidated: false,
+            era: 0,
+            written_in_era: true,
+            known_fencing: 0,
+            rejections: 0,
         }
     }
 
+    /// Follows the store into a newer era, after a restore from an older copy. Returns whether a
+    /// lease was held.
+    ///
+    /// The row may be that of an earlier holder, with an earlier fencing token and a version that
+    /// is given out again. Nobody therefore owns the row of a new era until it has waited as for a
+    /// takeover, by when the lease of the holder in the old era has expired.
+    pub fn enter_era(&mut self, era: u64) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        let is_first = self.era == 0 && self.observed.is_none() && self.held.is_none();
+        self.era = era;
+        // A node that starts in a later era does not know how long ago the restore was.
+        self.written_in_era = is_first && era == 1;
+        self.pending = None;
+        self.observed = None;
+        self.held.take().is_some()
+    }
+
+    /// Records that a fencing token has been used.
+    pub fn raise_fencing(&mut self, used: u64) {
+        self.known_fencing = self.known_fencing.max(used);
+    }
+
+    /// Records that a receiver has rejected a message because of its fencing token. It doesn't tell
+    /// the token that it has seen, so the next ones grow faster with each rejection.
+    pub fn record_rejection(&mut self) {
+        self.rejections = (self.rejections + 1).min(MAX_REJECTIONS);
+        self.known_fencing += 1 << self.rejections;
+    }
+
     /// Returns the fencing token with which a send may begin at `now`, or `None` if the lease is not
     /// held or has expired.
     pub fn fencing_token(&self, now: ClockReading) -> Option<u64> {
@@ -219,6 +269,9 @@
     /// Processes the row as read; `now` is a time after the reply arrived.
     pub fn observe(&mut self, now: ClockReading, row: Option<VersionedLease>) {
         self.resolve_pending(row.as_ref());
+        if let Some(read) = &row {
+            self.raise_fencing(read.row.fencing);
+        }
         if !row.as_ref().is_some_and(|read| self.is_own(&read.row)) {
             self.held = None;
         }
@@ -236,21 +289,33 @@
         let observed = self.observed.as_ref()?;
         let Some(read) = &observed.row else {
             let stagger = self.times.stagger() * rank;
-            let due = now.min_elapsed(observed.since) >= stagger;
-            return due.then(|| self.write(0, 1, false));
+            let wait = match self.written_in_era {
+                true => Duration::ZERO,
+                false => self.times.takeover_wait(self.fencing),
+            };
+            let due = now.min_elapsed(observed.since) >= wait + stagger;
+            return due.then(|| self.write(0, self.next_fencing(0), false));
         };
-        if self.is_own(&read.row) && !read.row.released && !self.invalidated {
+        let is_own = self.is_own(&read.row) && self.written_in_era;
+        if is_own && !read.row.released && !self.invalidated {
             let due =
                 self.held.is_none_or(|held| now.max_elapsed(held.sent_at) >= self.times.renewal());
             return due.then(|| self.write(read.version, read.row.fencing, false));
         }
-        let wait = match read.row.released {
+        let wait = match read.row.released && self.written_in_era {
             true => Duration::ZERO,
             false => self.times.takeover_wait(self.fencing),
         };
         let wait = wait + self.times.stagger() * rank;
         let due = now.min_elapsed(observed.since) >= wait;
-        due.then(|| self.write(read.version, read.row.fencing + 1, false))
+        due.then(|| self.write(read.version, self.next_fencing(read.row.fencing), false))
+    }
+
+    /// Returns a fencing token above `stored`, all that are known to have been used, and those of
+    /// earlier eras.
+    fn next_fencing(&self, stored: u64) -> u64 {
+        let first_of_era = self.era.saturating_sub(1) << ERA_FENCING_BITS;
+        (stored.max(self.known_fencing) + 1).max(first_of_era)
     }
 
     /// Records a write that is about to be sent; `sent_at` is a time before the send.
@@ -300,6 +365,9 @@
             return;
         }
         self.held = Some(HeldLease { fencing: pending.row.fencing, sent_at: pending.sent_at });
+        self.raise_fencing(pending.row.fencing);
+        self.written_in_era = true;
+        self.rejections = 0;
         self.invalidated = false;
     }
 
--- a/berylstep_core/tests/fleet_choice.rs
+++ b/berylstep_core/tests/fleet_choice.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use berylstep_core::collections::SharedName;
+use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::choice::{
     choose_replica, GroupSplit, PlacementQuery, RequestSize, MIN_SHORT_SHARE,
 };
@@ -46,6 +46,7 @@
         short_share: MIN_SHORT_SHARE,
         zone: "a",
         excluded,
+        draw: 0,
     }
 }
 
@@ -241,3 +242,35 @@
         assert!((split.short_share() - case.share).abs() < 1e-9, "{}: {split:?}", case.name);
     }
 }
+
+#[test]
+fn idle_replicas_share_the_requests_of_nodes_that_see_the_same_loads() {
+    const REQUESTS: u64 = 600;
+    struct TieCase {
+        name: &'static str,
+        size: Option<RequestSize>,
+    }
+    let cases = [
+        TieCase { name: "plain", size: None },
+        TieCase {
+            name: "model without a session",
+            size: Some(RequestSize { prompt: 800, output: 10 }),
+        },
+    ];
+    for case in cases {
+        let table = fleet();
+        let mut counts: HashMap<SharedName, u64> = HashMap::default();
+        for number in 0..REQUESTS {
+            // Consecutive draws, as far from random as a generator could be.
+            let draw = number.wrapping_mul(0x2545_f491_4f6c_dd1d);
+            let query =
+                PlacementQuery { size: case.size, session: None, draw, ..query(0, "", &[]) };
+            let placement = choose_replica(&table, &query, NOW).expect("replicas are ready");
+            *counts.entry(placement.replica).or_default() += 1;
+        }
+        let largest = counts.values().max().copied().unwrap_or_default();
+        let mean = REQUESTS as f64 / counts.len() as f64;
+        assert!(counts.len() >= 3, "{}: {counts:?}", case.name);
+        assert!(largest as f64 <= 1.5 * mean, "{}: {counts:?}", case.name);
+    }
+}
--- a/berylstep_core/tests/fleet_choice_cost.rs
+++ b/berylstep_core/tests/fleet_choice_cost.rs
@@ -66,6 +66,7 @@
                     short_share: MIN_SHORT_SHARE,
                     zone: "a",
                     excluded: &[],
+                    draw: 0,
                 };
                 black_box(choose_replica(&table, &query, NOW));
             }
--- a/berylstep_standins/src/fleet/store.rs
+++ b/berylstep_standins/src/fleet/store.rs
@@ -55,6 +55,13 @@
     version: u64,
 }
 
+/// Copy of the rows of a store, to which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     rows: BTreeMap<(String, String), Row>,
@@ -62,6 +69,8 @@
     /// Oldest version from which the change feed can be resumed.
     oldest_version: u64,
     mode: StoreMode,
+    /// Number of the era, sent with each answer; rises with each restore.
+    era: u64,
     duties: Vec<DutyCall>,
 }
 
@@ -77,12 +86,16 @@
     /// Starts an empty store.
     pub fn start() -> Self {
         let state: Arc<(Mutex<StoreState>, Condvar)> = Arc::default();
+        lock(&state.0).era = 1;
         let shared = state.clone();
         let address = listen(move |stream| {
             let mut reader = BufReader::new(stream);
             while let Some(message) = read_message(&mut reader) {
                 let (status, body) = handle_call(&shared, &message);
-                let mode = lock(&shared.0).mode;
+                let (mode, era) = {
+                    let state = lock(&shared.0);
+                    (state.mode, state.era)
+                };
                 match mode {
                     StoreMode::Silent => return std::thread::sleep(SILENT_CONNECTION_TIMEOUT),
                     StoreMode::LosesAnswers => return,
@@ -90,7 +103,10 @@
                     StoreMode::Up | StoreMode::Down => {}
                 }
                 let body = body.to_string();
-                let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+                let head = format!(
+                    "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
+                    body.len()
+                );
                 if reader.get_mut().write_all((head + &body).as_bytes()).is_err() {
                     return;
                 }
@@ -115,6 +131,22 @@
         self.state.1.notify_all();
     }
 
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.state.0);
+        StoreCopy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Goes back to an earlier copy: what was written since is lost, and its versions are given out
+    /// again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = lock(&self.state.0);
+        state.rows = copy.rows.clone();
+        state.version = copy.version;
+        state.era += 1;
+        self.state.1.notify_all();
+    }
+
     /// Discards the change history: feeds from an earlier version get status 410.
     pub fn forget_history(&self) {
         let mut state = lock(&self.state.0);
@@ -155,13 +187,14 @@
             let is_idle = |state: &mut StoreState| {
                 !matches!(state.mode, StoreMode::Down | StoreMode::Silent)
                     && state.oldest_version <= after
+                    && state.version >= after
                     && table_rows(state, &table, after).is_empty()
             };
             let waited = shared.1.wait_timeout_while(state, wait, is_idle);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
             match &*state {
                 state if state.mode == StoreMode::Down => (503, json!({})),
-                state if state.oldest_version > after => (410, json!({})),
+                state if state.oldest_version > after || state.version < after => (410, json!({})),
                 state => {
                     let rows = table_rows(state, &table, after);
                     (200, json!({"Rows": rows, "RowVersion": state.version, "NowMs": 1}))
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -487,6 +487,12 @@
     /// Replicas that have recently said in their responses that they are shutting down.
     #[prost(message, repeated, tag = "23")]
     pub leaving_replicas: ::prost::alloc::vec::Vec<LeavingReplica>,
+    /// Era of the store to which `replica_revision` belongs; rises with each restore of the store.
+    #[prost(uint64, tag = "24")]
+    pub store_era: u64,
+    /// Newest usage window that some node has sealed; 0 if none is known.
+    #[prost(uint64, tag = "25")]
+    pub sealed_window: u64,
 }
 /// A replica whose process is shutting down.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -614,6 +620,9 @@
     pub desired_version: u64,
     #[prost(uint64, tag = "2")]
     pub replica_revision: u64,
+    /// Era of the store to which `replica_revision` belongs.
+    #[prost(uint64, tag = "3")]
+    pub store_era: u64,
 }
 /// Answers a `FleetQuery`; parts that are no newer than the given versions are absent.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -635,6 +644,9 @@
     /// Whether the store had failures recently, so that removed entries may reappear.
     #[prost(bool, tag = "7")]
     pub store_troubled: bool,
+    /// Era of the store to which the revisions belong.
+    #[prost(uint64, tag = "8")]
+    pub store_era: u64,
 }
 /// An entry that was removed from the replica list.
 #[derive(Clone, PartialEq, ::prost::Message)]
