Learn the speed of engines, name only nodes that are heard, and let a fleet start with few reads

Cause: an output token counted as 20 prompt tokens and a replica as 150,000 a second on every site, which fits engines with 64 slots; with 12 slots the plans had half of the replicas that the load occupies. Change: prefill rate and step time are estimated from the responses that pass through a node, and work, groups and plans follow from them and the slots.

Change: only nodes whose pulses arrive are named. At the first start the nodes leave the reading of the store to a few; a restarted one gives its peers 300 ms.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -214,6 +214,7 @@
                 store: self.store.clone(),
                 mirror: self.mirror.clone(),
                 peers: self.peers.clone(),
+                first_start: self.settings.first_start,
                 table,
             };
             self.tasks.spawn(follower.run()).detach();
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -76,8 +76,12 @@
 }
 
 impl LoadGuard {
-    fn new(mirror: Rc<StoreMirror>, replica: SharedName, size: Option<RequestSize>) -> Self {
-        let work = RequestSize::work(size);
+    fn new(
+        mirror: Rc<StoreMirror>,
+        replica: SharedName,
+        size: Option<RequestSize>,
+        work: u64,
+    ) -> Self {
         mirror.replicas.borrow_mut().add_load(&replica, work);
         Self { mirror, replica, work, prompt: size.map_or(0, |size| size.prompt) }
     }
@@ -166,7 +170,11 @@
         target: &ReplicaTarget,
         options: AttemptOptions<'_>,
     ) -> AttemptOutcome {
-        let load = LoadGuard::new(self.mirror.clone(), target.id.clone(), request.headers.size);
+        let work = RequestSize::work(request.headers.size, request.speed);
+        let was_idle = self.is_lightly_loaded(&target.id);
+        let load =
+            LoadGuard::new(self.mirror.clone(), target.id.clone(), request.headers.size, work);
+        let sent_at = self.clock.now();
         let retryable = request.route.is_retryable();
         let connected = self.upstreams.connect(target.address, retryable).await;
         let upstream = match connected {
@@ -180,7 +188,17 @@
         let limit = options.response_timeout.map_or(time_left, |timeout| timeout.min(time_left));
         let exchanging = self.exchange(request, target, options, upstream, load);
         match self.clock.timeout(limit, exchanging).await {
-            Some(outcome) => outcome,
+            Some(outcome) => {
+                if let (AttemptOutcome::Responded(response), Some(size), true) =
+                    (&outcome, request.headers.size, was_idle)
+                {
+                    if response.head.status < 300 && options.last_event.is_none() {
+                        let elapsed = self.clock.now().saturating_sub(sent_at);
+                        self.demand.record_first_token(&request.service, size.prompt, elapsed);
+                    }
+                }
+                outcome
+            }
             None if limit < time_left => {
                 self.record_replica_failure(&target.id, "no response in time");
                 AttemptOutcome::Lost("replica is silent")
@@ -189,6 +207,12 @@
         }
     }
 
+    /// Returns whether a new request at a replica hardly waits for others.
+    fn is_lightly_loaded(&self, id: &str) -> bool {
+        let replicas = self.mirror.replicas.borrow();
+        replicas.get(id).is_some_and(|row| row.requests() <= row.entry.slots / 4)
+    }
+
     /// Applies what a replica has said about itself in a response.
     pub fn record_statement(&self, id: &str, statement: ReplicaStatement) {
         if statement.leaving {
--- a/berylstep/src/gateway/demand.rs
+++ b/berylstep/src/gateway/demand.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
-use berylstep_core::fleet::choice::{GroupSplit, RequestSize, MAX_SHORT_PROMPT_TOKENS};
+use berylstep_core::fleet::choice::{GroupSplit, RequestSize};
+use berylstep_core::fleet::engine::{EngineEstimator, EngineSpeed};
 use berylstep_wire::ClassDemand;
 
 use crate::clock::RuntimeClock;
@@ -32,6 +33,7 @@
     clock: RuntimeClock,
     arrivals: RefCell<HashMap<SharedName, VecDeque<WorkBucket>>>,
     splits: RefCell<HashMap<SharedName, GroupSplit>>,
+    engines: RefCell<HashMap<SharedName, EngineEstimator>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -44,14 +46,46 @@
 impl DemandLedger {
     /// Creates an empty ledger.
     pub fn new(clock: RuntimeClock) -> Self {
-        Self { clock, arrivals: RefCell::default(), splits: RefCell::default() }
+        Self {
+            clock,
+            arrivals: RefCell::default(),
+            splits: RefCell::default(),
+            engines: RefCell::default(),
+        }
+    }
+
+    /// Returns the estimated speed of a service's engines, which have this number of slots if it is
+    /// known.
+    pub fn engine_speed(&self, service: &str, slots: Option<u32>) -> EngineSpeed {
+        let engines = self.engines.borrow();
+        engines.get(service).map_or_else(
+            || EngineEstimator::default().speed(slots),
+            |estimator| estimator.speed(slots),
+        )
+    }
+
+    /// Records the time to the first token of a request that did not wait for others.
+    pub fn record_first_token(&self, service: &SharedName, prompt: u64, elapsed: Duration) {
+        let mut engines = self.engines.borrow_mut();
+        engines.entry(service.clone()).or_default().record_first_token(prompt, elapsed);
+    }
+
+    /// Records the time between the first and the last of `tokens` output tokens of a request.
+    pub fn record_output(&self, service: &SharedName, tokens: u64, elapsed: Duration) {
+        let mut engines = self.engines.borrow_mut();
+        engines.entry(service.clone()).or_default().record_output(tokens, elapsed);
     }
 
-    /// Records the arrival of a request.
-    pub fn record_arrival(&self, service: &SharedName, size: Option<RequestSize>) {
+    /// Records the arrival of a request for engines of this speed.
+    pub fn record_arrival(
+        &self,
+        service: &SharedName,
+        size: Option<RequestSize>,
+        speed: EngineSpeed,
+    ) {
         let index = self.current_bucket();
-        let work = RequestSize::work(size);
-        let is_short = size.is_some_and(|size| size.prompt <= MAX_SHORT_PROMPT_TOKENS);
+        let work = RequestSize::work(size, speed);
+        let is_short = size.is_some_and(|size| size.is_short(speed));
         let short = if is_short { work } else { 0 };
         let mut arrivals = self.arrivals.borrow_mut();
         let buckets = arrivals.entry(service.clone()).or_default();
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -30,6 +30,19 @@
 /// Interval at which a node that does not follow the store checks whether it must.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a node that has just started checks whether its peers have told the state.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time that a restarted node leaves to its peers; they answer its first pulse within 250 ms.
+const RESTART_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Time that the nodes of a fleet need to find each other when it starts for the first time.
+const FIRST_START_DISCOVERY: Duration = Duration::from_millis(800);
+
+/// Time after which each node of a fleet that starts for the first time reads the store itself
+/// unless its peers have told the state.
+const FIRST_START_PATIENCE: Duration = Duration::from_millis(3000);
+
 /// Store table to follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FollowedTable {
@@ -58,6 +71,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Table of the other nodes, which may follow the store in place of this one.
     pub peers: Rc<PeerTable>,
+    /// Whether the fleet starts for the first time, with no callers yet.
+    pub first_start: bool,
     /// Table to follow.
     pub table: FollowedTable,
 }
@@ -87,8 +102,13 @@
     /// Reads the table and then its changes, and starts over after an error.
     pub async fn run(self) {
         let mut progress = FollowProgress::default();
+        let started_at = self.clock.now();
         loop {
             let now = self.clock.now();
+            if self.awaits_peers(now.saturating_sub(started_at)) {
+                self.clock.sleep(START_POLL_INTERVAL).await;
+                continue;
+            }
             if self.mirror.is_complete() && !self.peers.must_follow_store(now) {
                 self.set_following(&mut progress, false);
                 progress.has_snapshot = false;
@@ -113,6 +133,22 @@
         }
     }
 
+    /// Returns whether a node that started `elapsed` ago leaves it to its peers to tell the state, so
+    /// that a fleet which starts at once doesn't read the store as often as it has nodes.
+    fn awaits_peers(&self, elapsed: Duration) -> bool {
+        if self.mirror.is_complete() {
+            return false;
+        }
+        if !self.first_start {
+            return elapsed < RESTART_PATIENCE;
+        }
+        let now = self.clock.now();
+        let is_reader = elapsed >= FIRST_START_DISCOVERY
+            && self.peers.is_representative(now)
+            && self.peers.must_follow_store(now);
+        elapsed < FIRST_START_PATIENCE && !is_reader
+    }
+
     fn set_following(&self, progress: &mut FollowProgress, follows: bool) {
         if progress.follows != follows {
             progress.follows = follows;
--- a/berylstep/src/gateway/orders.rs
+++ b/berylstep/src/gateway/orders.rs
@@ -116,8 +116,11 @@
             let baseline = self.baseline(&service.name, now);
             let zones: Vec<_> =
                 present.iter().map(|zone| self.zone_state(&service.name, zone)).collect();
+            let slots = service.engine.as_ref().map(|engine| engine.slots);
+            let speed = self.demand.engine_speed(&service.name, slots);
             let input = CapacityInput {
                 bounds,
+                replica_work_per_second: speed.replica_work_per_second(),
                 zones: &zones,
                 work_per_second,
                 current_work_per_second,
@@ -127,7 +130,7 @@
             let plan = capacity::plan_replicas(&input);
             log::debug!(
                 "event=capacity_planned service={} work_per_second={work_per_second:.0} \
-                 baseline={baseline} present={present:?} plan={plan:?}",
+                 baseline={baseline} speed={speed:?} present={present:?} plan={plan:?}",
                 service.name
             );
             for (wanted, present) in plan.iter().zip(&present) {
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -165,27 +165,27 @@
         live(&rows, now).filter_map(|row| row.node.clone()).collect()
     }
 
-    /// Returns the nodes to name in gossip: the representatives, and those of this zone whose
-    /// pulses arrive here if this node is a representative.
+    /// Returns the nodes to name in gossip: the representatives, and those of this zone if this node
+    /// is a representative. Only nodes whose pulses arrive here are named; otherwise nodes that
+    /// name each other's gossip would keep a dead one alive.
     pub fn gossip_entries(&self, now: Duration) -> Vec<NodeEntry> {
         let view = self.view(now);
-        let named = view.representatives.iter().filter(|node| node.node != self.own.node);
-        let mut entries: Vec<_> = named.map(KnownNode::entry).collect();
-        if view.rank.is_some() {
-            let rows = self.rows.borrow();
-            let nodes = live(&rows, now).filter_map(|row| row.node.as_ref());
-            let followers = nodes
-                .filter(|node| node.zone == self.own.zone && !view.is_representative(&node.node));
-            entries.extend(followers.map(KnownNode::entry));
-        }
-        entries
+        let names_zone = view.rank.is_some();
+        let rows = self.rows.borrow();
+        let nodes = live(&rows, now).filter_map(|row| row.node.as_ref());
+        let named = nodes.filter(|node| {
+            view.is_representative(&node.node) || (names_zone && node.zone == self.own.zone)
+        });
+        named.map(KnownNode::entry).collect()
     }
 
-    /// Returns the representatives for the gossip of a node that has just started, which learns the
+    /// Returns the representatives for the gossip to a node that has just started, which learns the
     /// other nodes from them.
     pub fn representative_entries(&self, now: Duration) -> Vec<NodeEntry> {
         let view = self.view(now);
-        let named = view.representatives.iter().filter(|node| node.node != self.own.node);
+        let rows = self.rows.borrow();
+        let nodes = live(&rows, now).filter_map(|row| row.node.as_ref());
+        let named = nodes.filter(|node| view.is_representative(&node.node));
         named.map(KnownNode::entry).collect()
     }
 
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -8,7 +8,8 @@
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::budget::SharedBudget;
 use berylstep_core::fleet::choice::{self, PlacementQuery};
-use berylstep_core::fleet::desired::{RouteEntry, RouteKind};
+use berylstep_core::fleet::desired::{DesiredState, RouteEntry, RouteKind};
+use berylstep_core::fleet::engine::EngineSpeed;
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -85,6 +86,8 @@
     pub service: SharedName,
     /// Organisation that the caller's key belongs to.
     pub organisation: Option<SharedName>,
+    /// Speed of the service's engines.
+    pub speed: EngineSpeed,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// Time at which its first byte arrived.
@@ -187,6 +190,7 @@
             organisation: holder.map(|organisation| organisation.name.clone()),
             priority: route.rank(holder.and_then(|holder| holder.priority)),
             headers,
+            speed: self.engine_speed(&desired, &service),
             route,
             service,
             arrived,
@@ -203,7 +207,7 @@
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         trace.record_route(request);
-        self.demand.record_arrival(&request.service, request.headers.size);
+        self.demand.record_arrival(&request.service, request.headers.size, request.speed);
         self.with_budget(&request.service, |budget, handler| {
             budget.record_request(&handler.live.get().retry, handler.clock.now());
         });
@@ -319,6 +323,7 @@
             service: &request.service,
             size: request.headers.size,
             session: request.headers.session.as_deref(),
+            speed: request.speed,
             short_share: self.demand.short_share(&request.service),
             zone: &self.settings.zone,
             excluded: tried,
@@ -330,6 +335,11 @@
         Some(ReplicaTarget { id: placement.replica, address, cache_source })
     }
 
+    fn engine_speed(&self, desired: &DesiredState, service: &str) -> EngineSpeed {
+        let engine = desired.service(service).and_then(|service| service.engine.as_ref());
+        self.demand.engine_speed(service, engine.map(|engine| engine.slots))
+    }
+
     /// Returns the time without a response after which the request is retried on another replica,
     /// or `None` to wait until the deadline.
     fn response_timeout(
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -18,6 +18,9 @@
 /// the gap between events.
 const STALL_TIMEOUT_GAPS: u32 = 4;
 
+/// Number of gaps between events from which a stream tells the speed of its engine.
+const MIN_TIMED_GAPS: u64 = 4;
+
 /// Relays one stream to its caller.
 struct StreamRelay<'a> {
     handler: &'a RequestHandler,
@@ -73,6 +76,7 @@
                 return RequestOutcome::CallerLeft;
             }
             if self.response.is_complete() {
+                self.record_output();
                 let rest = self.splitter.take_partial();
                 self.response.release_connection(&self.handler.upstreams);
                 return match writer.end_stream(&rest).await {
@@ -109,6 +113,20 @@
         }
     }
 
+    /// Records how fast the engine produced the stream, if it came from one run.
+    fn record_output(&self) {
+        let Some(desired) = self.handler.mirror.desired() else { return };
+        let service = desired.service(&self.request.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else { return };
+        let gaps = self.splitter.events().saturating_sub(1);
+        if self.history.ran > 1 || self.move_tried || gaps < MIN_TIMED_GAPS {
+            return;
+        }
+        let elapsed = self.handler.clock.now().saturating_sub(self.first_event_at);
+        let tokens = gaps * engine.event_tokens;
+        self.handler.demand.record_output(&self.request.service, tokens, elapsed);
+    }
+
     /// Reads more content, or returns why there is none.
     async fn read_more(&mut self, content: &mut Vec<u8>) -> Result<(), String> {
         let clock = &self.handler.clock;
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -341,3 +341,24 @@
         assert!(!is_follower || *bytes <= MAX_FOLLOWER_BYTES_PER_SECOND, "{bytes} bytes a second");
     }
 }
+
+#[test]
+fn a_dead_node_is_named_nowhere_four_seconds_later() {
+    const ROUNDS: u64 = 24;
+    const ROUNDS_AFTER: u64 = 16;
+    let nodes = fleet(12);
+    for dead in [0, 3] {
+        let tables = exchange_pulses(&nodes, ROUNDS);
+        for round in ROUNDS..ROUNDS + ROUNDS_AFTER {
+            let now = START + Duration::from_millis(250) * round as u32;
+            for (index, node) in nodes.iter().enumerate().filter(|(index, _)| *index != dead) {
+                send_pulse(&nodes, &tables, index, &pulse(node, round + 1), now);
+            }
+        }
+        let now = time_of_last(ROUNDS + ROUNDS_AFTER);
+        for (table, node) in tables.iter().zip(&nodes).filter(|(_, node)| **node != nodes[dead]) {
+            let named = table.nodes(now);
+            assert!(named.iter().all(|known| known.node != nodes[dead].node), "at {}", node.node);
+        }
+    }
+}
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod departure;
 pub mod desired;
+pub mod engine;
 pub mod events;
 pub mod losses;
 pub mod position;
--- a/berylstep_core/src/fleet/capacity.rs
+++ b/berylstep_core/src/fleet/capacity.rs
@@ -10,10 +10,6 @@
 use crate::collections::SharedName;
 use crate::fleet::desired::ScalingBounds;
 
-/// Throughput of one replica at acceptable latency, in prompt tokens per second. Engines process
-/// 112 to 125 prompt tokens per millisecond, and the work of a request includes its maximum output.
-pub const REPLICA_WORK_PER_SECOND: f64 = 150_000.0;
-
 /// Share of the planned replicas that is dependable if the service also uses spot replicas.
 const DEPENDABLE_SHARE: f64 = 0.125;
 
@@ -52,6 +48,8 @@
     pub work_per_second: f64,
     /// Peak arrival rate over the last few seconds, in prompt tokens per second.
     pub current_work_per_second: f64,
+    /// Work that one replica completes in a second at acceptable latency, in prompt tokens.
+    pub replica_work_per_second: f64,
     /// Zones in which the platform currently has no spot capacity.
     pub exhausted: &'a [SharedName],
     /// Lower bound on the planned replicas until demand has been observed for long enough.
@@ -61,7 +59,7 @@
 /// Returns the planned replicas of each zone.
 pub fn plan_replicas(input: &CapacityInput<'_>) -> Vec<ZoneReplicas> {
     let zones = input.zones.len();
-    let needed = (input.work_per_second / REPLICA_WORK_PER_SECOND).ceil();
+    let needed = (input.work_per_second / input.replica_work_per_second).ceil();
     let wanted = needed.max(f64::from(input.baseline));
     // The platform may reclaim all spot replicas of a zone at once; the other zones are sized to
     // carry the load without it, which spot prices make affordable.
@@ -86,7 +84,7 @@
         return None;
     }
     let zones = input.zones.len().max(1) as u32;
-    let needed = (input.current_work_per_second / REPLICA_WORK_PER_SECOND).ceil() as u32;
+    let needed = (input.current_work_per_second / input.replica_work_per_second).ceil() as u32;
     let spot: u32 = input.zones.iter().map(|zone| zone.present.spot).sum();
     let missing = needed.saturating_sub(spot + min_dependable(per_zone) * zones);
     Some(missing.div_ceil(zones))
--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use crate::collections::SharedName;
-use crate::fleet::replica::{ReplicaRow, ReplicaTable, OUTPUT_TOKEN_WORK, PLAIN_REQUEST_WORK};
+use crate::fleet::engine::EngineSpeed;
+use crate::fleet::replica::{ReplicaRow, ReplicaTable, PLAIN_REQUEST_WORK};
 use crate::rendezvous;
 
-/// Maximum prompt length of the short group, in tokens. A longer prompt delays an engine step by
+/// Maximum prompt length of the short group at engines of the assumed speed, in tokens. A longer prompt delays an engine step by
 /// more than a tenth of the usual interval between events.
 pub const MAX_SHORT_PROMPT_TOKENS: u64 = 3000;
 
@@ -46,10 +47,16 @@
 }
 
 impl RequestSize {
-    /// Returns the work of a request in prompt tokens; `None` stands for a request to a service
-    /// that is not a model.
-    pub fn work(size: Option<Self>) -> u64 {
-        size.map_or(PLAIN_REQUEST_WORK, |size| size.prompt + OUTPUT_TOKEN_WORK * size.output)
+    /// Returns the work of a request at engines of this speed, in prompt tokens; `None` stands for
+    /// a request to a service that is not a model.
+    pub fn work(size: Option<Self>, speed: EngineSpeed) -> u64 {
+        let Some(size) = size else { return PLAIN_REQUEST_WORK };
+        size.prompt + (speed.output_token_work() * size.output as f64) as u64
+    }
+
+    /// Returns whether the prompt is short for engines of this speed.
+    pub fn is_short(self, speed: EngineSpeed) -> bool {
+        self.prompt as f64 <= MAX_SHORT_PROMPT_TOKENS as f64 * speed.token_scale()
     }
 }
 
@@ -94,6 +101,8 @@
     pub size: Option<RequestSize>,
     /// Identifier of the prompt prefix that the requests of the session share.
     pub session: Option<&'a str>,
+    /// Speed of the service's engines.
+    pub speed: EngineSpeed,
     /// Share of the replicas that is reserved for short prompts, from 0 to 1.
     pub short_share: f64,
     /// Availability zone of this node.
@@ -138,7 +147,7 @@
         let replica = least_loaded(rows.into_iter().filter(is_allowed), query, now)?;
         return Some(Placement { replica, warm: None });
     };
-    let group = match size.prompt <= MAX_SHORT_PROMPT_TOKENS {
+    let group = match size.is_short(query.speed) {
         true => SizeGroup::Short,
         false => SizeGroup::Long,
     };
@@ -198,7 +207,8 @@
 fn session_replica(group: &[&ReplicaRow], query: &PlacementQuery<'_>) -> Option<SharedName> {
     let total: u64 = group.iter().map(|row| row.work()).sum();
     let mean = total as f64 / group.len().max(1) as f64;
-    let bound = (mean * SESSION_LOAD_FACTOR) as u64 + SESSION_LOAD_SLACK;
+    let slack = SESSION_LOAD_SLACK as f64 * query.speed.token_scale();
+    let bound = (mean * SESSION_LOAD_FACTOR + slack) as u64;
     let least = group.iter().min_by_key(|row| (row.work(), tie_order(row, query.draw)))?;
     let Some(session) = query.session else {
         return Some(least.entry.id.clone());
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -22,10 +22,6 @@
 /// The platform guarantees that entries of live replicas reappear within two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
-/// Work of one output token, in prompt tokens. An output token takes a share of a whole engine
-/// step, a prompt token only a share of a chunk.
-pub const OUTPUT_TOKEN_WORK: u64 = 20;
-
 /// Work of a request to a service that is not a model, in prompt tokens.
 pub const PLAIN_REQUEST_WORK: u64 = 1000;
 
--- a/berylstep_core/tests/fleet_choice.rs
+++ b/berylstep_core/tests/fleet_choice.rs
@@ -8,6 +8,7 @@
 use berylstep_core::fleet::choice::{
     choose_replica, GroupSplit, PlacementQuery, RequestSize, MIN_SHORT_SHARE,
 };
+use berylstep_core::fleet::engine::EngineSpeed;
 use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState, ReplicaTable};
 
 const SERVICE: &str = "model";
@@ -47,6 +48,7 @@
         zone: "a",
         excluded,
         draw: 0,
+        speed: EngineSpeed::default(),
     }
 }
 
--- a/berylstep_core/tests/fleet_choice_cost.rs
+++ b/berylstep_core/tests/fleet_choice_cost.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use berylstep_core::fleet::choice::{choose_replica, PlacementQuery, RequestSize, MIN_SHORT_SHARE};
+use berylstep_core::fleet::engine::EngineSpeed;
 use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState, ReplicaTable};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -67,6 +68,7 @@
                     zone: "a",
                     excluded: &[],
                     draw: 0,
+                    speed: EngineSpeed::default(),
                 };
                 black_box(choose_replica(&table, &query, NOW));
             }
