Bound bytes that are no answer, in heads, bodies, events and answers of the store

Cause: interim responses, trailers, an event without end, the body of a refusal and answers of the store were read until the deadline, partly into memory; an event was searched from its start with each read. Change: 16 interim responses, 8 KiB of trailers, 256 KiB for an event, 100 ms for the rest of a refusal and 4 MiB for an answer of the store; large responses that are no stream are passed on as they come.

Measured: endless_bytes (eleven kinds, and 200 at once) and fleet_state pass; not run on the code before.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -26,6 +26,12 @@
 /// replica.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Interim responses that are skipped before the response.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
+/// Time for which the rest of a refusal is awaited, so that its connection can be used again.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Responses to other requests that are skipped on a connection.
 const MAX_STALE_RESPONSES: u32 = 2;
 
@@ -307,8 +313,13 @@
         sent_whole: bool,
     ) -> AttemptOutcome {
         let mut content = Vec::new();
-        let read = buffer_body(&mut stream, &mut decoder, &mut content).await;
-        if read.is_ok() && sent_whole && decoder.is_complete() && response.keep_alive {
+        let reading = buffer_body(&mut stream, &mut decoder, &mut content);
+        let read = self.clock.timeout(REFUSAL_BODY_TIMEOUT, reading).await;
+        if matches!(read, Some(Ok(())))
+            && sent_whole
+            && decoder.is_complete()
+            && response.keep_alive
+        {
             let keep_alive = response.headers.get("keep-alive").and_then(keep_alive_timeout);
             self.upstreams.release(target.address, stream, keep_alive);
         }
@@ -397,7 +408,7 @@
     request: &RoutedRequest<'_>,
     reused: bool,
 ) -> Result<(ResponseMessage, ResponseHeaders), &'static str> {
-    let (mut skipped, mut leaving) = (0, false);
+    let (mut interim, mut skipped, mut leaving) = (0, 0, false);
     loop {
         let head = stream.read_head(MAX_HEAD_BYTES).await;
         let bytes = match head {
@@ -407,7 +418,11 @@
         };
         let response = ResponseMessage::parse(&bytes).map_err(|_| "answer is malformed")?;
         if response.status < 200 {
-            continue;
+            interim += 1;
+            match interim <= MAX_INTERIM_RESPONSES {
+                true => continue,
+                false => return Err("replica sends interim responses without end"),
+            }
         }
         let mut headers = ResponseHeaders::read(&response, request.headers.request_id.as_deref());
         // A late response to another request is still one of the same replica.
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -18,6 +18,9 @@
 /// the gap between events.
 const STALL_TIMEOUT_GAPS: u32 = 4;
 
+/// Largest event, or content without events, that is buffered until its end.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Number of gaps between events from which a stream tells the speed of its engine.
 const MIN_TIMED_GAPS: u64 = 4;
 
@@ -66,8 +69,16 @@
         let status = self.response.head.status;
         let mut content = std::mem::take(&mut self.response.content);
         loop {
-            let whole = self.splitter.accept(&content);
+            let whole = match self.request.route.kind {
+                RouteKind::Stream => self.splitter.accept(&content),
+                // A large response that is no stream has no events to wait for.
+                RouteKind::Safe | RouteKind::Unsafe => content.clone(),
+            };
             content.clear();
+            if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
+                self.response.record_failure(self.handler, "event without end");
+                return RequestOutcome::Broken(self.splitter.events());
+            }
             let written = match writer.is_started() {
                 false => writer.start_stream(&self.response.head, &whole).await,
                 true => writer.write_content(&whole).await,
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -18,6 +18,7 @@
 use berylstep_http::{ClientResponse, ExchangeError};
 use displaydoc::Display;
 use http_types::{Method, Request, Url};
+use smol::io::AsyncReadExt;
 
 use crate::clock::RuntimeClock;
 use crate::connections::{ConnectionChoice, ConnectionPool};
@@ -30,6 +31,9 @@
 /// node must detect that a connection has gone silent.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Largest body of a response; the store sends at most 1 MB of rows, in base64.
+const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum CallError {
@@ -157,8 +161,12 @@
     async fn exchange(&self, request: Request) -> Result<StoreResponse, CallError> {
         let exchanged = self.connections.exchange(self.address, request, ConnectionChoice::Any);
         let ClientResponse { mut response, reuse } = exchanged.await?;
-        let body = response.body_bytes().await;
-        let body = body.map_err(|err| CallError::AnswerLost(err.to_string()))?;
+        let mut body = Vec::new();
+        let reading = (&mut response).take(MAX_BODY_BYTES + 1).read_to_end(&mut body).await;
+        reading.map_err(|err| CallError::AnswerLost(err.to_string()))?;
+        if body.len() as u64 > MAX_BODY_BYTES {
+            return Err(CallError::AnswerLost("body without end".to_owned()));
+        }
         let status = response.status().into();
         self.statement.set(headers::read_statement(&response));
         let era = headers::read_store_era(&response);
--- a/berylstep_core/src/fleet/events.rs
+++ b/berylstep_core/src/fleet/events.rs
@@ -7,6 +7,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// Start of the line in `pending` that has not been searched to its end.
+    line_start: usize,
+    /// End of the part of `pending` that has been searched for line ends.
+    searched: usize,
     last_id: Option<String>,
     events: u64,
 }
@@ -16,8 +20,10 @@
     /// event.
     pub fn accept(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.pending.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.pending) else { return Vec::new() };
+        let Some(end) = self.find_event_end() else { return Vec::new() };
         let partial = self.pending.split_off(end);
+        self.line_start -= end;
+        self.searched -= end;
         let complete = std::mem::replace(&mut self.pending, partial);
         if let Some(id) = last_event_id(&complete) {
             self.last_id = Some(id);
@@ -26,16 +32,39 @@
         complete
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Discards the bytes of an incomplete event.
     pub fn discard_partial(&mut self) {
-        self.pending.clear();
+        drop(self.take_partial());
     }
 
     /// Takes the bytes after the last complete event, once the stream has ended.
     pub fn take_partial(&mut self) -> Vec<u8> {
+        (self.line_start, self.searched) = (0, 0);
         std::mem::take(&mut self.pending)
     }
 
+    /// Returns the end of the last blank line, which terminates an event. Bytes are searched once,
+    /// however slowly an event arrives.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let mut end = None;
+        for index in self.searched..self.pending.len() {
+            if self.pending[index] != b'\n' {
+                continue;
+            }
+            if matches!(&self.pending[self.line_start..index], b"" | b"\r") {
+                end = Some(index + 1);
+            }
+            self.line_start = index + 1;
+        }
+        self.searched = self.pending.len();
+        end
+    }
+
     /// Returns the number of complete events that carry an identifier.
     pub fn events(&self) -> u64 {
         self.events
@@ -47,22 +76,6 @@
     }
 }
 
-/// Returns the end of the last blank line; a blank line terminates an event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    let mut end = None;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        if matches!(&bytes[line_start..index], b"" | b"\r") {
-            end = Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    end
-}
-
 /// Counts the events that carry an identifier.
 fn count_events(events: &[u8]) -> u64 {
     let lines = events.split(|byte| *byte == b'\n');
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -233,7 +233,7 @@
     let bodiless = method == Method::Head || head.status == 204 || head.status == 304;
     match head.framing {
         _ if bodiless => Ok(MessageEnd::After(head_bytes)),
-        BodyFraming::Length(length) => Ok(MessageEnd::After(head_bytes + length)),
+        BodyFraming::Length(length) => Ok(MessageEnd::After(head_bytes.saturating_add(length))),
         BodyFraming::Chunked => Ok(MessageEnd::Chunked),
         BodyFraming::Unframed => Err(ExchangeError::Unframed),
     }
--- a/berylstep_http/src/decoder.rs
+++ b/berylstep_http/src/decoder.rs
@@ -8,6 +8,9 @@
 /// Longest accepted chunk-size or trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
 
+/// Largest accepted size of all trailer lines together.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
+
 /// Why a body could not be read.
 #[derive(Debug, Display)]
 pub enum BodyError {
@@ -27,6 +30,7 @@
 #[derive(Clone, Debug)]
 pub struct BodyDecoder {
     state: DecoderState,
+    trailer_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,7 +48,7 @@
     /// Creates a decoder for a request body; an unframed one is empty.
     pub fn request(framing: BodyFraming) -> Self {
         match framing {
-            BodyFraming::Unframed => Self { state: DecoderState::Complete },
+            BodyFraming::Unframed => Self::in_state(DecoderState::Complete),
             framing => Self::from_framing(framing),
         }
     }
@@ -54,7 +58,7 @@
     pub fn response(message: &ResponseMessage, method: &str) -> Self {
         let bodiless = method == "HEAD" || matches!(message.status, 100..=199 | 204 | 304);
         match bodiless {
-            true => Self { state: DecoderState::Complete },
+            true => Self::in_state(DecoderState::Complete),
             false => Self::from_framing(message.framing),
         }
     }
@@ -66,7 +70,11 @@
             BodyFraming::Chunked => DecoderState::ChunkSize,
             BodyFraming::Unframed => DecoderState::UntilClose,
         };
-        Self { state }
+        Self::in_state(state)
+    }
+
+    fn in_state(state: DecoderState) -> Self {
+        Self { state, trailer_bytes: 0 }
     }
 
     /// Returns whether the body has been decoded to its end.
@@ -162,7 +170,11 @@
         if end == 0 {
             self.state = DecoderState::Complete;
         }
-        Ok(end + 2)
+        self.trailer_bytes += end + 2;
+        match self.trailer_bytes <= MAX_TRAILER_BYTES {
+            true => Ok(end + 2),
+            false => Err(BodyError::Malformed),
+        }
     }
 }
 
