Let followers leave an unreachable store to the representatives of their zone

Change: a follower that hears a representative of its zone reads nothing itself, but for two spare ones after three seconds, since the store may turn away the representatives only.

--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -57,6 +57,15 @@
 /// once, and a spare for each of them in case of simultaneous failures.
 const STANDBY_REPORTERS: usize = 4;
 
+/// Time without a node that follows the store after which spare followers try to.
+const SPARE_FOLLOWER_DELAY: Duration = Duration::from_secs(3);
+
+/// Number of followers in each zone that try to follow the store when its representatives don't.
+const SPARE_STORE_FOLLOWERS: usize = 2;
+
+/// Rendezvous key that orders the spare followers of a zone.
+const SPARE_ORDER_KEY: &str = "spare";
+
 /// Number of initial pulses of a node that are answered regardless of its role.
 const INITIAL_PULSES: u64 = 8;
 
@@ -113,6 +122,8 @@
     own_work: RefCell<Vec<ReplicaWork>>,
     peak: Cell<usize>,
     view: ViewCache,
+    /// Time at which this node, as a follower, last heard from a node that follows the store.
+    store_served_at: Cell<Option<Duration>>,
 }
 
 impl PeerTable {
@@ -127,6 +138,7 @@
             own_work: RefCell::default(),
             peak: Cell::new(1),
             view: ViewCache::default(),
+            store_served_at: Cell::default(),
         }
     }
 
@@ -247,12 +259,24 @@
     }
 
     /// Returns whether this node must follow the store itself. A representative must if too few of
-    /// its predecessors in the order do; a follower must if it hears from no node that does.
+    /// its predecessors in the order do. A follower must if it hears from no representative of its
+    /// zone; where these don't follow the store for long, a few followers try, because the store may
+    /// turn away the representatives only.
     pub fn must_follow_store(&self, now: Duration) -> bool {
         let view = self.view(now);
         let rows = self.rows.borrow();
         if view.rank.is_none() {
-            return !live(&rows, now).any(|row| row.pulse.follows_store);
+            let is_served = live(&rows, now).any(|row| row.pulse.follows_store);
+            if is_served || !self.store_served_at.get().is_some_and(|at| at <= now) {
+                self.store_served_at.set(Some(now));
+            }
+            let served_at = self.store_served_at.get().unwrap_or(now);
+            let is_spare = now.saturating_sub(served_at) >= SPARE_FOLLOWER_DELAY
+                && self.rank_among_followers(&view) < SPARE_STORE_FOLLOWERS;
+            let hears_representative = live(&rows, now).any(|row| {
+                *row.pulse.zone == *self.own.zone && view.is_representative(&row.pulse.node)
+            });
+            return !is_served && (is_spare || !hears_representative);
         }
         let follows = |node: &KnownNode| {
             let row = rows.get(&node.node).filter(|row| row.is_live(now));
@@ -264,6 +288,17 @@
         order[..rank].iter().filter(|node| follows(node)).count() < required
     }
 
+    /// Returns this node's position among the known followers of its zone, the same at all of them.
+    fn rank_among_followers(&self, view: &FleetView) -> usize {
+        let score = |name: &str| rendezvous::score(SPARE_ORDER_KEY, name);
+        let own = score(&self.own.node);
+        let followers = view
+            .nodes
+            .iter()
+            .filter(|node| node.zone == self.own.zone && !view.is_representative(&node.node));
+        followers.filter(|node| score(&node.node) > own).count()
+    }
+
     /// Returns the demand reported by the other nodes.
     pub fn demand(&self, now: Duration) -> Vec<ClassDemand> {
         let mut builder = SummaryBuilder::default();
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -362,3 +362,22 @@
         }
     }
 }
+
+#[test]
+fn a_store_that_is_down_for_all_is_not_tried_by_every_follower() {
+    const ROUNDS: u64 = 24;
+    let nodes = fleet(26);
+    let tables = exchange_pulses(&nodes, ROUNDS);
+    // Nobody follows the store any more.
+    let mut tried = 0;
+    for round in ROUNDS..ROUNDS + 24 {
+        let now = START + Duration::from_millis(250) * round as u32;
+        for (index, node) in nodes.iter().enumerate() {
+            let pulse = FleetPulse { follows_store: false, ..pulse(node, round + 1) };
+            send_pulse(&nodes, &tables, index, &pulse, now);
+        }
+        tried = tried.max(store_followers(&nodes, &tables, now).len());
+    }
+    // All representatives, and two followers in each of three zones.
+    assert_eq!(tried, 9 + 3 * 2);
+}
