--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -27,6 +27,9 @@
 /// reaches all nodes although pulses may be lost.
 const LEAVING_NOTICE_TIME: Duration = Duration::from_secs(3);
 
+/// Maximum number of replicas that a message names as shutting down.
+const MAX_LEAVING_NOTICES: usize = 512;
+
 /// Maximum number of removals retained for incremental responses to peers.
 const MAX_REMOVALS: usize = 512;
 
@@ -324,7 +327,15 @@
         self.announce_leaving(mark, "peer");
     }
 
-    /// Returns the replicas that are shutting down, for peers that may not have heard of it.
+    /// Returns all replicas known to be shutting down, for a peer that has just started.
+    pub fn all_leaving(&self) -> Vec<LeavingReplica> {
+        let replicas = self.replicas.borrow();
+        let leaving = replicas.leaving_replicas().take(MAX_LEAVING_NOTICES);
+        leaving.map(|(replica, born)| LeavingReplica { replica, born }).collect()
+    }
+
+    /// Returns the replicas that have lately been found to shut down, for peers that may not have
+    /// heard of it.
     pub fn leaving_notices(&self) -> Vec<LeavingReplica> {
         let now = self.clock.now();
         let mut notices = self.leaving_notices.borrow_mut();
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -130,7 +130,8 @@
         contacts.retain(|address| !reached.contains(address));
         if !contacts.is_empty() {
             let nodes = self.peers.representative_entries(now);
-            let pulse = FleetPulse { nodes, usage: Vec::new(), ..pulse };
+            let leaving_replicas = self.mirror.all_leaving();
+            let pulse = FleetPulse { nodes, usage: Vec::new(), leaving_replicas, ..pulse };
             self.send_to(&pulse, contacts.into_iter()).await;
         }
     }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -390,6 +390,13 @@
         change(budgets.entry(service.clone()).or_default(), self)
     }
 
+    /// Returns whether the retry budget of a service allows another attempt.
+    pub(super) fn has_retry_budget(&self, service: &SharedName) -> bool {
+        let (bounds, nodes, now) =
+            (self.live.get().retry, self.peers.peak_nodes(), self.clock.now());
+        self.with_budget(service, |budget, _| budget.remaining(&bounds, nodes, now) > 0)
+    }
+
     /// Updates the metrics with the remaining retry budget of each service.
     pub fn export_retry_budgets(&self) {
         let (bounds, nodes) = (self.live.get().retry, self.peers.peak_nodes());
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -90,7 +90,7 @@
         }
     }
 
-    fn apply_copy(&self, copy: FleetCopy, peer: &str) {
+    fn apply_copy(&self, mut copy: FleetCopy, peer: &str) {
         log::info!(
             "event=handon_received peer={peer} desired={} replicas={} replica_revision={}",
             !copy.desired.is_empty(),
@@ -98,11 +98,17 @@
             copy.replica_revision
         );
         if !copy.desired.is_empty() {
-            self.mirror.apply_desired(copy.desired, StateSource::Peer);
+            self.mirror.apply_desired(std::mem::take(&mut copy.desired), StateSource::Peer);
         }
         if copy.store_troubled {
             self.mirror.record_store_failure();
         }
+        let leaving = std::mem::take(&mut copy.leaving);
+        self.apply_replicas(copy, peer);
+        leaving.iter().for_each(|notice| self.mirror.apply_leaving_notice(notice));
+    }
+
+    fn apply_replicas(&self, copy: FleetCopy, peer: &str) {
         if !copy.has_replicas || copy.store_era < self.mirror.era() {
             return;
         }
@@ -185,6 +191,7 @@
             complete,
             removed,
             store_era: self.mirror.era(),
+            leaving: self.mirror.all_leaving(),
             store_troubled: self.mirror.has_store_failed_recently(),
         }
     }
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -33,6 +33,8 @@
     response: StartedResponse,
     splitter: EventSplitter,
     first_event_at: Duration,
+    /// Time at which the last complete event arrived, or the response that continues the stream.
+    last_event_at: Duration,
     /// Copy of the run and the replica that holds it, once the original run has been stopped.
     moved: Option<(ReplicaTarget, MovedRun)>,
     /// Whether a move was attempted, successfully or not.
@@ -57,6 +59,7 @@
             response,
             splitter: EventSplitter::default(),
             first_event_at: self.clock.now(),
+            last_event_at: self.clock.now(),
             moved: None,
             move_tried: false,
         };
@@ -75,6 +78,9 @@
                 RouteKind::Safe | RouteKind::Unsafe => content.clone(),
             };
             content.clear();
+            if !whole.is_empty() {
+                self.last_event_at = self.handler.clock.now();
+            }
             if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
                 self.response.record_failure(self.handler, "event without end");
                 return RequestOutcome::Broken(self.splitter.events());
@@ -108,7 +114,10 @@
                 }
             };
             match next {
-                Some(next) => self.response = next,
+                Some(next) => {
+                    self.response = next;
+                    self.last_event_at = self.handler.clock.now();
+                }
                 None => {
                     log::info!(
                         "event=stream_broken id={} replica={} events={} age_ms={} reason=\"{reason}\"",
@@ -143,8 +152,16 @@
         let clock = &self.handler.clock;
         let time_left = self.request.deadline.saturating_sub(clock.now());
         let gap = self.request.route.gap_target.filter(|_| self.is_resumable());
-        let gap = gap.filter(|_| self.handler.may_retry(self.request, self.history));
-        let limit = gap.map_or(time_left, |gap| (gap * STALL_TIMEOUT_GAPS).min(time_left));
+        // A slow stream is only cut if it can go on elsewhere.
+        let gap = gap.filter(|_| {
+            self.handler.may_retry(self.request, self.history)
+                && self.handler.has_retry_budget(&self.request.service)
+        });
+        // Bytes that complete no event don't count as progress.
+        let silent = clock.now().saturating_sub(self.last_event_at);
+        let limit = gap.map_or(time_left, |gap| {
+            (gap * STALL_TIMEOUT_GAPS).saturating_sub(silent).min(time_left)
+        });
         match clock.timeout(limit, self.response.read_content(content)).await {
             Some(Ok(())) => Ok(()),
             Some(Err(err)) => Err(err.to_string()),
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -230,8 +230,8 @@
         let headers = &response.headers;
         let owner = match (headers.get(ATTEMPT_ID), request_id) {
             (Some(named), Some(own)) if named == own => ResponseOwner::Own,
-            (Some(_), Some(_)) => ResponseOwner::Other,
-            _ => ResponseOwner::Unnamed,
+            (Some(_), _) => ResponseOwner::Other,
+            (None, _) => ResponseOwner::Unnamed,
         };
         let misdirected = response.status == MISDIRECTED && !headers.contains(SIGNATURE);
         Self {
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -380,6 +380,13 @@
         Some(mark)
     }
 
+    /// Returns the known replicas that have said that they are shutting down, by
+    /// [`ReplicaRow::hash`] and start of their process.
+    pub fn leaving_replicas(&self) -> impl Iterator<Item = (u32, u64)> + '_ {
+        let marks = self.leaving.values();
+        marks.filter_map(|mark| Some((self.rows.get(&mark.replica)?.hash, mark.born)))
+    }
+
     /// Applies the notice of a peer that the process of a replica that started at `born` is
     /// shutting down; `hash` is [`ReplicaRow::hash`]. Returns the mark if it was not known.
     pub fn apply_leaving_notice(
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -647,6 +647,9 @@
     /// Era of the store to which the revisions belong.
     #[prost(uint64, tag = "8")]
     pub store_era: u64,
+    /// Replicas that have said that they are shutting down.
+    #[prost(message, repeated, tag = "9")]
+    pub leaving: ::prost::alloc::vec::Vec<LeavingReplica>,
 }
 /// An entry that was removed from the replica list.
 #[derive(Clone, PartialEq, ::prost::Message)]
