Answer a restarted node at once, and give it a small part of the retry budget

Cause: a restarted node waited up to 250 ms for its peers' next pulse, and took the whole fleet's fixed retry allowance until it knew the others. Change: the first pulse of a node is answered when it arrives, so that 80 ms suffice before it reads the store itself; in its first two seconds it takes four retries.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -270,6 +270,7 @@
 
     fn serve_callers(&self, listener: TcpListener) {
         let handler = Rc::new(RequestHandler {
+            started_at: self.clock.now(),
             settings: self.settings.clone(),
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -33,8 +33,8 @@
 /// Interval at which a node that has just started checks whether its peers have told the state.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time that a restarted node leaves to its peers; they answer its first pulse within 250 ms.
-const RESTART_PATIENCE: Duration = Duration::from_millis(300);
+/// Time that a restarted node leaves to its peers, which answer its first pulse at once.
+const RESTART_PATIENCE: Duration = Duration::from_millis(80);
 
 /// Time that the nodes of a fleet need to find each other when it starts for the first time.
 const FIRST_START_DISCOVERY: Duration = Duration::from_millis(800);
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -191,7 +191,11 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((count, from)) => self.receive_datagram(&buffer[..count], from),
+                Ok((count, from)) => {
+                    if self.receive_datagram(&buffer[..count], from) {
+                        self.answer_new_peer(from).await;
+                    }
+                }
                 Err(err) => {
                     log::warn!("event=pulse_receive_failed error=\"{err}\"");
                     self.clock.sleep(PULSE_INTERVAL).await;
@@ -200,16 +204,34 @@
         }
     }
 
-    fn receive_datagram(&self, bytes: &[u8], from: SocketAddr) {
+    /// Answers a node that has just started at once, so that it learns the state from its peers
+    /// before it reads the store.
+    async fn answer_new_peer(&self, address: SocketAddr) {
+        if !self.mirror.is_complete() {
+            return;
+        }
+        let now = self.clock.now();
+        let sequence = self.sequence.replace(self.sequence.get() + 1);
+        let pulse = FleetPulse {
+            nodes: self.peers.representative_entries(now),
+            usage: Vec::new(),
+            leaving_replicas: self.mirror.all_leaving(),
+            ..self.pulse(sequence, now)
+        };
+        self.send_to(&pulse, std::iter::once(address)).await;
+    }
+
+    /// Applies a pulse; returns whether its sender has just started.
+    fn receive_datagram(&self, bytes: &[u8], from: SocketAddr) -> bool {
         let pulse = match FleetPulse::decode(bytes) {
             Ok(pulse) => pulse,
             Err(err) => {
                 log::warn!("event=pulse_malformed peer={from} error=\"{err}\"");
-                return;
+                return false;
             }
         };
         if *pulse.node == *self.settings.node {
-            return;
+            return false;
         }
         if let Some(desired) = self.mirror.desired() {
             self.usage.learn_organisations(&desired);
@@ -220,8 +242,9 @@
         let forwarded = pulse.spoken_for.iter().flat_map(|summary| &summary.usage);
         forwarded.for_each(|usage| self.merge_run(usage));
         if pulse.sequence == 0 {
-            return;
+            return false;
         }
+        let is_new = pulse.sequence == 1;
         for notice in &pulse.leaving_replicas {
             self.mirror.apply_leaving_notice(notice);
         }
@@ -236,7 +259,7 @@
         {
             self.peer_ahead.notify();
         }
-        self.peers.record_pulse(pulse, from, self.clock.now());
+        self.peers.record_pulse(pulse, from, self.clock.now()) && is_new
     }
 
     /// Applies changes of the replica list if no earlier ones are missing here.
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -37,6 +37,12 @@
 /// Timeout of a request whose caller sets no deadline. The timeout of its route caps it.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time after its start within which a node learns the size of the fleet.
+const FLEET_DISCOVERY_TIME: Duration = Duration::from_secs(2);
+
+/// Part of the fixed retry allowance that a node takes before it knows the size of the fleet.
+const DISCOVERY_RETRIES: f64 = 4.0;
+
 /// Multiple of the latency target after which a retryable request without a response is retried on
 /// another replica.
 const TIMEOUT_FACTOR: f64 = 2.5;
@@ -52,6 +58,8 @@
     pub live: Rc<LiveSettings>,
     /// Clock for deadlines and timeouts.
     pub clock: RuntimeClock,
+    /// Time at which the node started.
+    pub started_at: Duration,
     /// Local copy of the platform's store.
     pub mirror: Rc<StoreMirror>,
     /// Other nodes of the fleet.
@@ -295,7 +303,7 @@
         let target = self.place_request(request, &history.tried)?;
         if history.sent > 0 {
             let bounds = self.live.get().retry;
-            let nodes = self.peers.peak_nodes();
+            let nodes = self.budget_nodes();
             let granted = self.with_budget(&request.service, |budget, _| {
                 budget.try_withdraw(&bounds, nodes, now)
             });
@@ -390,16 +398,25 @@
         change(budgets.entry(service.clone()).or_default(), self)
     }
 
+    /// Returns the number of nodes among which the retry budget is divided. A node that has just
+    /// started doesn't know it yet, and takes a small part of the fixed allowance.
+    fn budget_nodes(&self) -> usize {
+        let known = self.peers.peak_nodes();
+        match self.clock.now().saturating_sub(self.started_at) < FLEET_DISCOVERY_TIME {
+            true => known.max((self.live.get().retry.extra / DISCOVERY_RETRIES) as usize),
+            false => known,
+        }
+    }
+
     /// Returns whether the retry budget of a service allows another attempt.
     pub(super) fn has_retry_budget(&self, service: &SharedName) -> bool {
-        let (bounds, nodes, now) =
-            (self.live.get().retry, self.peers.peak_nodes(), self.clock.now());
+        let (bounds, nodes, now) = (self.live.get().retry, self.budget_nodes(), self.clock.now());
         self.with_budget(service, |budget, _| budget.remaining(&bounds, nodes, now) > 0)
     }
 
     /// Updates the metrics with the remaining retry budget of each service.
     pub fn export_retry_budgets(&self) {
-        let (bounds, nodes) = (self.live.get().retry, self.peers.peak_nodes());
+        let (bounds, nodes) = (self.live.get().retry, self.budget_nodes());
         for (service, budget) in self.budgets.borrow_mut().iter_mut() {
             let remaining = budget.remaining(&bounds, nodes, self.clock.now());
             self.metrics.set_retry_budget(service, remaining);
