--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -267,7 +267,7 @@
         let rows = self.rows.borrow();
         if view.rank.is_none() {
             let is_served = live(&rows, now).any(|row| row.pulse.follows_store);
-            if is_served || !self.store_served_at.get().is_some_and(|at| at <= now) {
+            if is_served || self.store_served_at.get().is_none_or(|at| at > now) {
                 self.store_served_at.set(Some(now));
             }
             let served_at = self.store_served_at.get().unwrap_or(now);
--- a/berylstep/src/gateway/peers/outbound.rs
+++ b/berylstep/src/gateway/peers/outbound.rs
@@ -91,7 +91,7 @@
             },
             PulseGroup { pulse: to_outside, addresses: outside.clone() },
         ];
-        if rank == 0 || pulse.sequence.is_multiple_of(STANDBY_CONTACT_INTERVAL) {
+        if rank == 0 || pulse.sequence % STANDBY_CONTACT_INTERVAL == 0 {
             let followers = self.follower_addresses(&view, now);
             let addresses = followers.into_iter().filter(|to| !outside.contains(to)).collect();
             groups.push(PulseGroup { pulse: to_follower, addresses });
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -310,7 +310,7 @@
             Some(rank) if rank > 0 => 2 * GOSSIP_PULSE_INTERVAL,
             _ => GOSSIP_PULSE_INTERVAL,
         };
-        let nodes = match sequence.is_multiple_of(gossip_interval) {
+        let nodes = match sequence % gossip_interval == 0 {
             true => self.peers.gossip_entries(now),
             false => Vec::new(),
         };
--- a/berylstep/tests/operator_stories.rs
+++ b/berylstep/tests/operator_stories.rs
@@ -83,7 +83,7 @@
     begin_events(stream, request)
         && (0..count).all(|number| {
             std::thread::sleep(pause);
-            write_event(stream, number.into())
+            write_event(stream, number)
         })
         && end_events(stream)
 }
--- a/berylstep_core/src/fleet/engine.rs
+++ b/berylstep_core/src/fleet/engine.rs
@@ -38,7 +38,7 @@
 const MAX_DELAY_RATIO: f64 = 1.5;
 
 /// Share of an engine's slots that may be occupied before requests wait for one.
-const SLOT_UTILISATION: f64 = 0.6;
+const SLOT_UTILISATION: f64 = 0.75;
 
 /// Work that a replica completes at acceptable latency, relative to its prefill rate; above 1,
 /// because the cached part of a prompt is work that takes no time.
--- a/berylstep_core/tests/fleet_engine.rs
+++ b/berylstep_core/tests/fleet_engine.rs
@@ -37,7 +37,7 @@
 
 /// Returns the time to the first token; a third of the prompts is partly cached.
 fn first_token(case: &EngineCase, number: u64, prompt: u64) -> Duration {
-    let cached = if number.is_multiple_of(3) { 0.3 } else { 0.0 };
+    let cached = if number % 3 == 0 { 0.3 } else { 0.0 };
     let base = Duration::from_millis(62);
     base + Duration::from_secs_f64(prompt as f64 * (1.0 - cached) / case.prefill_rate)
 }
