Log and count how the response to a stream was framed and how it ended

Cause: a truncated stream that the gateway took as complete is logged as answered, so the logs can't tell whether the response had no framing, a framing that lies, or an end between two events. Change: request_ended of a stream gains framing, end, events and partial_bytes; berylstep_gateway_streams_total counts by framing and end. No change of logic.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -9,7 +9,7 @@
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::ResponseWriter;
-use crate::gateway::telemetry::{RequestOutcome, RequestTrace};
+use crate::gateway::telemetry::{RequestOutcome, RequestTrace, StreamEnd};
 use crate::platform::engines::MovePhase;
 use crate::platform::headers::MovedRun;
 use crate::platform::{CallError, PlatformClient};
@@ -82,6 +82,7 @@
                 self.last_event_at = self.handler.clock.now();
             }
             if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
+                self.record_end(false);
                 self.response.record_failure(self.handler, "event without end");
                 return RequestOutcome::Broken(self.splitter.events());
             }
@@ -93,6 +94,7 @@
                 return RequestOutcome::CallerLeft;
             }
             if self.response.is_complete() {
+                self.record_end(true);
                 self.record_output();
                 let rest = self.splitter.take_partial();
                 self.response.release_connection(&self.handler.upstreams);
@@ -105,6 +107,7 @@
                 self.move_run().await;
             }
             let Err(reason) = self.read_more(&mut content).await else { continue };
+            self.record_end(false);
             self.splitter.discard_partial();
             let next = match self.moved.take() {
                 Some((target, run)) => self.continue_moved_run(target, run).await,
@@ -133,6 +136,17 @@
         }
     }
 
+    /// Records how the current replica's response ended.
+    fn record_end(&self, is_complete: bool) {
+        let end = StreamEnd {
+            framing: self.response.head.framing,
+            is_complete,
+            events: self.splitter.events(),
+            partial_bytes: self.splitter.partial_bytes(),
+        };
+        self.trace.record_stream_end(&self.handler.metrics, &self.request.service, end);
+    }
+
     /// Records how fast the engine produced the stream, if it came from one run.
     fn record_output(&self) {
         let Some(desired) = self.handler.mirror.desired() else { return };
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -5,6 +5,7 @@
 
 use berylstep_core::burn::TargetOutcome;
 use berylstep_core::collections::SharedName;
+use berylstep_http::BodyFraming;
 use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::gateway::attempt::{AttemptOutcome, ReplicaTarget};
@@ -86,6 +87,7 @@
     instruments: InstrumentSet,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    streams: IntCounterVec,
     first_content: HistogramVec,
     duration: HistogramVec,
     /// Number of requests in progress.
@@ -123,6 +125,11 @@
                 "Attempts at replicas by service and result.",
                 &["service", "result"],
             )?,
+            streams: set.counters(
+                "berylstep_gateway_streams_total",
+                "Ended responses of replicas to streams, by service, framing and end.",
+                &["service", "framing", "end"],
+            )?,
             first_content: set.histograms(
                 "berylstep_gateway_first_content_seconds",
                 "Time from arrival to the first content of the answer.",
@@ -171,6 +178,37 @@
     }
 }
 
+/// How the last response of a replica to a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamEnd {
+    /// Framing of the response.
+    pub framing: BodyFraming,
+    /// Whether the framing tells that the response is complete.
+    pub is_complete: bool,
+    /// Number of events with an identifier that were received from all replicas.
+    pub events: u64,
+    /// Bytes after the last complete event.
+    pub partial_bytes: usize,
+}
+
+impl StreamEnd {
+    fn framing_label(self) -> &'static str {
+        match self.framing {
+            BodyFraming::Length(_) => "length",
+            BodyFraming::Chunked => "chunked",
+            BodyFraming::Unframed => "close",
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match (self.is_complete, self.partial_bytes) {
+            (true, 0) => "complete",
+            (true, _) => "inside_event",
+            (false, _) => "broken",
+        }
+    }
+}
+
 /// Collects what is logged and counted for one request.
 #[derive(Debug)]
 pub struct RequestTrace {
@@ -178,6 +216,7 @@
     outcome: Cell<Option<RequestOutcome>>,
     first_content: Cell<Option<Duration>>,
     attempts: Cell<u32>,
+    stream_end: Cell<Option<StreamEnd>>,
     labels: RefCell<Option<TraceLabels>>,
 }
 
@@ -201,6 +240,7 @@
             outcome: Cell::new(None),
             first_content: Cell::new(None),
             attempts: Cell::new(0),
+            stream_end: Cell::new(None),
             labels: RefCell::default(),
         }
     }
@@ -255,6 +295,13 @@
         );
     }
 
+    /// Records how a replica's response to a stream ended; the last call is logged.
+    pub fn record_stream_end(&self, metrics: &GatewayMetrics, service: &str, end: StreamEnd) {
+        let labels = [service, end.framing_label(), end.label()];
+        metrics.streams.with_label_values(&labels).inc();
+        self.stream_end.set(Some(end));
+    }
+
     /// Records the outcome of the request. Only the first call has an effect.
     pub fn record_outcome(&self, outcome: RequestOutcome) {
         if self.outcome.get().is_none() {
@@ -304,7 +351,7 @@
             outcome.log_level(),
             "event=request_ended id={id} outcome={} detail=\"{}\" route={} service={service} \
              organisation={} priority={priority} replica={} attempts={} prompt={} output={} \
-             first_ms={} total_ms={}",
+             first_ms={} total_ms={}{}",
             outcome.label(),
             outcome.detail(),
             labels.route,
@@ -314,7 +361,17 @@
             labels.prompt,
             labels.output,
             first.map_or(-1, |first| first.as_millis() as i64),
-            elapsed.as_millis()
+            elapsed.as_millis(),
+            self.stream_end.get().map(stream_fields).unwrap_or_default()
         );
     }
 }
+
+/// Returns the log fields of a stream's end.
+fn stream_fields(end: StreamEnd) -> String {
+    let (framing, label) = (end.framing_label(), end.label());
+    format!(
+        " framing={framing} end={label} events={} partial_bytes={}",
+        end.events, end.partial_bytes
+    )
+}
