--- /dev/null
+++ b/berylstep/tests/truncated_streams.rs
@@ -0,0 +1,210 @@
+//! Streams of replicas that end early, seen by the callers of a gateway process.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
+use berylstep_standins::fleet::message::{
+    begin_events, begin_unframed_events, read_message, request_text, respond, RawMessage,
+};
+use berylstep_standins::fleet::replica::FakeReplica;
+use berylstep_standins::fleet::store::FakeStore;
+use berylstep_standins::fleet::{desired_state, KEY_HEADER};
+use berylstep_standins::process::free_address;
+use serde_json::json;
+
+const EVENTS: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+
+/// Framing of a replica's response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// The response ends with its connection.
+    Close,
+    /// The response ends with its last chunk.
+    Chunked,
+}
+
+struct EndCase {
+    name: &'static str,
+    framing: Framing,
+    /// Content of the response, whose connection or chunks then end in order.
+    content: &'static str,
+    /// Whether the content is the whole stream.
+    whole: bool,
+}
+
+const ENDS: &[EndCase] = &[
+    EndCase {
+        name: "after the last event",
+        framing: Framing::Close,
+        content: "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+        whole: true,
+    },
+    EndCase {
+        name: "inside a field",
+        framing: Framing::Close,
+        content: "id: 1\ndata: a\n\nid: 2\nda",
+        whole: false,
+    },
+    EndCase {
+        name: "after a field",
+        framing: Framing::Close,
+        content: "id: 1\ndata: a\n\nid: 2\ndata: b\n",
+        whole: false,
+    },
+    EndCase {
+        name: "between the line ends of a blank line",
+        framing: Framing::Close,
+        content: "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r",
+        whole: false,
+    },
+    EndCase {
+        name: "inside the first event",
+        framing: Framing::Close,
+        content: "id: 1\nda",
+        whole: false,
+    },
+    EndCase { name: "before the first event", framing: Framing::Close, content: "", whole: false },
+    EndCase {
+        name: "chunks that end inside an event",
+        framing: Framing::Chunked,
+        content: "id: 1\ndata: a\n\nid: 2\nda",
+        whole: false,
+    },
+];
+
+fn start_fleet(service: &str, replicas: &[&FakeReplica]) -> (FakeStore, FleetGateway) {
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired_state(1)));
+    for replica in replicas {
+        store.put("servers", &replica.id, Some(replica.entry(service, "ready")));
+    }
+    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    (store, gateway)
+}
+
+/// Writes a response with this content, whose end is in order; returns whether to keep the
+/// connection open.
+fn write_stream(
+    stream: &mut TcpStream,
+    request: &RawMessage,
+    framing: Framing,
+    content: &str,
+) -> bool {
+    let written = match framing {
+        Framing::Close => {
+            begin_unframed_events(stream, request) && stream.write_all(content.as_bytes()).is_ok()
+        }
+        Framing::Chunked => {
+            let chunks = format!("{:x}\r\n{content}\r\n0\r\n\r\n", content.len());
+            begin_events(stream, request) && stream.write_all(chunks.as_bytes()).is_ok()
+        }
+    };
+    written && framing == Framing::Chunked
+}
+
+/// Guards against a truncated stream that the caller takes for a complete one.
+#[test]
+fn a_stream_that_ends_inside_an_event_never_looks_complete() {
+    for case in ENDS {
+        let replica = FakeReplica::start("i-1", |request, _, stream| {
+            write_stream(stream, request, case.framing, case.content)
+        });
+        let (_store, gateway) = start_fleet("plain", &[&replica]);
+        let answer = gateway.send("plain", KEY_HEADER);
+        let complete = answer.filter(|answer| answer.status() < 300).map(|answer| answer.body);
+        let expected = case.whole.then(|| case.content.to_owned());
+        assert_eq!(complete, expected, "{}", case.name);
+    }
+}
+
+/// Guards against a resumable stream that is given up, or joined with a gap, when it was truncated.
+#[test]
+fn a_resumable_stream_that_ends_inside_an_event_goes_on_at_another_replica() {
+    for case in ENDS {
+        let armed = Arc::new(AtomicBool::new(true));
+        let [first, second] = ["i-1", "i-2"].map(|id| {
+            let armed = armed.clone();
+            FakeReplica::start(id, move |request, _, stream| {
+                if armed.swap(false, Ordering::SeqCst) {
+                    return write_stream(stream, request, case.framing, case.content);
+                }
+                let last = request.header("last-event-id").map_or(0, |id| id.parse().unwrap());
+                let rest = EVENTS[last..].concat();
+                write_stream(stream, request, Framing::Close, &rest)
+            })
+        });
+        let (_store, gateway) = start_fleet("resumable", &[&first, &second]);
+        let answer = gateway.send("resumable", KEY_HEADER).map(|answer| answer.body);
+        let answer = answer.map(|body| body.replace('\r', ""));
+        assert_eq!(answer, Some(EVENTS.concat()), "{}", case.name);
+    }
+}
+
+/// Events of the stream that is moved, one every [`EVENT_INTERVAL`].
+const MOVED_EVENTS: usize = 200;
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Streams numbered events until the run is stopped by a move; then closes the connection in order.
+fn serve_movable_run(request: &RawMessage, stream: &mut TcpStream, stopped: &AtomicBool) -> bool {
+    if request.target() == "/v1/kv-move" {
+        let is_last = request.body.contains("\"Last\":true");
+        stopped.fetch_or(is_last, Ordering::SeqCst);
+        return respond(stream, request, 200, "", "{\"Handle\": \"h1\", \"Created\": 1}");
+    }
+    let is_moved = request.header("kv-from").is_some();
+    let last = request.header("last-event-id").map_or(0, |id| id.parse::<usize>().unwrap());
+    assert!(begin_unframed_events(stream, request));
+    for number in last + 1..=MOVED_EVENTS {
+        if !is_moved && stopped.load(Ordering::SeqCst) {
+            break;
+        }
+        let event = format!("id: {number}\ndata: d\n\n");
+        assert!(stream.write_all(event.as_bytes()).is_ok());
+        if !is_moved {
+            std::thread::sleep(EVENT_INTERVAL);
+        }
+    }
+    false
+}
+
+/// Guards against a stream that looks complete where its run was moved away between two events.
+#[test]
+fn a_stream_that_a_move_has_stopped_goes_on_at_the_other_replica() {
+    let stopped = Arc::new(AtomicBool::new(false));
+    let replicas = ["i-1", "i-2"].map(|id| {
+        let stopped = stopped.clone();
+        FakeReplica::start(id, move |request, _, stream| {
+            serve_movable_run(request, stream, &stopped)
+        })
+    });
+    let store = FakeStore::start();
+    let mut desired = desired_state(1);
+    let services = desired["Services"].as_array_mut().unwrap();
+    for service in services.iter_mut().filter(|service| service["Name"] == "plain") {
+        service["Engine"] = json!({"Slots": 8, "KvCacheTokens": 10000, "Moves": true, "Stride": 1});
+    }
+    store.put("op", "config", Some(desired));
+    for replica in &replicas {
+        store.put("servers", &replica.id, Some(replica.entry("plain", "ready")));
+    }
+    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    let mut caller = gateway.connect();
+    let headers = format!("{KEY_HEADER}Berylstep-Token-Counts: 10,{MOVED_EVENTS}\r\n");
+    caller.write_all(request_text("plain", "id-1", 3000, &headers).as_bytes()).unwrap();
+    let mut source = None;
+    wait_until("a replica has the request", || {
+        source = replicas.iter().find(|replica| !replica.received().is_empty());
+        source.is_some()
+    });
+    let source = source.unwrap();
+    store.put("servers", &source.id, Some(source.entry("plain", "draining")));
+    let answer = read_message(&mut caller).expect("the stream is complete");
+    let numbers = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
+    let numbers: Vec<usize> = numbers.map(|number| number.parse().unwrap()).collect();
+    assert!(stopped.load(Ordering::SeqCst), "the run was not moved");
+    assert_eq!(numbers, (1..=MOVED_EVENTS).collect::<Vec<_>>());
+}
--- a/berylstep_standins/src/fleet/message.rs
+++ b/berylstep_standins/src/fleet/message.rs
@@ -99,6 +99,16 @@
     stream.write_all(head.as_bytes()).is_ok()
 }
 
+/// Writes the head of an event stream that ends with its connection; returns whether it was written.
+pub fn begin_unframed_events(stream: &mut impl Write, request: &RawMessage) -> bool {
+    let id = request.header("berylstep-attempt-id").unwrap_or("-");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nBerylstep-Attempt-Id: {id}\r\nBerylstep-Replica-Signature: sig\r\n\
+         Content-Type: text/event-stream\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).is_ok()
+}
+
 /// Writes the event with the identifier `number` and returns whether it was written.
 pub fn write_event(stream: &mut impl Write, number: u32) -> bool {
     let event = format!("id: {number}\ndata: d{number}\n\n");
