Treat a stream that ends inside an event as broken off

Cause: a response without length or chunks ends with its connection, and the relay took every orderly close as its end; it even delivered the bytes of the incomplete event before the last chunk. The class: a close counted as proof of success, where a replica that fails closes in order too. Change: EventSplitter::is_whole decides. A response ends a stream only outside an event, and after at least one if only the close marks the end. Otherwise the replica has failed: the stream is resumed where its route allows it, and else the caller's connection closes without the last chunk. This holds for chunks and lengths too. A 2xx response of another type on such a route, JSON for instance, has no events and is relayed as it arrives.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -4,7 +4,8 @@
 
 use berylstep_core::fleet::departure::{is_move_due, StreamProgress};
 use berylstep_core::fleet::desired::RouteKind;
-use berylstep_core::fleet::events::EventSplitter;
+use berylstep_core::fleet::events::{EndMarker, EventSplitter};
+use berylstep_http::{BodyFraming, ResponseMessage};
 
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
@@ -21,6 +22,9 @@
 /// Largest event, or content without events, that is buffered until its end.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Media type of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Number of gaps between events from which a stream tells the speed of its engine.
 const MIN_TIMED_GAPS: u64 = 4;
 
@@ -31,6 +35,8 @@
     history: &'a mut AttemptHistory,
     trace: &'a RequestTrace,
     response: StartedResponse,
+    /// Whether the response consists of events; any other is relayed as it arrives.
+    is_event_stream: bool,
     splitter: EventSplitter,
     first_event_at: Duration,
     /// Time at which the last complete event arrived, or the response that continues the stream.
@@ -41,6 +47,14 @@
     move_tried: bool,
 }
 
+/// Returns whether a response consists of events. On the route of a stream, one without a content
+/// type does.
+fn is_event_stream(kind: RouteKind, head: &ResponseMessage) -> bool {
+    let content_type = head.headers.get("content-type").unwrap_or(EVENT_STREAM);
+    let media_type = content_type.split(';').next().unwrap_or_default().trim();
+    kind == RouteKind::Stream && head.status < 300 && media_type.eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 impl RequestHandler {
     /// Relays a stream until it ends.
     pub(super) async fn relay_stream(
@@ -56,6 +70,7 @@
             request,
             history,
             trace,
+            is_event_stream: is_event_stream(request.route.kind, &response.head),
             response,
             splitter: EventSplitter::default(),
             first_event_at: self.clock.now(),
@@ -72,10 +87,9 @@
         let status = self.response.head.status;
         let mut content = std::mem::take(&mut self.response.content);
         loop {
-            let whole = match self.request.route.kind {
-                RouteKind::Stream => self.splitter.accept(&content),
-                // A large response that is no stream has no events to wait for.
-                RouteKind::Safe | RouteKind::Unsafe => content.clone(),
+            let whole = match self.is_event_stream {
+                true => self.splitter.accept(&content),
+                false => content.clone(),
             };
             content.clear();
             if !whole.is_empty() {
@@ -93,21 +107,20 @@
             if written.is_err() {
                 return RequestOutcome::CallerLeft;
             }
-            if self.response.is_complete() {
+            if self.response.is_complete() && self.is_whole() {
                 self.record_end(true);
                 self.record_output();
-                let rest = self.splitter.take_partial();
                 self.response.release_connection(&self.handler.upstreams);
-                return match writer.end_stream(&rest).await {
+                return match writer.end_stream(&[]).await {
                     Ok(()) => RequestOutcome::Answered(status),
                     Err(_) => RequestOutcome::CallerLeft,
                 };
             }
-            if self.is_move_due() {
+            if !self.response.is_complete() && self.is_move_due() {
                 self.move_run().await;
             }
             let Err(reason) = self.read_more(&mut content).await else { continue };
-            self.record_end(false);
+            self.record_end(self.response.is_complete());
             self.splitter.discard_partial();
             let next = match self.moved.take() {
                 Some((target, run)) => self.continue_moved_run(target, run).await,
@@ -161,8 +174,23 @@
         self.handler.demand.record_output(&self.request.service, tokens, elapsed);
     }
 
+    /// Returns whether a response that is complete by its framing has delivered the whole stream.
+    fn is_whole(&self) -> bool {
+        if !self.is_event_stream {
+            return true;
+        }
+        let marker = match self.response.head.framing {
+            BodyFraming::Length(_) | BodyFraming::Chunked => EndMarker::Framing,
+            BodyFraming::Unframed => EndMarker::Close,
+        };
+        self.splitter.is_whole(marker)
+    }
+
     /// Reads more content, or returns why there is none.
     async fn read_more(&mut self, content: &mut Vec<u8>) -> Result<(), String> {
+        if self.response.is_complete() {
+            return Err("stream ended before its last event was complete".to_owned());
+        }
         let clock = &self.handler.clock;
         let time_left = self.request.deadline.saturating_sub(clock.now());
         let gap = self.request.route.gap_target.filter(|_| self.is_resumable());
--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -94,7 +94,16 @@
     framing: Framing,
     content: &str,
 ) -> bool {
-    let written = match framing {
+    write_message(stream, request, framing, content) && framing == Framing::Chunked
+}
+
+fn write_message(
+    stream: &mut impl Write,
+    request: &RawMessage,
+    framing: Framing,
+    content: &str,
+) -> bool {
+    match framing {
         Framing::Close => {
             begin_unframed_events(stream, request) && stream.write_all(content.as_bytes()).is_ok()
         }
@@ -102,8 +111,7 @@
             let chunks = format!("{:x}\r\n{content}\r\n0\r\n\r\n", content.len());
             begin_events(stream, request) && stream.write_all(chunks.as_bytes()).is_ok()
         }
-    };
-    written && framing == Framing::Chunked
+    }
 }
 
 /// Guards against a truncated stream that the caller takes for a complete one.
@@ -144,6 +152,33 @@
     }
 }
 
+struct BodyCase {
+    content_type: &'static str,
+    framing: Framing,
+}
+
+/// Guards against a response without events that is taken for a truncated stream.
+#[test]
+fn a_response_of_another_type_on_the_route_of_a_stream_is_relayed_whole() {
+    let cases = [
+        BodyCase { content_type: "application/json", framing: Framing::Chunked },
+        BodyCase { content_type: "application/json; charset=utf-8", framing: Framing::Close },
+    ];
+    for case in cases {
+        let replica = FakeReplica::start("i-1", move |request, _, stream| {
+            let mut message = Vec::new();
+            write_message(&mut message, request, case.framing, "{\"text\": \"answer\"}");
+            let message = String::from_utf8(message).unwrap();
+            let message = message.replace("text/event-stream", case.content_type);
+            stream.write_all(message.as_bytes()).unwrap();
+            false
+        });
+        let (_store, gateway) = start_fleet("plain", &[&replica]);
+        let answer = gateway.send("plain", KEY_HEADER).expect("the response is complete");
+        assert_eq!(answer.body, "{\"text\": \"answer\"}", "{}", case.content_type);
+    }
+}
+
 /// Events of the stream that is moved, one every [`EVENT_INTERVAL`].
 const MOVED_EVENTS: usize = 200;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
--- a/berylstep_core/src/fleet/events.rs
+++ b/berylstep_core/src/fleet/events.rs
@@ -3,6 +3,15 @@
 /// Name of the field that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
 
+/// What marks the end of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndMarker {
+    /// A length or a last chunk.
+    Framing,
+    /// The close of the connection, which also happens when the replica fails.
+    Close,
+}
+
 /// Splits a stream after its last complete event and records that event's identifier.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
@@ -13,6 +22,8 @@
     searched: usize,
     last_id: Option<String>,
     events: u64,
+    /// Whether a complete event was received.
+    has_event: bool,
 }
 
 impl EventSplitter {
@@ -29,23 +40,25 @@
             self.last_id = Some(id);
         }
         self.events += count_events(&complete);
+        self.has_event = true;
         complete
     }
 
+    /// Returns whether a stream whose response has ended is whole: not inside an event, and, if only
+    /// the close of the connection marks its end, not before the first one.
+    pub fn is_whole(&self, marker: EndMarker) -> bool {
+        self.pending.is_empty() && (marker == EndMarker::Framing || self.has_event)
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub fn partial_bytes(&self) -> usize {
         self.pending.len()
     }
 
-    /// Discards the bytes of an incomplete event.
+    /// Discards the bytes of an incomplete event, once a response has ended.
     pub fn discard_partial(&mut self) {
-        drop(self.take_partial());
-    }
-
-    /// Takes the bytes after the last complete event, once the stream has ended.
-    pub fn take_partial(&mut self) -> Vec<u8> {
         (self.line_start, self.searched) = (0, 0);
-        std::mem::take(&mut self.pending)
+        self.pending = Vec::new();
     }
 
     /// Returns the end of the last blank line, which terminates an event. Bytes are searched once,
--- a/berylstep_core/tests/fleet_state.rs
+++ b/berylstep_core/tests/fleet_state.rs
@@ -6,7 +6,7 @@
 use berylstep_core::fleet::desired::{
     CallerLimits, DesiredState, RouteEntry, RouteKind, RouteTarget,
 };
-use berylstep_core::fleet::events::EventSplitter;
+use berylstep_core::fleet::events::{EndMarker, EventSplitter};
 use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState, ReplicaTable, LAPSE_GRACE};
 
 fn route(name: &str, host: &str, prefix: &str) -> RouteEntry {
@@ -171,6 +171,33 @@
         assert_eq!(String::from_utf8(forwarded).unwrap(), case.forwarded, "{}", case.name);
         assert_eq!(splitter.last_id(), case.last_id, "{}", case.name);
         splitter.discard_partial();
-        assert!(splitter.take_partial().is_empty(), "{}", case.name);
+        assert_eq!(splitter.partial_bytes(), 0, "{}", case.name);
+    }
+}
+
+struct EndCase {
+    name: &'static str,
+    content: &'static str,
+    /// Whether the stream is whole if a length or a last chunk marks its end, and if only the close
+    /// of the connection does.
+    whole: [bool; 2],
+}
+
+/// Guards against a truncated stream that is taken for a complete one.
+#[test]
+fn a_stream_is_whole_only_after_a_complete_event() {
+    let cases = [
+        EndCase { name: "nothing", content: "", whole: [true, false] },
+        EndCase { name: "an event", content: "id: 1\ndata: a\n\n", whole: [true, true] },
+        EndCase { name: "inside a line", content: "data: a\n\ndata", whole: [false, false] },
+        EndCase { name: "after a line", content: "data: a\n\ndata: b\n", whole: [false, false] },
+        EndCase { name: "inside CR LF", content: "data: a\n\ndata: b\n\r", whole: [false, false] },
+        EndCase { name: "first event", content: "data: a\n", whole: [false, false] },
+    ];
+    for case in cases {
+        let mut splitter = EventSplitter::default();
+        case.content.bytes().for_each(|byte| drop(splitter.accept(&[byte])));
+        let whole = [EndMarker::Framing, EndMarker::Close].map(|marker| splitter.is_whole(marker));
+        assert_eq!(whole, case.whole, "{}", case.name);
     }
 }
