Go on with a moved run when its old response ends between two events

Callers could get a stream that stopped where its run was moved to another replica, framed as complete. Cause: the engine ends the response of a run that it has stopped with a close and without the stream's end. Without length or chunks that is the same as a finished stream, and the relay looked at the end before the move. Change: after a move has stopped the run, a close never ends the stream; it goes on at the other replica.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -183,7 +183,9 @@
             BodyFraming::Length(_) | BodyFraming::Chunked => EndMarker::Framing,
             BodyFraming::Unframed => EndMarker::Close,
         };
-        self.splitter.is_whole(marker)
+        // A run that was moved away ends with the same close as one that is finished.
+        let is_cut_by_move = marker == EndMarker::Close && self.moved.is_some();
+        self.splitter.is_whole(marker) && !is_cut_by_move
     }
 
     /// Reads more content, or returns why there is none.
