--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -286,12 +286,13 @@
         };
         log::warn!(
             "event=attempt_failed id={} service={} replica={} attempt={} result={result} \
-             age_ms={} detail=\"{detail}\"",
+             age_ms={} detail=\"{detail}\" parts={}",
             request.id(),
             request.service,
             target.id,
             self.attempts.get(),
-            now.saturating_sub(request.arrived).as_millis()
+            now.saturating_sub(request.arrived).as_millis(),
+            request.headers.parts.join(",")
         );
     }
 
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -57,8 +57,14 @@
     pub size: Option<RequestSize>,
     /// Identifier of the prompt part that the requests of the caller's session share.
     pub session: Option<SharedName>,
+    /// Identifiers of the parts of the prompt, in their order; those beyond
+    /// [`MAX_PROMPT_PARTS`] are left out.
+    pub parts: Vec<SharedName>,
 }
 
+/// Largest number of parts of a prompt that are read.
+const MAX_PROMPT_PARTS: usize = 16;
+
 impl CallerHeaders {
     /// Reads the headers of a request; malformed values are ignored.
     pub fn read(headers: &HeaderList) -> Self {
@@ -71,6 +77,7 @@
             key: shared(KEY),
             size,
             session: headers.get(PROMPT_PREFIX).and_then(session_part).map(SharedName::from),
+            parts: headers.get(PROMPT_PREFIX).map(prompt_parts).unwrap_or_default(),
         }
     }
 }
@@ -89,6 +96,12 @@
     parts.next().or(Some(last)).filter(|part| !part.is_empty())
 }
 
+fn prompt_parts(prefix: &str) -> Vec<SharedName> {
+    let parts = prefix.split(',').map(|part| part.split(':').next().unwrap_or_default().trim());
+    let named = parts.filter(|part| !part.is_empty());
+    named.take(MAX_PROMPT_PARTS).map(SharedName::from).collect()
+}
+
 /// Values of the headers that are added to a request for a replica.
 #[derive(Clone, Debug)]
 pub struct UpstreamHeaders<'a> {
