--- a/berylstep_standins/src/fleet.rs
+++ b/berylstep_standins/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use serde_json::{json, Value};
 
+pub mod crash;
 pub mod gateway;
 pub mod message;
 pub mod replica;
