Quarantine parts of prompts that crash replicas

Cause: the gateway remembers which replicas failed, but not what they were about to run, so each new request of that kind crashed the next replica. The class: a failure that travels with the request is laid to the replica alone, and load moves on to the next one. Change: fleet::quarantine in the core. A request that was lost before its first event is suspected if its replica then refuses connections. A part lost in three crashes is quarantined, whichever nodes saw them; parts lost in the same crashes form a group, and only a request with all of them is refused, so sound requests that share some are served and clear these. Refused is a 503 at once, with the time until the next review as Retry-After; the request has not run. One node reviews a group with one request, after 30 s and ever more rarely. Pulses carry the evidence; representatives repeat what is in quarantine for nodes that start.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod orders;
 pub mod peers;
 pub mod pulse;
+pub mod quarantine;
 pub mod request;
 pub mod response;
 pub mod service_level;
@@ -49,6 +50,7 @@
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pulse::PulseExchange;
+use crate::gateway::quarantine::PromptWatch;
 use crate::gateway::request::RequestHandler;
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings, SettingsError};
@@ -165,6 +167,7 @@
     tasks: Rc<LocalExecutor<'static>>,
     stop: Rc<GracefulStop>,
     mirror: Rc<StoreMirror>,
+    prompts: Rc<PromptWatch>,
     peers: Rc<PeerTable>,
     metrics: Rc<GatewayMetrics>,
     live: Rc<LiveSettings>,
@@ -189,9 +192,11 @@
         );
         let peers = PeerTable::new(settings.known_node(run.incarnation));
         let window = Duration::from_secs(settings.usage_window_s);
+        let mirror = Rc::new(StoreMirror::new(clock.clone()));
         Self {
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
-            mirror: Rc::new(StoreMirror::new(clock.clone())),
+            prompts: Rc::new(PromptWatch::new(clock.clone(), mirror.clone())),
+            mirror,
             peers: Rc::new(peers),
             metrics: Rc::default(),
             live: Rc::new(LiveSettings::new(&settings)),
@@ -227,6 +232,7 @@
             clock: self.clock.clone(),
             peers: self.peers.clone(),
             mirror: self.mirror.clone(),
+            prompts: self.prompts.clone(),
             usage: self.usage.clone(),
             stop: self.stop.clone(),
             duty_fencing: self.duty_fencing.clone(),
@@ -274,6 +280,7 @@
             settings: self.settings.clone(),
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
+            prompts: self.prompts.clone(),
             peers: self.peers.clone(),
             upstreams: UpstreamPool::new(self.clock.clone()),
             usage: self.usage.clone(),
@@ -285,6 +292,7 @@
             budgets: RefCell::default(),
         });
         self.tasks.spawn(run_maintenance(handler.clone())).detach();
+        self.tasks.spawn(self.prompts.clone().verify_losses()).detach();
         let callers = CallerListener {
             handler,
             tasks: self.tasks.clone(),
@@ -357,5 +365,7 @@
         handler.clock.sleep(MAINTENANCE_INTERVAL).await;
         handler.upstreams.close_expired();
         handler.export_retry_budgets();
+        handler.prompts.expire();
+        handler.metrics.quarantined_prompts.set(handler.prompts.quarantined_groups());
     }
 }
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -20,6 +20,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
+use crate::gateway::quarantine::PromptWatch;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stop::GracefulStop;
 use crate::gateway::usage::{organisation_hash, UsageLedger};
@@ -71,6 +72,8 @@
     pub peers: Rc<PeerTable>,
     /// Local copy of the store.
     pub mirror: Rc<StoreMirror>,
+    /// Prompts that crash replicas.
+    pub prompts: Rc<PromptWatch>,
     /// Usage counts of this node and its peers.
     pub usage: Rc<UsageLedger>,
     /// State of a planned stop.
@@ -248,6 +251,7 @@
         for notice in &pulse.leaving_replicas {
             self.mirror.apply_leaving_notice(notice);
         }
+        self.prompts.apply(&pulse.part_suspicions, &pulse.part_clearances);
         let delta = pulse.replica_delta.as_ref();
         if let Some(delta) = delta.filter(|_| pulse.store_era == self.mirror.era()) {
             self.apply_delta(delta, pulse.replica_revision);
@@ -338,6 +342,8 @@
             store_era: self.mirror.era(),
             sealed_window: self.usage.sealed_window(),
             leaving_replicas: self.mirror.leaving_notices(),
+            part_suspicions: self.prompts.suspicions(self.peers.is_representative(now)),
+            part_clearances: self.prompts.clearances(),
             follows_store: self.mirror.is_following_store(),
         }
     }
--- /dev/null
+++ b/berylstep/src/gateway/quarantine.rs
@@ -0,0 +1,224 @@
+//! Watches for prompts that crash replicas.
+
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::quarantine::{
+    part_key, CrashId, PartClearance, PartKey, PartSuspicion, PromptQuarantine, QuarantineVerdict,
+    QuarantinedGroup,
+};
+use smol::channel::{bounded, Receiver, Sender};
+use smol::net::TcpStream;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::attempt::ReplicaTarget;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::request::RoutedRequest;
+
+/// Timeout of the connection that tells whether a replica has crashed; a live one accepts within
+/// milliseconds.
+const VERIFY_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Largest number of lost requests that wait to be verified.
+const MAX_UNVERIFIED: usize = 256;
+
+/// Returns the keys of the parts of a prompt.
+pub fn prompt_keys(service: &str, parts: &[SharedName]) -> Vec<PartKey> {
+    parts.iter().map(|part| part_key(service, part)).collect()
+}
+
+/// A request whose replica closed the connection before it began to answer.
+#[derive(Debug)]
+struct LostRequest {
+    id: SharedName,
+    parts: Vec<PartKey>,
+    names: Vec<SharedName>,
+    replica: SharedName,
+    address: SocketAddr,
+    crash: CrashId,
+    at: Duration,
+}
+
+/// Evidence about prompts that crash replicas, from this node's requests and from its peers.
+#[derive(Debug)]
+pub struct PromptWatch {
+    clock: RuntimeClock,
+    mirror: Rc<StoreMirror>,
+    quarantine: RefCell<PromptQuarantine>,
+    lost: (Sender<LostRequest>, Receiver<LostRequest>),
+}
+
+impl PromptWatch {
+    /// Creates a watch without evidence.
+    pub fn new(clock: RuntimeClock, mirror: Rc<StoreMirror>) -> Self {
+        Self { clock, mirror, quarantine: RefCell::default(), lost: bounded(MAX_UNVERIFIED) }
+    }
+
+    /// Decides on a new request; see [`PromptQuarantine::check_new`].
+    pub fn check_new(
+        &self,
+        parts: &[PartKey],
+        is_reviewer: impl FnOnce(PartKey) -> bool,
+    ) -> QuarantineVerdict {
+        self.quarantine.borrow_mut().check_new(parts, self.clock.now(), is_reviewer)
+    }
+
+    /// Returns whether a request that may have crashed a replica may be sent to another one.
+    pub fn may_retry(&self, parts: &[PartKey]) -> bool {
+        self.quarantine.borrow().may_retry(parts)
+    }
+
+    /// Records that a request began to be answered.
+    pub fn record_started(&self, parts: &[PartKey]) {
+        self.change(|quarantine, now| quarantine.record_started(parts, now));
+    }
+
+    /// Reports a request that was lost before it began to be answered. It counts once its replica
+    /// is found to have crashed.
+    pub fn report_loss(&self, request: &RoutedRequest<'_>, target: &ReplicaTarget) {
+        let replicas = self.mirror.replicas.borrow();
+        // A replica that is shutting down ends its requests without a crash.
+        let row = replicas.get(&target.id).filter(|row| row.is_ready());
+        let Some(row) = row.filter(|_| !request.parts.is_empty()) else { return };
+        let lost = LostRequest {
+            id: request.id().into(),
+            parts: request.parts.clone(),
+            names: request.headers.parts.clone(),
+            replica: target.id.clone(),
+            address: target.address,
+            crash: CrashId { replica: row.hash, born: row.entry.born },
+            at: self.clock.now(),
+        };
+        if let Err(err) = self.lost.0.try_send(lost) {
+            log::warn!("event=loss_not_verified replica={} error=\"{err}\"", target.id);
+        }
+    }
+
+    /// Verifies reported losses for as long as the node runs.
+    pub async fn verify_losses(self: Rc<Self>) {
+        while let Ok(lost) = self.lost.1.recv().await {
+            if !self.has_crashed(lost.address).await {
+                continue;
+            }
+            log::warn!(
+                "event=request_lost_in_crash id={} replica={} parts={} keys={}",
+                lost.id,
+                lost.replica,
+                lost.names.join(","),
+                key_list(&lost.parts)
+            );
+            self.change(|quarantine, _| quarantine.record_crash(&lost.parts, lost.crash, lost.at));
+        }
+    }
+
+    /// Returns whether nothing listens at the address of a replica.
+    async fn has_crashed(&self, address: SocketAddr) -> bool {
+        let connecting = TcpStream::connect(address);
+        match self.clock.timeout(VERIFY_TIMEOUT, connecting).await {
+            Some(Err(err)) => err.kind() == ErrorKind::ConnectionRefused,
+            Some(Ok(_)) | None => false,
+        }
+    }
+
+    /// Applies evidence from a peer.
+    pub fn apply(
+        &self,
+        suspicions: &[berylstep_wire::PartSuspicion],
+        clearances: &[berylstep_wire::PartClearance],
+    ) {
+        if suspicions.is_empty() && clearances.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        let suspicions = suspicions.iter().map(|message| PartSuspicion {
+            part: message.part,
+            crash: CrashId { replica: message.replica, born: message.born },
+            at: time(message.age_ms),
+        });
+        let clearances = clearances
+            .iter()
+            .map(|message| PartClearance { part: message.part, at: time(message.age_ms) });
+        let (suspicions, clearances): (Vec<_>, Vec<_>) =
+            (suspicions.collect(), clearances.collect());
+        self.change(|quarantine, now| quarantine.apply(&suspicions, &clearances, now));
+    }
+
+    /// Returns the suspicions to announce; with `all`, also those of all quarantined parts.
+    pub fn suspicions(&self, all: bool) -> Vec<berylstep_wire::PartSuspicion> {
+        let now = self.clock.now();
+        let suspicions = self.quarantine.borrow().suspicions(all, now).into_iter();
+        let message = |suspicion: PartSuspicion| berylstep_wire::PartSuspicion {
+            part: suspicion.part,
+            replica: suspicion.crash.replica,
+            born: suspicion.crash.born,
+            age_ms: age_ms(suspicion.at, now),
+        };
+        suspicions.map(message).collect()
+    }
+
+    /// Returns the clearances to announce.
+    pub fn clearances(&self) -> Vec<berylstep_wire::PartClearance> {
+        let now = self.clock.now();
+        let clearances = self.quarantine.borrow().clearances().into_iter();
+        let message = |clearance: PartClearance| berylstep_wire::PartClearance {
+            part: clearance.part,
+            age_ms: age_ms(clearance.at, now),
+        };
+        clearances.map(message).collect()
+    }
+
+    /// Drops evidence that no longer counts.
+    pub fn expire(&self) {
+        self.change(|quarantine, now| {
+            quarantine.expire(now);
+            false
+        });
+    }
+
+    /// Returns the number of groups in quarantine.
+    pub fn quarantined_groups(&self) -> i64 {
+        self.quarantine.borrow().groups().len() as i64
+    }
+
+    /// Applies `change`, which returns whether there is something to tell peers, and logs groups
+    /// that enter or leave the quarantine.
+    fn change(&self, change: impl FnOnce(&mut PromptQuarantine, Duration) -> bool) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        let before = quarantine.groups().to_vec();
+        let has_news = change(&mut quarantine, self.clock.now());
+        let after = quarantine.groups();
+        if before != after {
+            log_changes(&before, after);
+        }
+        if has_news {
+            self.mirror.changed.notify();
+        }
+    }
+}
+
+fn log_changes(before: &[QuarantinedGroup], after: &[QuarantinedGroup]) {
+    let is_in = |groups: &[QuarantinedGroup], group: &QuarantinedGroup| {
+        groups.iter().any(|other| other.parts == group.parts)
+    };
+    for group in after.iter().filter(|group| !is_in(before, group)) {
+        let (keys, crashes) = (key_list(&group.parts), group.crashes);
+        log::warn!("event=prompt_quarantined keys={keys} crashes={crashes}");
+    }
+    for group in before.iter().filter(|group| !is_in(after, group)) {
+        log::warn!("event=prompt_released keys={}", key_list(&group.parts));
+    }
+}
+
+fn key_list(parts: &[PartKey]) -> String {
+    let keys: Vec<_> = parts.iter().map(|part| format!("{part:016x}")).collect();
+    keys.join(",")
+}
+
+fn age_ms(at: Duration, now: Duration) -> u32 {
+    u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
+}
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -10,6 +10,8 @@
 use berylstep_core::fleet::choice::{self, PlacementQuery};
 use berylstep_core::fleet::desired::{DesiredState, RouteEntry, RouteKind};
 use berylstep_core::fleet::engine::EngineSpeed;
+use berylstep_core::fleet::quarantine::{PartKey, QuarantineVerdict};
+use berylstep_core::rendezvous;
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -18,6 +20,7 @@
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
+use crate::gateway::quarantine::{prompt_keys, PromptWatch};
 use crate::gateway::response::{LocalReply, ResponseWriter};
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings};
@@ -62,6 +65,8 @@
     pub started_at: Duration,
     /// Local copy of the platform's store.
     pub mirror: Rc<StoreMirror>,
+    /// Prompts that crash replicas.
+    pub prompts: Rc<PromptWatch>,
     /// Other nodes of the fleet.
     pub peers: Rc<PeerTable>,
     /// Idle connections to replicas.
@@ -96,6 +101,8 @@
     pub organisation: Option<SharedName>,
     /// Speed of the service's engines.
     pub speed: EngineSpeed,
+    /// Keys of the parts of its prompt.
+    pub parts: Vec<PartKey>,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// Time at which its first byte arrived.
@@ -197,6 +204,7 @@
             body,
             organisation: holder.map(|organisation| organisation.name.clone()),
             priority: route.rank(holder.and_then(|holder| holder.priority)),
+            parts: prompt_keys(&service, &headers.parts),
             headers,
             speed: self.engine_speed(&desired, &service),
             route,
@@ -215,6 +223,12 @@
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         trace.record_route(request);
+        if let QuarantineVerdict::Refused(wait) = self.check_prompt(request) {
+            let wait = wait.max(self.retry_after());
+            let reply = LocalReply::refused("prompt crashes replicas", wait);
+            trace.record_outcome(reply_outcome(&reply));
+            return self.send_reply(writer, &reply).await;
+        }
         self.demand.record_arrival(&request.service, request.headers.size, request.speed);
         self.with_budget(&request.service, |budget, handler| {
             budget.record_request(&handler.live.get().retry, handler.clock.now());
@@ -254,6 +268,7 @@
                 AttemptOutcome::Lost(reason) => {
                     history.sent += 1;
                     history.ran += 1;
+                    self.prompts.report_loss(request, &target);
                     if !self.may_retry(request, &history) {
                         self.record_lost_response(request, &target.id);
                         let reply = LocalReply::lost(reason);
@@ -281,9 +296,23 @@
         request.route.is_retryable()
             && history.ran < request.route.attempts
             && self.clock.now() < request.deadline
+            && self.prompts.may_retry(&request.parts)
             && self.has_untried_replica(request, history)
     }
 
+    /// Returns whether a new request may reach a replica, or its prompt is known to crash them.
+    fn check_prompt(&self, request: &RoutedRequest<'_>) -> QuarantineVerdict {
+        self.prompts.check_new(&request.parts, |part| self.is_reviewer(part))
+    }
+
+    /// Returns whether this node is the one that reviews the quarantine of a part.
+    fn is_reviewer(&self, part: PartKey) -> bool {
+        let (key, own) = (part.to_string(), &*self.settings.node);
+        let own_score = rendezvous::score(&key, own);
+        let nodes = self.peers.nodes(self.clock.now());
+        nodes.iter().all(|node| rendezvous::score(&key, &node.node) < own_score)
+    }
+
     fn has_untried_replica(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
         let replicas = self.mirror.replicas.borrow();
         let mut available = replicas.available(&request.service, self.clock.now());
@@ -447,6 +476,7 @@
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         if response.is_buffered() {
+            self.prompts.record_started(&request.parts);
             trace.record_outcome(RequestOutcome::Answered(response.head.status));
             let written = writer.write_whole(&response.head, &response.content).await;
             response.release_connection(&self.upstreams);
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -38,6 +38,8 @@
     /// Whether the response consists of events; any other is relayed as it arrives.
     is_event_stream: bool,
     splitter: EventSplitter,
+    /// Whether complete content has arrived.
+    has_started: bool,
     first_event_at: Duration,
     /// Time at which the last complete event arrived, or the response that continues the stream.
     last_event_at: Duration,
@@ -73,6 +75,7 @@
             is_event_stream: is_event_stream(request.route.kind, &response.head),
             response,
             splitter: EventSplitter::default(),
+            has_started: false,
             first_event_at: self.clock.now(),
             last_event_at: self.clock.now(),
             moved: None,
@@ -94,6 +97,7 @@
             content.clear();
             if !whole.is_empty() {
                 self.last_event_at = self.handler.clock.now();
+                self.record_started();
             }
             if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
                 self.record_end(false);
@@ -121,6 +125,9 @@
             }
             let Err(reason) = self.read_more(&mut content).await else { continue };
             self.record_end(self.response.is_complete());
+            if !self.has_started {
+                self.handler.prompts.report_loss(self.request, self.response.target());
+            }
             self.splitter.discard_partial();
             let next = match self.moved.take() {
                 Some((target, run)) => self.continue_moved_run(target, run).await,
@@ -149,6 +156,13 @@
         }
     }
 
+    /// Records that the prompt did not crash the replica.
+    fn record_started(&mut self) {
+        if !std::mem::replace(&mut self.has_started, true) {
+            self.handler.prompts.record_started(&self.request.parts);
+        }
+    }
+
     /// Records how the current replica's response ended.
     fn record_end(&self, is_complete: bool) {
         let end = StreamEnd {
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -102,6 +102,8 @@
     pub duty_fencing: IntGauge,
     /// Milliseconds since the store last responded, or -1 if it never did.
     pub store_age: IntGauge,
+    /// Number of groups of prompt parts that are refused because they crash replicas.
+    pub quarantined_prompts: IntGauge,
     retry_budget: IntGaugeVec,
 }
 
@@ -158,6 +160,10 @@
                 "berylstep_gateway_store_age_milliseconds",
                 "Time since the store last answered this node; -1 where it never did.",
             )?,
+            quarantined_prompts: set.gauge(
+                "berylstep_gateway_quarantined_prompts",
+                "Groups of prompt parts that are refused because they crash replicas.",
+            )?,
             retry_budget: set.gauges(
                 "berylstep_gateway_retry_budget_left",
                 "Repeats that this node may still make now, by service.",
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -11,5 +11,6 @@
 pub mod events;
 pub mod losses;
 pub mod position;
+pub mod quarantine;
 pub mod replica;
 pub mod window;
--- /dev/null
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -0,0 +1,308 @@
+//! Quarantine of prompts that crash replicas.
+//!
+//! A prompt consists of parts, and requests share parts. When a replica crashes, every request that
+//! it had received but not begun to answer is suspected, and with it each part of its prompt. A
+//! part that was lost in several crashes is quarantined: requests with it are refused, because they
+//! would crash the next replica. A request that begins to be answered clears its parts. Nodes
+//! exchange both kinds of evidence, so a crash counts whichever node sent the request.
+
+use std::time::Duration;
+
+use crate::collections::{HashMap, HashSet};
+use crate::rendezvous;
+
+/// Crashes in which a part must have been lost before it is quarantined. Two replicas may crash by
+/// chance with requests of the same session.
+const QUARANTINE_CRASHES: usize = 3;
+
+/// Time for which a part that began to be answered is above suspicion. Keeps parts of much traffic
+/// out of quarantine when many replicas crash at once.
+const SOUND_PERIOD: Duration = Duration::from_secs(3);
+
+/// Time from the last crash until one request of a quarantined group is let through, to find out
+/// whether it still crashes replicas. Doubles with each further crash.
+const REVIEW_DELAY: Duration = Duration::from_secs(30);
+
+/// Upper bound of the time between reviews.
+const MAX_REVIEW_DELAY: Duration = Duration::from_secs(240);
+
+/// Time after which a crash is no longer evidence; longer than that between reviews, so that a
+/// group that is still asked for stays in quarantine.
+const EVIDENCE_RETENTION: Duration = Duration::from_secs(600);
+
+/// Time for which a node repeats new evidence to its peers, in case of lost messages.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(3);
+
+/// Largest number of suspected parts; the rest of a mass crash is left out.
+const MAX_SUSPECTS: usize = 4096;
+
+/// Largest number of crashes retained for a part.
+const MAX_CRASHES: usize = 6;
+
+/// Largest number of items of each kind in one message.
+const MAX_ANNOUNCED: usize = 64;
+
+/// Key of a part of a prompt.
+pub type PartKey = u64;
+
+/// Returns the key of a part of prompts for `service`, the same at all nodes.
+pub fn part_key(service: &str, part: &str) -> PartKey {
+    rendezvous::score(service, part)
+}
+
+/// One crash of a replica: a process crashes only once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CrashId {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// Start of its process, in milliseconds since the Unix epoch; 0 if not announced.
+    pub born: u64,
+}
+
+/// Evidence that a part was lost in a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartSuspicion {
+    /// Key of the part.
+    pub part: PartKey,
+    /// Crash in which it was lost.
+    pub crash: CrashId,
+    /// Time of the crash.
+    pub at: Duration,
+}
+
+/// Evidence that a part does not crash replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartClearance {
+    /// Key of the part.
+    pub part: PartKey,
+    /// Time at which a request with it began to be answered.
+    pub at: Duration,
+}
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineVerdict {
+    /// It may be sent to a replica.
+    Allowed,
+    /// It must not reach a replica, at least not within this time.
+    Refused(Duration),
+}
+
+/// Crashes in which a part was lost, by when they became known.
+#[derive(Clone, Debug, Default)]
+struct SuspectRow {
+    /// Crashes with their times, ordered by crash.
+    crashes: Vec<(CrashId, Duration)>,
+    learnt_at: Duration,
+}
+
+impl SuspectRow {
+    fn latest(&self) -> Duration {
+        self.crashes.iter().map(|(_, at)| *at).max().unwrap_or_default()
+    }
+
+    fn ids(&self) -> Vec<CrashId> {
+        self.crashes.iter().map(|(crash, _)| *crash).collect()
+    }
+}
+
+/// Parts that were lost in the same crashes. Only a request with all of them is refused, because
+/// any one of them may be the cause.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantinedGroup {
+    /// Keys of the parts, in ascending order.
+    pub parts: Vec<PartKey>,
+    /// Number of crashes that the group explains.
+    pub crashes: usize,
+    review_at: Duration,
+}
+
+/// Evidence about the parts of prompts, and the groups that it puts into quarantine.
+#[derive(Debug, Default)]
+pub struct PromptQuarantine {
+    suspects: HashMap<PartKey, SuspectRow>,
+    /// Parts that lately began to be answered, with the time of the last such request.
+    sound: HashMap<PartKey, Duration>,
+    /// Clearances of suspected parts, with the time at which this node learnt of them.
+    clearances: Vec<(PartClearance, Duration)>,
+    groups: Vec<QuarantinedGroup>,
+    /// Time of the last review of a group at this node, by its first part.
+    reviews: HashMap<PartKey, Duration>,
+}
+
+impl PromptQuarantine {
+    /// Records that a request with `parts` began to be answered; returns whether one of them was
+    /// suspected.
+    pub fn record_started(&mut self, parts: &[PartKey], now: Duration) -> bool {
+        let cleared = parts.iter().map(|part| self.clear(*part, now, now)).filter(|is| *is);
+        cleared.count() > 0
+    }
+
+    /// Records that a request with `parts` was lost in a crash before it began to be answered;
+    /// returns whether that is new evidence.
+    pub fn record_crash(&mut self, parts: &[PartKey], crash: CrashId, now: Duration) -> bool {
+        let suspicions = parts.iter().map(|part| PartSuspicion { part: *part, crash, at: now });
+        let learnt = suspicions.map(|suspicion| self.suspect(suspicion, now)).filter(|is| *is);
+        let is_new = learnt.count() > 0;
+        self.update_groups(is_new);
+        is_new
+    }
+
+    /// Applies evidence from peers; returns whether some of it is new.
+    pub fn apply(
+        &mut self,
+        suspicions: &[PartSuspicion],
+        clearances: &[PartClearance],
+        now: Duration,
+    ) -> bool {
+        let cleared = clearances.iter().map(|it| self.clear(it.part, it.at, now));
+        let cleared = cleared.filter(|is| *is).count();
+        let learnt = suspicions.iter().map(|it| self.suspect(*it, now)).filter(|is| *is).count();
+        self.update_groups(learnt > 0);
+        cleared + learnt > 0
+    }
+
+    /// Decides on a request with `parts` that has not been sent yet. `is_reviewer` tells whether
+    /// this node reviews the group that a part is the first of; a review is used up by the call.
+    pub fn check_new(
+        &mut self,
+        parts: &[PartKey],
+        now: Duration,
+        is_reviewer: impl FnOnce(PartKey) -> bool,
+    ) -> QuarantineVerdict {
+        let Some(group) = self.group_of(parts) else { return QuarantineVerdict::Allowed };
+        let first = group.parts[0];
+        let reviewed = self.reviews.get(&first).map(|at| *at + review_delay(group.crashes));
+        let review_at = reviewed.map_or(group.review_at, |at| at.max(group.review_at));
+        if review_at <= now && is_reviewer(first) {
+            self.reviews.insert(first, now);
+            return QuarantineVerdict::Allowed;
+        }
+        QuarantineVerdict::Refused(review_at.saturating_sub(now))
+    }
+
+    /// Returns whether a request with `parts` may be sent to another replica.
+    pub fn may_retry(&self, parts: &[PartKey]) -> bool {
+        self.group_of(parts).is_none()
+    }
+
+    /// Returns the groups in quarantine.
+    pub fn groups(&self) -> &[QuarantinedGroup] {
+        &self.groups
+    }
+
+    /// Returns the suspicions to announce to peers: new ones and, if `all`, those of quarantined
+    /// parts, which nodes that have just started must learn.
+    pub fn suspicions(&self, all: bool, now: Duration) -> Vec<PartSuspicion> {
+        let quarantined: HashSet<_> =
+            self.groups.iter().flat_map(|group| &group.parts).copied().collect();
+        let is_announced = |part: &PartKey, row: &SuspectRow| {
+            now.saturating_sub(row.learnt_at) < ANNOUNCEMENT_TIME
+                || (all && quarantined.contains(part))
+        };
+        let rows = self.suspects.iter().filter(|(part, row)| is_announced(part, row));
+        let mut rows: Vec<_> = rows.collect();
+        rows.sort_unstable_by_key(|(_, row)| std::cmp::Reverse((row.crashes.len(), row.latest())));
+        let suspicions = rows.into_iter().flat_map(|(part, row)| {
+            let crashes = row.crashes.iter();
+            crashes.map(|(crash, at)| PartSuspicion { part: *part, crash: *crash, at: *at })
+        });
+        suspicions.take(MAX_ANNOUNCED).collect()
+    }
+
+    /// Returns the clearances to announce to peers.
+    pub fn clearances(&self) -> Vec<PartClearance> {
+        self.clearances.iter().rev().take(MAX_ANNOUNCED).map(|(clearance, _)| *clearance).collect()
+    }
+
+    /// Drops evidence that no longer counts.
+    pub fn expire(&mut self, now: Duration) {
+        self.sound.retain(|_, at| now.saturating_sub(*at) < SOUND_PERIOD);
+        self.clearances.retain(|(_, learnt)| now.saturating_sub(*learnt) < ANNOUNCEMENT_TIME);
+        let count = self.suspects.len();
+        self.suspects.retain(|_, row| now.saturating_sub(row.latest()) < EVIDENCE_RETENTION);
+        self.update_groups(self.suspects.len() != count);
+        self.reviews.retain(|_, at| now.saturating_sub(*at) < EVIDENCE_RETENTION);
+    }
+
+    fn group_of(&self, parts: &[PartKey]) -> Option<&QuarantinedGroup> {
+        self.groups.iter().find(|group| group.parts.iter().all(|part| parts.contains(part)))
+    }
+
+    /// Records that a part began to be answered at `at`; returns whether it was suspected.
+    fn clear(&mut self, part: PartKey, at: Duration, now: Duration) -> bool {
+        let sound = self.sound.entry(part).or_default();
+        *sound = at.max(*sound);
+        let Some(row) = self.suspects.get(&part).filter(|row| row.latest() <= at) else {
+            return false;
+        };
+        let was_quarantined = row.crashes.len() >= QUARANTINE_CRASHES;
+        self.suspects.remove(&part);
+        self.clearances.push((PartClearance { part, at }, now));
+        self.update_groups(was_quarantined);
+        true
+    }
+
+    /// Records a suspicion; returns whether it is new.
+    fn suspect(&mut self, suspicion: PartSuspicion, now: Duration) -> bool {
+        let PartSuspicion { part, crash, at } = suspicion;
+        let is_sound = self.sound.get(&part).is_some_and(|sound| *sound + SOUND_PERIOD > at);
+        let is_over = now.saturating_sub(at) >= EVIDENCE_RETENTION;
+        let has_room = self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&part);
+        if is_sound || is_over || !has_room {
+            return false;
+        }
+        let row = self.suspects.entry(part).or_default();
+        let place = row.crashes.binary_search_by_key(&crash, |(known, _)| *known);
+        let Err(place) = place else { return false };
+        if row.crashes.len() >= MAX_CRASHES {
+            // Enough crashes are known; only the time of the last one matters.
+            let latest = row.crashes.iter_mut().max_by_key(|(_, known)| *known);
+            let Some((_, known)) = latest.filter(|(_, known)| *known < at) else { return false };
+            *known = at;
+        } else {
+            row.crashes.insert(place, (crash, at));
+        }
+        row.learnt_at = now;
+        true
+    }
+
+    /// Determines the groups that explain the crashes, those with the most crashes first.
+    ///
+    /// A crash that a group explains is no evidence against the other parts that were lost in it.
+    fn update_groups(&mut self, is_due: bool) {
+        if !is_due {
+            return;
+        }
+        let repeated =
+            self.suspects.iter().filter(|(_, row)| row.crashes.len() >= QUARANTINE_CRASHES);
+        let mut by_crashes: HashMap<Vec<CrashId>, Vec<PartKey>> = HashMap::default();
+        for (part, row) in repeated {
+            by_crashes.entry(row.ids()).or_default().push(*part);
+        }
+        let mut candidates: Vec<_> = by_crashes.into_iter().collect();
+        candidates.sort_unstable_by(|(left, _), (right, _)| {
+            right.len().cmp(&left.len()).then_with(|| left.cmp(right))
+        });
+        let mut explained: HashSet<CrashId> = HashSet::default();
+        self.groups.clear();
+        for (crashes, mut parts) in candidates {
+            let unexplained = crashes.iter().filter(|crash| !explained.contains(crash)).count();
+            if unexplained < QUARANTINE_CRASHES {
+                continue;
+            }
+            parts.sort_unstable();
+            let latest = parts.iter().filter_map(|part| self.suspects.get(part));
+            let latest = latest.map(SuspectRow::latest).max().unwrap_or_default();
+            let review_at = latest + review_delay(crashes.len());
+            explained.extend(&crashes);
+            self.groups.push(QuarantinedGroup { parts, crashes: crashes.len(), review_at });
+        }
+    }
+}
+
+/// Returns the time from the last crash until the next review of a group with so many crashes.
+fn review_delay(crashes: usize) -> Duration {
+    let doublings = crashes.saturating_sub(QUARANTINE_CRASHES).min(3) as u32;
+    (REVIEW_DELAY * 2_u32.pow(doublings)).min(MAX_REVIEW_DELAY)
+}
--- /dev/null
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -0,0 +1,213 @@
+//! Quarantine of prompts that crash replicas: which requests are refused under which load.
+
+use std::time::Duration;
+
+use berylstep_core::fleet::quarantine::{
+    part_key, CrashId, PartKey, PromptQuarantine, QuarantineVerdict,
+};
+
+fn keys(parts: &str) -> Vec<PartKey> {
+    parts.split(' ').map(|part| part_key("s", part)).collect()
+}
+
+fn crash(number: u32) -> CrashId {
+    CrashId { replica: number, born: 7 }
+}
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_secs(100) + Duration::from_millis(milliseconds)
+}
+
+fn is_refused(quarantine: &mut PromptQuarantine, parts: &str, now: Duration) -> bool {
+    let verdict = quarantine.check_new(&keys(parts), now, |_| false);
+    matches!(verdict, QuarantineVerdict::Refused(_))
+}
+
+/// What a node learns about requests, with times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A request with these parts was lost in the crash of a replica.
+    Lost(u64, &'static str, u32),
+    /// A request with these parts began to be answered.
+    Started(u64, &'static str),
+}
+
+struct PatternCase {
+    name: &'static str,
+    steps: &'static [Step],
+    refused: &'static [&'static str],
+    allowed: &'static [&'static str],
+}
+
+use Step::{Lost, Started};
+
+const PATTERNS: &[PatternCase] = &[
+    PatternCase {
+        name: "two crashes may be chance",
+        steps: &[Lost(0, "a s dead 1", 1), Lost(1000, "a s dead 2", 2)],
+        refused: &[],
+        allowed: &["a s dead 3"],
+    },
+    PatternCase {
+        name: "one crash seen by several requests counts once",
+        steps: &[Lost(0, "a s 1", 1), Lost(0, "a s 2", 1), Lost(1, "a s 3", 1)],
+        refused: &[],
+        allowed: &["a s 4"],
+    },
+    PatternCase {
+        name: "a deadly part in one session, whose other requests are sound",
+        steps: &[
+            Lost(0, "a s dead 1", 1),
+            Lost(1000, "a s dead 2", 2),
+            Lost(2000, "a s dead 3", 3),
+        ],
+        refused: &["a s dead 4"],
+        allowed: &["a s 5", "a t 6", "b dead"],
+    },
+    PatternCase {
+        name: "a deadly part in several sessions",
+        steps: &[
+            Lost(0, "a s dead 1", 1),
+            Lost(1000, "a t dead 2", 2),
+            Started(1100, "a t 9"),
+            Lost(2000, "a s dead 3", 3),
+            Started(2100, "a s 8"),
+        ],
+        refused: &["a s dead 4", "a u dead 5", "b dead"],
+        allowed: &["a s 5", "a t 6"],
+    },
+    PatternCase {
+        name: "sound requests that were lost beside a deadly one",
+        steps: &[
+            Lost(0, "a s dead 1", 1),
+            Lost(0, "a t 2", 1),
+            Lost(1000, "a s dead 3", 2),
+            Lost(1000, "a t 4", 2),
+            Lost(2000, "a s dead 5", 3),
+            Lost(2000, "a t 6", 3),
+            Lost(3000, "a s dead 7", 4),
+        ],
+        refused: &["a s dead 8"],
+        allowed: &["a t 9", "a s 9"],
+    },
+    PatternCase {
+        name: "a part of much traffic when many replicas crash at once",
+        steps: &[
+            Started(0, "a s 1"),
+            Lost(900, "a s 2", 1),
+            Lost(900, "a s 3", 2),
+            Lost(900, "a s 4", 3),
+            Lost(900, "a s 5", 4),
+        ],
+        refused: &[],
+        allowed: &["a s 6"],
+    },
+    PatternCase {
+        name: "a request that begins to be answered ends the quarantine",
+        steps: &[
+            Lost(0, "a s 1", 1),
+            Lost(0, "a s 2", 2),
+            Lost(0, "a s 3", 3),
+            Started(100, "a s 4"),
+        ],
+        refused: &[],
+        allowed: &["a s 5"],
+    },
+];
+
+#[test]
+fn only_requests_with_a_part_that_explains_the_crashes_are_refused() {
+    for case in PATTERNS {
+        let mut quarantine = PromptQuarantine::default();
+        for step in case.steps {
+            match *step {
+                Lost(time, parts, number) => {
+                    quarantine.record_crash(&keys(parts), crash(number), at(time));
+                }
+                Started(time, parts) => drop(quarantine.record_started(&keys(parts), at(time))),
+            }
+        }
+        let now = at(5000);
+        for parts in case.refused {
+            assert!(is_refused(&mut quarantine, parts, now), "{}: {parts}", case.name);
+            assert!(!quarantine.may_retry(&keys(parts)), "{}: {parts}", case.name);
+        }
+        for parts in case.allowed {
+            assert!(!is_refused(&mut quarantine, parts, now), "{}: {parts}", case.name);
+        }
+    }
+}
+
+/// Load of a fleet: each crash is seen by another node, and nodes exchange what is new.
+#[test]
+fn nodes_that_each_see_one_crash_quarantine_the_part_together() {
+    let mut nodes: Vec<PromptQuarantine> = (0..8).map(|_| PromptQuarantine::default()).collect();
+    for number in 0..3 {
+        let now = at(u64::from(number) * 1000);
+        let parts = keys(&format!("a s dead {number}"));
+        nodes[number as usize].record_crash(&parts, crash(number), now);
+        let suspicions: Vec<_> = nodes.iter().flat_map(|node| node.suspicions(true, now)).collect();
+        nodes.iter_mut().for_each(|node| drop(node.apply(&suspicions, &[], now)));
+    }
+    for node in &mut nodes {
+        assert!(is_refused(node, "a s dead 9", at(2000)));
+        assert!(!is_refused(node, "a s 9", at(2000)));
+    }
+    // A node that starts later learns it from a representative, which repeats it.
+    let later = at(20_000);
+    let mut started = PromptQuarantine::default();
+    assert!(nodes[7].suspicions(false, later).is_empty());
+    started.apply(&nodes[7].suspicions(true, later), &[], later);
+    assert!(is_refused(&mut started, "a s dead 10", later));
+    // An answer that begins at one node ends the quarantine at all of them.
+    assert!(started.record_started(&keys("a s dead 11"), later));
+    let clearances = started.clearances();
+    nodes.iter_mut().for_each(|node| drop(node.apply(&[], &clearances, later)));
+    for node in &mut nodes {
+        assert!(!is_refused(node, "a s dead 12", later));
+        // What a peer repeats from before does not bring it back.
+        let old = [crash(0), crash(1), crash(2)].map(|crash| {
+            let part = part_key("s", "dead");
+            berylstep_core::fleet::quarantine::PartSuspicion { part, crash, at: at(1000) }
+        });
+        assert!(!node.apply(&old, &[], later));
+        assert!(!is_refused(node, "a s dead 13", later));
+    }
+}
+
+#[test]
+fn one_node_reviews_a_quarantine_with_one_request_ever_more_rarely() {
+    let mut quarantine = PromptQuarantine::default();
+    for number in 0..3 {
+        quarantine.record_crash(&keys(&format!("dead {number}")), crash(number), at(0));
+    }
+    let mut last_crash = at(0);
+    let mut passed = Vec::new();
+    let mut number = 3;
+    for second in 0..400 {
+        let now = at(second * 1000);
+        let parts = keys(&format!("dead x{second}"));
+        let other = quarantine.check_new(&parts, now, |_| false);
+        assert!(matches!(other, QuarantineVerdict::Refused(_)), "{second}");
+        if quarantine.check_new(&parts, now, |_| true) == QuarantineVerdict::Allowed {
+            passed.push((now - last_crash).as_secs());
+            quarantine.record_crash(&parts, crash(number), now);
+            (last_crash, number) = (now, number + 1);
+        }
+    }
+    assert_eq!(passed, [30, 60, 120]);
+    // Without new evidence it ends.
+    quarantine.expire(last_crash + Duration::from_secs(601));
+    assert!(!is_refused(&mut quarantine, "dead y", last_crash + Duration::from_secs(601)));
+}
+
+#[test]
+fn evidence_and_its_announcements_stay_bounded_in_a_mass_crash() {
+    let mut quarantine = PromptQuarantine::default();
+    for number in 0..20_000 {
+        quarantine.record_crash(&keys(&format!("p{number}")), crash(number), at(0));
+    }
+    assert!(quarantine.suspicions(true, at(1)).len() <= 64);
+    quarantine.expire(at(1));
+    assert!(quarantine.groups().is_empty());
+}
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -493,6 +493,39 @@
     /// Newest usage window that some node has sealed; 0 if none is known.
     #[prost(uint64, tag = "25")]
     pub sealed_window: u64,
+    /// Parts of prompts that were lost in crashes of replicas: recent ones and, from a representative,
+    /// all of those in quarantine.
+    #[prost(message, repeated, tag = "26")]
+    pub part_suspicions: ::prost::alloc::vec::Vec<PartSuspicion>,
+    /// Suspected parts that have lately begun to be answered.
+    #[prost(message, repeated, tag = "27")]
+    pub part_clearances: ::prost::alloc::vec::Vec<PartClearance>,
+}
+/// A part of prompts that was lost in the crash of a replica.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct PartSuspicion {
+    /// Hash of the service and the part's identifier.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Hash of the replica's identifier.
+    #[prost(fixed32, tag = "2")]
+    pub replica: u32,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "3")]
+    pub born: u64,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
+/// A part of prompts that does not crash replicas.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct PartClearance {
+    /// Hash of the service and the part's identifier.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since a request with it began to be answered, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 /// A replica whose process is shutting down.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
