--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -67,9 +67,9 @@
         self.quarantine.borrow_mut().check_new(parts, self.clock.now(), is_reviewer)
     }
 
-    /// Returns whether a request that may have crashed a replica may be sent to another one.
-    pub fn may_retry(&self, parts: &[PartKey]) -> bool {
-        self.quarantine.borrow().may_retry(parts)
+    /// Returns the time until the next review if requests with these parts are refused.
+    pub fn refusal_wait(&self, parts: &[PartKey]) -> Option<Duration> {
+        self.quarantine.borrow().refusal_wait(parts, self.clock.now())
     }
 
     /// Records that a request began to be answered.
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -138,6 +138,8 @@
     pub sent: u32,
     /// Attempts that the replica may have executed.
     pub ran: u32,
+    /// Whether it reviews the quarantine of its prompt, for which it may run once.
+    pub is_review: bool,
 }
 
 impl RequestHandler {
@@ -223,9 +225,9 @@
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         trace.record_route(request);
-        if let QuarantineVerdict::Refused(wait) = self.check_prompt(request) {
-            let wait = wait.max(self.retry_after());
-            let reply = LocalReply::refused("prompt crashes replicas", wait);
+        let verdict = self.check_prompt(request);
+        if let QuarantineVerdict::Refused(wait) = verdict {
+            let reply = self.quarantine_reply(wait);
             trace.record_outcome(reply_outcome(&reply));
             return self.send_reply(writer, &reply).await;
         }
@@ -233,7 +235,8 @@
         self.with_budget(&request.service, |budget, handler| {
             budget.record_request(&handler.live.get().retry, handler.clock.now());
         });
-        let mut history = AttemptHistory::default();
+        let is_review = verdict == QuarantineVerdict::Review;
+        let mut history = AttemptHistory { is_review, ..AttemptHistory::default() };
         let mut next = self.select_replica(request, &mut history);
         loop {
             let Some(target) = next else {
@@ -296,7 +299,7 @@
         request.route.is_retryable()
             && history.ran < request.route.attempts
             && self.clock.now() < request.deadline
-            && self.prompts.may_retry(&request.parts)
+            && self.quarantine_wait(request, history).is_none()
             && self.has_untried_replica(request, history)
     }
 
@@ -305,6 +308,21 @@
         self.prompts.check_new(&request.parts, |part| self.is_reviewer(part))
     }
 
+    /// Returns the time until the next review if the prompt of a request has been quarantined since
+    /// it was received.
+    fn quarantine_wait(
+        &self,
+        request: &RoutedRequest<'_>,
+        history: &AttemptHistory,
+    ) -> Option<Duration> {
+        let is_exempt = history.is_review && history.ran == 0;
+        self.prompts.refusal_wait(&request.parts).filter(|_| !is_exempt)
+    }
+
+    fn quarantine_reply(&self, wait: Duration) -> LocalReply {
+        LocalReply::refused("prompt crashes replicas", wait.max(self.retry_after()))
+    }
+
     /// Returns whether this node is the one that reviews the quarantine of a part.
     fn is_reviewer(&self, part: PartKey) -> bool {
         let (key, own) = (part.to_string(), &*self.settings.node);
@@ -326,7 +344,7 @@
         history: &mut AttemptHistory,
     ) -> Option<ReplicaTarget> {
         let now = self.clock.now();
-        if now >= request.deadline {
+        if now >= request.deadline || self.quarantine_wait(request, history).is_some() {
             return None;
         }
         let target = self.place_request(request, &history.tried)?;
@@ -396,8 +414,9 @@
         history: &AttemptHistory,
         reason: &'static str,
     ) -> LocalReply {
-        match history.ran {
-            0 => LocalReply::refused(reason, self.service_retry_after(&request.service)),
+        match (history.ran, self.quarantine_wait(request, history)) {
+            (0, Some(wait)) => self.quarantine_reply(wait),
+            (0, None) => LocalReply::refused(reason, self.service_retry_after(&request.service)),
             _ => LocalReply::lost("replicas failed"),
         }
     }
--- a/berylstep_core/src/fleet/quarantine.rs
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -84,6 +84,8 @@
 pub enum QuarantineVerdict {
     /// It may be sent to a replica.
     Allowed,
+    /// It may be sent to one replica, to find out whether its prompt still crashes them.
+    Review,
     /// It must not reach a replica, at least not within this time.
     Refused(Duration),
 }
@@ -171,19 +173,17 @@
         is_reviewer: impl FnOnce(PartKey) -> bool,
     ) -> QuarantineVerdict {
         let Some(group) = self.group_of(parts) else { return QuarantineVerdict::Allowed };
-        let first = group.parts[0];
-        let reviewed = self.reviews.get(&first).map(|at| *at + review_delay(group.crashes));
-        let review_at = reviewed.map_or(group.review_at, |at| at.max(group.review_at));
-        if review_at <= now && is_reviewer(first) {
+        let (first, wait) = (group.parts[0], self.time_to_review(group, now));
+        if wait.is_zero() && is_reviewer(first) {
             self.reviews.insert(first, now);
-            return QuarantineVerdict::Allowed;
+            return QuarantineVerdict::Review;
         }
-        QuarantineVerdict::Refused(review_at.saturating_sub(now))
+        QuarantineVerdict::Refused(wait)
     }
 
-    /// Returns whether a request with `parts` may be sent to another replica.
-    pub fn may_retry(&self, parts: &[PartKey]) -> bool {
-        self.group_of(parts).is_none()
+    /// Returns the time until the next review if requests with `parts` are refused.
+    pub fn refusal_wait(&self, parts: &[PartKey], now: Duration) -> Option<Duration> {
+        Some(self.time_to_review(self.group_of(parts)?, now))
     }
 
     /// Returns the groups in quarantine.
@@ -225,6 +225,12 @@
         self.reviews.retain(|_, at| now.saturating_sub(*at) < EVIDENCE_RETENTION);
     }
 
+    fn time_to_review(&self, group: &QuarantinedGroup, now: Duration) -> Duration {
+        let reviewed = self.reviews.get(&group.parts[0]);
+        let next = reviewed.map_or(Duration::ZERO, |at| *at + review_delay(group.crashes));
+        next.max(group.review_at).saturating_sub(now)
+    }
+
     fn group_of(&self, parts: &[PartKey]) -> Option<&QuarantinedGroup> {
         self.groups.iter().find(|group| group.parts.iter().all(|part| parts.contains(part)))
     }
--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -76,6 +76,24 @@
         refused: &["a s dead 4", "a u dead 5", "b dead"],
         allowed: &["a s 5", "a t 6"],
     },
+    PatternCase {
+        name: "one prompt that its caller sends again and again",
+        steps: &[Lost(0, "a s 1", 1), Lost(100, "a s 1", 2), Lost(2000, "a s 1", 3)],
+        refused: &["a s 1"],
+        allowed: &["a s 2", "a t 1"],
+    },
+    PatternCase {
+        name: "prompts that are sent again and have a deadly part in common",
+        steps: &[
+            Lost(0, "a s dead 1", 1),
+            Lost(100, "a s dead 1", 2),
+            Lost(2000, "a s dead 1", 3),
+            Lost(2500, "a s dead 2", 4),
+            Started(2600, "a s 3"),
+        ],
+        refused: &["a s dead 4"],
+        allowed: &["a s 5"],
+    },
     PatternCase {
         name: "sound requests that were lost beside a deadly one",
         steps: &[
@@ -124,13 +142,16 @@
                 Lost(time, parts, number) => {
                     quarantine.record_crash(&keys(parts), crash(number), at(time));
                 }
-                Started(time, parts) => drop(quarantine.record_started(&keys(parts), at(time))),
+                Started(time, parts) => {
+                    quarantine.record_started(&keys(parts), at(time));
+                }
             }
         }
         let now = at(5000);
         for parts in case.refused {
             assert!(is_refused(&mut quarantine, parts, now), "{}: {parts}", case.name);
-            assert!(!quarantine.may_retry(&keys(parts)), "{}: {parts}", case.name);
+            let wait = quarantine.refusal_wait(&keys(parts), now);
+            assert!(wait.is_some_and(|wait| !wait.is_zero()), "{}: {parts}", case.name);
         }
         for parts in case.allowed {
             assert!(!is_refused(&mut quarantine, parts, now), "{}: {parts}", case.name);
@@ -147,7 +168,9 @@
         let parts = keys(&format!("a s dead {number}"));
         nodes[number as usize].record_crash(&parts, crash(number), now);
         let suspicions: Vec<_> = nodes.iter().flat_map(|node| node.suspicions(true, now)).collect();
-        nodes.iter_mut().for_each(|node| drop(node.apply(&suspicions, &[], now)));
+        for node in &mut nodes {
+            node.apply(&suspicions, &[], now);
+        }
     }
     for node in &mut nodes {
         assert!(is_refused(node, "a s dead 9", at(2000)));
@@ -162,8 +185,8 @@
     // An answer that begins at one node ends the quarantine at all of them.
     assert!(started.record_started(&keys("a s dead 11"), later));
     let clearances = started.clearances();
-    nodes.iter_mut().for_each(|node| drop(node.apply(&[], &clearances, later)));
     for node in &mut nodes {
+        node.apply(&[], &clearances, later);
         assert!(!is_refused(node, "a s dead 12", later));
         // What a peer repeats from before does not bring it back.
         let old = [crash(0), crash(1), crash(2)].map(|crash| {
@@ -189,7 +212,7 @@
         let parts = keys(&format!("dead x{second}"));
         let other = quarantine.check_new(&parts, now, |_| false);
         assert!(matches!(other, QuarantineVerdict::Refused(_)), "{second}");
-        if quarantine.check_new(&parts, now, |_| true) == QuarantineVerdict::Allowed {
+        if quarantine.check_new(&parts, now, |_| true) == QuarantineVerdict::Review {
             passed.push((now - last_crash).as_secs());
             quarantine.record_crash(&parts, crash(number), now);
             (last_crash, number) = (now, number + 1);
