Clear suspected parts by what any node has lately seen answered

Cause: a node whose own requests had not begun with that part within 3 s counted it as suspected, and nodes that knew better kept it to themselves; an answer cleared only crashes before it. Change: a node that rejects a suspicion because it knows the part as sound announces that, and a clearance covers crashes up to the same 3 s after the answer. Evidence: the new test failed before and passes.

--- a/berylstep_core/src/fleet/quarantine.rs
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -239,23 +239,38 @@
     fn clear(&mut self, part: PartKey, at: Duration, now: Duration) -> bool {
         let sound = self.sound.entry(part).or_default();
         *sound = at.max(*sound);
-        let Some(row) = self.suspects.get(&part).filter(|row| row.latest() <= at) else {
+        let Some(row) = self.suspects.get_mut(&part) else { return false };
+        let count = row.crashes.len();
+        row.crashes.retain(|(_, crashed)| *crashed >= at + SOUND_PERIOD);
+        if row.crashes.len() == count {
             return false;
-        };
-        let was_quarantined = row.crashes.len() >= QUARANTINE_CRASHES;
-        self.suspects.remove(&part);
-        self.clearances.push((PartClearance { part, at }, now));
-        self.update_groups(was_quarantined);
+        }
+        if row.crashes.is_empty() {
+            self.suspects.remove(&part);
+        }
+        self.announce_clearance(part, at, now);
+        self.update_groups(count >= QUARANTINE_CRASHES);
         true
     }
 
+    fn announce_clearance(&mut self, part: PartKey, at: Duration, now: Duration) {
+        self.clearances.retain(|(known, _)| known.part != part);
+        self.clearances.push((PartClearance { part, at }, now));
+    }
+
     /// Records a suspicion; returns whether it is new.
     fn suspect(&mut self, suspicion: PartSuspicion, now: Duration) -> bool {
         let PartSuspicion { part, crash, at } = suspicion;
-        let is_sound = self.sound.get(&part).is_some_and(|sound| *sound + SOUND_PERIOD > at);
+        if let Some(sound) = self.sound.get(&part).copied() {
+            if sound + SOUND_PERIOD > at {
+                // The nodes that suspect the part may not know that it is sound.
+                self.announce_clearance(part, sound, now);
+                return false;
+            }
+        }
         let is_over = now.saturating_sub(at) >= EVIDENCE_RETENTION;
         let has_room = self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&part);
-        if is_sound || is_over || !has_room {
+        if is_over || !has_room {
             return false;
         }
         let row = self.suspects.entry(part).or_default();
--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -198,6 +198,24 @@
     }
 }
 
+/// Guards against the refusal of a part of much traffic, of which the node that lost its requests had
+/// no others lately.
+#[test]
+fn a_node_that_knows_a_suspected_part_as_sound_clears_it_for_the_others() {
+    let mut nodes = [PromptQuarantine::default(), PromptQuarantine::default()];
+    nodes[1].record_started(&keys("a s 1"), at(0));
+    for number in 0..3 {
+        nodes[0].record_crash(&keys(&format!("a t{number} 2")), crash(number), at(500));
+    }
+    assert!(is_refused(&mut nodes[0], "a u 3", at(600)));
+    let suspicions = nodes[0].suspicions(false, at(600));
+    nodes[1].apply(&suspicions, &[], at(600));
+    assert!(!is_refused(&mut nodes[1], "a u 3", at(600)));
+    let clearances = nodes[1].clearances();
+    nodes[0].apply(&[], &clearances, at(700));
+    assert!(!is_refused(&mut nodes[0], "a u 3", at(700)));
+}
+
 #[test]
 fn one_node_reviews_a_quarantine_with_one_request_ever_more_rarely() {
     let mut quarantine = PromptQuarantine::default();
