Correct the new test of clearances, whose requests had a last part in common

As committed before, the test failed on both codes: its lost requests shared their last part, so the group that was refused had two parts. With last parts of their own it fails on the code before the change (at the last line, the part stays refused) and passes on the code after it.

--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -205,7 +205,7 @@
     let mut nodes = [PromptQuarantine::default(), PromptQuarantine::default()];
     nodes[1].record_started(&keys("a s 1"), at(0));
     for number in 0..3 {
-        nodes[0].record_crash(&keys(&format!("a t{number} 2")), crash(number), at(500));
+        nodes[0].record_crash(&keys(&format!("a t{number} u{number}")), crash(number), at(500));
     }
     assert!(is_refused(&mut nodes[0], "a u 3", at(600)));
     let suspicions = nodes[0].suspicions(false, at(600));
