End a native node's stream that stops inside an event as broken

Change: the relay takes such an end as a failure of the upstream, so the stream is resumed or breaks off.

--- a/berylstep/src/entry/model_stream.rs
+++ b/berylstep/src/entry/model_stream.rs
@@ -126,9 +126,9 @@
         self.process_events(events)
     }
 
-    /// Returns the bytes after the last complete event, at the end of the stream.
-    pub fn take_remainder(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.pending)
+    /// Returns whether the bytes received so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        !self.pending.is_empty()
     }
 
     fn process_events(&mut self, events: Vec<u8>) -> Vec<u8> {
--- a/berylstep/src/entry/relay.rs
+++ b/berylstep/src/entry/relay.rs
@@ -179,7 +179,8 @@
         }
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
-            match self.read(&mut chunk, withdrawn.as_mut()).await {
+            let outcome = self.read(&mut chunk, withdrawn.as_mut()).await;
+            match self.reject_partial_event(outcome) {
                 ReadOutcome::Bytes(count) => {
                     if !self.deliver(&sender, &chunk[..count]).await {
                         return;
@@ -202,6 +203,17 @@
         }
     }
 
+    /// Turns the end of a stream inside an event into a failure of its upstream.
+    fn reject_partial_event(&self, outcome: ReadOutcome) -> ReadOutcome {
+        let is_partial = self.model.as_ref().is_some_and(ModelStream::is_inside_event);
+        match outcome {
+            ReadOutcome::Complete if is_partial => {
+                ReadOutcome::Broken(BreakCause::upstream("stream ended inside an event".to_owned()))
+            }
+            outcome => outcome,
+        }
+    }
+
     /// Reads the next bytes. A withdrawn key ends the read only if the upstream's work may be
     /// cancelled.
     async fn read(&mut self, chunk: &mut [u8], withdrawn: Withdrawal<'_>) -> ReadOutcome {
@@ -284,9 +296,6 @@
     }
 
     async fn finish(mut self, sender: BodySender) {
-        if let Some(rest) = self.model.as_mut().map(ModelStream::take_remainder) {
-            self.send(&sender, rest).await;
-        }
         self.release();
         if !self.caller_disconnected {
             let outcome = match self.succeeded {
--- a/berylstep/tests/whole_answer.rs
+++ b/berylstep/tests/whole_answer.rs
@@ -63,6 +63,8 @@
     CloseAfter(usize),
     /// Closes the connection inside the event that follows this many tokens.
     CloseInside(usize),
+    /// Sends the last chunk inside the event that follows this many tokens.
+    EndInside(usize),
 }
 
 /// Starts an engine; with `continues` set, it continues from the text of a final assistant message
@@ -108,6 +110,11 @@
         if fault == EngineFault::CloseInside(index) {
             return write_chunk(stream, &event[..event.len() / 2]);
         }
+        if fault == EngineFault::EndInside(index) {
+            write_chunk(stream, &event[..event.len() / 2]);
+            let _ = stream.write_all(b"0\r\n\r\n");
+            return;
+        }
         write_chunk(stream, &event);
         std::thread::sleep(Duration::from_millis(5));
     }
@@ -201,6 +208,8 @@
         break_case("after some tokens", EngineFault::CloseAfter(5), true, [true, true]),
         break_case("inside an event", EngineFault::CloseInside(5), true, [true, true]),
         break_case("engine does not resume", EngineFault::CloseAfter(5), false, [false, false]),
+        break_case("last chunk inside an event", EngineFault::EndInside(5), true, [true, true]),
+        break_case("last chunk, not resumed", EngineFault::EndInside(5), false, [false, false]),
     ];
     let calls: [fn(&TrialSite) -> _; 2] = [chat, completion];
     for case in cases {
