--- a/berylstep_standins/src/soak/replicas.rs
+++ b/berylstep_standins/src/soak/replicas.rs
@@ -1,5 +1,6 @@
 //! Replicas of a soak, which execute requests and record each execution.
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,6 +18,9 @@
 /// Maximum execution time of a request that is not a stream.
 const MAX_WORK_TIME: Duration = Duration::from_millis(40);
 
+/// One of so many numbers of events makes a replica end its stream inside an event.
+const TRUNCATED_STREAM_INTERVAL: u32 = 24;
+
 /// Table of replica entries.
 const REPLICA_TABLE: &str = "servers";
 
@@ -116,6 +120,14 @@
     is_kept
 }
 
+/// Ends a stream inside the event after `count` others, with a last chunk as if it were complete.
+fn truncate_stream(count: u32, request: &RawMessage, stream: &mut TcpStream) -> bool {
+    begin_events(stream, request)
+        && (1..=count).all(|number| write_event(stream, number))
+        && stream.write_all(format!("5\r\nid: {}\r\n", count % 10).as_bytes()).is_ok()
+        && end_events(stream)
+}
+
 fn answer(kind: RequestKind, id: &str, request: &RawMessage, stream: &mut TcpStream) -> bool {
     if !kind.is_stream() {
         let share = f64::from(event_count(id)) / 30.0;
@@ -123,8 +135,12 @@
         return respond(stream, request, 200, "", &answer_body(id));
     }
     let from = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let count = event_count(id);
+    if from == 0 && count % TRUNCATED_STREAM_INTERVAL == 0 {
+        return truncate_stream(count / 2, request, stream);
+    }
     begin_events(stream, request)
-        && (from + 1..=event_count(id)).all(|number| {
+        && (from + 1..=count).all(|number| {
             std::thread::sleep(EVENT_INTERVAL);
             write_event(stream, number)
         })
