Leave streams that a replica truncates out of the soak's check of planned stops

The broken end is the right one, and the check's own bound leaves out what a replica broke off. Streams that can be resumed stay in the check.

--- a/berylstep_standins/src/soak/checks.rs
+++ b/berylstep_standins/src/soak/checks.rs
@@ -7,8 +7,8 @@
 use serde_json::Value;
 
 use super::record::{
-    answer_body, event_count, parse_organisation, CallerOutcome, CallerRequest, FaultTarget,
-    PlannedStop, ReplicaRun, RequestKind, SoakRecord,
+    answer_body, event_count, is_truncated, parse_organisation, CallerOutcome, CallerRequest,
+    FaultTarget, PlannedStop, ReplicaRun, RequestKind, SoakRecord,
 };
 
 /// Time after a fault during which time bounds do not apply; the platform's contact time.
@@ -283,9 +283,12 @@
             let is_during_stop = request.ended > stop.at && request.sent < until;
             let is_accepted =
                 ran.contains(&*request.id) || request.ended > request.sent + LOSS_SLACK;
+            // Only a stream that can be resumed outlives a replica that ends it early.
+            let is_replica_fault = request.kind == RequestKind::Plain && is_truncated(&request.id);
             let is_cut = request.end == CallerOutcome::Broken
                 && request.ended < request.sent + request.patience
-                && is_accepted;
+                && is_accepted
+                && !is_replica_fault;
             if is_during_stop && is_cut && record.is_only_fault(stop, request.sent, request.ended) {
                 found.push(format!("{stop:?} cut {request:?}"));
             }
--- a/berylstep_standins/src/soak/record.rs
+++ b/berylstep_standins/src/soak/record.rs
@@ -212,6 +212,14 @@
     5 + id.bytes().map(u32::from).sum::<u32>() % 25
 }
 
+/// One of so many numbers of events makes a replica end its stream inside an event.
+const TRUNCATED_STREAM_INTERVAL: u32 = 24;
+
+/// Returns whether the first replica of request `id` ends its stream inside an event.
+pub fn is_truncated(id: &str) -> bool {
+    event_count(id) % TRUNCATED_STREAM_INTERVAL == 0
+}
+
 /// Returns the body of the answer to request `id`, which is not a stream.
 pub fn answer_body(id: &str) -> String {
     format!("answer to {id}")
