Ask a replica whether it has crashed before a close ends its response

Cause: a process that is killed closes its connections in order, mostly between two events, because engines write whole events. Nothing in the bytes tells that from the end. Change: where only the close marks the end, the gateway opens a connection to the replica; if that is refused, and the replica is not known to be shutting down, the response is broken off. A live replica accepts within a millisecond, and a silent one counts as alive after 250 ms. Evidence: truncated_streams::the_close_of_a_crashed_replica_never_completes_a_response failed before (one event of three delivered as the stream) and passes, with the last stream of a replica that leaves still whole.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -7,13 +7,13 @@
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_core::fleet::desired::RouteKind;
-use berylstep_http::{BodyDecoder, BodyError, MessageStream, ResponseMessage};
+use berylstep_http::{BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage};
 use futures_util::future::{select, Either};
 use smol::io::AsyncWriteExt;
 
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::request::{RequestHandler, RoutedRequest};
-use crate::gateway::upstreams::{UpstreamPool, UpstreamStream};
+use crate::gateway::upstreams::{has_crashed, UpstreamPool, UpstreamStream};
 use crate::platform::headers::{
     write_header, write_request_headers, MovedRun, ResponseHeaders, ResponseOwner, UpstreamHeaders,
 };
@@ -291,6 +291,10 @@
         self.usage.record_response(&target.id);
         load.finish_prefill();
         let buffered = !streams && decoder.is_complete();
+        if buffered && self.is_cut_by_crash(target, &head).await {
+            self.record_replica_failure(&target.id, "answer ended with a crash");
+            return AttemptOutcome::Lost("answer broke off");
+        }
         AttemptOutcome::Responded(Box::new(StartedResponse {
             head,
             content,
@@ -303,6 +307,17 @@
         }))
     }
 
+    /// Returns whether a response that has ended may be incomplete: only the close of its connection
+    /// marks the end, and its replica has crashed. One that is shutting down may refuse connections
+    /// before its last responses are complete.
+    pub async fn is_cut_by_crash(&self, target: &ReplicaTarget, head: &ResponseMessage) -> bool {
+        let is_ready =
+            self.mirror.replicas.borrow().get(&target.id).is_some_and(|row| row.is_ready());
+        head.framing == BodyFraming::Unframed
+            && is_ready
+            && has_crashed(&self.clock, target.address).await
+    }
+
     /// Handles a response stating that the request did not run.
     async fn handle_refusal(
         &self,
--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -1,7 +1,6 @@
 //! Watches for prompts that crash replicas.
 
 use std::cell::RefCell;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,16 +11,12 @@
     QuarantinedGroup,
 };
 use smol::channel::{bounded, Receiver, Sender};
-use smol::net::TcpStream;
 
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::ReplicaTarget;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::request::RoutedRequest;
-
-/// Timeout of the connection that tells whether a replica has crashed; a live one accepts within
-/// milliseconds.
-const VERIFY_TIMEOUT: Duration = Duration::from_millis(250);
+use crate::gateway::upstreams::has_crashed;
 
 /// Largest number of lost requests that wait to be verified.
 const MAX_UNVERIFIED: usize = 256;
@@ -101,7 +96,7 @@
     /// Verifies reported losses for as long as the node runs.
     pub async fn verify_losses(self: Rc<Self>) {
         while let Ok(lost) = self.lost.1.recv().await {
-            if !self.has_crashed(lost.address).await {
+            if !has_crashed(&self.clock, lost.address).await {
                 continue;
             }
             log::warn!(
@@ -115,15 +110,6 @@
         }
     }
 
-    /// Returns whether nothing listens at the address of a replica.
-    async fn has_crashed(&self, address: SocketAddr) -> bool {
-        let connecting = TcpStream::connect(address);
-        match self.clock.timeout(VERIFY_TIMEOUT, connecting).await {
-            Some(Err(err)) => err.kind() == ErrorKind::ConnectionRefused,
-            Some(Ok(_)) | None => false,
-        }
-    }
-
     /// Applies evidence from a peer.
     pub fn apply(
         &self,
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -111,7 +111,7 @@
             if written.is_err() {
                 return RequestOutcome::CallerLeft;
             }
-            if self.response.is_complete() && self.is_whole() {
+            if self.response.is_complete() && self.is_whole().await {
                 self.record_end(true);
                 self.record_output();
                 self.response.release_connection(&self.handler.upstreams);
@@ -189,23 +189,23 @@
     }
 
     /// Returns whether a response that is complete by its framing has delivered the whole stream.
-    fn is_whole(&self) -> bool {
-        if !self.is_event_stream {
-            return true;
-        }
+    async fn is_whole(&self) -> bool {
         let marker = match self.response.head.framing {
             BodyFraming::Length(_) | BodyFraming::Chunked => EndMarker::Framing,
             BodyFraming::Unframed => EndMarker::Close,
         };
         // A run that was moved away ends with the same close as one that is finished.
         let is_cut_by_move = marker == EndMarker::Close && self.moved.is_some();
-        self.splitter.is_whole(marker) && !is_cut_by_move
+        let has_all_events = !self.is_event_stream || self.splitter.is_whole(marker);
+        has_all_events
+            && !is_cut_by_move
+            && !self.handler.is_cut_by_crash(self.response.target(), &self.response.head).await
     }
 
     /// Reads more content, or returns why there is none.
     async fn read_more(&mut self, content: &mut Vec<u8>) -> Result<(), String> {
         if self.response.is_complete() {
-            return Err("stream ended before its last event was complete".to_owned());
+            return Err("response ended before it was whole".to_owned());
         }
         let clock = &self.handler.clock;
         let time_left = self.request.deadline.saturating_sub(clock.now());
--- a/berylstep/src/gateway/upstreams.rs
+++ b/berylstep/src/gateway/upstreams.rs
@@ -1,6 +1,7 @@
 //! Connection pool for replicas.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +30,19 @@
 /// Largest number of idle connections per replica.
 const MAX_IDLE_PER_REPLICA: usize = 16;
 
+/// Timeout of a connection that tells whether a replica has crashed; a live one accepts within
+/// milliseconds.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Returns whether nothing listens at the address of a replica, because its process has ended.
+pub async fn has_crashed(clock: &RuntimeClock, address: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(address);
+    match clock.timeout(CRASH_CHECK_TIMEOUT, connecting).await {
+        Some(Err(err)) => err.kind() == ErrorKind::ConnectionRefused,
+        Some(Ok(_)) | None => false,
+    }
+}
+
 /// Pool of idle connections to replicas.
 #[derive(Debug)]
 pub struct UpstreamPool {
--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylstep_standins::fleet::crash::{CrashingReplica, ScriptStep};
 use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
 use berylstep_standins::fleet::message::{
     begin_events, begin_unframed_events, read_message, request_text, respond, RawMessage,
 };
-use berylstep_standins::fleet::replica::FakeReplica;
+use berylstep_standins::fleet::replica::{entry, FakeReplica};
 use berylstep_standins::fleet::store::FakeStore;
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
 use berylstep_standins::process::free_address;
@@ -152,6 +153,71 @@
     }
 }
 
+/// Time for which a crashed replica is down; longer than a test case takes.
+const DOWN_TIME: Duration = Duration::from_secs(30);
+
+struct CrashCase {
+    name: &'static str,
+    route: &'static str,
+    /// What the replica had written when it crashed, and the state in its entry.
+    content: &'static str,
+    state: &'static str,
+    /// Whether the caller may take the response for a complete one.
+    whole: bool,
+}
+
+/// Guards against the close of a crashed replica that is taken for the end of its response.
+#[test]
+fn the_close_of_a_crashed_replica_never_completes_a_response() {
+    let cases = [
+        CrashCase {
+            name: "stream between two events",
+            route: "plain",
+            content: EVENTS[0],
+            state: "ready",
+            whole: false,
+        },
+        CrashCase {
+            name: "plain answer",
+            route: "unsafe",
+            content: "half an ans",
+            state: "ready",
+            whole: false,
+        },
+        CrashCase {
+            name: "last stream of a replica that leaves",
+            route: "plain",
+            content: EVENTS[0],
+            state: "draining",
+            whole: true,
+        },
+    ];
+    for case in cases {
+        let (requested, written) =
+            (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (on_request, may_write) = (requested.clone(), written.clone());
+        let replica = CrashingReplica::start("i-1", DOWN_TIME, move |request, stream| {
+            on_request.store(true, Ordering::SeqCst);
+            wait_until("the entry is written", || may_write.load(Ordering::SeqCst));
+            assert!(write_message(stream, request, Framing::Close, case.content));
+            ScriptStep::Crash
+        });
+        let store = FakeStore::start();
+        store.put("op", "config", Some(desired_state(1)));
+        store.put("servers", "i-1", Some(entry(replica.address, case.route, "ready")));
+        let gateway = FleetGateway::start(&store, 4, free_address().port());
+        let mut caller = gateway.connect();
+        caller.write_all(request_text(case.route, "id-1", 2000, KEY_HEADER).as_bytes()).unwrap();
+        wait_until("the replica has the request", || requested.load(Ordering::SeqCst));
+        store.put("servers", "i-1", Some(entry(replica.address, case.route, case.state)));
+        std::thread::sleep(Duration::from_millis(300));
+        written.store(true, Ordering::SeqCst);
+        let answer = read_message(&mut caller).filter(|answer| answer.status() < 300);
+        let expected = case.whole.then_some(case.content);
+        assert_eq!(answer.as_ref().map(|answer| &*answer.body), expected, "{}", case.name);
+    }
+}
+
 struct BodyCase {
     content_type: &'static str,
     framing: Framing,
