Name how a stream ended by one of three words, and keep the quarantine's decisions in its module

The label of a stream that a crash or a move had cut said complete in the log and in berylstep_gateway_streams_total. It is truncated now, like one that ends inside an event. RequestHandler's part of the quarantine moves from request.rs to quarantine.rs. No decision changes.

--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -1,4 +1,4 @@
-//! Watches for prompts that crash replicas.
+//! Watches for prompts that crash replicas, and refuses requests that have them.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -10,12 +10,14 @@
     part_key, CrashId, PartClearance, PartKey, PartSuspicion, PromptQuarantine, QuarantineVerdict,
     QuarantinedGroup,
 };
+use berylstep_core::rendezvous;
 use smol::channel::{bounded, Receiver, Sender};
 
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::ReplicaTarget;
 use crate::gateway::mirror::StoreMirror;
-use crate::gateway::request::RoutedRequest;
+use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
+use crate::gateway::response::LocalReply;
 use crate::gateway::upstreams::has_crashed;
 
 /// Largest number of lost requests that wait to be verified.
@@ -187,6 +189,37 @@
     }
 }
 
+impl RequestHandler {
+    /// Decides whether a new request may reach a replica.
+    pub(super) fn check_prompt(&self, request: &RoutedRequest<'_>) -> QuarantineVerdict {
+        self.prompts.check_new(&request.parts, |part| self.is_reviewer(part))
+    }
+
+    /// Returns the time until the next review if the prompt of a request has been quarantined since
+    /// it was received.
+    pub(super) fn quarantine_wait(
+        &self,
+        request: &RoutedRequest<'_>,
+        history: &AttemptHistory,
+    ) -> Option<Duration> {
+        let is_exempt = history.is_review && history.ran == 0;
+        self.prompts.refusal_wait(&request.parts).filter(|_| !is_exempt)
+    }
+
+    /// Returns the refusal of a request whose prompt is reviewed after `wait`.
+    pub(super) fn quarantine_reply(&self, wait: Duration) -> LocalReply {
+        LocalReply::refused("prompt crashes replicas", wait.max(self.retry_after()))
+    }
+
+    /// Returns whether this node is the one that reviews the quarantine of a part.
+    fn is_reviewer(&self, part: PartKey) -> bool {
+        let (key, own) = (part.to_string(), &*self.settings.node);
+        let own_score = rendezvous::score(&key, own);
+        let nodes = self.peers.nodes(self.clock.now());
+        nodes.iter().all(|node| rendezvous::score(&key, &node.node) < own_score)
+    }
+}
+
 fn log_changes(before: &[QuarantinedGroup], after: &[QuarantinedGroup]) {
     let is_in = |groups: &[QuarantinedGroup], group: &QuarantinedGroup| {
         groups.iter().any(|other| other.parts == group.parts)
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -11,7 +11,6 @@
 use berylstep_core::fleet::desired::{DesiredState, RouteEntry, RouteKind};
 use berylstep_core::fleet::engine::EngineSpeed;
 use berylstep_core::fleet::quarantine::{PartKey, QuarantineVerdict};
-use berylstep_core::rendezvous;
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -303,34 +302,6 @@
             && self.has_untried_replica(request, history)
     }
 
-    /// Returns whether a new request may reach a replica, or its prompt is known to crash them.
-    fn check_prompt(&self, request: &RoutedRequest<'_>) -> QuarantineVerdict {
-        self.prompts.check_new(&request.parts, |part| self.is_reviewer(part))
-    }
-
-    /// Returns the time until the next review if the prompt of a request has been quarantined since
-    /// it was received.
-    fn quarantine_wait(
-        &self,
-        request: &RoutedRequest<'_>,
-        history: &AttemptHistory,
-    ) -> Option<Duration> {
-        let is_exempt = history.is_review && history.ran == 0;
-        self.prompts.refusal_wait(&request.parts).filter(|_| !is_exempt)
-    }
-
-    fn quarantine_reply(&self, wait: Duration) -> LocalReply {
-        LocalReply::refused("prompt crashes replicas", wait.max(self.retry_after()))
-    }
-
-    /// Returns whether this node is the one that reviews the quarantine of a part.
-    fn is_reviewer(&self, part: PartKey) -> bool {
-        let (key, own) = (part.to_string(), &*self.settings.node);
-        let own_score = rendezvous::score(&key, own);
-        let nodes = self.peers.nodes(self.clock.now());
-        nodes.iter().all(|node| rendezvous::score(&key, &node.node) < own_score)
-    }
-
     fn has_untried_replica(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
         let replicas = self.mirror.replicas.borrow();
         let mut available = replicas.available(&request.service, self.clock.now());
@@ -433,7 +404,7 @@
         quiet.map_or(Duration::ZERO, |until| until - now) + self.retry_after()
     }
 
-    fn retry_after(&self) -> Duration {
+    pub(super) fn retry_after(&self) -> Duration {
         RETRY_AFTER.mul_f64(0.5 + fastrand::f64())
     }
 
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -10,7 +10,7 @@
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::ResponseWriter;
-use crate::gateway::telemetry::{RequestOutcome, RequestTrace, StreamEnd};
+use crate::gateway::telemetry::{RequestOutcome, RequestTrace, StreamEnd, StreamReport};
 use crate::platform::engines::MovePhase;
 use crate::platform::headers::MovedRun;
 use crate::platform::{CallError, PlatformClient};
@@ -100,7 +100,7 @@
                 self.record_started();
             }
             if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
-                self.record_end(false);
+                self.record_end(StreamEnd::Broken);
                 self.response.record_failure(self.handler, "event without end");
                 return RequestOutcome::Broken(self.splitter.events());
             }
@@ -112,7 +112,7 @@
                 return RequestOutcome::CallerLeft;
             }
             if self.response.is_complete() && self.is_whole().await {
-                self.record_end(true);
+                self.record_end(StreamEnd::Complete);
                 self.record_output();
                 self.response.release_connection(&self.handler.upstreams);
                 return match writer.end_stream(&[]).await {
@@ -124,7 +124,10 @@
                 self.move_run().await;
             }
             let Err(reason) = self.read_more(&mut content).await else { continue };
-            self.record_end(self.response.is_complete());
+            self.record_end(match self.response.is_complete() {
+                true => StreamEnd::Truncated,
+                false => StreamEnd::Broken,
+            });
             if !self.has_started {
                 self.handler.prompts.report_loss(self.request, self.response.target());
             }
@@ -164,14 +167,14 @@
     }
 
     /// Records how the current replica's response ended.
-    fn record_end(&self, is_complete: bool) {
-        let end = StreamEnd {
+    fn record_end(&self, end: StreamEnd) {
+        let report = StreamReport {
             framing: self.response.head.framing,
-            is_complete,
+            end,
             events: self.splitter.events(),
             partial_bytes: self.splitter.partial_bytes(),
         };
-        self.trace.record_stream_end(&self.handler.metrics, &self.request.service, end);
+        self.trace.record_stream(&self.handler.metrics, &self.request.service, report);
     }
 
     /// Records how fast the engine produced the stream, if it came from one run.
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -184,20 +184,41 @@
     }
 }
 
-/// How the last response of a replica to a stream ended.
+/// How a replica's response to a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StreamEnd {
+pub enum StreamEnd {
+    /// It delivered the whole stream.
+    Complete,
+    /// Its framing marks the end, but the stream is not whole.
+    Truncated,
+    /// Its connection failed or stalled.
+    Broken,
+}
+
+impl StreamEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Truncated => "truncated",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// What is logged about the last response of a replica to a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamReport {
     /// Framing of the response.
     pub framing: BodyFraming,
-    /// Whether the framing tells that the response is complete.
-    pub is_complete: bool,
+    /// How it ended.
+    pub end: StreamEnd,
     /// Number of events with an identifier that were received from all replicas.
     pub events: u64,
     /// Bytes after the last complete event.
     pub partial_bytes: usize,
 }
 
-impl StreamEnd {
+impl StreamReport {
     fn framing_label(self) -> &'static str {
         match self.framing {
             BodyFraming::Length(_) => "length",
@@ -206,12 +227,11 @@
         }
     }
 
-    fn label(self) -> &'static str {
-        match (self.is_complete, self.partial_bytes) {
-            (true, 0) => "complete",
-            (true, _) => "inside_event",
-            (false, _) => "broken",
-        }
+    /// Returns the fields of the log line, each after a space.
+    fn log_fields(self) -> String {
+        let (framing, end) = (self.framing_label(), self.end.label());
+        let Self { events, partial_bytes, .. } = self;
+        format!(" framing={framing} end={end} events={events} partial_bytes={partial_bytes}")
     }
 }
 
@@ -222,7 +242,7 @@
     outcome: Cell<Option<RequestOutcome>>,
     first_content: Cell<Option<Duration>>,
     attempts: Cell<u32>,
-    stream_end: Cell<Option<StreamEnd>>,
+    stream: Cell<Option<StreamReport>>,
     labels: RefCell<Option<TraceLabels>>,
 }
 
@@ -246,7 +266,7 @@
             outcome: Cell::new(None),
             first_content: Cell::new(None),
             attempts: Cell::new(0),
-            stream_end: Cell::new(None),
+            stream: Cell::new(None),
             labels: RefCell::default(),
         }
     }
@@ -302,11 +322,11 @@
         );
     }
 
-    /// Records how a replica's response to a stream ended; the last call is logged.
-    pub fn record_stream_end(&self, metrics: &GatewayMetrics, service: &str, end: StreamEnd) {
-        let labels = [service, end.framing_label(), end.label()];
+    /// Records a replica's response to a stream; the last one is logged.
+    pub fn record_stream(&self, metrics: &GatewayMetrics, service: &str, report: StreamReport) {
+        let labels = [service, report.framing_label(), report.end.label()];
         metrics.streams.with_label_values(&labels).inc();
-        self.stream_end.set(Some(end));
+        self.stream.set(Some(report));
     }
 
     /// Records the outcome of the request. Only the first call has an effect.
@@ -369,16 +389,7 @@
             labels.output,
             first.map_or(-1, |first| first.as_millis() as i64),
             elapsed.as_millis(),
-            self.stream_end.get().map(stream_fields).unwrap_or_default()
+            self.stream.get().map(StreamReport::log_fields).unwrap_or_default()
         );
     }
 }
-
-/// Returns the log fields of a stream's end.
-fn stream_fields(end: StreamEnd) -> String {
-    let (framing, label) = (end.framing_label(), end.label());
-    format!(
-        " framing={framing} end={label} events={} partial_bytes={}",
-        end.events, end.partial_bytes
-    )
-}
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -26,6 +26,9 @@
 const FETCH_FROM: &str = "Kv-Fetch";
 const MOVED_FROM: &str = "Kv-From";
 
+/// Largest number of parts of a prompt that are read.
+const MAX_PROMPT_PARTS: usize = 16;
+
 /// Value of the lowest urgency level that replicas accept.
 const LOWEST_URGENCY: u8 = 9;
 
@@ -62,9 +65,6 @@
     pub parts: Vec<SharedName>,
 }
 
-/// Largest number of parts of a prompt that are read.
-const MAX_PROMPT_PARTS: usize = 16;
-
 impl CallerHeaders {
     /// Reads the headers of a request; malformed values are ignored.
     pub fn read(headers: &HeaderList) -> Self {
