Break off a stream whose run a failed move may have stopped

Cause: the relay took note of a stopped run only if the move succeeded. An engine stops a run before it copies the rest, so its response ends early whatever becomes of the copy, and without length or chunks that looks whole. Change: a run counts as stopped from the call on, unless the call was not sent or the engine has no such run or is moving it already. The test's name says what it now guards against; its first case is as before.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -11,7 +11,7 @@
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::ResponseWriter;
 use crate::gateway::telemetry::{RequestOutcome, RequestTrace, StreamEnd, StreamReport};
-use crate::platform::engines::MovePhase;
+use crate::platform::engines::{may_have_stopped, MovePhase};
 use crate::platform::headers::MovedRun;
 use crate::platform::{CallError, PlatformClient};
 
@@ -47,6 +47,8 @@
     moved: Option<(ReplicaTarget, MovedRun)>,
     /// Whether a move was attempted, successfully or not.
     move_tried: bool,
+    /// Whether the original run may have been stopped, which ends its response too early.
+    may_be_stopped: bool,
 }
 
 /// Returns whether a response consists of events. On the route of a stream, one without a content
@@ -80,6 +82,7 @@
             last_event_at: self.clock.now(),
             moved: None,
             move_tried: false,
+            may_be_stopped: false,
         };
         relay.run(writer).await
     }
@@ -142,6 +145,7 @@
             match next {
                 Some(next) => {
                     self.response = next;
+                    self.may_be_stopped = false;
                     self.last_event_at = self.handler.clock.now();
                 }
                 None => {
@@ -197,8 +201,8 @@
             BodyFraming::Length(_) | BodyFraming::Chunked => EndMarker::Framing,
             BodyFraming::Unframed => EndMarker::Close,
         };
-        // A run that was moved away ends with the same close as one that is finished.
-        let is_cut_by_move = marker == EndMarker::Close && self.moved.is_some();
+        // A run that was stopped ends with the same close as one that is finished.
+        let is_cut_by_move = marker == EndMarker::Close && self.may_be_stopped;
         let has_all_events = !self.is_event_stream || self.splitter.is_whole(marker);
         has_all_events
             && !is_cut_by_move
@@ -278,7 +282,7 @@
     }
 
     async fn copy_and_stop(
-        &self,
+        &mut self,
         source: &ReplicaTarget,
         target: &ReplicaTarget,
     ) -> Result<MovedRun, CallError> {
@@ -291,6 +295,7 @@
         self.handler.record_statement(&source.id, engine.statement());
         copied?;
         let stopped = engine.move_run(id, target.address, MovePhase::Stop).await;
+        self.may_be_stopped = may_have_stopped(&stopped);
         self.handler.record_statement(&source.id, engine.statement());
         stopped
     }
--- a/berylstep/src/platform/engines.rs
+++ b/berylstep/src/platform/engines.rs
@@ -15,6 +15,8 @@
 const MOVE_TIMEOUT: Duration = Duration::from_millis(900);
 
 const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+const CONFLICT: u16 = 409;
 
 /// Phase of a move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +27,19 @@
     Stop,
 }
 
+/// Returns whether the engine may have stopped the run, after a call with [`MovePhase::Stop`]. It
+/// stops a run before it copies the rest, so a run may be stopped although the copy failed.
+pub fn may_have_stopped(stopped: &Result<MovedRun, CallError>) -> bool {
+    match stopped {
+        Ok(_) | Err(CallError::AnswerLost(_) | CallError::Malformed(_) | CallError::Refused(_)) => {
+            true
+        }
+        Err(CallError::NotSent(_)) => false,
+        // The engine has no such run, or another call is moving it.
+        Err(CallError::Rejected(status, _)) => !matches!(*status, NOT_FOUND | CONFLICT),
+    }
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct MoveBody<'a> {
--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -250,11 +250,19 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Streams numbered events until the run is stopped by a move; then closes the connection in order.
-fn serve_movable_run(request: &RawMessage, stream: &mut TcpStream, stopped: &AtomicBool) -> bool {
+fn serve_movable_run(
+    request: &RawMessage,
+    stream: &mut TcpStream,
+    stopped: &AtomicBool,
+    answer_stop: ServeStop,
+) -> bool {
     if request.target() == "/v1/kv-move" {
         let is_last = request.body.contains("\"Last\":true");
         stopped.fetch_or(is_last, Ordering::SeqCst);
-        return respond(stream, request, 200, "", "{\"Handle\": \"h1\", \"Created\": 1}");
+        return match is_last {
+            true => answer_stop(request, stream),
+            false => respond(stream, request, 200, "", MOVED_HANDLE),
+        };
     }
     let is_moved = request.header("kv-from").is_some();
     let last = request.header("last-event-id").map_or(0, |id| id.parse::<usize>().unwrap());
@@ -272,14 +280,52 @@
     false
 }
 
-/// Guards against a stream that looks complete where its run was moved away between two events.
+const MOVED_HANDLE: &str = "{\"Handle\": \"h1\", \"Created\": 1}";
+
+/// Answers the call that stops a run; returns whether to keep the connection open.
+type ServeStop = fn(&RawMessage, &mut TcpStream) -> bool;
+
+struct MoveCase {
+    name: &'static str,
+    answer_stop: ServeStop,
+    /// Whether the caller gets the whole stream.
+    whole: bool,
+}
+
+/// Guards against a stream that looks complete where a move has stopped its run between two events.
 #[test]
-fn a_stream_that_a_move_has_stopped_goes_on_at_the_other_replica() {
+fn a_stream_that_a_move_has_stopped_goes_on_at_the_other_replica_or_breaks_off() {
+    let cases = [
+        MoveCase {
+            name: "moved",
+            answer_stop: |request, stream| respond(stream, request, 200, "", MOVED_HANDLE),
+            whole: true,
+        },
+        MoveCase { name: "answer of the call lost", answer_stop: |_, _| false, whole: false },
+        MoveCase {
+            name: "no room at the other replica, after the run was stopped",
+            answer_stop: |request, stream| respond(stream, request, 503, "", MOVED_HANDLE),
+            whole: false,
+        },
+    ];
+    for case in cases {
+        let answer = move_stream(case.answer_stop);
+        let numbers = answer.map(|answer| {
+            let numbers = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
+            numbers.map(|number| number.parse().unwrap()).collect::<Vec<usize>>()
+        });
+        let expected = case.whole.then(|| (1..=MOVED_EVENTS).collect::<Vec<_>>());
+        assert_eq!(numbers, expected, "{}", case.name);
+    }
+}
+
+/// Sends a request whose replica leaves while it streams; returns the response if it is complete.
+fn move_stream(answer_stop: ServeStop) -> Option<RawMessage> {
     let stopped = Arc::new(AtomicBool::new(false));
     let replicas = ["i-1", "i-2"].map(|id| {
         let stopped = stopped.clone();
         FakeReplica::start(id, move |request, _, stream| {
-            serve_movable_run(request, stream, &stopped)
+            serve_movable_run(request, stream, &stopped, answer_stop)
         })
     });
     let store = FakeStore::start();
@@ -303,9 +349,7 @@
     });
     let source = source.unwrap();
     store.put("servers", &source.id, Some(source.entry("plain", "draining")));
-    let answer = read_message(&mut caller).expect("the stream is complete");
-    let numbers = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
-    let numbers: Vec<usize> = numbers.map(|number| number.parse().unwrap()).collect();
-    assert!(stopped.load(Ordering::SeqCst), "the run was not moved");
-    assert_eq!(numbers, (1..=MOVED_EVENTS).collect::<Vec<_>>());
+    let answer = read_message(&mut caller);
+    assert!(stopped.load(Ordering::SeqCst), "the run was not stopped");
+    answer
 }
