Keep clearances of suspected parts for as long as evidence counts

Sound requests could be refused again after a node had stood still: it went on to announce the crashes from before its freeze, and the other nodes had forgotten after 3 s that the part was cleared since. Cause: a clearance was remembered for the time in which an answer counts against new crashes, not for the time in which old evidence may still arrive. Evidence: fleet_quarantine::evidence_from_before_a_clearance_does_not_come_back failed before and passes.

--- a/berylstep_core/src/fleet/quarantine.rs
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -33,7 +33,7 @@
 /// Time for which a node repeats new evidence to its peers, in case of lost messages.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(3);
 
-/// Largest number of suspected parts; the rest of a mass crash is left out.
+/// Largest number of suspected parts, and of cleared ones; the rest of a mass crash is left out.
 const MAX_SUSPECTS: usize = 4096;
 
 /// Largest number of crashes retained for a part.
@@ -125,6 +125,9 @@
     suspects: HashMap<PartKey, SuspectRow>,
     /// Parts that lately began to be answered, with the time of the last such request.
     sound: HashMap<PartKey, Duration>,
+    /// Parts that were suspected and have been cleared, with the time of the answer. Nodes that
+    /// have not heard of it may go on to announce the old evidence.
+    cleared: HashMap<PartKey, Duration>,
     /// Clearances of suspected parts, with the time at which this node learnt of them.
     clearances: Vec<(PartClearance, Duration)>,
     groups: Vec<QuarantinedGroup>,
@@ -218,6 +221,7 @@
     /// Drops evidence that no longer counts.
     pub fn expire(&mut self, now: Duration) {
         self.sound.retain(|_, at| now.saturating_sub(*at) < SOUND_PERIOD);
+        self.cleared.retain(|_, at| now.saturating_sub(*at) < EVIDENCE_RETENTION);
         self.clearances.retain(|(_, learnt)| now.saturating_sub(*learnt) < ANNOUNCEMENT_TIME);
         let count = self.suspects.len();
         self.suspects.retain(|_, row| now.saturating_sub(row.latest()) < EVIDENCE_RETENTION);
@@ -248,6 +252,9 @@
         if row.crashes.is_empty() {
             self.suspects.remove(&part);
         }
+        if self.cleared.len() < MAX_SUSPECTS {
+            self.cleared.insert(part, at);
+        }
         self.announce_clearance(part, at, now);
         self.update_groups(count >= QUARANTINE_CRASHES);
         true
@@ -261,12 +268,11 @@
     /// Records a suspicion; returns whether it is new.
     fn suspect(&mut self, suspicion: PartSuspicion, now: Duration) -> bool {
         let PartSuspicion { part, crash, at } = suspicion;
-        if let Some(sound) = self.sound.get(&part).copied() {
-            if sound + SOUND_PERIOD > at {
-                // The nodes that suspect the part may not know that it is sound.
-                self.announce_clearance(part, sound, now);
-                return false;
-            }
+        let sound = self.sound.get(&part).max(self.cleared.get(&part)).copied();
+        if let Some(sound) = sound.filter(|sound| *sound + SOUND_PERIOD > at) {
+            // The nodes that suspect the part may not know that it is sound.
+            self.announce_clearance(part, sound, now);
+            return false;
         }
         let is_over = now.saturating_sub(at) >= EVIDENCE_RETENTION;
         let has_room = self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&part);
--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -216,6 +216,29 @@
     assert!(!is_refused(&mut nodes[0], "a u 3", at(700)));
 }
 
+/// Guards against a quarantine that a node brings back after a freeze, in which it was ended.
+#[test]
+fn evidence_from_before_a_clearance_does_not_come_back() {
+    let mut nodes = [PromptQuarantine::default(), PromptQuarantine::default()];
+    for node in &mut nodes {
+        for number in 0..3 {
+            node.record_crash(&keys(&format!("s u{number}")), crash(number), at(0));
+        }
+    }
+    nodes[1].record_started(&keys("s 1"), at(100));
+    for second in 0..60 {
+        nodes[1].expire(at(second * 1000));
+    }
+    // The first node stood still until now.
+    let thawed = at(60_000);
+    let suspicions = nodes[0].suspicions(true, thawed);
+    nodes[1].apply(&suspicions, &[], thawed);
+    assert!(!is_refused(&mut nodes[1], "s 2", thawed));
+    let clearances = nodes[1].clearances();
+    nodes[0].apply(&[], &clearances, thawed);
+    assert!(!is_refused(&mut nodes[0], "s 2", thawed));
+}
+
 #[test]
 fn one_node_reviews_a_quarantine_with_one_request_ever_more_rarely() {
     let mut quarantine = PromptQuarantine::default();
