--- a/berylstep/tests/tainted_prompts.rs
+++ b/berylstep/tests/tainted_prompts.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use berylstep_standins::fleet::crash::{CrashingReplica, ScriptStep};
-use berylstep_standins::fleet::gateway::FleetGateway;
+use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
 use berylstep_standins::fleet::message::{
     begin_events, end_events, read_message, request_text, write_event, RawMessage,
 };
@@ -32,6 +32,12 @@
 /// Tainted requests that may reach replicas after that.
 const MAX_LATE_REQUESTS: usize = 3;
 
+/// Time after which gateways no longer repeat new evidence; only what is in quarantine is.
+const EVIDENCE_NEWS_TIME: Duration = Duration::from_millis(3500);
+
+/// Time after its start within which a gateway has heard from its peers.
+const NOTICE_TIME: Duration = Duration::from_secs(1);
+
 const TAINTED_PART: &str = "dead";
 
 fn is_tainted(request: &RawMessage) -> bool {
@@ -53,6 +59,7 @@
 struct TaintedFleet {
     store: FakeStore,
     gateways: Vec<FleetGateway>,
+    peer_port: u16,
     replicas: Vec<CrashingReplica>,
 }
 
@@ -64,9 +71,9 @@
             (0..REPLICAS).map(|n| CrashingReplica::start(&format!("i-{n}"), DOWN_TIME, serve));
         let replicas: Vec<_> = replicas.collect();
         replicas.iter().for_each(|replica| publish(&store, replica));
-        let port = free_address().port();
-        let gateways = [2, 3].map(|number| FleetGateway::start(&store, number, port)).into();
-        Self { store, gateways, replicas }
+        let peer_port = free_address().port();
+        let gateways = [2, 3].map(|number| FleetGateway::start(&store, number, peer_port)).into();
+        Self { store, gateways, peer_port, replicas }
     }
 
     fn tainted_received(&self) -> usize {
@@ -142,3 +149,26 @@
     assert!(sound >= 20 && served * 10 >= sound * 9, "{served} of {sound} sound requests served");
     assert!(refused >= 4, "{refused} tainted requests refused with a time to come back");
 }
+
+/// Guards against a restarted gateway that sends what the others know to crash replicas.
+#[test]
+fn a_restarted_gateway_learns_the_quarantine_from_its_peers() {
+    let mut fleet = TaintedFleet::start();
+    let mut sent = 0;
+    wait_until("the part is quarantined", || {
+        fleet.replicas.iter().for_each(|replica| publish(&fleet.store, replica));
+        sent += 1;
+        let (answer, _) = send(&fleet.gateways[0], &format!("a:100,s:50,dead:9,t{sent}:10"));
+        answer.is_some_and(|answer| answer.status() == 503)
+    });
+    std::thread::sleep(EVIDENCE_NEWS_TIME);
+    drop(fleet.gateways.pop());
+    fleet.gateways.push(FleetGateway::start(&fleet.store, 3, fleet.peer_port));
+    std::thread::sleep(NOTICE_TIME);
+    let before = fleet.tainted_received();
+    for index in 0..20 {
+        let (answer, _) = send(&fleet.gateways[1], &format!("a:100,s:50,dead:9,r{index}:10"));
+        assert_eq!(answer.map(|answer| answer.status()), Some(503), "request {index}");
+    }
+    assert_eq!(fleet.tainted_received(), before);
+}
