--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -16,6 +16,7 @@
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
 use berylstep_standins::process::free_address;
 use serde_json::json;
+use socket2::SockRef;
 
 const EVENTS: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
 
@@ -218,6 +219,23 @@
     }
 }
 
+/// Guards against a reset connection that is taken for the end of a response without framing.
+#[test]
+fn a_reset_never_completes_a_response() {
+    for (route, content) in [("plain", EVENTS[0]), ("unsafe", "half an ans"), ("plain", "")] {
+        let replica = FakeReplica::start("i-1", move |request, _, stream| {
+            assert!(write_message(stream, request, Framing::Close, content));
+            // The gateway reads what was written before the reset discards it.
+            std::thread::sleep(Duration::from_millis(50));
+            SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap();
+            false
+        });
+        let (_store, gateway) = start_fleet(route, &[&replica]);
+        let answer = gateway.send(route, KEY_HEADER).filter(|answer| answer.status() < 300);
+        assert!(answer.is_none(), "{route}, {content:?}: {answer:?}");
+    }
+}
+
 struct BodyCase {
     content_type: &'static str,
     framing: Framing,
