Log and count what replicas say about their limits

The log could not tell whether a node had been told of a limit when it sent on, so a limit that nobody reads and one that each node keeps alone looked alike. Change: the header is read (a value that is no positive number says nothing), changes are logged, and attempts at replicas known to have a limit are counted. Nothing decides by it yet.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod duties;
 pub mod endpoints;
 pub mod feeds;
+pub mod limits;
 pub mod mirror;
 pub mod notifier;
 pub mod orders;
@@ -46,6 +47,7 @@
 use crate::gateway::duties::{DutyContext, DutyKeeper};
 use crate::gateway::endpoints::EndpointServer;
 use crate::gateway::feeds::{FollowedTable, TableFollower};
+use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
@@ -167,6 +169,7 @@
     tasks: Rc<LocalExecutor<'static>>,
     stop: Rc<GracefulStop>,
     mirror: Rc<StoreMirror>,
+    limits: Rc<LimitWatch>,
     prompts: Rc<PromptWatch>,
     peers: Rc<PeerTable>,
     metrics: Rc<GatewayMetrics>,
@@ -195,6 +198,7 @@
         let mirror = Rc::new(StoreMirror::new(clock.clone()));
         Self {
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
+            limits: Rc::new(LimitWatch::new(clock.clone(), mirror.clone())),
             prompts: Rc::new(PromptWatch::new(clock.clone(), mirror.clone())),
             mirror,
             peers: Rc::new(peers),
@@ -280,6 +284,7 @@
             settings: self.settings.clone(),
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
+            limits: self.limits.clone(),
             prompts: self.prompts.clone(),
             peers: self.peers.clone(),
             upstreams: UpstreamPool::new(self.clock.clone()),
@@ -365,6 +370,8 @@
         handler.clock.sleep(MAINTENANCE_INTERVAL).await;
         handler.upstreams.close_expired();
         handler.export_retry_budgets();
+        handler.limits.expire();
+        handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.prompts.expire();
         handler.metrics.quarantined_prompts.set(handler.prompts.quarantined_groups());
     }
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -190,6 +190,9 @@
                 return AttemptOutcome::NotSent("cannot connect");
             }
         };
+        if self.limits.rate(&target.id).is_some() {
+            self.metrics.record_limited_attempt(&request.service);
+        }
         let time_left = request.deadline.saturating_sub(self.clock.now());
         let limit = options.response_timeout.map_or(time_left, |timeout| timeout.min(time_left));
         let exchanging = self.exchange(request, target, options, upstream, load);
@@ -219,8 +222,10 @@
         replicas.get(id).is_some_and(|row| row.requests() <= row.entry.slots / 4)
     }
 
-    /// Applies what a replica has said about itself in a response.
-    pub fn record_statement(&self, id: &str, statement: ReplicaStatement) {
+    /// Applies what a replica has said about itself in the response to a request that was sent at
+    /// `sent_at`.
+    pub fn record_statement(&self, id: &str, statement: ReplicaStatement, sent_at: Duration) {
+        self.limits.observe(id, statement.limit, sent_at);
         if statement.leaving {
             self.mirror.record_replica_leaving(id);
         }
@@ -252,6 +257,7 @@
         mut load: LoadGuard,
     ) -> AttemptOutcome {
         let bytes = self.encode(request, target, options);
+        let sent_at = self.clock.now();
         let UpstreamStream { mut stream, reused } = upstream;
         let method = &*request.message.method;
         let received = send_and_receive(&mut stream, &bytes, request, reused).await;
@@ -263,7 +269,7 @@
                 return AttemptOutcome::Lost(reason);
             }
         };
-        self.record_statement(&target.id, headers.statement);
+        self.record_statement(&target.id, headers.statement, sent_at);
         let mut decoder = BodyDecoder::response(&head, method);
         if headers.not_executed {
             return self.handle_refusal(target, head, decoder, stream, sent_whole).await;
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -17,6 +17,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
 use crate::gateway::demand::DemandLedger;
+use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::{prompt_keys, PromptWatch};
@@ -64,6 +65,8 @@
     pub started_at: Duration,
     /// Local copy of the platform's store.
     pub mirror: Rc<StoreMirror>,
+    /// Limits that replicas name.
+    pub limits: Rc<LimitWatch>,
     /// Prompts that crash replicas.
     pub prompts: Rc<PromptWatch>,
     /// Other nodes of the fleet.
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -291,12 +291,14 @@
         }
         let engine = PlatformClient::new(source.address, self.handler.clock.clone());
         let id = self.request.id();
+        let sent_at = self.handler.clock.now();
         let copied = engine.move_run(id, target.address, MovePhase::Copy).await;
-        self.handler.record_statement(&source.id, engine.statement());
+        self.handler.record_statement(&source.id, engine.statement(), sent_at);
         copied?;
+        let sent_at = self.handler.clock.now();
         let stopped = engine.move_run(id, target.address, MovePhase::Stop).await;
         self.may_be_stopped = may_have_stopped(&stopped);
-        self.handler.record_statement(&source.id, engine.statement());
+        self.handler.record_statement(&source.id, engine.statement(), sent_at);
         stopped
     }
 
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -88,6 +88,7 @@
     requests: IntCounterVec,
     attempts: IntCounterVec,
     streams: IntCounterVec,
+    limited_attempts: IntCounterVec,
     first_content: HistogramVec,
     duration: HistogramVec,
     /// Number of requests in progress.
@@ -102,6 +103,8 @@
     pub duty_fencing: IntGauge,
     /// Milliseconds since the store last responded, or -1 if it never did.
     pub store_age: IntGauge,
+    /// Number of replicas that have named a limit.
+    pub limited_replicas: IntGauge,
     /// Number of groups of prompt parts that are refused because they crash replicas.
     pub quarantined_prompts: IntGauge,
     retry_budget: IntGaugeVec,
@@ -132,6 +135,11 @@
                 "Ended responses of replicas to streams, by service, framing and end.",
                 &["service", "framing", "end"],
             )?,
+            limited_attempts: set.counters(
+                "berylstep_gateway_limited_attempts_total",
+                "Attempts at replicas that this node knew to have named a limit, by service.",
+                &["service"],
+            )?,
             first_content: set.histograms(
                 "berylstep_gateway_first_content_seconds",
                 "Time from arrival to the first content of the answer.",
@@ -160,6 +168,10 @@
                 "berylstep_gateway_store_age_milliseconds",
                 "Time since the store last answered this node; -1 where it never did.",
             )?,
+            limited_replicas: set.gauge(
+                "berylstep_gateway_limited_replicas",
+                "Replicas that have named a limit for their requests.",
+            )?,
             quarantined_prompts: set.gauge(
                 "berylstep_gateway_quarantined_prompts",
                 "Groups of prompt parts that are refused because they crash replicas.",
@@ -173,6 +185,11 @@
         })
     }
 
+    /// Counts an attempt at a replica that has named a limit.
+    pub fn record_limited_attempt(&self, service: &str) {
+        self.limited_attempts.with_label_values(&[service]).inc();
+    }
+
     /// Sets the number of retries that this node may still make for a service.
     pub fn set_retry_budget(&self, service: &str, remaining: u32) {
         self.retry_budget.with_label_values(&[service]).set(remaining.into());
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use berylstep_core::fleet::limits::LimitStatement;
 use berylstep_http::{ClientResponse, ExchangeError};
 use displaydoc::Display;
 use http_types::{Method, Request, Url};
@@ -83,12 +84,14 @@
 }
 
 /// What a replica has said about itself in the headers of its latest response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReplicaStatement {
     /// Whether it is shutting down.
     pub leaving: bool,
     /// Time for which it wants no requests from this node.
     pub pause: Option<Duration>,
+    /// Limit of the requests that it takes from all nodes together.
+    pub limit: LimitStatement,
 }
 
 /// Status code and body of a response.
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -5,6 +5,7 @@
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::choice::RequestSize;
+use berylstep_core::fleet::limits::LimitStatement;
 use berylstep_http::{HeaderList, ResponseMessage};
 
 use super::ReplicaStatement;
@@ -20,6 +21,7 @@
 const SIGNATURE: &str = "Berylstep-Replica-Signature";
 const NOT_EXECUTED: &str = "Berylstep-Not-Executed";
 const SERVER_LEAVING: &str = "Server-Leaving";
+const SERVER_LIMIT: &str = "Server-Limit";
 const STORE_ERA: &str = "Store-Era";
 const RETRY_AFTER: &str = "Retry-After";
 const LAST_EVENT: &str = "Last-Event-Id";
@@ -183,7 +185,7 @@
 }
 
 /// Values read from the headers of a replica's response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHeaders {
     /// Whether the response belongs to this request.
     pub owner: ResponseOwner,
@@ -216,6 +218,18 @@
     is_pause.then(|| Duration::from_secs_f64(seconds.min(MAX_PAUSE_SECONDS)))
 }
 
+/// Reads the limit that a response names, in requests per second. A value that is not a positive
+/// number says nothing.
+pub fn parse_limit(value: &str) -> LimitStatement {
+    match value.trim().parse::<f64>() {
+        Ok(rate) if rate.is_finite() && rate > 0.0 => LimitStatement::PerSecond(rate),
+        _ => {
+            log::debug!("event=limit_malformed value={value:?}");
+            LimitStatement::Unsaid
+        }
+    }
+}
+
 /// Returns the era of the store in which a response was given; 0 if it names none.
 pub fn read_store_era(response: &http_types::Response) -> u64 {
     let value = response.header(STORE_ERA).and_then(|values| values.as_str().trim().parse().ok());
@@ -231,6 +245,7 @@
         pause: value(RETRY_AFTER)
             .filter(|_| is_unavailable)
             .and_then(|value| parse_pause(value, SystemTime::now())),
+        limit: value(SERVER_LIMIT).map(parse_limit).unwrap_or_default(),
     }
 }
 
@@ -246,17 +261,25 @@
             (Some(_), _) => ResponseOwner::Other,
             (None, _) => ResponseOwner::Unnamed,
         };
-        let misdirected = response.status == MISDIRECTED && !headers.contains(SIGNATURE);
+        let signed = headers.contains(SIGNATURE);
+        let misdirected = response.status == MISDIRECTED && !signed;
+        let not_executed = headers.contains(NOT_EXECUTED) || misdirected;
+        // Only the replica itself can tell that it has no limit.
+        let unnamed = match (signed || headers.contains(NOT_EXECUTED)) && !misdirected {
+            true => LimitStatement::Unlimited,
+            false => LimitStatement::Unsaid,
+        };
         Self {
             owner,
-            signed: headers.contains(SIGNATURE),
-            not_executed: headers.contains(NOT_EXECUTED) || misdirected,
+            signed,
+            not_executed,
             statement: ReplicaStatement {
                 leaving: headers.get(SERVER_LEAVING).is_some_and(|value| value.trim() == "1"),
                 pause: headers
                     .get(RETRY_AFTER)
                     .filter(|_| response.status == UNAVAILABLE)
                     .and_then(|value| parse_pause(value, SystemTime::now())),
+                limit: headers.get(SERVER_LIMIT).map_or(unnamed, parse_limit),
             },
         }
     }
--- a/berylstep/tests/replica_statements.rs
+++ b/berylstep/tests/replica_statements.rs
@@ -3,7 +3,8 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
-use berylstep::platform::headers::parse_pause;
+use berylstep::platform::headers::{parse_limit, parse_pause};
+use berylstep_core::fleet::limits::LimitStatement;
 use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
 use berylstep_standins::fleet::message::{respond, RawMessage};
 use berylstep_standins::fleet::replica::FakeReplica;
@@ -154,3 +155,27 @@
         assert_eq!(parse_pause(case.value, now), case.pause, "{:?}", case.value);
     }
 }
+
+struct LimitCase {
+    value: &'static str,
+    limit: LimitStatement,
+}
+
+#[test]
+fn limits_are_positive_numbers_and_nonsense_says_nothing() {
+    let cases = [
+        LimitCase { value: "4", limit: LimitStatement::PerSecond(4.0) },
+        LimitCase { value: " 0.5 ", limit: LimitStatement::PerSecond(0.5) },
+        LimitCase { value: "1e-3", limit: LimitStatement::PerSecond(0.001) },
+        LimitCase { value: "0", limit: LimitStatement::Unsaid },
+        LimitCase { value: "-3", limit: LimitStatement::Unsaid },
+        LimitCase { value: "NaN", limit: LimitStatement::Unsaid },
+        LimitCase { value: "inf", limit: LimitStatement::Unsaid },
+        LimitCase { value: "1e400", limit: LimitStatement::Unsaid },
+        LimitCase { value: "many", limit: LimitStatement::Unsaid },
+        LimitCase { value: "", limit: LimitStatement::Unsaid },
+    ];
+    for case in cases {
+        assert_eq!(parse_limit(case.value), case.limit, "{:?}", case.value);
+    }
+}
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod desired;
 pub mod engine;
 pub mod events;
+pub mod limits;
 pub mod losses;
 pub mod position;
 pub mod quarantine;
