Add failing tests of limits that replicas name

Two tests pass on this code, because no limit is kept at all: that a limit ends, and that nonsense in its place does no harm.

--- /dev/null
+++ b/berylstep/tests/replica_limits.rs
@@ -0,0 +1,236 @@
+//! Replicas that name a limit of the requests that they take from all gateways together.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
+use berylstep_standins::fleet::message::{respond, RawMessage};
+use berylstep_standins::fleet::replica::FakeReplica;
+use berylstep_standins::fleet::store::FakeStore;
+use berylstep_standins::fleet::{desired_state, lock, KEY_HEADER};
+use berylstep_standins::process::free_address;
+
+const GATEWAYS: u8 = 3;
+
+/// Time after which all gateways keep to a limit that a replica has named.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Length of a window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Part of what the limit allows that must be used where there is enough to send.
+const USED_SHARE: f64 = 0.7;
+
+/// Time within which a request that no replica may take is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(150);
+
+/// Time after its start within which a gateway has heard from its peers.
+const NOTICE_TIME: Duration = Duration::from_secs(1);
+
+/// A replica that names a limit, or anything else in the same place, for as long as the test wants.
+struct LimitedReplica {
+    replica: FakeReplica,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    header: Arc<Mutex<String>>,
+}
+
+impl LimitedReplica {
+    fn start(id: &str, limit: Option<&str>) -> Self {
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let header = Arc::new(Mutex::new(String::new()));
+        let (log, line) = (arrivals.clone(), header.clone());
+        let replica = FakeReplica::start(id, move |request, _, stream| {
+            lock(&log).push(Instant::now());
+            respond(stream, request, 200, &lock(&line).clone(), "answer")
+        });
+        let limited = Self { replica, arrivals, header };
+        limited.set_limit(limit);
+        limited
+    }
+
+    fn set_limit(&self, limit: Option<&str>) {
+        let line = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+        *lock(&self.header) = line.unwrap_or_default();
+    }
+
+    /// Returns the number of requests that arrived between two moments.
+    fn arrived(&self, from: Instant, to: Instant) -> usize {
+        lock(&self.arrivals).iter().filter(|at| (from..to).contains(*at)).count()
+    }
+
+    /// Returns the largest number of requests in a window that begins at `from` or later.
+    fn peak(&self, from: Instant) -> usize {
+        let begins: Vec<_> =
+            lock(&self.arrivals).iter().copied().filter(|at| *at >= from).collect();
+        let counts = begins.iter().map(|begin| self.arrived(*begin, *begin + WINDOW));
+        counts.max().unwrap_or_default()
+    }
+}
+
+struct LimitedFleet {
+    store: FakeStore,
+    gateways: Vec<FleetGateway>,
+    peer_port: u16,
+}
+
+impl LimitedFleet {
+    fn start(replicas: &[LimitedReplica]) -> Self {
+        let store = FakeStore::start();
+        store.put("op", "config", Some(desired_state(1)));
+        for limited in replicas {
+            let mut entry = limited.replica.entry("safe", "ready");
+            entry["born"] = 7.into();
+            store.put("servers", &limited.replica.id, Some(entry));
+        }
+        let peer_port = free_address().port();
+        let numbers = 2..2 + GATEWAYS;
+        let gateways = numbers.map(|number| FleetGateway::start(&store, number, peer_port));
+        Self { gateways: gateways.collect(), store, peer_port }
+    }
+
+    /// Sends a request every `interval` until `end`, to each gateway in turn or only to the first.
+    fn send_until(&self, end: Instant, interval: Duration, spread: Spread) -> Vec<SentRequest> {
+        let mut sent = Vec::new();
+        while Instant::now() < end {
+            let gateway = match spread {
+                Spread::Even => &self.gateways[sent.len() % self.gateways.len()],
+                Spread::OneGateway => &self.gateways[0],
+            };
+            let at = Instant::now();
+            let answer = gateway.send("safe", KEY_HEADER);
+            sent.push(SentRequest { at, took: at.elapsed(), answer });
+            std::thread::sleep(interval.saturating_sub(at.elapsed()));
+        }
+        sent
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Spread {
+    Even,
+    OneGateway,
+}
+
+struct SentRequest {
+    at: Instant,
+    took: Duration,
+    answer: Option<RawMessage>,
+}
+
+impl SentRequest {
+    fn status(&self) -> u16 {
+        self.answer.as_ref().map_or(0, RawMessage::status)
+    }
+}
+
+/// Returns the largest number of requests that may reach a replica in one window.
+fn allowed(limit: f64) -> usize {
+    (1.5 * limit * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+struct LimitCase {
+    limit: &'static str,
+    spread: Spread,
+}
+
+/// Guards against gateways that together send a replica more than the limit that it names (LIMIT).
+#[test]
+fn a_limit_holds_over_all_gateways_and_what_it_allows_is_used() {
+    let cases = [
+        LimitCase { limit: "0.5", spread: Spread::Even },
+        LimitCase { limit: "1", spread: Spread::Even },
+        LimitCase { limit: "4", spread: Spread::Even },
+        LimitCase { limit: "4", spread: Spread::OneGateway },
+    ];
+    for case in cases {
+        let replicas =
+            [LimitedReplica::start("i-1", Some(case.limit)), LimitedReplica::start("i-2", None)];
+        let fleet = LimitedFleet::start(&replicas);
+        let counted_from = Instant::now() + CONTACT_TIME;
+        let end = counted_from + 2 * WINDOW;
+        let sent = fleet.send_until(end, Duration::from_millis(20), case.spread);
+        let limit: f64 = case.limit.parse().unwrap();
+        let (peak, used) = (replicas[0].peak(counted_from), replicas[0].arrived(counted_from, end));
+        let (limit_name, spread) = (case.limit, case.spread);
+        assert!(peak <= allowed(limit), "limit {limit_name}, {spread:?}: {peak} in a window");
+        let usable = limit * (2 * WINDOW).as_secs_f64() * USED_SHARE;
+        assert!(used as f64 >= usable, "limit {limit_name}, {spread:?}: {used} in two windows");
+        let failed = sent.iter().filter(|request| request.status() != 200).count();
+        assert_eq!(failed, 0, "limit {limit_name}, {spread:?}");
+    }
+}
+
+/// Guards against requests that wait, or are sent on, where all replicas have reached their limits.
+#[test]
+fn what_no_replica_may_take_is_refused_at_once_with_a_time_to_come_back() {
+    let replicas = ["i-1", "i-2", "i-3"].map(|id| LimitedReplica::start(id, Some("2")));
+    let fleet = LimitedFleet::start(&replicas);
+    let counted_from = Instant::now() + CONTACT_TIME;
+    let end = counted_from + 2 * WINDOW;
+    let sent = fleet.send_until(end, Duration::from_millis(25), Spread::Even);
+    for limited in &replicas {
+        let peak = limited.peak(counted_from);
+        assert!(peak <= allowed(2.0), "{} got {peak} in a window", limited.replica.id);
+    }
+    let counted = sent.iter().filter(|request| request.at >= counted_from);
+    let (served, refused): (Vec<_>, Vec<_>) = counted.partition(|it| it.status() == 200);
+    let usable = 6.0 * (2 * WINDOW).as_secs_f64() * USED_SHARE;
+    assert!(served.len() as f64 >= usable, "{} served", served.len());
+    for request in &refused {
+        assert_eq!(request.status(), 503);
+        let answer = request.answer.as_ref().unwrap();
+        let wait: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+        assert!(wait > 0.0, "{wait} s");
+    }
+    let late = refused.iter().filter(|request| request.took > REFUSAL_TIME).count();
+    assert!(late * 20 <= refused.len(), "{late} of {} refused late", refused.len());
+}
+
+/// Guards against a limit that outlasts the replica's need.
+#[test]
+fn a_limit_ends_when_the_replica_no_longer_names_it() {
+    let replicas = [LimitedReplica::start("i-1", Some("1")), LimitedReplica::start("i-2", None)];
+    let fleet = LimitedFleet::start(&replicas);
+    let interval = Duration::from_millis(20);
+    fleet.send_until(Instant::now() + CONTACT_TIME, interval, Spread::Even);
+    replicas[0].set_limit(None);
+    let from = Instant::now() + CONTACT_TIME;
+    fleet.send_until(from + Duration::from_secs(2), interval, Spread::Even);
+    let [limited, other] = [0, 1].map(|index| replicas[index].arrived(from, Instant::now()));
+    assert!(limited * 3 >= other, "{limited} and {other} requests");
+}
+
+/// Guards against a gateway that has just started and sends as if there were no limit.
+#[test]
+fn a_restarted_gateway_learns_limits_from_its_peers() {
+    let replicas = [LimitedReplica::start("i-1", Some("1")), LimitedReplica::start("i-2", None)];
+    let mut fleet = LimitedFleet::start(&replicas);
+    let interval = Duration::from_millis(20);
+    fleet.send_until(Instant::now() + CONTACT_TIME, interval, Spread::Even);
+    // Peers repeat news for a while; the limit must be known after that too.
+    std::thread::sleep(CONTACT_TIME + NOTICE_TIME);
+    fleet.gateways.remove(0);
+    fleet.gateways.insert(0, FleetGateway::start(&fleet.store, 2, fleet.peer_port));
+    std::thread::sleep(NOTICE_TIME);
+    let from = Instant::now();
+    let sent = fleet.send_until(from + Duration::from_secs(2), interval, Spread::OneGateway);
+    let arrived = replicas[0].arrived(from, Instant::now());
+    assert!(sent.len() > 40, "{} requests sent", sent.len());
+    assert!(arrived <= 5, "{arrived} requests in 2 s");
+}
+
+#[test]
+fn a_limit_that_is_no_positive_number_neither_stops_requests_nor_gateways() {
+    let values = ["0", "-1", "NaN", "inf", "", "many", "1,2", "1e999"];
+    let replicas = [LimitedReplica::start("i-1", None), LimitedReplica::start("i-2", None)];
+    let fleet = LimitedFleet::start(&replicas);
+    for value in values {
+        replicas[0].set_limit(Some(value));
+        let before = Instant::now();
+        wait_until("the replica is used", || {
+            let served = fleet.gateways.iter().map(|gateway| gateway.send("safe", KEY_HEADER));
+            assert!(served.flatten().all(|answer| answer.status() == 200), "{value:?}");
+            replicas[0].arrived(before, Instant::now()) >= 10
+        });
+    }
+}
