Keep the limit that a replica names over all nodes, by turns that one node hands out

Cause: the limit was read and logged, but placement knows only the load that nodes report; nothing bounded the rate at one replica over the nodes. The class: a bound on a shared resource that no node can keep alone, and that no node was told. Change: nodes tell each other of limits with their pulses. Before a request goes to a limited replica its node asks the keeper, elected by rendezvous among the representatives for each service, for a turn; without one it goes to another replica, or is refused at once with the time at which a turn is expected. Higher tiers come first. Retries are counted as they pass the same way.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod stop;
 pub mod stream;
 pub mod telemetry;
+pub mod turns;
 pub mod upstreams;
 pub mod usage;
 
@@ -59,6 +60,7 @@
 use crate::gateway::state_transfer::StateTransfer;
 use crate::gateway::stop::GracefulStop;
 use crate::gateway::telemetry::GatewayMetrics;
+use crate::gateway::turns::{TurnContext, TurnDesk};
 use crate::gateway::upstreams::UpstreamPool;
 use crate::gateway::usage::UsageLedger;
 use crate::platform::PlatformClient;
@@ -131,7 +133,7 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(GatewayError::Signals)?;
     let sockets = GatewaySockets::bind(&settings).await?;
-    let context = GatewayContext::new(settings, tasks);
+    let context = GatewayContext::new(settings, tasks, sockets.pulses.clone());
     let pulses = context.start_pulses(sockets.pulses);
     context.follow_store();
     context.serve_state_transfer(sockets.peers);
@@ -170,6 +172,7 @@
     stop: Rc<GracefulStop>,
     mirror: Rc<StoreMirror>,
     limits: Rc<LimitWatch>,
+    turns: Rc<TurnDesk>,
     prompts: Rc<PromptWatch>,
     peers: Rc<PeerTable>,
     metrics: Rc<GatewayMetrics>,
@@ -183,7 +186,11 @@
 }
 
 impl GatewayContext {
-    fn new(settings: Rc<GatewaySettings>, tasks: Rc<LocalExecutor<'static>>) -> Self {
+    fn new(
+        settings: Rc<GatewaySettings>,
+        tasks: Rc<LocalExecutor<'static>>,
+        socket: UdpSocket,
+    ) -> Self {
         let clock = RuntimeClock::system();
         let run = NodeRun { node: settings.node.clone(), incarnation: clock.unix_ms() };
         log::info!(
@@ -193,15 +200,26 @@
             run.incarnation,
             env!("CARGO_PKG_VERSION")
         );
-        let peers = PeerTable::new(settings.known_node(run.incarnation));
+        let peers = Rc::new(PeerTable::new(settings.known_node(run.incarnation)));
         let window = Duration::from_secs(settings.usage_window_s);
         let mirror = Rc::new(StoreMirror::new(clock.clone()));
+        let limits = Rc::new(LimitWatch::new(clock.clone(), mirror.clone()));
+        let turns = TurnDesk::new(TurnContext {
+            clock: clock.clone(),
+            node: run.node.clone(),
+            incarnation: run.incarnation,
+            mirror: mirror.clone(),
+            peers: peers.clone(),
+            limits: limits.clone(),
+            socket,
+        });
         Self {
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
-            limits: Rc::new(LimitWatch::new(clock.clone(), mirror.clone())),
+            limits,
+            turns: Rc::new(turns),
             prompts: Rc::new(PromptWatch::new(clock.clone(), mirror.clone())),
             mirror,
-            peers: Rc::new(peers),
+            peers,
             metrics: Rc::default(),
             live: Rc::new(LiveSettings::new(&settings)),
             levels: Rc::new(ServiceLevels::new(clock.clone())),
@@ -237,6 +255,8 @@
             peers: self.peers.clone(),
             mirror: self.mirror.clone(),
             prompts: self.prompts.clone(),
+            limits: self.limits.clone(),
+            turns: self.turns.clone(),
             usage: self.usage.clone(),
             stop: self.stop.clone(),
             duty_fencing: self.duty_fencing.clone(),
@@ -285,6 +305,7 @@
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
             limits: self.limits.clone(),
+            turns: self.turns.clone(),
             prompts: self.prompts.clone(),
             peers: self.peers.clone(),
             upstreams: UpstreamPool::new(self.clock.clone()),
@@ -371,6 +392,7 @@
         handler.upstreams.close_expired();
         handler.export_retry_budgets();
         handler.limits.expire();
+        handler.turns.expire();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.prompts.expire();
         handler.metrics.quarantined_prompts.set(handler.prompts.quarantined_groups());
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -508,6 +508,7 @@
     fn take(pulse: &mut FleetPulse) -> Self {
         pulse.usage = Vec::new();
         pulse.replica_delta = None;
+        pulse.replica_limits = Vec::new();
         Self {
             nodes: std::mem::take(&mut pulse.nodes),
             spoken_for: pulse.spoken_for.take().map(|mut summary| {
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -11,18 +11,20 @@
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_core::fleet::window::{NodeRun, WindowCounts};
 use berylstep_core::rendezvous;
-use berylstep_wire::{FleetPulse, ReplicaDelta, ReplicaWork, RunUsage, WindowUsage};
+use berylstep_wire::{FleetPulse, ReplicaDelta, ReplicaWork, RunUsage, TurnRequest, WindowUsage};
 use prost::Message;
 use smol::net::UdpSocket;
 
 use crate::clock::RuntimeClock;
 use crate::gateway::demand::DemandLedger;
+use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::PromptWatch;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stop::GracefulStop;
+use crate::gateway::turns::TurnDesk;
 use crate::gateway::usage::{organisation_hash, UsageLedger};
 
 /// Interval between pulses; a small part of the time within which a dead node must leave the
@@ -62,6 +64,15 @@
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 48 * 1024;
 
+/// What the sender of a message is told at once.
+#[derive(Clone, Debug)]
+enum PulseReply {
+    /// The state of this node, because the sender has just started.
+    State,
+    /// The decision on its request for a turn.
+    Turn(TurnRequest),
+}
+
 /// Sends this node's pulses and applies those of its peers.
 pub struct PulseExchange {
     /// Settings that the process started with.
@@ -74,6 +85,10 @@
     pub mirror: Rc<StoreMirror>,
     /// Prompts that crash replicas.
     pub prompts: Rc<PromptWatch>,
+    /// Limits that replicas name.
+    pub limits: Rc<LimitWatch>,
+    /// Turns at replicas that have named a limit.
+    pub turns: Rc<TurnDesk>,
     /// Usage counts of this node and its peers.
     pub usage: Rc<UsageLedger>,
     /// State of a planned stop.
@@ -194,11 +209,11 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((count, from)) => {
-                    if self.receive_datagram(&buffer[..count], from) {
-                        self.answer_new_peer(from).await;
-                    }
-                }
+                Ok((count, from)) => match self.receive_datagram(&buffer[..count], from) {
+                    Some(PulseReply::State) => self.answer_new_peer(from).await,
+                    Some(PulseReply::Turn(request)) => self.turns.answer(&request, from).await,
+                    None => {}
+                },
                 Err(err) => {
                     log::warn!("event=pulse_receive_failed error=\"{err}\"");
                     self.clock.sleep(PULSE_INTERVAL).await;
@@ -219,22 +234,29 @@
             nodes: self.peers.representative_entries(now),
             usage: Vec::new(),
             leaving_replicas: self.mirror.all_leaving(),
+            replica_limits: self.limits.notices(true),
             ..self.pulse(sequence, now)
         };
         self.send_to(&pulse, std::iter::once(address)).await;
     }
 
-    /// Applies a pulse; returns whether its sender has just started.
-    fn receive_datagram(&self, bytes: &[u8], from: SocketAddr) -> bool {
+    /// Applies a pulse; returns what its sender is to be told at once.
+    fn receive_datagram(&self, bytes: &[u8], from: SocketAddr) -> Option<PulseReply> {
         let pulse = match FleetPulse::decode(bytes) {
             Ok(pulse) => pulse,
             Err(err) => {
                 log::warn!("event=pulse_malformed peer={from} error=\"{err}\"");
-                return false;
+                return None;
             }
         };
         if *pulse.node == *self.settings.node {
-            return false;
+            return None;
+        }
+        if let Some(reply) = &pulse.turn_reply {
+            self.turns.receive(reply);
+        }
+        if let Some(request) = pulse.turn_request {
+            return Some(PulseReply::Turn(request));
         }
         if let Some(desired) = self.mirror.desired() {
             self.usage.learn_organisations(&desired);
@@ -245,8 +267,9 @@
         let forwarded = pulse.spoken_for.iter().flat_map(|summary| &summary.usage);
         forwarded.for_each(|usage| self.merge_run(usage));
         if pulse.sequence == 0 {
-            return false;
+            return None;
         }
+        self.limits.apply(&pulse.replica_limits);
         let is_new = pulse.sequence == 1;
         for notice in &pulse.leaving_replicas {
             self.mirror.apply_leaving_notice(notice);
@@ -263,7 +286,8 @@
         {
             self.peer_ahead.notify();
         }
-        self.peers.record_pulse(pulse, from, self.clock.now()) && is_new
+        let is_newer = self.peers.record_pulse(pulse, from, self.clock.now());
+        (is_newer && is_new).then_some(PulseReply::State)
     }
 
     /// Applies changes of the replica list if no earlier ones are missing here.
@@ -318,6 +342,7 @@
             true => self.peers.gossip_entries(now),
             false => Vec::new(),
         };
+        let announces_all = sequence % gossip_interval == 0 && self.peers.is_representative(now);
         FleetPulse {
             node: run.node.to_string(),
             incarnation: run.incarnation,
@@ -344,6 +369,9 @@
             leaving_replicas: self.mirror.leaving_notices(),
             part_suspicions: self.prompts.suspicions(self.peers.is_representative(now)),
             part_clearances: self.prompts.clearances(),
+            replica_limits: self.limits.notices(announces_all),
+            turn_request: None,
+            turn_reply: None,
             follows_store: self.mirror.is_following_store(),
         }
     }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -26,6 +26,7 @@
 use crate::gateway::settings::{GatewaySettings, LiveSettings};
 use crate::gateway::stop::GracefulStop;
 use crate::gateway::telemetry::{GatewayMetrics, RequestOutcome, RequestTrace};
+use crate::gateway::turns::TurnDesk;
 use crate::gateway::upstreams::UpstreamPool;
 use crate::gateway::usage::UsageLedger;
 use crate::platform::headers::CallerHeaders;
@@ -67,6 +68,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Limits that replicas name.
     pub limits: Rc<LimitWatch>,
+    /// Turns at replicas that have named a limit.
+    pub turns: Rc<TurnDesk>,
     /// Prompts that crash replicas.
     pub prompts: Rc<PromptWatch>,
     /// Other nodes of the fleet.
@@ -142,6 +145,8 @@
     pub ran: u32,
     /// Whether it reviews the quarantine of its prompt, for which it may run once.
     pub is_review: bool,
+    /// Time until a turn at its replicas is expected, if all of them have reached their limits.
+    pub turn_wait: Option<Duration>,
 }
 
 impl RequestHandler {
@@ -239,7 +244,7 @@
         });
         let is_review = verdict == QuarantineVerdict::Review;
         let mut history = AttemptHistory { is_review, ..AttemptHistory::default() };
-        let mut next = self.select_replica(request, &mut history);
+        let mut next = self.select_replica(request, &mut history).await;
         loop {
             let Some(target) = next else {
                 let reply = self.failure_reply(request, &history, "no replica takes the request");
@@ -256,7 +261,7 @@
                     history.ran += 1;
                     let is_failure = response.head.status >= 500;
                     let retry_target = match is_failure && self.may_retry(request, &history) {
-                        true => self.select_replica(request, &mut history),
+                        true => self.select_replica(request, &mut history).await,
                         false => None,
                     };
                     if retry_target.is_none() {
@@ -265,10 +270,10 @@
                     response.release_connection(&self.upstreams);
                     retry_target
                 }
-                AttemptOutcome::NotSent(_) => self.select_replica(request, &mut history),
+                AttemptOutcome::NotSent(_) => self.select_replica(request, &mut history).await,
                 AttemptOutcome::NotExecuted(_) => {
                     history.sent += 1;
-                    self.select_replica(request, &mut history)
+                    self.select_replica(request, &mut history).await
                 }
                 AttemptOutcome::Lost(reason) => {
                     history.sent += 1;
@@ -280,7 +285,7 @@
                         trace.record_outcome(reply_outcome(&reply));
                         return self.send_reply(writer, &reply).await;
                     }
-                    self.select_replica(request, &mut history)
+                    self.select_replica(request, &mut history).await
                 }
                 AttemptOutcome::TimedOut => {
                     // A stream may have been queued at the replica until the deadline, so it
@@ -308,11 +313,14 @@
     fn has_untried_replica(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
         let replicas = self.mirror.replicas.borrow();
         let mut available = replicas.available(&request.service, self.clock.now());
-        available.any(|row| !history.tried.contains(&row.entry.id))
+        // A limited replica may have no turn left, so it is no reason to give up another one.
+        available.any(|row| {
+            !history.tried.contains(&row.entry.id) && self.limits.rate(&row.entry.id).is_none()
+        })
     }
 
     /// Selects the next replica. A retry is charged to the retry budget.
-    pub(super) fn select_replica(
+    pub(super) async fn select_replica(
         &self,
         request: &RoutedRequest<'_>,
         history: &mut AttemptHistory,
@@ -321,7 +329,11 @@
         if now >= request.deadline || self.quarantine_wait(request, history).is_some() {
             return None;
         }
-        let target = self.place_request(request, &history.tried)?;
+        if history.sent > 0 && !self.has_retry_budget(&request.service) {
+            log_denied_retry(request, history);
+            return None;
+        }
+        let target = self.claim_replica(request, history).await?;
         if history.sent > 0 {
             let bounds = self.live.get().retry;
             let nodes = self.budget_nodes();
@@ -329,12 +341,7 @@
                 budget.try_withdraw(&bounds, nodes, now)
             });
             if !granted {
-                log::info!(
-                    "event=retry_denied id={} service={} reason=budget sent={}",
-                    request.id(),
-                    request.service,
-                    history.sent
-                );
+                log_denied_retry(request, history);
                 return None;
             }
         }
@@ -388,9 +395,12 @@
         history: &AttemptHistory,
         reason: &'static str,
     ) -> LocalReply {
-        match (history.ran, self.quarantine_wait(request, history)) {
-            (0, Some(wait)) => self.quarantine_reply(wait),
-            (0, None) => LocalReply::refused(reason, self.service_retry_after(&request.service)),
+        match (history.ran, self.quarantine_wait(request, history), history.turn_wait) {
+            (0, Some(wait), _) => self.quarantine_reply(wait),
+            (0, None, Some(wait)) => LocalReply::refused("replicas are at their limits", wait),
+            (0, None, None) => {
+                LocalReply::refused(reason, self.service_retry_after(&request.service))
+            }
             _ => LocalReply::lost("replicas failed"),
         }
     }
@@ -489,6 +499,15 @@
     }
 }
 
+fn log_denied_retry(request: &RoutedRequest<'_>, history: &AttemptHistory) {
+    log::info!(
+        "event=retry_denied id={} service={} reason=budget sent={}",
+        request.id(),
+        request.service,
+        history.sent
+    );
+}
+
 fn reply_outcome(reply: &LocalReply) -> RequestOutcome {
     match reply.status {
         503 => RequestOutcome::Refused(reply.reason),
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -264,7 +264,8 @@
     async fn move_run(&mut self) {
         self.move_tried = true;
         let request = self.request;
-        let Some(target) = self.handler.place_request(request, &self.history.tried) else { return };
+        let claimed = self.handler.claim_replica(request, self.history).await;
+        let Some(target) = claimed else { return };
         let source = self.response.target().clone();
         let result = self.copy_and_stop(&source, &target).await;
         let outcome = match &result {
@@ -322,7 +323,7 @@
     /// Resumes the stream after its last event on another replica, if the request may run again.
     async fn resume(&mut self) -> Option<StartedResponse> {
         while self.is_resumable() && self.handler.may_retry(self.request, self.history) {
-            let target = self.handler.select_replica(self.request, self.history)?;
+            let target = self.handler.select_replica(self.request, self.history).await?;
             let last_event = self.splitter.last_id();
             let options = AttemptOptions { last_event, response_timeout: None, moved_run: None };
             let outcome = self.handler.attempt(self.request, &target, options).await;
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -5,6 +5,7 @@
 
 use berylstep_core::burn::TargetOutcome;
 use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::turns::TurnAnswer;
 use berylstep_http::BodyFraming;
 use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
@@ -89,6 +90,7 @@
     attempts: IntCounterVec,
     streams: IntCounterVec,
     limited_attempts: IntCounterVec,
+    turns: IntCounterVec,
     first_content: HistogramVec,
     duration: HistogramVec,
     /// Number of requests in progress.
@@ -140,6 +142,11 @@
                 "Attempts at replicas that this node knew to have named a limit, by service.",
                 &["service"],
             )?,
+            turns: set.counters(
+                "berylstep_gateway_turns_total",
+                "Turns at limited replicas that this node asked for, by service and result.",
+                &["service", "result"],
+            )?,
             first_content: set.histograms(
                 "berylstep_gateway_first_content_seconds",
                 "Time from arrival to the first content of the answer.",
@@ -190,6 +197,11 @@
         self.limited_attempts.with_label_values(&[service]).inc();
     }
 
+    /// Counts a turn that was asked for.
+    pub fn record_turn(&self, service: &str, result: TurnResult) {
+        self.turns.with_label_values(&[service, result.label()]).inc();
+    }
+
     /// Sets the number of retries that this node may still make for a service.
     pub fn set_retry_budget(&self, service: &str, remaining: u32) {
         self.retry_budget.with_label_values(&[service]).set(remaining.into());
@@ -201,6 +213,35 @@
     }
 }
 
+/// Result of asking for a turn at a limited replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnResult {
+    /// A turn was granted.
+    Granted,
+    /// All turns are taken.
+    Denied,
+    /// The keeper did not answer in time.
+    Unanswered,
+}
+
+impl TurnResult {
+    /// Returns the result of an ask that was answered.
+    pub fn of(answer: TurnAnswer) -> Self {
+        match answer {
+            TurnAnswer::Granted(_) => Self::Granted,
+            TurnAnswer::Denied(_) => Self::Denied,
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Denied => "denied",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// How a replica's response to a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
--- /dev/null
+++ b/berylstep/src/gateway/turns.rs
@@ -0,0 +1,333 @@
+//! Turns at replicas that have named a limit: this node asks the keeper of a service for them, and
+//! hands them out where it is the keeper itself.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::replica::ReplicaRow;
+use berylstep_core::fleet::turns::{TurnAnswer, TurnAsk, TurnCandidate, TurnKeeper};
+use berylstep_core::rendezvous;
+use berylstep_wire::{FleetPulse, TurnReply, TurnRequest};
+use prost::Message;
+use smol::channel::{bounded, Sender};
+use smol::net::UdpSocket;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::attempt::ReplicaTarget;
+use crate::gateway::limits::{limit_message, process_of, read_limit, LimitWatch};
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::peers::PeerTable;
+use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
+use crate::gateway::telemetry::TurnResult;
+
+/// Time within which a keeper answers, even if its VM has little processor time.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time for which a keeper that did not answer is not asked again.
+const SILENCE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Time after which a node that is not the keeper may be asked again; about the time in which nodes
+/// agree on the keeper.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(250);
+
+/// Largest number of replicas in one request for a turn.
+const MAX_CANDIDATES: usize = 16;
+
+/// Asks for turns, and hands them out.
+#[derive(Debug)]
+pub struct TurnDesk {
+    clock: RuntimeClock,
+    node: SharedName,
+    incarnation: u64,
+    mirror: Rc<StoreMirror>,
+    peers: Rc<PeerTable>,
+    limits: Rc<LimitWatch>,
+    socket: UdpSocket,
+    keeper: RefCell<TurnKeeper>,
+    /// Requests to other nodes that have not been answered.
+    pending: RefCell<HashMap<u64, Sender<TurnAnswer>>>,
+    next_request: Cell<u64>,
+    /// Times until which turns of a service are not asked for, where other replicas take its
+    /// requests.
+    pauses: RefCell<HashMap<SharedName, Duration>>,
+}
+
+/// Components that a [`TurnDesk`] works with.
+#[derive(Clone, Debug)]
+pub struct TurnContext {
+    /// Clock for timeouts.
+    pub clock: RuntimeClock,
+    /// Name of this node.
+    pub node: SharedName,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Local copy of the list of replicas.
+    pub mirror: Rc<StoreMirror>,
+    /// Other nodes, from which the keepers are elected.
+    pub peers: Rc<PeerTable>,
+    /// Limits of replicas.
+    pub limits: Rc<LimitWatch>,
+    /// Socket for messages between nodes.
+    pub socket: UdpSocket,
+}
+
+/// A request to the keeper that waits for its answer; it is withdrawn when dropped.
+struct PendingTurn<'a> {
+    desk: &'a TurnDesk,
+    request: u64,
+}
+
+impl Drop for PendingTurn<'_> {
+    fn drop(&mut self) {
+        self.desk.pending.borrow_mut().remove(&self.request);
+    }
+}
+
+impl TurnDesk {
+    /// Creates a desk without turns in hand.
+    pub fn new(context: TurnContext) -> Self {
+        let TurnContext { clock, node, incarnation, mirror, peers, limits, socket } = context;
+        Self {
+            clock,
+            node,
+            incarnation,
+            mirror,
+            peers,
+            limits,
+            socket,
+            keeper: RefCell::default(),
+            pending: RefCell::default(),
+            next_request: Cell::new(0),
+            pauses: RefCell::default(),
+        }
+    }
+
+    /// Drops what is no longer needed.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        self.keeper.borrow_mut().expire(now);
+        self.pauses.borrow_mut().retain(|_, until| *until > now);
+    }
+
+    /// Returns the address of the node that hands out the turns of `service`; `None` if it is this
+    /// one. Keepers are elected among the representatives, which all nodes know.
+    fn keeper_address(&self, service: &str) -> Option<SocketAddr> {
+        let representatives = self.peers.representatives(self.clock.now());
+        let score = |node: &str| rendezvous::score(service, node);
+        let keeper = representatives.iter().max_by_key(|node| score(&node.node))?;
+        Some(keeper.peer_address).filter(|_| keeper.node != self.node)
+    }
+
+    /// Asks for a turn at one of the replicas in `ask`.
+    async fn take(&self, ask: &TurnAsk<'_>) -> (TurnAnswer, TurnResult) {
+        let Some(address) = self.keeper_address(ask.service) else {
+            let answer = self.keeper.borrow_mut().take(ask, self.clock.now());
+            return (answer, TurnResult::of(answer));
+        };
+        let request = self.next_request.replace(self.next_request.get() + 1);
+        let (sender, receiver) = bounded(1);
+        self.pending.borrow_mut().insert(request, sender);
+        let _pending = PendingTurn { desk: self, request };
+        self.send(address, self.request_message(request, ask)).await;
+        match self.clock.timeout(REPLY_TIMEOUT, receiver.recv()).await {
+            Some(Ok(answer)) => (answer, TurnResult::of(answer)),
+            Some(Err(_)) | None => {
+                log::info!("event=turns_unanswered service={} keeper={address}", ask.service);
+                let until = self.clock.now() + SILENCE_PAUSE;
+                self.pauses.borrow_mut().insert(ask.service.into(), until);
+                (TurnAnswer::Denied(SILENCE_PAUSE), TurnResult::Unanswered)
+            }
+        }
+    }
+
+    fn request_message(&self, request: u64, ask: &TurnAsk<'_>) -> FleetPulse {
+        let replicas = self.mirror.replicas.borrow();
+        let notices = ask.candidates.iter().filter_map(|candidate| {
+            let row = replicas.rows().find(|row| row.hash == candidate.replica)?;
+            self.limits.notice(process_of(row))
+        });
+        let turn_request = TurnRequest {
+            request,
+            service: ask.service.to_owned(),
+            tier: ask.tier.into(),
+            patience_ms: milliseconds(ask.patience),
+            candidates: notices.map(limit_message).collect(),
+        };
+        FleetPulse { turn_request: Some(turn_request), ..self.envelope() }
+    }
+
+    /// Returns a message without a sequence number, which carries no state of this node.
+    fn envelope(&self) -> FleetPulse {
+        FleetPulse {
+            node: self.node.to_string(),
+            incarnation: self.incarnation,
+            unix_ms: self.clock.unix_ms(),
+            ..FleetPulse::default()
+        }
+    }
+
+    async fn send(&self, address: SocketAddr, message: FleetPulse) {
+        if let Err(err) = self.socket.send_to(&message.encode_to_vec(), address).await {
+            log::debug!("event=turn_message_not_sent peer={address} error=\"{err}\"");
+        }
+    }
+
+    /// Decides on a request of another node, and sends the answer.
+    pub async fn answer(&self, request: &TurnRequest, from: SocketAddr) {
+        self.limits.apply(&request.candidates);
+        let candidates = request.candidates.iter().map(read_limit).filter_map(|notice| {
+            let rate =
+                self.limits.notice(notice.process).map_or(notice.rate, |known| known.rate)?;
+            Some(TurnCandidate { replica: notice.process.replica, rate })
+        });
+        let candidates: Vec<_> = candidates.collect();
+        let ask = TurnAsk {
+            service: &request.service,
+            tier: u8::try_from(request.tier).unwrap_or(u8::MAX),
+            patience: Duration::from_millis(request.patience_ms.into()),
+            candidates: &candidates,
+        };
+        let answer = match self.keeper_address(&request.service) {
+            None => self.keeper.borrow_mut().take(&ask, self.clock.now()),
+            Some(_) => TurnAnswer::Denied(HANDOVER_PAUSE),
+        };
+        let reply = match answer {
+            TurnAnswer::Granted(replica) => {
+                TurnReply { request: request.request, granted: true, replica, wait_ms: 0 }
+            }
+            TurnAnswer::Denied(wait) => TurnReply {
+                request: request.request,
+                granted: false,
+                replica: 0,
+                wait_ms: milliseconds(wait),
+            },
+        };
+        self.send(from, FleetPulse { turn_reply: Some(reply), ..self.envelope() }).await;
+    }
+
+    /// Passes a keeper's answer on to the request that waits for it.
+    pub fn receive(&self, reply: &TurnReply) {
+        let answer = match reply.granted {
+            true => TurnAnswer::Granted(reply.replica),
+            false => TurnAnswer::Denied(Duration::from_millis(reply.wait_ms.into())),
+        };
+        let waiting = self.pending.borrow_mut().remove(&reply.request);
+        let delivered = waiting.is_some_and(|sender| sender.try_send(answer).is_ok());
+        if !delivered {
+            log::debug!("event=turn_reply_late request={}", reply.request);
+        }
+    }
+
+    /// Stops asking for turns of `service` for a while, where other replicas take its requests.
+    fn pause(&self, service: &SharedName, wait: Duration) {
+        let until = self.clock.now() + wait;
+        self.pauses.borrow_mut().insert(service.clone(), until);
+    }
+
+    fn is_paused(&self, service: &str) -> bool {
+        let pauses = self.pauses.borrow();
+        pauses.get(service).is_some_and(|until| *until > self.clock.now())
+    }
+
+    /// Returns the limit of a replica as a candidate for a turn; `None` if it has none.
+    fn candidate(&self, row: &ReplicaRow) -> Option<TurnCandidate> {
+        let rate = self.limits.notice(process_of(row))?.rate?;
+        Some(TurnCandidate { replica: row.hash, rate })
+    }
+}
+
+fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl RequestHandler {
+    /// Places a request, and gets a turn for it where the replica has named a limit. A limited
+    /// replica without a turn is left to other requests.
+    pub(super) async fn claim_replica(
+        &self,
+        request: &RoutedRequest<'_>,
+        history: &mut AttemptHistory,
+    ) -> Option<ReplicaTarget> {
+        let target = self.place_request(request, &history.tried)?;
+        if self.limits.rate(&target.id).is_none() {
+            return Some(target);
+        }
+        let (candidates, limited) = self.limited_candidates(request, &history.tried, &target.id);
+        let excluded: Vec<_> = history.tried.iter().chain(&limited).cloned().collect();
+        let alternative = self.place_request(request, &excluded);
+        if alternative.is_some() && self.turns.is_paused(&request.service) {
+            return alternative;
+        }
+        let patience = match alternative {
+            Some(_) => Duration::ZERO,
+            None => request.deadline.saturating_sub(self.clock.now()),
+        };
+        match self.take_turn(request, &candidates, patience).await {
+            TurnAnswer::Granted(replica) => match self.granted_target(request, replica, &target) {
+                Some(target) => Some(target),
+                None => self.place_request(request, &excluded),
+            },
+            TurnAnswer::Denied(wait) => {
+                if alternative.is_none() {
+                    history.turn_wait = Some(wait);
+                } else {
+                    self.turns.pause(&request.service, wait);
+                }
+                // The table may have changed since the keeper was asked.
+                self.place_request(request, &excluded)
+            }
+        }
+    }
+
+    async fn take_turn(
+        &self,
+        request: &RoutedRequest<'_>,
+        candidates: &[TurnCandidate],
+        patience: Duration,
+    ) -> TurnAnswer {
+        let ask =
+            TurnAsk { service: &request.service, tier: request.priority, patience, candidates };
+        let (answer, result) = self.turns.take(&ask).await;
+        self.metrics.record_turn(&request.service, result);
+        answer
+    }
+
+    /// Returns the limited replicas that may take the request, the preferred one first, and the
+    /// identifiers of all limited replicas of its service.
+    fn limited_candidates(
+        &self,
+        request: &RoutedRequest<'_>,
+        tried: &[SharedName],
+        preferred: &str,
+    ) -> (Vec<TurnCandidate>, Vec<SharedName>) {
+        let now = self.clock.now();
+        let replicas = self.mirror.replicas.borrow();
+        let available = replicas.available(&request.service, now);
+        let limited = available.filter_map(|row| Some((row, self.turns.candidate(row)?)));
+        let mut limited: Vec<_> = limited.collect();
+        limited.sort_unstable_by_key(|(row, _)| {
+            (*row.entry.id != *preferred, !row.is_healthy(now), row.work(), row.entry.id.clone())
+        });
+        let ids = limited.iter().map(|(row, _)| row.entry.id.clone()).collect();
+        let untried = limited.iter().filter(|(row, _)| !tried.contains(&row.entry.id));
+        let candidates = untried.map(|(_, candidate)| *candidate).take(MAX_CANDIDATES).collect();
+        (candidates, ids)
+    }
+
+    /// Returns the replica that a turn was granted for, unless it has gone or paused meanwhile.
+    fn granted_target(
+        &self,
+        request: &RoutedRequest<'_>,
+        hash: u32,
+        preferred: &ReplicaTarget,
+    ) -> Option<ReplicaTarget> {
+        let replicas = self.mirror.replicas.borrow();
+        let mut available = replicas.available(&request.service, self.clock.now());
+        let row = available.find(|row| row.hash == hash)?;
+        let cache_source = preferred.cache_source.filter(|_| row.entry.id == preferred.id);
+        Some(ReplicaTarget { id: row.entry.id.clone(), address: row.entry.address, cache_source })
+    }
+}
--- a/berylstep/tests/replica_limits.rs
+++ b/berylstep/tests/replica_limits.rs
@@ -21,6 +21,9 @@
 /// Part of what the limit allows that must be used where there is enough to send.
 const USED_SHARE: f64 = 0.7;
 
+/// Pause between a request and the next.
+const SEND_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time within which a request that no replica may take is refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(150);
 
@@ -36,12 +39,17 @@
 
 impl LimitedReplica {
     fn start(id: &str, limit: Option<&str>) -> Self {
+        Self::start_with(id, limit, 200)
+    }
+
+    /// Starts a replica that answers with `status`.
+    fn start_with(id: &str, limit: Option<&str>, status: u16) -> Self {
         let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
         let header = Arc::new(Mutex::new(String::new()));
         let (log, line) = (arrivals.clone(), header.clone());
         let replica = FakeReplica::start(id, move |request, _, stream| {
             lock(&log).push(Instant::now());
-            respond(stream, request, 200, &lock(&line).clone(), "answer")
+            respond(stream, request, status, &lock(&line).clone(), "answer")
         });
         let limited = Self { replica, arrivals, header };
         limited.set_limit(limit);
@@ -128,36 +136,79 @@
     (1.5 * limit * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
+#[derive(Clone, Copy, Debug)]
 struct LimitCase {
     limit: &'static str,
     spread: Spread,
+    /// Status of all answers; requests that get 500 are retried at the other replica.
+    status: u16,
 }
 
 /// Guards against gateways that together send a replica more than the limit that it names (LIMIT).
 #[test]
 fn a_limit_holds_over_all_gateways_and_what_it_allows_is_used() {
     let cases = [
-        LimitCase { limit: "0.5", spread: Spread::Even },
-        LimitCase { limit: "1", spread: Spread::Even },
-        LimitCase { limit: "4", spread: Spread::Even },
-        LimitCase { limit: "4", spread: Spread::OneGateway },
+        LimitCase { limit: "0.5", spread: Spread::Even, status: 200 },
+        LimitCase { limit: "1", spread: Spread::Even, status: 200 },
+        LimitCase { limit: "4", spread: Spread::Even, status: 200 },
+        LimitCase { limit: "4", spread: Spread::OneGateway, status: 200 },
+        LimitCase { limit: "1", spread: Spread::Even, status: 500 },
     ];
-    for case in cases {
-        let replicas =
-            [LimitedReplica::start("i-1", Some(case.limit)), LimitedReplica::start("i-2", None)];
-        let fleet = LimitedFleet::start(&replicas);
-        let counted_from = Instant::now() + CONTACT_TIME;
-        let end = counted_from + 2 * WINDOW;
-        let sent = fleet.send_until(end, Duration::from_millis(20), case.spread);
-        let limit: f64 = case.limit.parse().unwrap();
-        let (peak, used) = (replicas[0].peak(counted_from), replicas[0].arrived(counted_from, end));
-        let (limit_name, spread) = (case.limit, case.spread);
-        assert!(peak <= allowed(limit), "limit {limit_name}, {spread:?}: {peak} in a window");
-        let usable = limit * (2 * WINDOW).as_secs_f64() * USED_SHARE;
-        assert!(used as f64 >= usable, "limit {limit_name}, {spread:?}: {used} in two windows");
-        let failed = sent.iter().filter(|request| request.status() != 200).count();
-        assert_eq!(failed, 0, "limit {limit_name}, {spread:?}");
+    let checks = cases.map(|case| std::thread::spawn(move || check_limit(case)));
+    checks.into_iter().for_each(|check| check.join().unwrap());
+}
+
+fn check_limit(case: LimitCase) {
+    let limited = LimitedReplica::start_with("i-1", Some(case.limit), case.status);
+    let replicas = [limited, LimitedReplica::start_with("i-2", None, case.status)];
+    let fleet = LimitedFleet::start(&replicas);
+    let counted_from = Instant::now() + CONTACT_TIME;
+    let end = counted_from + 2 * WINDOW;
+    let sent = fleet.send_until(end, SEND_INTERVAL, case.spread);
+    let limit: f64 = case.limit.parse().unwrap();
+    let (peak, used) = (replicas[0].peak(counted_from), replicas[0].arrived(counted_from, end));
+    assert!(peak <= allowed(limit), "{case:?}: {peak} in a window");
+    let usable = limit * (2 * WINDOW).as_secs_f64() * USED_SHARE;
+    assert!(used as f64 >= usable, "{case:?}: {used} in two windows");
+    let others = sent.iter().filter(|request| request.status() != case.status).count();
+    assert_eq!(others, 0, "{case:?}");
+}
+
+/// Guards against a limit that is exceeded, or stops requests, while the node that hands out turns
+/// stands still or is replaced.
+#[test]
+fn a_limit_holds_while_gateways_freeze_and_restart() {
+    let replicas = [LimitedReplica::start("i-1", Some("2")), LimitedReplica::start("i-2", None)];
+    let mut fleet = LimitedFleet::start(&replicas);
+    fleet.send_until(Instant::now() + CONTACT_TIME, SEND_INTERVAL, Spread::Even);
+    let from = Instant::now();
+    for index in 0..fleet.gateways.len() {
+        let frozen = fleet.gateways.remove(index);
+        frozen.process.freeze();
+        let until = Instant::now() + Duration::from_millis(1500);
+        let sent = fleet.send_until(until, SEND_INTERVAL, Spread::Even);
+        assert!(sent.iter().all(|request| request.status() == 200), "{index} frozen");
+        let slow = sent.iter().filter(|request| request.took > REFUSAL_TIME).count();
+        assert!(slow * 20 <= sent.len(), "{index} frozen: {slow} of {} slow", sent.len());
+        frozen.process.thaw();
+        fleet.gateways.insert(index, frozen);
+    }
+    for index in 0..fleet.gateways.len() {
+        drop(fleet.gateways.remove(index));
+        let number = 2 + index as u8;
+        let until = Instant::now() + Duration::from_millis(500);
+        let sent = fleet.send_until(until, SEND_INTERVAL, Spread::Even);
+        assert!(sent.iter().all(|request| request.status() == 200), "{index} killed");
+        let started = FleetGateway::start(&fleet.store, number, fleet.peer_port);
+        fleet.gateways.insert(index, started);
+        fleet.send_until(Instant::now() + NOTICE_TIME, SEND_INTERVAL, Spread::Even);
     }
+    let peak = replicas[0].peak(from);
+    assert!(peak <= allowed(2.0), "{peak} in a window");
+    let after = Instant::now();
+    fleet.send_until(after + WINDOW, SEND_INTERVAL, Spread::Even);
+    let used = replicas[0].arrived(after, Instant::now());
+    assert!(used as f64 >= 2.0 * WINDOW.as_secs_f64() * USED_SHARE, "{used} in a window");
 }
 
 /// Guards against requests that wait, or are sent on, where all replicas have reached their limits.
@@ -191,11 +242,10 @@
 fn a_limit_ends_when_the_replica_no_longer_names_it() {
     let replicas = [LimitedReplica::start("i-1", Some("1")), LimitedReplica::start("i-2", None)];
     let fleet = LimitedFleet::start(&replicas);
-    let interval = Duration::from_millis(20);
-    fleet.send_until(Instant::now() + CONTACT_TIME, interval, Spread::Even);
+    fleet.send_until(Instant::now() + CONTACT_TIME, SEND_INTERVAL, Spread::Even);
     replicas[0].set_limit(None);
     let from = Instant::now() + CONTACT_TIME;
-    fleet.send_until(from + Duration::from_secs(2), interval, Spread::Even);
+    fleet.send_until(from + Duration::from_secs(2), SEND_INTERVAL, Spread::Even);
     let [limited, other] = [0, 1].map(|index| replicas[index].arrived(from, Instant::now()));
     assert!(limited * 3 >= other, "{limited} and {other} requests");
 }
@@ -205,15 +255,14 @@
 fn a_restarted_gateway_learns_limits_from_its_peers() {
     let replicas = [LimitedReplica::start("i-1", Some("1")), LimitedReplica::start("i-2", None)];
     let mut fleet = LimitedFleet::start(&replicas);
-    let interval = Duration::from_millis(20);
-    fleet.send_until(Instant::now() + CONTACT_TIME, interval, Spread::Even);
+    fleet.send_until(Instant::now() + CONTACT_TIME, SEND_INTERVAL, Spread::Even);
     // Peers repeat news for a while; the limit must be known after that too.
     std::thread::sleep(CONTACT_TIME + NOTICE_TIME);
     fleet.gateways.remove(0);
     fleet.gateways.insert(0, FleetGateway::start(&fleet.store, 2, fleet.peer_port));
     std::thread::sleep(NOTICE_TIME);
     let from = Instant::now();
-    let sent = fleet.send_until(from + Duration::from_secs(2), interval, Spread::OneGateway);
+    let sent = fleet.send_until(from + Duration::from_secs(2), SEND_INTERVAL, Spread::OneGateway);
     let arrived = replicas[0].arrived(from, Instant::now());
     assert!(sent.len() > 40, "{} requests sent", sent.len());
     assert!(arrived <= 5, "{arrived} requests in 2 s");
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -14,4 +14,5 @@
 pub mod position;
 pub mod quarantine;
 pub mod replica;
+pub mod turns;
 pub mod window;
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -500,6 +500,63 @@
     /// Suspected parts that have lately begun to be answered.
     #[prost(message, repeated, tag = "27")]
     pub part_clearances: ::prost::alloc::vec::Vec<PartClearance>,
+    /// Limits that replicas have named: recent changes and, at intervals, all in force.
+    #[prost(message, repeated, tag = "28")]
+    pub replica_limits: ::prost::alloc::vec::Vec<ReplicaLimit>,
+    /// Asks the receiver for a turn. A message with this or the next field has no sequence number and
+    /// doesn't replace the sender's state.
+    #[prost(message, optional, tag = "29")]
+    pub turn_request: ::core::option::Option<TurnRequest>,
+    #[prost(message, optional, tag = "30")]
+    pub turn_reply: ::core::option::Option<TurnReply>,
+}
+/// Limit that a replica has named.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ReplicaLimit {
+    /// Hash of the replica's identifier.
+    #[prost(fixed32, tag = "1")]
+    pub replica: u32,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Number of changes of the limit up to this one.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Requests per second from all nodes together; 0 if the limit has ended.
+    #[prost(double, tag = "4")]
+    pub per_second: f64,
+}
+/// Asks the keeper of a service's turns for one at any of these replicas.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TurnRequest {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    /// Tier of the request; 0 comes first.
+    #[prost(uint32, tag = "3")]
+    pub tier: u32,
+    /// Time for which the caller may wait or come back, in milliseconds; 0 if other replicas take the
+    /// request.
+    #[prost(uint32, tag = "4")]
+    pub patience_ms: u32,
+    /// Limited replicas in the order of preference.
+    #[prost(message, repeated, tag = "5")]
+    pub candidates: ::prost::alloc::vec::Vec<ReplicaLimit>,
+}
+/// Answers a `TurnRequest`.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct TurnReply {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    /// Replica that the request may be sent to, if granted.
+    #[prost(fixed32, tag = "3")]
+    pub replica: u32,
+    /// Time until a turn is expected, in milliseconds, if not granted.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
 }
 /// A part of prompts that was lost in the crash of a replica.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
