Count calls that move streams towards the limit of the replica they go to

Cause: calls to engines go past placement. Change: they need a turn too. A limited replica gets one call for each move, which stops the run and copies all of its KV cache, instead of two; a stream that gets no turn asks again when one is expected, and goes on at its replica meanwhile.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -47,6 +47,8 @@
     moved: Option<(ReplicaTarget, MovedRun)>,
     /// Whether a move was attempted, successfully or not.
     move_tried: bool,
+    /// Time before which no turn for a move is asked for.
+    move_not_before: Duration,
     /// Whether the original run may have been stopped, which ends its response too early.
     may_be_stopped: bool,
 }
@@ -82,6 +84,7 @@
             last_event_at: self.clock.now(),
             moved: None,
             move_tried: false,
+            move_not_before: Duration::ZERO,
             may_be_stopped: false,
         };
         relay.run(writer).await
@@ -240,7 +243,8 @@
 
     /// Returns whether the run must be moved because its replica stops before the stream ends.
     fn is_move_due(&self) -> bool {
-        if self.move_tried || self.splitter.last_id().is_none() {
+        let now = self.handler.clock.now();
+        if self.move_tried || now < self.move_not_before || self.splitter.last_id().is_none() {
             return false;
         }
         let replicas = self.handler.mirror.replicas.borrow();
@@ -250,7 +254,6 @@
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             return false;
         };
-        let now = self.handler.clock.now();
         let output = self.request.headers.size.map_or(0, |size| size.output);
         let progress = StreamProgress {
             events: self.splitter.events(),
@@ -262,12 +265,17 @@
 
     /// Copies the run to another replica and stops the original, which ends its stream.
     async fn move_run(&mut self) {
-        self.move_tried = true;
         let request = self.request;
+        let source = self.response.target().clone();
+        let is_limited = self.handler.limits.rate(&source.id).is_some();
+        if let Err(wait) = self.handler.claim_call(request, &source.id).await {
+            self.move_not_before = self.handler.clock.now() + wait;
+            return;
+        }
+        self.move_tried = true;
         let claimed = self.handler.claim_replica(request, self.history).await;
         let Some(target) = claimed else { return };
-        let source = self.response.target().clone();
-        let result = self.copy_and_stop(&source, &target).await;
+        let result = self.copy_and_stop(&source, &target, is_limited).await;
         let outcome = match &result {
             Ok(_) => "moved".to_owned(),
             Err(err) => format!("not moved: {err}"),
@@ -286,16 +294,20 @@
         &mut self,
         source: &ReplicaTarget,
         target: &ReplicaTarget,
+        is_limited: bool,
     ) -> Result<MovedRun, CallError> {
         if self.handler.is_quiet(&source.id) {
             return Err(CallError::NotSent("replica wants no calls for now".to_owned()));
         }
         let engine = PlatformClient::new(source.address, self.handler.clock.clone());
         let id = self.request.id();
-        let sent_at = self.handler.clock.now();
-        let copied = engine.move_run(id, target.address, MovePhase::Copy).await;
-        self.handler.record_statement(&source.id, engine.statement(), sent_at);
-        copied?;
+        // A limited replica gets one call; its run stands still while all of its KV cache is copied.
+        if !is_limited {
+            let sent_at = self.handler.clock.now();
+            let copied = engine.move_run(id, target.address, MovePhase::Copy).await;
+            self.handler.record_statement(&source.id, engine.statement(), sent_at);
+            copied?;
+        }
         let sent_at = self.handler.clock.now();
         let stopped = engine.move_run(id, target.address, MovePhase::Stop).await;
         self.may_be_stopped = may_have_stopped(&stopped);
--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -282,6 +282,24 @@
         }
     }
 
+    /// Gets a turn for a call about a request to the replica `id`. Without one, returns the time
+    /// until it may be asked for again.
+    pub(super) async fn claim_call(
+        &self,
+        request: &RoutedRequest<'_>,
+        id: &str,
+    ) -> Result<(), Duration> {
+        let candidate = {
+            let replicas = self.mirror.replicas.borrow();
+            replicas.get(id).and_then(|row| self.turns.candidate(row))
+        };
+        let Some(candidate) = candidate else { return Ok(()) };
+        match self.take_turn(request, &[candidate], Duration::ZERO).await {
+            TurnAnswer::Granted(_) => Ok(()),
+            TurnAnswer::Denied(wait) => Err(wait),
+        }
+    }
+
     async fn take_turn(
         &self,
         request: &RoutedRequest<'_>,
--- a/berylstep/tests/replica_limits.rs
+++ b/berylstep/tests/replica_limits.rs
@@ -1,14 +1,19 @@
 //! Replicas that name a limit of the requests that they take from all gateways together.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
-use berylstep_standins::fleet::message::{respond, RawMessage};
+use berylstep_standins::fleet::message::{
+    begin_unframed_events, request_text, respond, RawMessage,
+};
 use berylstep_standins::fleet::replica::FakeReplica;
 use berylstep_standins::fleet::store::FakeStore;
 use berylstep_standins::fleet::{desired_state, lock, KEY_HEADER};
 use berylstep_standins::process::free_address;
+use serde_json::json;
 
 const GATEWAYS: u8 = 3;
 
@@ -283,3 +288,68 @@
         });
     }
 }
+
+/// Streams that are moved at once, each of which takes two calls to the replica that leaves.
+const MOVED_STREAMS: usize = 10;
+
+/// Serves an endless stream, and answers the calls that move it, with a limit in each response.
+fn serve_limited_stream(request: &RawMessage, stream: &mut TcpStream) -> bool {
+    const LIMIT: &str = "Server-Limit: 1\r\n";
+    if request.target() == "/v1/kv-move" {
+        return respond(stream, request, 200, LIMIT, "{\"Handle\": \"h1\", \"Created\": 1}");
+    }
+    let mut head = Vec::new();
+    begin_unframed_events(&mut head, request);
+    let head = String::from_utf8(head).unwrap();
+    let head = head.replacen("\r\n", &format!("\r\n{LIMIT}"), 1);
+    let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+    for number in 1.. {
+        is_open &= stream.write_all(format!("id: {number}\ndata: d\n\n").as_bytes()).is_ok();
+        if !is_open {
+            break;
+        }
+        std::thread::sleep(SEND_INTERVAL);
+    }
+    false
+}
+
+/// Guards against calls of the gateways' own that exceed the limit of the replica they go to (LIMIT).
+#[test]
+fn calls_that_move_streams_count_towards_the_limit() {
+    let calls: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let log = calls.clone();
+    let source = FakeReplica::start("i-1", move |request, _, stream| {
+        if request.target() == "/v1/kv-move" {
+            lock(&log).push(Instant::now());
+        }
+        serve_limited_stream(request, stream)
+    });
+    let other =
+        FakeReplica::start("i-2", |request, _, stream| serve_limited_stream(request, stream));
+    let store = FakeStore::start();
+    let mut desired = desired_state(1);
+    for service in desired["Services"].as_array_mut().unwrap() {
+        service["Engine"] =
+            json!({"Slots": 16, "KvCacheTokens": 10000, "Moves": true, "Stride": 1});
+    }
+    store.put("op", "config", Some(desired));
+    store.put("servers", "i-1", Some(source.entry("plain", "ready")));
+    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    let headers = format!("{KEY_HEADER}Berylstep-Token-Counts: 10,1000\r\n");
+    let callers: Vec<_> = (0..MOVED_STREAMS)
+        .map(|number| {
+            let mut caller = gateway.connect();
+            let request = request_text("plain", &format!("id-{number}"), 3000, &headers);
+            caller.write_all(request.as_bytes()).unwrap();
+            caller
+        })
+        .collect();
+    wait_until("all streams have begun", || source.received().len() == MOVED_STREAMS);
+    store.put("servers", "i-2", Some(other.entry("plain", "ready")));
+    std::thread::sleep(NOTICE_TIME);
+    store.put("servers", "i-1", Some(source.entry("plain", "draining")));
+    std::thread::sleep(Duration::from_secs(2));
+    drop(callers);
+    let count = lock(&calls).len();
+    assert!((1..=allowed(1.0)).contains(&count), "{count} calls");
+}
