Log the content of lost requests and whether their replicas crashed, also without a prompt

A lost attempt of a plain request showed neither what it had in common with others nor whether its replica had ended, so a missing memory, crashes that are not recognised and plain retries looked alike. Change: such a request has a key of its whole content, and its losses are verified and logged as those of prompts are. Nothing decides by it yet.

--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -1,4 +1,4 @@
-//! Watches for prompts that crash replicas, and refuses requests that have them.
+//! Watches for requests that crash replicas, and refuses them.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -7,10 +7,11 @@
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::quarantine::{
-    part_key, CrashId, PartClearance, PartKey, PartSuspicion, PromptQuarantine, QuarantineVerdict,
-    QuarantinedGroup,
+    part_key, CrashId, EvidenceKey, PartClearance, PartSuspicion, PromptQuarantine,
+    QuarantineVerdict, QuarantinedGroup,
 };
 use berylstep_core::rendezvous;
+use sha2::{Digest, Sha256};
 use smol::channel::{bounded, Receiver, Sender};
 
 use crate::clock::RuntimeClock;
@@ -23,16 +24,52 @@
 /// Largest number of lost requests that wait to be verified.
 const MAX_UNVERIFIED: usize = 256;
 
-/// Returns the keys of the parts of a prompt.
-pub fn prompt_keys(service: &str, parts: &[SharedName]) -> Vec<PartKey> {
-    parts.iter().map(|part| part_key(service, part)).collect()
+/// What tells a request without a prompt from others.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// Service that it is routed to.
+    pub service: &'a str,
+    /// API key of its caller; empty if it has none.
+    pub caller: &'a str,
+    /// Name of the host that it is addressed to.
+    pub host: &'a str,
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Body.
+    pub body: &'a [u8],
+}
+
+impl RequestContent<'_> {
+    /// Returns the key of this content, the same at all nodes.
+    pub fn key(&self) -> EvidenceKey {
+        let texts = [self.service, self.caller, self.host, self.method, self.target];
+        let mut hasher = Sha256::new();
+        for field in texts.map(str::as_bytes).into_iter().chain([self.body]) {
+            hasher.update((field.len() as u64).to_be_bytes());
+            hasher.update(field);
+        }
+        let mut key = [0; 8];
+        key.copy_from_slice(&hasher.finalize()[..8]);
+        EvidenceKey::Content(u64::from_be_bytes(key))
+    }
+}
+
+/// Returns what evidence about a request is collected for: the parts of its prompt, or its whole
+/// content if it has no prompt.
+pub fn evidence_keys(content: &RequestContent<'_>, parts: &[SharedName]) -> Vec<EvidenceKey> {
+    match parts.is_empty() {
+        true => vec![content.key()],
+        false => parts.iter().map(|part| part_key(content.service, part)).collect(),
+    }
 }
 
 /// A request whose replica closed the connection before it began to answer.
 #[derive(Debug)]
 struct LostRequest {
     id: SharedName,
-    parts: Vec<PartKey>,
+    keys: Vec<EvidenceKey>,
     names: Vec<SharedName>,
     replica: SharedName,
     address: SocketAddr,
@@ -58,19 +95,19 @@
     /// Decides on a new request; see [`PromptQuarantine::check_new`].
     pub fn check_new(
         &self,
-        parts: &[PartKey],
-        is_reviewer: impl FnOnce(PartKey) -> bool,
+        parts: &[EvidenceKey],
+        is_reviewer: impl FnOnce(EvidenceKey) -> bool,
     ) -> QuarantineVerdict {
         self.quarantine.borrow_mut().check_new(parts, self.clock.now(), is_reviewer)
     }
 
     /// Returns the time until the next review if requests with these parts are refused.
-    pub fn refusal_wait(&self, parts: &[PartKey]) -> Option<Duration> {
+    pub fn refusal_wait(&self, parts: &[EvidenceKey]) -> Option<Duration> {
         self.quarantine.borrow().refusal_wait(parts, self.clock.now())
     }
 
     /// Records that a request began to be answered.
-    pub fn record_started(&self, parts: &[PartKey]) {
+    pub fn record_started(&self, parts: &[EvidenceKey]) {
         self.change(|quarantine, now| quarantine.record_started(parts, now));
     }
 
@@ -80,10 +117,10 @@
         let replicas = self.mirror.replicas.borrow();
         // A replica that is shutting down ends its requests without a crash.
         let row = replicas.get(&target.id).filter(|row| row.is_ready());
-        let Some(row) = row.filter(|_| !request.parts.is_empty()) else { return };
+        let Some(row) = row else { return };
         let lost = LostRequest {
             id: request.id().into(),
-            parts: request.parts.clone(),
+            keys: request.evidence.clone(),
             names: request.headers.parts.clone(),
             replica: target.id.clone(),
             address: target.address,
@@ -99,6 +136,12 @@
     pub async fn verify_losses(self: Rc<Self>) {
         while let Ok(lost) = self.lost.1.recv().await {
             if !has_crashed(&self.clock, lost.address).await {
+                log::info!(
+                    "event=request_lost_without_crash id={} replica={} keys={}",
+                    lost.id,
+                    lost.replica,
+                    key_list(&lost.keys)
+                );
                 continue;
             }
             log::warn!(
@@ -106,9 +149,11 @@
                 lost.id,
                 lost.replica,
                 lost.names.join(","),
-                key_list(&lost.parts)
+                key_list(&lost.keys)
             );
-            self.change(|quarantine, _| quarantine.record_crash(&lost.parts, lost.crash, lost.at));
+            let is_part = |key: &EvidenceKey| matches!(key, EvidenceKey::Part(_));
+            let parts: Vec<_> = lost.keys.iter().copied().filter(is_part).collect();
+            self.change(|quarantine, _| quarantine.record_crash(&parts, lost.crash, lost.at));
         }
     }
 
@@ -124,13 +169,14 @@
         let now = self.clock.now();
         let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         let suspicions = suspicions.iter().map(|message| PartSuspicion {
-            part: message.part,
+            part: EvidenceKey::Part(message.part),
             crash: CrashId { replica: message.replica, born: message.born },
             at: time(message.age_ms),
         });
-        let clearances = clearances
-            .iter()
-            .map(|message| PartClearance { part: message.part, at: time(message.age_ms) });
+        let clearances = clearances.iter().map(|message| PartClearance {
+            part: EvidenceKey::Part(message.part),
+            at: time(message.age_ms),
+        });
         let (suspicions, clearances): (Vec<_>, Vec<_>) =
             (suspicions.collect(), clearances.collect());
         self.change(|quarantine, now| quarantine.apply(&suspicions, &clearances, now));
@@ -141,7 +187,7 @@
         let now = self.clock.now();
         let suspicions = self.quarantine.borrow().suspicions(all, now).into_iter();
         let message = |suspicion: PartSuspicion| berylstep_wire::PartSuspicion {
-            part: suspicion.part,
+            part: key_value(suspicion.part),
             replica: suspicion.crash.replica,
             born: suspicion.crash.born,
             age_ms: age_ms(suspicion.at, now),
@@ -154,7 +200,7 @@
         let now = self.clock.now();
         let clearances = self.quarantine.borrow().clearances().into_iter();
         let message = |clearance: PartClearance| berylstep_wire::PartClearance {
-            part: clearance.part,
+            part: key_value(clearance.part),
             age_ms: age_ms(clearance.at, now),
         };
         clearances.map(message).collect()
@@ -192,7 +238,7 @@
 impl RequestHandler {
     /// Decides whether a new request may reach a replica.
     pub(super) fn check_prompt(&self, request: &RoutedRequest<'_>) -> QuarantineVerdict {
-        self.prompts.check_new(&request.parts, |part| self.is_reviewer(part))
+        self.prompts.check_new(&request.evidence, |part| self.is_reviewer(part))
     }
 
     /// Returns the time until the next review if the prompt of a request has been quarantined since
@@ -203,7 +249,7 @@
         history: &AttemptHistory,
     ) -> Option<Duration> {
         let is_exempt = history.is_review && history.ran == 0;
-        self.prompts.refusal_wait(&request.parts).filter(|_| !is_exempt)
+        self.prompts.refusal_wait(&request.evidence).filter(|_| !is_exempt)
     }
 
     /// Returns the refusal of a request whose prompt is reviewed after `wait`.
@@ -212,7 +258,7 @@
     }
 
     /// Returns whether this node is the one that reviews the quarantine of a part.
-    fn is_reviewer(&self, part: PartKey) -> bool {
+    fn is_reviewer(&self, part: EvidenceKey) -> bool {
         let (key, own) = (part.to_string(), &*self.settings.node);
         let own_score = rendezvous::score(&key, own);
         let nodes = self.peers.nodes(self.clock.now());
@@ -233,11 +279,18 @@
     }
 }
 
-fn key_list(parts: &[PartKey]) -> String {
-    let keys: Vec<_> = parts.iter().map(|part| format!("{part:016x}")).collect();
+/// Returns the keys as text for the log.
+pub fn key_list(parts: &[EvidenceKey]) -> String {
+    let keys: Vec<_> = parts.iter().map(EvidenceKey::to_string).collect();
     keys.join(",")
 }
 
+fn key_value(key: EvidenceKey) -> u64 {
+    match key {
+        EvidenceKey::Part(value) | EvidenceKey::Content(value) => value,
+    }
+}
+
 fn age_ms(at: Duration, now: Duration) -> u32 {
     u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
 }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -10,7 +10,7 @@
 use berylstep_core::fleet::choice::{self, PlacementQuery};
 use berylstep_core::fleet::desired::{DesiredState, RouteEntry, RouteKind};
 use berylstep_core::fleet::engine::EngineSpeed;
-use berylstep_core::fleet::quarantine::{PartKey, QuarantineVerdict};
+use berylstep_core::fleet::quarantine::{EvidenceKey, QuarantineVerdict};
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -20,7 +20,7 @@
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
-use crate::gateway::quarantine::{prompt_keys, PromptWatch};
+use crate::gateway::quarantine::{evidence_keys, PromptWatch, RequestContent};
 use crate::gateway::response::{LocalReply, ResponseWriter};
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings};
@@ -106,8 +106,8 @@
     pub organisation: Option<SharedName>,
     /// Speed of the service's engines.
     pub speed: EngineSpeed,
-    /// Keys of the parts of its prompt.
-    pub parts: Vec<PartKey>,
+    /// What evidence about crashes is collected for.
+    pub evidence: Vec<EvidenceKey>,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// Time at which its first byte arrived.
@@ -208,12 +208,20 @@
         if !self.stop.admits(timeout) {
             return Err(LocalReply::refused("node is stopping", Duration::from_millis(20)));
         }
+        let content = RequestContent {
+            service: &service,
+            caller: headers.key.as_deref().unwrap_or_default(),
+            host,
+            method: &message.method,
+            target: &message.target,
+            body,
+        };
         Ok(RoutedRequest {
             message,
             body,
             organisation: holder.map(|organisation| organisation.name.clone()),
             priority: route.rank(holder.and_then(|holder| holder.priority)),
-            parts: prompt_keys(&service, &headers.parts),
+            evidence: evidence_keys(&content, &headers.parts),
             headers,
             speed: self.engine_speed(&desired, &service),
             route,
@@ -479,7 +487,7 @@
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         if response.is_buffered() {
-            self.prompts.record_started(&request.parts);
+            self.prompts.record_started(&request.evidence);
             trace.record_outcome(RequestOutcome::Answered(response.head.status));
             let written = writer.write_whole(&response.head, &response.content).await;
             response.release_connection(&self.upstreams);
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -169,7 +169,7 @@
     /// Records that the prompt did not crash the replica.
     fn record_started(&mut self) {
         if !std::mem::replace(&mut self.has_started, true) {
-            self.handler.prompts.record_started(&self.request.parts);
+            self.handler.prompts.record_started(&self.request.evidence);
         }
     }
 
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -10,6 +10,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::gateway::attempt::{AttemptOutcome, ReplicaTarget};
+use crate::gateway::quarantine::key_list;
 use crate::gateway::request::RoutedRequest;
 use crate::gateway::service_level::ServiceLevels;
 use crate::instruments::InstrumentSet;
@@ -370,13 +371,14 @@
         };
         log::warn!(
             "event=attempt_failed id={} service={} replica={} attempt={} result={result} \
-             age_ms={} detail=\"{detail}\" parts={}",
+             age_ms={} detail=\"{detail}\" parts={} keys={}",
             request.id(),
             request.service,
             target.id,
             self.attempts.get(),
             now.saturating_sub(request.arrived).as_millis(),
-            request.headers.parts.join(",")
+            request.headers.parts.join(","),
+            key_list(&request.evidence)
         );
     }
 
--- a/berylstep_core/src/fleet/quarantine.rs
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -6,6 +6,7 @@
 //! would crash the next replica. A request that begins to be answered clears its parts. Nodes
 //! exchange both kinds of evidence, so a crash counts whichever node sent the request.
 
+use std::fmt;
 use std::time::Duration;
 
 use crate::collections::{HashMap, HashSet};
@@ -42,12 +43,27 @@
 /// Largest number of items of each kind in one message.
 const MAX_ANNOUNCED: usize = 64;
 
-/// Key of a part of a prompt.
-pub type PartKey = u64;
+/// What evidence about crashes is collected for; the keys are the same at all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum EvidenceKey {
+    /// A part of prompts.
+    Part(u64),
+    /// The whole content of requests without a prompt.
+    Content(u64),
+}
+
+impl fmt::Display for EvidenceKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(key) => write!(formatter, "{key:016x}"),
+            Self::Content(key) => write!(formatter, "content-{key:016x}"),
+        }
+    }
+}
 
-/// Returns the key of a part of prompts for `service`, the same at all nodes.
-pub fn part_key(service: &str, part: &str) -> PartKey {
-    rendezvous::score(service, part)
+/// Returns the key of a part of prompts for `service`.
+pub fn part_key(service: &str, part: &str) -> EvidenceKey {
+    EvidenceKey::Part(rendezvous::score(service, part))
 }
 
 /// One crash of a replica: a process crashes only once.
@@ -63,7 +79,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartSuspicion {
     /// Key of the part.
-    pub part: PartKey,
+    pub part: EvidenceKey,
     /// Crash in which it was lost.
     pub crash: CrashId,
     /// Time of the crash.
@@ -74,7 +90,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartClearance {
     /// Key of the part.
-    pub part: PartKey,
+    pub part: EvidenceKey,
     /// Time at which a request with it began to be answered.
     pub at: Duration,
 }
@@ -113,7 +129,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantinedGroup {
     /// Keys of the parts, in ascending order.
-    pub parts: Vec<PartKey>,
+    pub parts: Vec<EvidenceKey>,
     /// Number of crashes that the group explains.
     pub crashes: usize,
     review_at: Duration,
@@ -122,30 +138,30 @@
 /// Evidence about the parts of prompts, and the groups that it puts into quarantine.
 #[derive(Debug, Default)]
 pub struct PromptQuarantine {
-    suspects: HashMap<PartKey, SuspectRow>,
+    suspects: HashMap<EvidenceKey, SuspectRow>,
     /// Parts that lately began to be answered, with the time of the last such request.
-    sound: HashMap<PartKey, Duration>,
+    sound: HashMap<EvidenceKey, Duration>,
     /// Parts that were suspected and have been cleared, with the time of the answer. Nodes that
     /// have not heard of it may go on to announce the old evidence.
-    cleared: HashMap<PartKey, Duration>,
+    cleared: HashMap<EvidenceKey, Duration>,
     /// Clearances of suspected parts, with the time at which this node learnt of them.
     clearances: Vec<(PartClearance, Duration)>,
     groups: Vec<QuarantinedGroup>,
     /// Time of the last review of a group at this node, by its first part.
-    reviews: HashMap<PartKey, Duration>,
+    reviews: HashMap<EvidenceKey, Duration>,
 }
 
 impl PromptQuarantine {
     /// Records that a request with `parts` began to be answered; returns whether one of them was
     /// suspected.
-    pub fn record_started(&mut self, parts: &[PartKey], now: Duration) -> bool {
+    pub fn record_started(&mut self, parts: &[EvidenceKey], now: Duration) -> bool {
         let cleared = parts.iter().map(|part| self.clear(*part, now, now)).filter(|is| *is);
         cleared.count() > 0
     }
 
     /// Records that a request with `parts` was lost in a crash before it began to be answered;
     /// returns whether that is new evidence.
-    pub fn record_crash(&mut self, parts: &[PartKey], crash: CrashId, now: Duration) -> bool {
+    pub fn record_crash(&mut self, parts: &[EvidenceKey], crash: CrashId, now: Duration) -> bool {
         let suspicions = parts.iter().map(|part| PartSuspicion { part: *part, crash, at: now });
         let learnt = suspicions.map(|suspicion| self.suspect(suspicion, now)).filter(|is| *is);
         let is_new = learnt.count() > 0;
@@ -171,9 +187,9 @@
     /// this node reviews the group that a part is the first of; a review is used up by the call.
     pub fn check_new(
         &mut self,
-        parts: &[PartKey],
+        parts: &[EvidenceKey],
         now: Duration,
-        is_reviewer: impl FnOnce(PartKey) -> bool,
+        is_reviewer: impl FnOnce(EvidenceKey) -> bool,
     ) -> QuarantineVerdict {
         let Some(group) = self.group_of(parts) else { return QuarantineVerdict::Allowed };
         let (first, wait) = (group.parts[0], self.time_to_review(group, now));
@@ -185,7 +201,7 @@
     }
 
     /// Returns the time until the next review if requests with `parts` are refused.
-    pub fn refusal_wait(&self, parts: &[PartKey], now: Duration) -> Option<Duration> {
+    pub fn refusal_wait(&self, parts: &[EvidenceKey], now: Duration) -> Option<Duration> {
         Some(self.time_to_review(self.group_of(parts)?, now))
     }
 
@@ -199,7 +215,7 @@
     pub fn suspicions(&self, all: bool, now: Duration) -> Vec<PartSuspicion> {
         let quarantined: HashSet<_> =
             self.groups.iter().flat_map(|group| &group.parts).copied().collect();
-        let is_announced = |part: &PartKey, row: &SuspectRow| {
+        let is_announced = |part: &EvidenceKey, row: &SuspectRow| {
             now.saturating_sub(row.learnt_at) < ANNOUNCEMENT_TIME
                 || (all && quarantined.contains(part))
         };
@@ -235,12 +251,12 @@
         next.max(group.review_at).saturating_sub(now)
     }
 
-    fn group_of(&self, parts: &[PartKey]) -> Option<&QuarantinedGroup> {
+    fn group_of(&self, parts: &[EvidenceKey]) -> Option<&QuarantinedGroup> {
         self.groups.iter().find(|group| group.parts.iter().all(|part| parts.contains(part)))
     }
 
     /// Records that a part began to be answered at `at`; returns whether it was suspected.
-    fn clear(&mut self, part: PartKey, at: Duration, now: Duration) -> bool {
+    fn clear(&mut self, part: EvidenceKey, at: Duration, now: Duration) -> bool {
         let sound = self.sound.entry(part).or_default();
         *sound = at.max(*sound);
         let Some(row) = self.suspects.get_mut(&part) else { return false };
@@ -260,7 +276,7 @@
         true
     }
 
-    fn announce_clearance(&mut self, part: PartKey, at: Duration, now: Duration) {
+    fn announce_clearance(&mut self, part: EvidenceKey, at: Duration, now: Duration) {
         self.clearances.retain(|(known, _)| known.part != part);
         self.clearances.push((PartClearance { part, at }, now));
     }
@@ -303,7 +319,7 @@
         }
         let repeated =
             self.suspects.iter().filter(|(_, row)| row.crashes.len() >= QUARANTINE_CRASHES);
-        let mut by_crashes: HashMap<Vec<CrashId>, Vec<PartKey>> = HashMap::default();
+        let mut by_crashes: HashMap<Vec<CrashId>, Vec<EvidenceKey>> = HashMap::default();
         for (part, row) in repeated {
             by_crashes.entry(row.ids()).or_default().push(*part);
         }
--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use berylstep_core::fleet::quarantine::{
-    part_key, CrashId, PartKey, PromptQuarantine, QuarantineVerdict,
+    part_key, CrashId, EvidenceKey, PromptQuarantine, QuarantineVerdict,
 };
 
-fn keys(parts: &str) -> Vec<PartKey> {
+fn keys(parts: &str) -> Vec<EvidenceKey> {
     parts.split(' ').map(|part| part_key("s", part)).collect()
 }
 
