--- a/berylstep_standins/src/fleet/crash.rs
+++ b/berylstep_standins/src/fleet/crash.rs
@@ -4,7 +4,9 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use socket2::SockRef;
 
 use super::lock;
 use super::message::{read_message, RawMessage};
@@ -21,8 +23,17 @@
     Crash,
 }
 
-/// A replica whose process can crash: all its connections close, and new ones are refused until it
-/// has restarted.
+/// What happens to new connections while a process is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DownMode {
+    /// They are refused.
+    Refused,
+    /// The host accepts them and resets them at once.
+    Reset,
+}
+
+/// A replica whose process can crash: all its connections close, and new ones fail until it has
+/// restarted.
 #[derive(Clone, Debug)]
 pub struct CrashingReplica {
     /// Identifier, the key of its entry in the store.
@@ -46,6 +57,16 @@
         id: &str,
         down_time: Duration,
         script: impl Fn(&RawMessage, &mut TcpStream) -> ScriptStep + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(id, down_time, DownMode::Refused, script)
+    }
+
+    /// Starts a replica like [`Self::start`] whose host treats connections by `mode` meanwhile.
+    pub fn start_with(
+        id: &str,
+        down_time: Duration,
+        mode: DownMode,
+        script: impl Fn(&RawMessage, &mut TcpStream) -> ScriptStep + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("a listener has an address");
@@ -57,8 +78,17 @@
             let mut listener = Some(listener);
             loop {
                 let current = listener.take().unwrap_or_else(|| bind_again(address));
-                run_process(current, &state, script.clone());
-                std::thread::sleep(down_time);
+                run_process(&current, &state, script.clone());
+                match mode {
+                    DownMode::Refused => {
+                        drop(current);
+                        std::thread::sleep(down_time);
+                    }
+                    DownMode::Reset => {
+                        reset_connections(&current, down_time);
+                        listener = Some(current);
+                    }
+                }
                 state.starts.fetch_add(1, Ordering::SeqCst);
             }
         });
@@ -80,9 +110,23 @@
     TcpListener::bind(address).expect("the port of the replica is free again")
 }
 
+/// Accepts connections and resets them for `down_time`.
+fn reset_connections(listener: &TcpListener, down_time: Duration) {
+    let end = Instant::now() + down_time;
+    while Instant::now() < end {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(POLL_INTERVAL);
+            continue;
+        };
+        if let Err(err) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("connection is closed instead of reset: {err}");
+        }
+    }
+}
+
 /// Accepts connections until the process crashes.
 fn run_process(
-    listener: TcpListener,
+    listener: &TcpListener,
     state: &Arc<ProcessState>,
     script: Arc<impl Fn(&RawMessage, &mut TcpStream) -> ScriptStep + Send + Sync + 'static>,
 ) {
@@ -106,7 +150,6 @@
             }
         });
     }
-    drop(listener);
     for connection in lock(&state.connections).drain(..) {
         if let Err(err) = connection.shutdown(Shutdown::Both) {
             log::debug!("connection was closed before the crash: {err}");
