Quarantine requests without a prompt that crash replicas, by their whole content

Cause: the quarantine collects evidence by parts of prompts, and a plain request has none; each of its losses was laid to the replica alone. Change: a request without a prompt is known by service, caller, host, method, path and body. Three crashes quarantine it at all nodes. Other requests are lost beside it, so of contents lost in the same crashes none is refused before one more crash tells them apart, or five did not. Reviews of a content come ever more rarely, three in half an hour; where its requests don't come to the reviewing node, ever more nodes may review.

--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -17,6 +17,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::ReplicaTarget;
 use crate::gateway::mirror::StoreMirror;
+use crate::gateway::peers::KnownNode;
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::LocalReply;
 use crate::gateway::upstreams::has_crashed;
@@ -24,6 +25,9 @@
 /// Largest number of lost requests that wait to be verified.
 const MAX_UNVERIFIED: usize = 256;
 
+/// Time in which the number of nodes that may review a quarantine doubles.
+const REVIEWER_DOUBLING: Duration = Duration::from_secs(5);
+
 /// What tells a request without a prompt from others.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestContent<'a> {
@@ -96,7 +100,7 @@
     pub fn check_new(
         &self,
         parts: &[EvidenceKey],
-        is_reviewer: impl FnOnce(EvidenceKey) -> bool,
+        is_reviewer: impl FnOnce(EvidenceKey, Duration) -> bool,
     ) -> QuarantineVerdict {
         self.quarantine.borrow_mut().check_new(parts, self.clock.now(), is_reviewer)
     }
@@ -151,9 +155,7 @@
                 lost.names.join(","),
                 key_list(&lost.keys)
             );
-            let is_part = |key: &EvidenceKey| matches!(key, EvidenceKey::Part(_));
-            let parts: Vec<_> = lost.keys.iter().copied().filter(is_part).collect();
-            self.change(|quarantine, _| quarantine.record_crash(&parts, lost.crash, lost.at));
+            self.change(|quarantine, _| quarantine.record_crash(&lost.keys, lost.crash, lost.at));
         }
     }
 
@@ -169,12 +171,12 @@
         let now = self.clock.now();
         let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         let suspicions = suspicions.iter().map(|message| PartSuspicion {
-            part: EvidenceKey::Part(message.part),
+            part: read_key(message.part, message.content),
             crash: CrashId { replica: message.replica, born: message.born },
             at: time(message.age_ms),
         });
         let clearances = clearances.iter().map(|message| PartClearance {
-            part: EvidenceKey::Part(message.part),
+            part: read_key(message.part, message.content),
             at: time(message.age_ms),
         });
         let (suspicions, clearances): (Vec<_>, Vec<_>) =
@@ -188,6 +190,7 @@
         let suspicions = self.quarantine.borrow().suspicions(all, now).into_iter();
         let message = |suspicion: PartSuspicion| berylstep_wire::PartSuspicion {
             part: key_value(suspicion.part),
+            content: is_content(suspicion.part),
             replica: suspicion.crash.replica,
             born: suspicion.crash.born,
             age_ms: age_ms(suspicion.at, now),
@@ -201,6 +204,7 @@
         let clearances = self.quarantine.borrow().clearances().into_iter();
         let message = |clearance: PartClearance| berylstep_wire::PartClearance {
             part: key_value(clearance.part),
+            content: is_content(clearance.part),
             age_ms: age_ms(clearance.at, now),
         };
         clearances.map(message).collect()
@@ -238,7 +242,7 @@
 impl RequestHandler {
     /// Decides whether a new request may reach a replica.
     pub(super) fn check_prompt(&self, request: &RoutedRequest<'_>) -> QuarantineVerdict {
-        self.prompts.check_new(&request.evidence, |part| self.is_reviewer(part))
+        self.prompts.check_new(&request.evidence, |part, overdue| self.is_reviewer(part, overdue))
     }
 
     /// Returns the time until the next review if the prompt of a request has been quarantined since
@@ -254,15 +258,19 @@
 
     /// Returns the refusal of a request whose prompt is reviewed after `wait`.
     pub(super) fn quarantine_reply(&self, wait: Duration) -> LocalReply {
-        LocalReply::refused("prompt crashes replicas", wait.max(self.retry_after()))
+        LocalReply::refused("request crashes replicas", wait.max(self.retry_after()))
     }
 
-    /// Returns whether this node is the one that reviews the quarantine of a part.
-    fn is_reviewer(&self, part: EvidenceKey) -> bool {
+    /// Returns whether this node may review the quarantine of a part. At first one node may; where
+    /// such requests don't come to it, ever more others may.
+    fn is_reviewer(&self, part: EvidenceKey, overdue: Duration) -> bool {
         let (key, own) = (part.to_string(), &*self.settings.node);
         let own_score = rendezvous::score(&key, own);
         let nodes = self.peers.nodes(self.clock.now());
-        nodes.iter().all(|node| rendezvous::score(&key, &node.node) < own_score)
+        let doublings = overdue.as_secs() / REVIEWER_DOUBLING.as_secs();
+        let reviewers = 1_usize.checked_shl(doublings.min(32) as u32).unwrap_or(usize::MAX);
+        let is_before = |node: &&KnownNode| rendezvous::score(&key, &node.node) > own_score;
+        nodes.iter().filter(is_before).count() < reviewers
     }
 }
 
@@ -279,6 +287,17 @@
     }
 }
 
+fn is_content(key: EvidenceKey) -> bool {
+    matches!(key, EvidenceKey::Content(_))
+}
+
+fn read_key(value: u64, is_content: bool) -> EvidenceKey {
+    match is_content {
+        true => EvidenceKey::Content(value),
+        false => EvidenceKey::Part(value),
+    }
+}
+
 /// Returns the keys as text for the log.
 pub fn key_list(parts: &[EvidenceKey]) -> String {
     let keys: Vec<_> = parts.iter().map(EvidenceKey::to_string).collect();
--- a/berylstep_core/src/fleet/quarantine.rs
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -1,10 +1,14 @@
-//! Quarantine of prompts that crash replicas.
+//! Quarantine of requests that crash replicas.
 //!
 //! A prompt consists of parts, and requests share parts. When a replica crashes, every request that
 //! it had received but not begun to answer is suspected, and with it each part of its prompt. A
 //! part that was lost in several crashes is quarantined: requests with it are refused, because they
 //! would crash the next replica. A request that begins to be answered clears its parts. Nodes
 //! exchange both kinds of evidence, so a crash counts whichever node sent the request.
+//!
+//! A request without a prompt is known by its whole content. Other requests are lost beside one that
+//! crashes replicas, so of several contents that were lost in the same crashes none is quarantined
+//! until one more crash tells them apart.
 
 use std::fmt;
 use std::time::Duration;
@@ -20,6 +24,10 @@
 /// out of quarantine when many replicas crash at once.
 const SOUND_PERIOD: Duration = Duration::from_secs(3);
 
+/// Crashes from which contents are quarantined although others were lost in the same crashes. The
+/// sound ones among them are cleared by a review.
+const AMBIGUOUS_CRASHES: usize = 5;
+
 /// Time from the last crash until one request of a quarantined group is let through, to find out
 /// whether it still crashes replicas. Doubles with each further crash.
 const REVIEW_DELAY: Duration = Duration::from_secs(30);
@@ -27,6 +35,15 @@
 /// Upper bound of the time between reviews.
 const MAX_REVIEW_DELAY: Duration = Duration::from_secs(240);
 
+/// Upper bound of the time between reviews of a content.
+const MAX_CONTENT_REVIEW_DELAY: Duration = Duration::from_secs(1800);
+
+/// Time between reviews of a content, as a multiple of the time between its first crash and the last.
+const CONTENT_REVIEW_FACTOR: u32 = 3;
+
+/// Time after which a crash is no longer evidence against a quarantined content.
+const CONTENT_RETENTION: Duration = Duration::from_secs(3600);
+
 /// Time after which a crash is no longer evidence; longer than that between reviews, so that a
 /// group that is still asked for stays in quarantine.
 const EVIDENCE_RETENTION: Duration = Duration::from_secs(600);
@@ -119,13 +136,27 @@
         self.crashes.iter().map(|(_, at)| *at).max().unwrap_or_default()
     }
 
+    fn earliest(&self) -> Duration {
+        self.crashes.iter().map(|(_, at)| *at).min().unwrap_or_default()
+    }
+
+    /// Returns the time for which the crashes remain evidence against `key`.
+    fn retention(&self, key: &EvidenceKey) -> Duration {
+        match key {
+            EvidenceKey::Content(_) if self.crashes.len() >= QUARANTINE_CRASHES => {
+                CONTENT_RETENTION
+            }
+            _ => EVIDENCE_RETENTION,
+        }
+    }
+
     fn ids(&self) -> Vec<CrashId> {
         self.crashes.iter().map(|(crash, _)| *crash).collect()
     }
 }
 
-/// Parts that were lost in the same crashes. Only a request with all of them is refused, because
-/// any one of them may be the cause.
+/// Parts that were lost in the same crashes, or one content. Only a request with all of them is
+/// refused, because any one of them may be the cause.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantinedGroup {
     /// Keys of the parts, in ascending order.
@@ -133,6 +164,7 @@
     /// Number of crashes that the group explains.
     pub crashes: usize,
     review_at: Duration,
+    review_delay: Duration,
 }
 
 /// Evidence about the parts of prompts, and the groups that it puts into quarantine.
@@ -184,16 +216,18 @@
     }
 
     /// Decides on a request with `parts` that has not been sent yet. `is_reviewer` tells whether
-    /// this node reviews the group that a part is the first of; a review is used up by the call.
+    /// this node reviews the group that a part is the first of, given for how long the review has
+    /// been due; a review is used up by the call.
     pub fn check_new(
         &mut self,
         parts: &[EvidenceKey],
         now: Duration,
-        is_reviewer: impl FnOnce(EvidenceKey) -> bool,
+        is_reviewer: impl FnOnce(EvidenceKey, Duration) -> bool,
     ) -> QuarantineVerdict {
         let Some(group) = self.group_of(parts) else { return QuarantineVerdict::Allowed };
-        let (first, wait) = (group.parts[0], self.time_to_review(group, now));
-        if wait.is_zero() && is_reviewer(first) {
+        let (first, due_at) = (group.parts[0], self.review_due_at(group));
+        let wait = due_at.saturating_sub(now);
+        if wait.is_zero() && is_reviewer(first, now - due_at) {
             self.reviews.insert(first, now);
             return QuarantineVerdict::Review;
         }
@@ -202,7 +236,7 @@
 
     /// Returns the time until the next review if requests with `parts` are refused.
     pub fn refusal_wait(&self, parts: &[EvidenceKey], now: Duration) -> Option<Duration> {
-        Some(self.time_to_review(self.group_of(parts)?, now))
+        Some(self.review_due_at(self.group_of(parts)?).saturating_sub(now))
     }
 
     /// Returns the groups in quarantine.
@@ -240,15 +274,15 @@
         self.cleared.retain(|_, at| now.saturating_sub(*at) < EVIDENCE_RETENTION);
         self.clearances.retain(|(_, learnt)| now.saturating_sub(*learnt) < ANNOUNCEMENT_TIME);
         let count = self.suspects.len();
-        self.suspects.retain(|_, row| now.saturating_sub(row.latest()) < EVIDENCE_RETENTION);
+        self.suspects.retain(|key, row| now.saturating_sub(row.latest()) < row.retention(key));
         self.update_groups(self.suspects.len() != count);
-        self.reviews.retain(|_, at| now.saturating_sub(*at) < EVIDENCE_RETENTION);
+        self.reviews.retain(|_, at| now.saturating_sub(*at) < CONTENT_RETENTION);
     }
 
-    fn time_to_review(&self, group: &QuarantinedGroup, now: Duration) -> Duration {
+    fn review_due_at(&self, group: &QuarantinedGroup) -> Duration {
         let reviewed = self.reviews.get(&group.parts[0]);
-        let next = reviewed.map_or(Duration::ZERO, |at| *at + review_delay(group.crashes));
-        next.max(group.review_at).saturating_sub(now)
+        let next = reviewed.map_or(Duration::ZERO, |at| *at + group.review_delay);
+        next.max(group.review_at)
     }
 
     fn group_of(&self, parts: &[EvidenceKey]) -> Option<&QuarantinedGroup> {
@@ -290,7 +324,11 @@
             self.announce_clearance(part, sound, now);
             return false;
         }
-        let is_over = now.saturating_sub(at) >= EVIDENCE_RETENTION;
+        let retention = match part {
+            EvidenceKey::Part(_) => EVIDENCE_RETENTION,
+            EvidenceKey::Content(_) => CONTENT_RETENTION,
+        };
+        let is_over = now.saturating_sub(at) >= retention;
         let has_room = self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&part);
         if is_over || !has_room {
             return false;
@@ -329,22 +367,41 @@
         });
         let mut explained: HashSet<CrashId> = HashSet::default();
         self.groups.clear();
-        for (crashes, mut parts) in candidates {
+        for (crashes, mut keys) in candidates {
             let unexplained = crashes.iter().filter(|crash| !explained.contains(crash)).count();
             if unexplained < QUARANTINE_CRASHES {
                 continue;
             }
-            parts.sort_unstable();
-            let latest = parts.iter().filter_map(|part| self.suspects.get(part));
-            let latest = latest.map(SuspectRow::latest).max().unwrap_or_default();
-            let review_at = latest + review_delay(crashes.len());
-            explained.extend(&crashes);
-            self.groups.push(QuarantinedGroup { parts, crashes: crashes.len(), review_at });
+            keys.sort_unstable();
+            let is_part = |key: &EvidenceKey| matches!(key, EvidenceKey::Part(_));
+            let (parts, contents): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_part);
+            let is_ambiguous = contents.len() > 1 && crashes.len() < AMBIGUOUS_CRASHES;
+            let contents = contents.into_iter().filter(|_| !is_ambiguous).map(|key| vec![key]);
+            let groups = Some(parts).filter(|parts| !parts.is_empty()).into_iter().chain(contents);
+            let groups: Vec<_> = groups.map(|keys| self.group(keys, crashes.len())).collect();
+            if !groups.is_empty() {
+                explained.extend(&crashes);
+            }
+            self.groups.extend(groups);
         }
     }
+
+    /// Returns the group of `parts`, which were lost in the same crashes.
+    fn group(&self, parts: Vec<EvidenceKey>, crashes: usize) -> QuarantinedGroup {
+        let rows = || parts.iter().filter_map(|part| self.suspects.get(part));
+        let latest = rows().map(SuspectRow::latest).max().unwrap_or_default();
+        let earliest = rows().map(SuspectRow::earliest).min().unwrap_or_default();
+        let review_delay = match parts[0] {
+            EvidenceKey::Part(_) => review_delay(crashes),
+            EvidenceKey::Content(_) => ((latest - earliest) * CONTENT_REVIEW_FACTOR)
+                .clamp(REVIEW_DELAY, MAX_CONTENT_REVIEW_DELAY),
+        };
+        QuarantinedGroup { parts, crashes, review_at: latest + review_delay, review_delay }
+    }
 }
 
-/// Returns the time from the last crash until the next review of a group with so many crashes.
+/// Returns the time from the last crash until the next review of a group of parts with so many
+/// crashes.
 fn review_delay(crashes: usize) -> Duration {
     let doublings = crashes.saturating_sub(QUARANTINE_CRASHES).min(3) as u32;
     (REVIEW_DELAY * 2_u32.pow(doublings)).min(MAX_REVIEW_DELAY)
--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -5,9 +5,16 @@
 use berylstep_core::fleet::quarantine::{
     part_key, CrashId, EvidenceKey, PromptQuarantine, QuarantineVerdict,
 };
+use berylstep_core::rendezvous;
 
-fn keys(parts: &str) -> Vec<EvidenceKey> {
-    parts.split(' ').map(|part| part_key("s", part)).collect()
+/// Returns the keys of the parts of a prompt, or that of the content of a request without one, whose
+/// name begins with `=`.
+fn keys(names: &str) -> Vec<EvidenceKey> {
+    let key = |name: &str| match name.strip_prefix('=') {
+        Some(content) => EvidenceKey::Content(rendezvous::score("s", content)),
+        None => part_key("s", name),
+    };
+    names.split(' ').map(key).collect()
 }
 
 fn crash(number: u32) -> CrashId {
@@ -19,7 +26,7 @@
 }
 
 fn is_refused(quarantine: &mut PromptQuarantine, parts: &str, now: Duration) -> bool {
-    let verdict = quarantine.check_new(&keys(parts), now, |_| false);
+    let verdict = quarantine.check_new(&keys(parts), now, |_, _| false);
     matches!(verdict, QuarantineVerdict::Refused(_))
 }
 
@@ -131,6 +138,80 @@
         refused: &[],
         allowed: &["a s 5"],
     },
+    PatternCase {
+        name: "a deadly content and others of the same callers",
+        steps: &[Lost(0, "=dead", 1), Lost(50, "=dead", 2), Lost(2000, "=dead", 3)],
+        refused: &["=dead"],
+        allowed: &["=other"],
+    },
+    PatternCase {
+        name: "a content that was lost beside the deadly one, but not in each crash",
+        steps: &[
+            Lost(0, "=dead", 1),
+            Lost(0, "=sound", 1),
+            Lost(50, "=dead", 2),
+            Lost(50, "=sound", 2),
+            Lost(100, "=dead", 3),
+            Lost(100, "=sound", 3),
+            Lost(3000, "=dead", 4),
+        ],
+        refused: &["=dead"],
+        allowed: &["=sound"],
+    },
+    PatternCase {
+        name: "contents that three crashes don't tell apart",
+        steps: &[
+            Lost(0, "=dead", 1),
+            Lost(0, "=sound", 1),
+            Lost(50, "=dead", 2),
+            Lost(50, "=sound", 2),
+            Lost(100, "=dead", 3),
+            Lost(100, "=sound", 3),
+        ],
+        refused: &[],
+        allowed: &["=dead", "=sound"],
+    },
+    PatternCase {
+        name: "contents that five crashes don't tell apart",
+        steps: &[
+            Lost(0, "=dead", 1),
+            Lost(0, "=like", 1),
+            Lost(50, "=dead", 2),
+            Lost(50, "=like", 2),
+            Lost(100, "=dead", 3),
+            Lost(100, "=like", 3),
+            Lost(3000, "=dead", 4),
+            Lost(3000, "=like", 4),
+            Lost(3050, "=dead", 5),
+            Lost(3050, "=like", 5),
+        ],
+        refused: &["=dead", "=like"],
+        allowed: &["=other"],
+    },
+    PatternCase {
+        name: "two deadly contents",
+        steps: &[
+            Lost(0, "=dead", 1),
+            Lost(0, "=worse", 2),
+            Lost(50, "=worse", 3),
+            Lost(60, "=dead", 4),
+            Lost(100, "=dead", 5),
+            Lost(110, "=worse", 6),
+        ],
+        refused: &["=dead", "=worse"],
+        allowed: &["=other"],
+    },
+    PatternCase {
+        name: "a content that is answered is no cause",
+        steps: &[
+            Lost(0, "=sound", 1),
+            Lost(50, "=sound", 2),
+            Lost(100, "=sound", 3),
+            Started(900, "=sound"),
+        ],
+        refused: &[],
+        allowed: &["=sound"],
+    },
 ];
 
 #[test]
@@ -251,9 +332,9 @@
     for second in 0..400 {
         let now = at(second * 1000);
         let parts = keys(&format!("dead x{second}"));
-        let other = quarantine.check_new(&parts, now, |_| false);
+        let other = quarantine.check_new(&parts, now, |_, _| false);
         assert!(matches!(other, QuarantineVerdict::Refused(_)), "{second}");
-        if quarantine.check_new(&parts, now, |_| true) == QuarantineVerdict::Review {
+        if quarantine.check_new(&parts, now, |_, _| true) == QuarantineVerdict::Review {
             passed.push((now - last_crash).as_secs());
             quarantine.record_crash(&parts, crash(number), now);
             (last_crash, number) = (now, number + 1);
@@ -265,6 +346,31 @@
     assert!(!is_refused(&mut quarantine, "dead y", last_crash + Duration::from_secs(601)));
 }
 
+/// Guards against reviews of a content that crash more than three replicas in half an hour (BUDGET).
+#[test]
+fn a_deadly_content_is_reviewed_ever_more_rarely_however_fast_it_crashed_replicas() {
+    for burst in [3, 5] {
+        let mut quarantine = PromptQuarantine::default();
+        for number in 0..burst {
+            quarantine.record_crash(&keys("=dead"), crash(number), at(u64::from(number) * 40));
+        }
+        let mut passed = Vec::new();
+        for second in 0..1800 {
+            let now = at(second * 1000);
+            quarantine.expire(now);
+            match quarantine.check_new(&keys("=dead"), now, |_, _| true) {
+                QuarantineVerdict::Review => {
+                    passed.push(second);
+                    quarantine.record_crash(&keys("=dead"), crash(burst + second as u32), now);
+                }
+                verdict => assert!(matches!(verdict, QuarantineVerdict::Refused(_)), "{second}"),
+            }
+        }
+        assert_eq!(passed.len(), 3, "{passed:?}");
+        assert!(passed[0] >= 30, "{passed:?}");
+    }
+}
+
 #[test]
 fn evidence_and_its_announcements_stay_bounded_in_a_mass_crash() {
     let mut quarantine = PromptQuarantine::default();
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -493,8 +493,8 @@
     /// Newest usage window that some node has sealed; 0 if none is known.
     #[prost(uint64, tag = "25")]
     pub sealed_window: u64,
-    /// Parts of prompts that were lost in crashes of replicas: recent ones and, from a representative,
-    /// all of those in quarantine.
+    /// Parts of prompts, and contents, that were lost in crashes of replicas: recent ones and, from a
+    /// representative, all of those in quarantine.
     #[prost(message, repeated, tag = "26")]
     pub part_suspicions: ::prost::alloc::vec::Vec<PartSuspicion>,
     /// Suspected parts that have lately begun to be answered.
@@ -558,10 +558,10 @@
     #[prost(uint32, tag = "4")]
     pub wait_ms: u32,
 }
-/// A part of prompts that was lost in the crash of a replica.
+/// A part of prompts, or the content of requests without one, that was lost in the crash of a replica.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct PartSuspicion {
-    /// Hash of the service and the part's identifier.
+    /// Hash of the service and the part's identifier, or of the content.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
     /// Hash of the replica's identifier.
@@ -573,16 +573,22 @@
     /// Time since the crash, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub age_ms: u32,
+    /// Whether `part` is a content.
+    #[prost(bool, tag = "5")]
+    pub content: bool,
 }
-/// A part of prompts that does not crash replicas.
+/// A part of prompts, or a content, that does not crash replicas.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct PartClearance {
-    /// Hash of the service and the part's identifier.
+    /// Hash of the service and the part's identifier, or of the content.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
     /// Time since a request with it began to be answered, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
+    /// Whether `part` is a content.
+    #[prost(bool, tag = "3")]
+    pub content: bool,
 }
 /// A replica whose process is shutting down.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
