Take a replica's own failure for no proof that a request is sound

Cause: any complete answer cleared the evidence against a request. Change: only one with a status below 500 does.

--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -487,7 +487,10 @@
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         if response.is_buffered() {
-            self.prompts.record_started(&request.evidence);
+            // A failing replica may not have run the request.
+            if response.head.status < 500 {
+                self.prompts.record_started(&request.evidence);
+            }
             trace.record_outcome(RequestOutcome::Answered(response.head.status));
             let written = writer.write_whole(&response.head, &response.content).await;
             response.release_connection(&self.upstreams);
--- a/berylstep/tests/deadly_requests.rs
+++ b/berylstep/tests/deadly_requests.rs
@@ -58,6 +58,15 @@
     ScriptStep::Answered
 }
 
+/// Serves like [`serve`], but answers a deadly request with a failure.
+fn serve_or_fail(request: &RawMessage, stream: &mut TcpStream) -> ScriptStep {
+    if !is_deadly(request) {
+        return serve(request, stream);
+    }
+    let _ = respond(stream, request, 500, "", "failure");
+    ScriptStep::Answered
+}
+
 struct DeadlyFleet {
     store: FakeStore,
     gateways: Vec<FleetGateway>,
@@ -66,11 +75,15 @@
 }
 
 impl DeadlyFleet {
-    fn start(replicas: usize, mode: DownMode) -> Self {
+    fn start(case: DeadlyCase) -> Self {
         let store = FakeStore::start();
         store.put("op", "config", Some(desired_state(1)));
-        let start = |n| CrashingReplica::start_with(&format!("i-{n}"), DOWN_TIME, mode, serve);
-        let replicas: Vec<_> = (0..replicas).map(start).collect();
+        let start = |n| {
+            type Script = fn(&RawMessage, &mut TcpStream) -> ScriptStep;
+            let serve: Script = if n < case.failing { serve_or_fail } else { serve };
+            CrashingReplica::start_with(&format!("i-{n}"), DOWN_TIME, case.mode, serve)
+        };
+        let replicas: Vec<_> = (0..case.replicas).map(start).collect();
         let peer_port = free_address().port();
         replicas.iter().for_each(|replica| publish(&store, replica));
         let numbers = 2..2 + GATEWAYS;
@@ -127,28 +140,36 @@
 struct DeadlyCase {
     replicas: usize,
     mode: DownMode,
+    /// Replicas that answer the deadly request with a failure of their own.
+    failing: usize,
 }
 
 /// Guards against a plain request that crashes replica after replica (BUDGET).
 #[test]
 fn a_plain_request_that_crashes_replicas_is_refused_and_others_are_served() {
-    check_deadly_request(DeadlyCase { replicas: 6, mode: DownMode::Refused });
+    check_deadly_request(DeadlyCase { replicas: 6, mode: DownMode::Refused, failing: 0 });
 }
 
 /// Guards against the same where the request takes down all replicas of its service at once.
 #[test]
 fn a_deadly_request_is_known_where_all_replicas_of_a_service_crash() {
-    check_deadly_request(DeadlyCase { replicas: 3, mode: DownMode::Refused });
+    check_deadly_request(DeadlyCase { replicas: 3, mode: DownMode::Refused, failing: 0 });
 }
 
 /// Guards against crashes that are not recognised because the host goes on accepting connections.
 #[test]
 fn a_deadly_request_is_known_where_hosts_of_crashed_replicas_accept_connections() {
-    check_deadly_request(DeadlyCase { replicas: 6, mode: DownMode::Reset });
+    check_deadly_request(DeadlyCase { replicas: 6, mode: DownMode::Reset, failing: 0 });
+}
+
+/// Guards against a failure of a replica that is taken for proof that the request is sound.
+#[test]
+fn a_failure_of_a_replica_does_not_clear_a_deadly_request() {
+    check_deadly_request(DeadlyCase { replicas: 6, mode: DownMode::Refused, failing: 4 });
 }
 
 fn check_deadly_request(case: DeadlyCase) {
-    let fleet = DeadlyFleet::start(case.replicas, case.mode);
+    let fleet = DeadlyFleet::start(case);
     let mut counted_from: Option<Instant> = None;
     let (mut before, mut sound, mut served, mut refused) = (0, 0, 0, 0);
     for index in 0.. {
@@ -192,7 +213,8 @@
 /// Guards against a restarted gateway that sends a request which the others know to crash replicas.
 #[test]
 fn a_restarted_gateway_learns_of_deadly_requests_from_its_peers() {
-    let mut fleet = DeadlyFleet::start(6, DownMode::Refused);
+    let mut fleet =
+        DeadlyFleet::start(DeadlyCase { replicas: 6, mode: DownMode::Refused, failing: 0 });
     let mut sent = 0;
     wait_until("the request is refused", || {
         fleet.publish();
