Recognise a crash where the host goes on accepting connections

Cause: a loss counted as a crash only if the replica then refused a connection. A batch of losses opens one connection for each process instead of one for each request.

--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -1,16 +1,17 @@
 //! Watches for requests that crash replicas, and refuses them.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use berylstep_core::collections::SharedName;
+use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::crashes::{judge_probe, judge_successor, LossVerdict, ProcessLoss};
 use berylstep_core::fleet::quarantine::{
     part_key, CrashId, EvidenceKey, PartClearance, PartSuspicion, PromptQuarantine,
     QuarantineVerdict, QuarantinedGroup,
 };
 use berylstep_core::rendezvous;
+use futures_util::future::join_all;
 use sha2::{Digest, Sha256};
 use smol::channel::{bounded, Receiver, Sender};
 
@@ -20,11 +21,14 @@
 use crate::gateway::peers::KnownNode;
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::LocalReply;
-use crate::gateway::upstreams::has_crashed;
+use crate::gateway::upstreams::probe_replica;
 
 /// Largest number of lost requests that wait to be verified.
 const MAX_UNVERIFIED: usize = 256;
 
+/// Interval at which pending losses are compared with the list of replicas.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time in which the number of nodes that may review a quarantine doubles.
 const REVIEWER_DOUBLING: Duration = Duration::from_secs(5);
 
@@ -70,15 +74,13 @@
 }
 
 /// A request whose replica closed the connection before it began to answer.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct LostRequest {
     id: SharedName,
     keys: Vec<EvidenceKey>,
     names: Vec<SharedName>,
     replica: SharedName,
-    address: SocketAddr,
-    crash: CrashId,
-    at: Duration,
+    loss: ProcessLoss,
 }
 
 /// Evidence about prompts that crash replicas, from this node's requests and from its peers.
@@ -88,12 +90,20 @@
     mirror: Rc<StoreMirror>,
     quarantine: RefCell<PromptQuarantine>,
     lost: (Sender<LostRequest>, Receiver<LostRequest>),
+    /// Losses of which it is not known yet whether their replicas have crashed.
+    pending: RefCell<Vec<LostRequest>>,
 }
 
 impl PromptWatch {
     /// Creates a watch without evidence.
     pub fn new(clock: RuntimeClock, mirror: Rc<StoreMirror>) -> Self {
-        Self { clock, mirror, quarantine: RefCell::default(), lost: bounded(MAX_UNVERIFIED) }
+        Self {
+            clock,
+            mirror,
+            quarantine: RefCell::default(),
+            lost: bounded(MAX_UNVERIFIED),
+            pending: RefCell::default(),
+        }
     }
 
     /// Decides on a new request; see [`PromptQuarantine::check_new`].
@@ -127,9 +137,12 @@
             keys: request.evidence.clone(),
             names: request.headers.parts.clone(),
             replica: target.id.clone(),
-            address: target.address,
-            crash: CrashId { replica: row.hash, born: row.entry.born },
-            at: self.clock.now(),
+            loss: ProcessLoss {
+                crash: CrashId { replica: row.hash, born: row.entry.born },
+                service: row.entry.service.clone(),
+                address: target.address,
+                at: self.clock.now(),
+            },
         };
         if let Err(err) = self.lost.0.try_send(lost) {
             log::warn!("event=loss_not_verified replica={} error=\"{err}\"", target.id);
@@ -138,24 +151,70 @@
 
     /// Verifies reported losses for as long as the node runs.
     pub async fn verify_losses(self: Rc<Self>) {
-        while let Ok(lost) = self.lost.1.recv().await {
-            if !has_crashed(&self.clock, lost.address).await {
-                log::info!(
-                    "event=request_lost_without_crash id={} replica={} keys={}",
+        loop {
+            if let Some(Ok(first)) = self.clock.timeout(SETTLE_INTERVAL, self.lost.1.recv()).await {
+                let mut batch = vec![first];
+                batch.extend(std::iter::from_fn(|| self.lost.1.try_recv().ok()));
+                self.probe_losses(batch).await;
+            }
+            self.settle_pending();
+        }
+    }
+
+    /// Opens one connection to each process that lost requests, and decides on the losses by it.
+    async fn probe_losses(&self, batch: Vec<LostRequest>) {
+        let mut by_process: HashMap<CrashId, Vec<LostRequest>> = HashMap::default();
+        for lost in batch {
+            by_process.entry(lost.loss.crash).or_default().push(lost);
+        }
+        join_all(by_process.into_values().map(|losses| self.probe_process(losses))).await;
+    }
+
+    /// Decides on `losses`, all at one process, and on pending ones there.
+    async fn probe_process(&self, mut losses: Vec<LostRequest>) {
+        let probe = probe_replica(&self.clock, losses[0].loss.address).await;
+        let crash = losses[0].loss.crash;
+        let is_same_process = |lost: &LostRequest| lost.loss.crash == crash;
+        let (same, pending) = self.pending.take().into_iter().partition(is_same_process);
+        *self.pending.borrow_mut() = pending;
+        losses.extend::<Vec<_>>(same);
+        let latest = losses.iter().map(|lost| lost.loss.at).max().unwrap_or_default();
+        let is_recent = |lost: &&LostRequest| latest - lost.loss.at < SETTLE_INTERVAL;
+        let verdict = judge_probe(probe, losses.iter().filter(is_recent).count());
+        losses.into_iter().for_each(|lost| self.apply_verdict(lost, verdict));
+    }
+
+    /// Decides on pending losses by the list of replicas.
+    fn settle_pending(&self) {
+        let now = self.clock.now();
+        for lost in self.pending.take() {
+            let verdict = judge_successor(&self.mirror.replicas.borrow(), &lost.loss, now);
+            self.apply_verdict(lost, verdict);
+        }
+    }
+
+    fn apply_verdict(&self, lost: LostRequest, verdict: LossVerdict) {
+        match verdict {
+            LossVerdict::Crashed => {
+                log::warn!(
+                    "event=request_lost_in_crash id={} replica={} parts={} keys={}",
                     lost.id,
                     lost.replica,
+                    lost.names.join(","),
                     key_list(&lost.keys)
                 );
-                continue;
+                let ProcessLoss { crash, at, .. } = lost.loss;
+                self.change(|quarantine, _| quarantine.record_crash(&lost.keys, crash, at));
+            }
+            LossVerdict::Pending if self.pending.borrow().len() < MAX_UNVERIFIED => {
+                self.pending.borrow_mut().push(lost);
             }
-            log::warn!(
-                "event=request_lost_in_crash id={} replica={} parts={} keys={}",
+            LossVerdict::Pending | LossVerdict::Alive => log::info!(
+                "event=request_lost_without_crash id={} replica={} keys={}",
                 lost.id,
                 lost.replica,
-                lost.names.join(","),
                 key_list(&lost.keys)
-            );
-            self.change(|quarantine, _| quarantine.record_crash(&lost.keys, lost.crash, lost.at));
+            ),
         }
     }
 
--- a/berylstep/src/gateway/upstreams.rs
+++ b/berylstep/src/gateway/upstreams.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use berylstep_core::collections::HashMap;
+use berylstep_core::fleet::crashes::ProbeResult;
 use berylstep_http::{socket, MessageStream};
+use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
 use crate::clock::RuntimeClock;
@@ -34,6 +36,9 @@
 /// milliseconds.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a new connection must stay open; a host without a process ends it at once.
+const PROBE_OPEN_TIME: Duration = Duration::from_millis(100);
+
 /// Returns whether nothing listens at the address of a replica, because its process has ended.
 pub async fn has_crashed(clock: &RuntimeClock, address: SocketAddr) -> bool {
     let connecting = TcpStream::connect(address);
@@ -43,6 +48,24 @@
     }
 }
 
+/// Opens a connection to a replica that lost a request, and returns what becomes of it.
+pub async fn probe_replica(clock: &RuntimeClock, address: SocketAddr) -> ProbeResult {
+    let connecting = TcpStream::connect(address);
+    let mut stream = match clock.timeout(CRASH_CHECK_TIMEOUT, connecting).await {
+        Some(Ok(stream)) => stream,
+        Some(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => {
+            return ProbeResult::Refused;
+        }
+        Some(Err(err)) if err.kind() == ErrorKind::ConnectionReset => return ProbeResult::Dropped,
+        Some(Err(_)) | None => return ProbeResult::Silent,
+    };
+    let mut byte = [0];
+    match clock.timeout(PROBE_OPEN_TIME, stream.read(&mut byte)).await {
+        Some(Ok(0) | Err(_)) => ProbeResult::Dropped,
+        Some(Ok(_)) | None => ProbeResult::Open,
+    }
+}
+
 /// Pool of idle connections to replicas.
 #[derive(Debug)]
 pub struct UpstreamPool {
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -5,6 +5,7 @@
 pub mod capacity;
 pub mod choice;
 pub mod clock;
+pub mod crashes;
 pub mod departure;
 pub mod desired;
 pub mod engine;
