Let new evidence replace the weakest after a mass crash

Cause: the table of suspects is bounded, and new ones were left out while it was full; with plain requests every loss now takes a place. Change: the weakest eighth makes room. Evidence: fleet_quarantine::a_deadly_request_is_known_right_after_a_mass_crash failed before and passes.

--- a/berylstep_core/src/fleet/quarantine.rs
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -51,7 +51,8 @@
 /// Time for which a node repeats new evidence to its peers, in case of lost messages.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(3);
 
-/// Largest number of suspected parts, and of cleared ones; the rest of a mass crash is left out.
+/// Largest number of suspected parts, and of cleared ones. In a mass crash new evidence replaces the
+/// weakest.
 const MAX_SUSPECTS: usize = 4096;
 
 /// Largest number of crashes retained for a part.
@@ -329,10 +330,12 @@
             EvidenceKey::Content(_) => CONTENT_RETENTION,
         };
         let is_over = now.saturating_sub(at) >= retention;
-        let has_room = self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&part);
-        if is_over || !has_room {
+        if is_over {
             return false;
         }
+        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
+            self.drop_weakest_suspects();
+        }
         let row = self.suspects.entry(part).or_default();
         let place = row.crashes.binary_search_by_key(&crash, |(known, _)| *known);
         let Err(place) = place else { return false };
@@ -348,6 +351,19 @@
         true
     }
 
+    /// Drops some parts: those that were lost in the fewest crashes, of these the ones lost longest
+    /// ago.
+    fn drop_weakest_suspects(&mut self) {
+        let rows = self.suspects.iter();
+        let mut keys: Vec<_> =
+            rows.map(|(part, row)| (row.crashes.len(), row.latest(), *part)).collect();
+        let count = (MAX_SUSPECTS / 8).min(keys.len().saturating_sub(1));
+        keys.select_nth_unstable(count);
+        for (_, _, part) in &keys[..count] {
+            self.suspects.remove(part);
+        }
+    }
+
     /// Determines the groups that explain the crashes, those with the most crashes first.
     ///
     /// A crash that a group explains is no evidence against the other parts that were lost in it.
--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -371,6 +371,21 @@
     }
 }
 
+/// Guards against a request that goes on to crash replicas because a mass crash has left no room for
+/// evidence against it.
+#[test]
+fn a_deadly_request_is_known_right_after_a_mass_crash() {
+    let mut quarantine = PromptQuarantine::default();
+    for number in 0..10_000 {
+        quarantine.record_crash(&keys(&format!("=p{number}")), crash(number), at(0));
+    }
+    for number in 0..3 {
+        let time = at(1000 + u64::from(number) * 100);
+        quarantine.record_crash(&keys("=dead"), crash(20_000 + number), time);
+    }
+    assert!(is_refused(&mut quarantine, "=dead", at(2000)));
+}
+
 #[test]
 fn evidence_and_its_announcements_stay_bounded_in_a_mass_crash() {
     let mut quarantine = PromptQuarantine::default();
