Let standby representatives name the other nodes to their followers

Cause: a standby representative sends to its followers with every second pulse, by the pulse's number, and names other nodes in every eighth, by the number less one, so the two never met. A node that found only such a one, as the seed it had asked, took itself for the other representative and heard of none, since it counts as connected. The class: two schedules that must meet were counted from different origins. Change: both go by the number of the pulse, and the table of peers decides it. Evidence: peer_table::each_representative_names_the_others_to_its_followers failed before (rank 1) and passes.

--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -66,6 +66,10 @@
 /// Rendezvous key that orders the spare followers of a zone.
 const SPARE_ORDER_KEY: &str = "spare";
 
+/// Interval, in pulses, at which other nodes are named. A standby representative names them half as
+/// often.
+const GOSSIP_PULSE_INTERVAL: u64 = 4;
+
 /// Number of initial pulses of a node that are answered regardless of its role.
 const INITIAL_PULSES: u64 = 8;
 
@@ -177,6 +181,15 @@
         live(&rows, now).filter_map(|row| row.node.clone()).collect()
     }
 
+    /// Returns whether the pulse with this number names other nodes.
+    pub fn is_gossip_due(&self, number: u64, now: Duration) -> bool {
+        let interval = match self.rank_in_zone(now) {
+            Some(rank) if rank > 0 => 2 * GOSSIP_PULSE_INTERVAL,
+            _ => GOSSIP_PULSE_INTERVAL,
+        };
+        number % interval == 0
+    }
+
     /// Returns the nodes to name in gossip: the representatives, and those of this zone if this node
     /// is a representative. Only nodes whose pulses arrive here are named; otherwise nodes that
     /// name each other's gossip would keep a dead one alive.
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -41,10 +41,6 @@
 /// sealed, and a little longer for a node that has just taken over the duties.
 const ENDED_WINDOW_SEND_TIME: Duration = Duration::from_secs(6);
 
-/// Interval, in pulses, at which other nodes are named. A standby representative names them half as
-/// often.
-const GOSSIP_PULSE_INTERVAL: u64 = 4;
-
 /// Interval, in pulses, at which seeds and silent peers are contacted, each time with two pulses.
 const CONTACT_PULSE_INTERVAL: u64 = 8;
 
@@ -334,19 +330,14 @@
     fn pulse(&self, sequence: u64, now: Duration) -> FleetPulse {
         let stopping = self.stop.is_stopping();
         let run = self.usage.run();
-        let gossip_interval = match self.peers.rank_in_zone(now) {
-            Some(rank) if rank > 0 => 2 * GOSSIP_PULSE_INTERVAL,
-            _ => GOSSIP_PULSE_INTERVAL,
-        };
-        let nodes = match sequence % gossip_interval == 0 {
-            true => self.peers.gossip_entries(now),
-            false => Vec::new(),
-        };
-        let announces_all = sequence % gossip_interval == 0 && self.peers.is_representative(now);
+        let number = sequence + 1;
+        let is_gossip_due = self.peers.is_gossip_due(number, now);
+        let nodes = if is_gossip_due { self.peers.gossip_entries(now) } else { Vec::new() };
+        let announces_all = is_gossip_due && self.peers.is_representative(now);
         FleetPulse {
             node: run.node.to_string(),
             incarnation: run.incarnation,
-            sequence: sequence + 1,
+            sequence: number,
             zone: self.settings.zone.to_string(),
             region: self.settings.region.to_string(),
             caller_address: self.settings.listen.callers.to_string(),
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -234,6 +234,32 @@
     }
 }
 
+/// Guards against a follower that hears only a representative which never names the others to it, and
+/// then takes itself for one: after a common restart such nodes followed the store and watched the
+/// lease for the rest of the day.
+#[test]
+fn each_representative_names_the_others_to_its_followers() {
+    const ROUNDS: u64 = 36;
+    let nodes = fleet(26);
+    let tables = exchange_pulses(&nodes, ROUNDS);
+    let now = time_of_last(ROUNDS);
+    for (table, node) in tables.iter().zip(&nodes).filter(|(t, _)| t.is_representative(now)) {
+        let is_follower = |to: &SocketAddr| {
+            let to = nodes.iter().find(|other| other.peer_address == *to).unwrap();
+            to.zone == node.zone && !table.view(now).is_representative(&to.node)
+        };
+        let named = (ROUNDS + 1..=ROUNDS + 16).any(|number| {
+            let is_due = table.is_gossip_due(number, now);
+            let nodes = if is_due { table.gossip_entries(now) } else { Vec::new() };
+            let pulse = FleetPulse { nodes, ..pulse(node, number) };
+            let groups = table.outbound(&pulse, None, now);
+            let with_names = groups.iter().filter(|group| !group.pulse.nodes.is_empty());
+            with_names.flat_map(|group| &group.addresses).any(is_follower)
+        });
+        assert!(named, "{} of rank {:?}", node.node, table.rank_in_zone(now));
+    }
+}
+
 #[test]
 fn two_nodes_follow_the_store_in_a_single_zone() {
     const ROUNDS: u64 = 36;
