Let replicas of the soak name limits, and check that they hold

Half of the seeds draw one replica that names a limit of 0.5 to 4 a second while gateways are stopped, killed, frozen and cut off. The check counts arrivals over all gateways that no fault has touched lately. Plans of earlier seeds keep their faults.

--- a/berylstep_standins/src/fleet/message.rs
+++ b/berylstep_standins/src/fleet/message.rs
@@ -91,10 +91,16 @@
 
 /// Writes the head of a chunked event stream and returns whether it was written.
 pub fn begin_events(stream: &mut impl Write, request: &RawMessage) -> bool {
+    begin_events_with(stream, request, "")
+}
+
+/// Writes the head of a chunked event stream with additional header lines, each ending in CRLF;
+/// returns whether it was written.
+pub fn begin_events_with(stream: &mut impl Write, request: &RawMessage, headers: &str) -> bool {
     let id = request.header("berylstep-attempt-id").unwrap_or("-");
     let head = format!(
         "HTTP/1.1 200 OK\r\nBerylstep-Attempt-Id: {id}\r\nBerylstep-Replica-Signature: sig\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+         {headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).is_ok()
 }
--- a/berylstep_standins/src/soak/checks.rs
+++ b/berylstep_standins/src/soak/checks.rs
@@ -27,6 +27,15 @@
 /// Maximum time for which a draining replica still gets requests; a bound of the platform.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time after which all gateways keep to a limit that a replica has named; a bound of the platform.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
+
+/// Length of a window in which requests to a limited replica are counted; a bound of the platform.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests in a window beyond one and a half times the limit; a bound of the platform.
+const LIMIT_SLACK: f64 = 5.0;
+
 /// Maximum time from the signal to the exit of a process, with 1 s of allowance for a busy machine.
 const STOP_LIMIT: Duration = Duration::from_secs(9);
 
@@ -88,6 +97,7 @@
     SoakCheck { name: "an older version does not come back", violations: versions_in_order },
     SoakCheck { name: "allowed requests are not denied", violations: no_denials },
     SoakCheck { name: "leaving replicas get no requests", violations: drained_replicas },
+    SoakCheck { name: "limits that replicas name hold", violations: kept_limits },
     SoakCheck { name: "planned stops end in time and cut nothing", violations: planned_stops },
     SoakCheck { name: "answers come in time", violations: answers_in_time },
     SoakCheck { name: "a duty has one holder", violations: one_holder },
@@ -134,6 +144,13 @@
     }
 
     /// Returns the executions, each with its request.
+    /// Returns whether a fault affected a gateway less than [`FAULT_GRACE`] before `at`.
+    fn is_gateway_disturbed(&self, gateway: usize, at: Duration) -> bool {
+        let faults = self.fault_intervals.iter();
+        let mut own = faults.filter(|fault| fault.target == FaultTarget::Gateway(gateway));
+        own.any(|fault| fault.from < at && fault.until + FAULT_GRACE > at)
+    }
+
     fn requests_with_runs(&self) -> Vec<(&CallerRequest, &ReplicaRun)> {
         let requests = self.requests_by_id();
         let pairs = self.runs.iter().filter_map(|run| Some((*requests.get(&*run.id)?, run)));
@@ -271,6 +288,30 @@
     late.map(|(request, run)| format!("{request:?} ran as {run:?}")).collect()
 }
 
+fn kept_limits(record: &SoakRecord) -> Vec<String> {
+    let mut found = Vec::new();
+    for limit in &record.limits {
+        let counted = record.requests_with_runs().into_iter().filter(|(request, run)| {
+            run.replica == limit.replica
+                && run.began >= limit.from + LIMIT_CONTACT
+                && run.began < limit.until
+                && !record.is_gateway_disturbed(request.gateway, run.began)
+        });
+        let mut arrivals: Vec<_> = counted.map(|(_, run)| run.began).collect();
+        arrivals.sort_unstable();
+        let allowed = 1.5 * limit.per_second * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+        for (index, from) in arrivals.iter().enumerate() {
+            let window = arrivals[index..].iter().take_while(|at| **at < *from + LIMIT_WINDOW);
+            let count = window.count();
+            if count as f64 > allowed {
+                found.push(format!("{limit:?}: {count} requests from {from:?} on"));
+                break;
+            }
+        }
+    }
+    found
+}
+
 fn planned_stops(record: &SoakRecord) -> Vec<String> {
     let mut found = Vec::new();
     let ran: FxHashSet<&str> = record.runs.iter().map(|run| &*run.id).collect();
--- a/berylstep_standins/src/soak/plan.rs
+++ b/berylstep_standins/src/soak/plan.rs
@@ -70,8 +70,21 @@
     pub fault: SoakFault,
 }
 
+/// A replica that names a limit for a time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannedLimit {
+    /// Number of the replica.
+    pub replica: usize,
+    /// Requests per second that it takes from all gateways together.
+    pub per_second: f64,
+    /// Time from which it names the limit, from the start of traffic.
+    pub at: Duration,
+    /// Time for which it does.
+    pub lasts: Duration,
+}
+
 /// Parameters and faults of a soak.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SoakPlan {
     /// Seed of the plan and its traffic.
     pub seed: u64,
@@ -87,6 +100,8 @@
     pub length: Duration,
     /// Faults, in order of injection.
     pub faults: Vec<PlannedFault>,
+    /// A limit that one replica names; `None` if no replica does.
+    pub limit: Option<PlannedLimit>,
 }
 
 impl SoakPlan {
@@ -113,7 +128,19 @@
             })
             .collect();
         faults.sort_by_key(|fault| fault.at);
-        Self { seed, gateways, replicas, organisations, callers, length, faults }
+        let limit = rng.bool().then(|| draw_limit(&mut rng, replicas, length));
+        Self { seed, gateways, replicas, organisations, callers, length, faults, limit }
+    }
+}
+
+/// Draws a limit that lasts until shortly before the end.
+fn draw_limit(rng: &mut fastrand::Rng, replicas: usize, length: Duration) -> PlannedLimit {
+    let at = WARM_UP_TIME / 3;
+    PlannedLimit {
+        replica: rng.usize(0..replicas * 2),
+        per_second: f64::from(rng.u32(1..=8)) / 2.0,
+        at,
+        lasts: length.saturating_sub(at + WARM_UP_TIME),
     }
 }
 
@@ -170,6 +197,9 @@
         for fault in &self.faults {
             writeln!(formatter, "  {:?} for {:?}: {:?}", fault.at, fault.lasts, fault.fault)?;
         }
+        if let Some(limit) = self.limit {
+            writeln!(formatter, "  {limit:?}")?;
+        }
         Ok(())
     }
 }
--- a/berylstep_standins/src/soak/record.rs
+++ b/berylstep_standins/src/soak/record.rs
@@ -169,6 +169,19 @@
     pub descriptors: usize,
 }
 
+/// A limit that a replica named for some time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedLimit {
+    /// Identifier of the replica.
+    pub replica: String,
+    /// Requests per second from all gateways together.
+    pub per_second: f64,
+    /// Time from which its responses named the limit.
+    pub from: Duration,
+    /// Time until which they did.
+    pub until: Duration,
+}
+
 /// All observations of a soak.
 #[derive(Clone, Debug, Default)]
 pub struct SoakRecord {
@@ -182,6 +195,8 @@
     pub changes: Vec<StateChange>,
     /// Identifiers of drained replicas, with the time of the drain.
     pub drains: Vec<(String, Duration)>,
+    /// Limits that replicas named.
+    pub limits: Vec<NamedLimit>,
     /// Graceful shutdowns.
     pub stops: Vec<PlannedStop>,
     /// Numbers of gateways that exited on their own, with the time.
--- a/berylstep_standins/src/soak/site.rs
+++ b/berylstep_standins/src/soak/site.rs
@@ -11,8 +11,8 @@
 use super::callers::{run_caller, CallerContext, KnownGateway};
 use super::plan::{PlannedFault, SoakFault, SoakPlan, CHANGE_INTERVAL};
 use super::record::{
-    organisation_name, FaultInterval, FaultTarget, PlannedStop, ProcessPeak, ReplicaRun,
-    RequestKind, SoakRecord, StateChange,
+    organisation_name, FaultInterval, FaultTarget, NamedLimit, PlannedStop, ProcessPeak,
+    ReplicaRun, RequestKind, SoakRecord, StateChange,
 };
 use super::replicas::{ReplicaIdentity, SoakReplica};
 use crate::fleet::gateway::{wait_until, FleetGateway, GatewayConfig};
@@ -172,6 +172,7 @@
                 scope.spawn(move || run_caller(&self.callers, number, self.plan.seed));
             }
             scope.spawn(|| self.monitor_processes());
+            scope.spawn(|| self.name_limit());
             let faults: Vec<_> = self
                 .plan
                 .faults
@@ -190,6 +191,20 @@
         });
     }
 
+    /// Makes a replica name the planned limit, unless it is replaced before.
+    fn name_limit(&self) {
+        let Some(planned) = self.plan.limit else { return };
+        std::thread::sleep(planned.at);
+        let replica = &self.replicas[planned.replica];
+        let (id, from) = (replica.id(), self.start.elapsed());
+        replica.set_limit(Some(planned.per_second));
+        std::thread::sleep(planned.lasts);
+        replica.set_limit(None);
+        let until = self.start.elapsed();
+        let limit = NamedLimit { replica: id, per_second: planned.per_second, from, until };
+        lock(&self.record).limits.push(limit);
+    }
+
     fn inject(&self, planned: &PlannedFault, folder: &Path) {
         std::thread::sleep(planned.at.saturating_sub(self.start.elapsed()));
         let from = self.start.elapsed();
--- a/berylstep_standins/tests/soak_checks.rs
+++ b/berylstep_standins/tests/soak_checks.rs
@@ -6,7 +6,7 @@
 use berylstep_standins::soak::checks::{findings, CHECKS};
 use berylstep_standins::soak::record::{
     answer_body, organisation_name, CallerOutcome, CallerRequest, FaultInterval, FaultTarget,
-    PlannedStop, ProcessPeak, ReplicaRun, RequestKind, SoakRecord, StateChange,
+    NamedLimit, PlannedStop, ProcessPeak, ReplicaRun, RequestKind, SoakRecord, StateChange,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -122,6 +122,17 @@
         check: "leaving replicas",
         fault: |record| record.drains.push(("i-1".into(), at(5.0))),
     },
+    FaultCase {
+        check: "limits that replicas name",
+        fault: |record| {
+            record.limits.push(NamedLimit {
+                replica: "i-1".into(),
+                per_second: 2.0,
+                from: at(1.0),
+                until: at(18.0),
+            });
+        },
+    },
     FaultCase {
         check: "planned stops",
         fault: |record| {
