Tell a node that hears no representative the others again

Cause: only the first eight pulses of a node are answered with the names of representatives. In a common restart the seeds have no processor time in these two seconds; later pulses of a node in another zone are recorded and not answered. The class: a retry that only one side repeats. Change: pulses say whether the sender hears a representative, and one that doesn't is answered like a new node. Evidence: peer_table::a_node_that_was_not_answered_at_its_start_finds_the_others_later failed before and passes.

--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -466,12 +466,12 @@
         builder.build("")
     }
 
-    /// Returns the addresses of peers that have just started, which receive a pulse regardless of
-    /// their role.
+    /// Returns the addresses of peers that have just started or hear no representative, which receive
+    /// a pulse regardless of their role.
     pub fn new_peers(&self, now: Duration) -> Vec<SocketAddr> {
         let rows = self.rows.borrow();
-        let started = live(&rows, now).filter(|row| row.pulse.sequence <= INITIAL_PULSES);
-        started.map(|row| row.address).collect()
+        let is_new = |row: &&PeerRow| row.pulse.sequence <= INITIAL_PULSES || row.pulse.isolated;
+        live(&rows, now).filter(is_new).map(|row| row.address).collect()
     }
 
     /// Returns the addresses of regular peers that have fallen silent and are not yet forgotten.
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -361,6 +361,7 @@
             part_suspicions: self.prompts.suspicions(self.peers.is_representative(now)),
             part_clearances: self.prompts.clearances(),
             replica_limits: self.limits.notices(announces_all),
+            isolated: !self.peers.is_connected(now),
             turn_request: None,
             turn_reply: None,
             follows_store: self.mirror.is_following_store(),
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -55,11 +55,21 @@
 
 /// Returns the tables of all nodes after `rounds` rounds of pulses, sent as `PulseExchange` does.
 fn exchange_pulses(nodes: &[KnownNode], rounds: u64) -> Vec<PeerTable> {
+    exchange_lossy_pulses(nodes, rounds, |_, _| false)
+}
+
+/// Does the same, but loses the pulses to a node in the rounds for which `is_lost` is true.
+fn exchange_lossy_pulses(
+    nodes: &[KnownNode],
+    rounds: u64,
+    is_lost: impl Fn(u64, &KnownNode) -> bool,
+) -> Vec<PeerTable> {
     let tables: Vec<_> = nodes.iter().map(|node| PeerTable::new(node.clone())).collect();
     for round in 0..rounds {
         let now = START + Duration::from_millis(250) * round as u32;
         for (index, node) in nodes.iter().enumerate() {
-            send_pulse(nodes, &tables, index, &pulse(node, round + 1), now);
+            let is_lost = |to: &KnownNode| is_lost(round, to);
+            send_lossy_pulse(nodes, &tables, index, &pulse(node, round + 1), now, is_lost);
         }
     }
     tables
@@ -71,15 +81,32 @@
     from: usize,
     pulse: &FleetPulse,
     now: Duration,
+) {
+    send_lossy_pulse(nodes, tables, from, pulse, now, |_| false);
+}
+
+fn send_lossy_pulse(
+    nodes: &[KnownNode],
+    tables: &[PeerTable],
+    from: usize,
+    pulse: &FleetPulse,
+    now: Duration,
+    is_lost: impl Fn(&KnownNode) -> bool,
 ) {
     let (table, own) = (&tables[from], &nodes[from]);
     table.expire(now);
     table.record_own_work(pulse.work.clone());
-    let pulse = FleetPulse { nodes: table.gossip_entries(now), ..pulse.clone() };
+    let pulse = FleetPulse {
+        nodes: table.gossip_entries(now),
+        isolated: !table.is_connected(now),
+        ..pulse.clone()
+    };
     let indices: HashMap<_, _> =
         nodes.iter().enumerate().map(|(index, node)| (node.peer_address, index)).collect();
     let deliver = |to: SocketAddr, message: FleetPulse| {
-        tables[indices[&to]].record_pulse(message, own.peer_address, now);
+        if !is_lost(&nodes[indices[&to]]) {
+            tables[indices[&to]].record_pulse(message, own.peer_address, now);
+        }
     };
     let mut sent = Vec::new();
     for group in table.outbound(&pulse, None, now) {
@@ -234,6 +261,23 @@
     }
 }
 
+/// Guards against a node that nobody answers any more because it has started long ago: after a common
+/// restart the seeds had no time for some nodes, which stayed alone for the rest of the day.
+#[test]
+fn a_node_that_was_not_answered_at_its_start_finds_the_others_later() {
+    const ROUNDS: u64 = 48;
+    // No seed is in its zone.
+    let mut nodes = fleet(26);
+    nodes.extend((1..10).map(|number| node("d", number, if number < 3 { 500 } else { 120 })));
+    let late = nodes.iter().position(|node| *node.node == *"d3").unwrap();
+    let is_lost = |round, to: &KnownNode| round < 12 && to.node == nodes[late].node;
+    let tables = exchange_lossy_pulses(&nodes, ROUNDS, is_lost);
+    let now = time_of_last(ROUNDS);
+    assert!(tables[late].is_connected(now));
+    assert!(!tables[late].must_follow_store(now));
+    assert_eq!(tables[late].representatives(now), tables[0].representatives(now));
+}
+
 /// Guards against a follower that hears only a representative which never names the others to it, and
 /// then takes itself for one: after a common restart such nodes followed the store and watched the
 /// lease for the rest of the day.
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -509,6 +509,9 @@
     pub turn_request: ::core::option::Option<TurnRequest>,
     #[prost(message, optional, tag = "30")]
     pub turn_reply: ::core::option::Option<TurnReply>,
+    /// Whether the sender hears no representative, and asks for the names of the representatives.
+    #[prost(bool, tag = "31")]
+    pub isolated: bool,
 }
 /// Limit that a replica has named.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
