--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -53,7 +53,7 @@
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pulse::PulseExchange;
-use crate::gateway::quarantine::PromptWatch;
+use crate::gateway::quarantine::CrashWatch;
 use crate::gateway::request::RequestHandler;
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings, SettingsError};
@@ -173,7 +173,7 @@
     mirror: Rc<StoreMirror>,
     limits: Rc<LimitWatch>,
     turns: Rc<TurnDesk>,
-    prompts: Rc<PromptWatch>,
+    crashes: Rc<CrashWatch>,
     peers: Rc<PeerTable>,
     metrics: Rc<GatewayMetrics>,
     live: Rc<LiveSettings>,
@@ -217,7 +217,7 @@
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
             limits,
             turns: Rc::new(turns),
-            prompts: Rc::new(PromptWatch::new(clock.clone(), mirror.clone())),
+            crashes: Rc::new(CrashWatch::new(clock.clone(), mirror.clone())),
             mirror,
             peers,
             metrics: Rc::default(),
@@ -254,7 +254,7 @@
             clock: self.clock.clone(),
             peers: self.peers.clone(),
             mirror: self.mirror.clone(),
-            prompts: self.prompts.clone(),
+            crashes: self.crashes.clone(),
             limits: self.limits.clone(),
             turns: self.turns.clone(),
             usage: self.usage.clone(),
@@ -306,7 +306,7 @@
             mirror: self.mirror.clone(),
             limits: self.limits.clone(),
             turns: self.turns.clone(),
-            prompts: self.prompts.clone(),
+            crashes: self.crashes.clone(),
             peers: self.peers.clone(),
             upstreams: UpstreamPool::new(self.clock.clone()),
             usage: self.usage.clone(),
@@ -318,7 +318,7 @@
             budgets: RefCell::default(),
         });
         self.tasks.spawn(run_maintenance(handler.clone())).detach();
-        self.tasks.spawn(self.prompts.clone().verify_losses()).detach();
+        self.tasks.spawn(self.crashes.clone().verify_losses()).detach();
         let callers = CallerListener {
             handler,
             tasks: self.tasks.clone(),
@@ -394,7 +394,7 @@
         handler.limits.expire();
         handler.turns.expire();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
-        handler.prompts.expire();
-        handler.metrics.quarantined_prompts.set(handler.prompts.quarantined_groups());
+        handler.crashes.expire();
+        handler.metrics.quarantined_prompts.set(handler.crashes.quarantined_groups());
     }
 }
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -21,7 +21,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
-use crate::gateway::quarantine::PromptWatch;
+use crate::gateway::quarantine::CrashWatch;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stop::GracefulStop;
 use crate::gateway::turns::TurnDesk;
@@ -80,7 +80,7 @@
     /// Local copy of the store.
     pub mirror: Rc<StoreMirror>,
     /// Prompts that crash replicas.
-    pub prompts: Rc<PromptWatch>,
+    pub crashes: Rc<CrashWatch>,
     /// Limits that replicas name.
     pub limits: Rc<LimitWatch>,
     /// Turns at replicas that have named a limit.
@@ -270,7 +270,7 @@
         for notice in &pulse.leaving_replicas {
             self.mirror.apply_leaving_notice(notice);
         }
-        self.prompts.apply(&pulse.part_suspicions, &pulse.part_clearances);
+        self.crashes.apply(&pulse.suspicions, &pulse.clearances);
         let delta = pulse.replica_delta.as_ref();
         if let Some(delta) = delta.filter(|_| pulse.store_era == self.mirror.era()) {
             self.apply_delta(delta, pulse.replica_revision);
@@ -358,8 +358,8 @@
             store_era: self.mirror.era(),
             sealed_window: self.usage.sealed_window(),
             leaving_replicas: self.mirror.leaving_notices(),
-            part_suspicions: self.prompts.suspicions(self.peers.is_representative(now)),
-            part_clearances: self.prompts.clearances(),
+            suspicions: self.crashes.suspicions(self.peers.is_representative(now)),
+            clearances: self.crashes.clearances(),
             replica_limits: self.limits.notices(announces_all),
             isolated: !self.peers.is_connected(now),
             turn_request: None,
--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -7,8 +7,8 @@
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::crashes::{judge_probe, judge_successor, LossVerdict, ProcessLoss};
 use berylstep_core::fleet::quarantine::{
-    part_key, CrashId, EvidenceKey, PartClearance, PartSuspicion, PromptQuarantine,
-    QuarantineVerdict, QuarantinedGroup,
+    part_key, CrashClearance, CrashId, CrashSuspicion, EvidenceKey, QuarantineVerdict,
+    QuarantinedGroup, RequestQuarantine,
 };
 use berylstep_core::rendezvous;
 use futures_util::future::join_all;
@@ -85,16 +85,16 @@
 
 /// Evidence about prompts that crash replicas, from this node's requests and from its peers.
 #[derive(Debug)]
-pub struct PromptWatch {
+pub struct CrashWatch {
     clock: RuntimeClock,
     mirror: Rc<StoreMirror>,
-    quarantine: RefCell<PromptQuarantine>,
+    quarantine: RefCell<RequestQuarantine>,
     lost: (Sender<LostRequest>, Receiver<LostRequest>),
     /// Losses of which it is not known yet whether their replicas have crashed.
     pending: RefCell<Vec<LostRequest>>,
 }
 
-impl PromptWatch {
+impl CrashWatch {
     /// Creates a watch without evidence.
     pub fn new(clock: RuntimeClock, mirror: Rc<StoreMirror>) -> Self {
         Self {
@@ -106,23 +106,23 @@
         }
     }
 
-    /// Decides on a new request; see [`PromptQuarantine::check_new`].
+    /// Decides on a new request; see [`RequestQuarantine::check_new`].
     pub fn check_new(
         &self,
-        parts: &[EvidenceKey],
+        keys: &[EvidenceKey],
         is_reviewer: impl FnOnce(EvidenceKey, Duration) -> bool,
     ) -> QuarantineVerdict {
-        self.quarantine.borrow_mut().check_new(parts, self.clock.now(), is_reviewer)
+        self.quarantine.borrow_mut().check_new(keys, self.clock.now(), is_reviewer)
     }
 
     /// Returns the time until the next review if requests with these parts are refused.
-    pub fn refusal_wait(&self, parts: &[EvidenceKey]) -> Option<Duration> {
-        self.quarantine.borrow().refusal_wait(parts, self.clock.now())
+    pub fn refusal_wait(&self, keys: &[EvidenceKey]) -> Option<Duration> {
+        self.quarantine.borrow().refusal_wait(keys, self.clock.now())
     }
 
     /// Records that a request began to be answered.
-    pub fn record_started(&self, parts: &[EvidenceKey]) {
-        self.change(|quarantine, now| quarantine.record_started(parts, now));
+    pub fn record_started(&self, keys: &[EvidenceKey]) {
+        self.change(|quarantine, now| quarantine.record_started(keys, now));
     }
 
     /// Reports a request that was lost before it began to be answered. It counts once its replica
@@ -221,21 +221,21 @@
     /// Applies evidence from a peer.
     pub fn apply(
         &self,
-        suspicions: &[berylstep_wire::PartSuspicion],
-        clearances: &[berylstep_wire::PartClearance],
+        suspicions: &[berylstep_wire::CrashSuspicion],
+        clearances: &[berylstep_wire::CrashClearance],
     ) {
         if suspicions.is_empty() && clearances.is_empty() {
             return;
         }
         let now = self.clock.now();
         let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
-        let suspicions = suspicions.iter().map(|message| PartSuspicion {
-            part: read_key(message.part, message.content),
+        let suspicions = suspicions.iter().map(|message| CrashSuspicion {
+            key: read_key(message.part, message.content),
             crash: CrashId { replica: message.replica, born: message.born },
             at: time(message.age_ms),
         });
-        let clearances = clearances.iter().map(|message| PartClearance {
-            part: read_key(message.part, message.content),
+        let clearances = clearances.iter().map(|message| CrashClearance {
+            key: read_key(message.part, message.content),
             at: time(message.age_ms),
         });
         let (suspicions, clearances): (Vec<_>, Vec<_>) =
@@ -244,12 +244,12 @@
     }
 
     /// Returns the suspicions to announce; with `all`, also those of all quarantined parts.
-    pub fn suspicions(&self, all: bool) -> Vec<berylstep_wire::PartSuspicion> {
+    pub fn suspicions(&self, all: bool) -> Vec<berylstep_wire::CrashSuspicion> {
         let now = self.clock.now();
         let suspicions = self.quarantine.borrow().suspicions(all, now).into_iter();
-        let message = |suspicion: PartSuspicion| berylstep_wire::PartSuspicion {
-            part: key_value(suspicion.part),
-            content: is_content(suspicion.part),
+        let message = |suspicion: CrashSuspicion| berylstep_wire::CrashSuspicion {
+            part: key_value(suspicion.key),
+            content: is_content(suspicion.key),
             replica: suspicion.crash.replica,
             born: suspicion.crash.born,
             age_ms: age_ms(suspicion.at, now),
@@ -258,12 +258,12 @@
     }
 
     /// Returns the clearances to announce.
-    pub fn clearances(&self) -> Vec<berylstep_wire::PartClearance> {
+    pub fn clearances(&self) -> Vec<berylstep_wire::CrashClearance> {
         let now = self.clock.now();
         let clearances = self.quarantine.borrow().clearances().into_iter();
-        let message = |clearance: PartClearance| berylstep_wire::PartClearance {
-            part: key_value(clearance.part),
-            content: is_content(clearance.part),
+        let message = |clearance: CrashClearance| berylstep_wire::CrashClearance {
+            part: key_value(clearance.key),
+            content: is_content(clearance.key),
             age_ms: age_ms(clearance.at, now),
         };
         clearances.map(message).collect()
@@ -284,7 +284,7 @@
 
     /// Applies `change`, which returns whether there is something to tell peers, and logs groups
     /// that enter or leave the quarantine.
-    fn change(&self, change: impl FnOnce(&mut PromptQuarantine, Duration) -> bool) {
+    fn change(&self, change: impl FnOnce(&mut RequestQuarantine, Duration) -> bool) {
         let mut quarantine = self.quarantine.borrow_mut();
         let before = quarantine.groups().to_vec();
         let has_news = change(&mut quarantine, self.clock.now());
@@ -300,8 +300,8 @@
 
 impl RequestHandler {
     /// Decides whether a new request may reach a replica.
-    pub(super) fn check_prompt(&self, request: &RoutedRequest<'_>) -> QuarantineVerdict {
-        self.prompts.check_new(&request.evidence, |part, overdue| self.is_reviewer(part, overdue))
+    pub(super) fn check_request(&self, request: &RoutedRequest<'_>) -> QuarantineVerdict {
+        self.crashes.check_new(&request.evidence, |part, overdue| self.is_reviewer(part, overdue))
     }
 
     /// Returns the time until the next review if the prompt of a request has been quarantined since
@@ -312,7 +312,7 @@
         history: &AttemptHistory,
     ) -> Option<Duration> {
         let is_exempt = history.is_review && history.ran == 0;
-        self.prompts.refusal_wait(&request.evidence).filter(|_| !is_exempt)
+        self.crashes.refusal_wait(&request.evidence).filter(|_| !is_exempt)
     }
 
     /// Returns the refusal of a request whose prompt is reviewed after `wait`.
@@ -335,14 +335,14 @@
 
 fn log_changes(before: &[QuarantinedGroup], after: &[QuarantinedGroup]) {
     let is_in = |groups: &[QuarantinedGroup], group: &QuarantinedGroup| {
-        groups.iter().any(|other| other.parts == group.parts)
+        groups.iter().any(|other| other.keys == group.keys)
     };
     for group in after.iter().filter(|group| !is_in(before, group)) {
-        let (keys, crashes) = (key_list(&group.parts), group.crashes);
+        let (keys, crashes) = (key_list(&group.keys), group.crashes);
         log::warn!("event=prompt_quarantined keys={keys} crashes={crashes}");
     }
     for group in before.iter().filter(|group| !is_in(after, group)) {
-        log::warn!("event=prompt_released keys={}", key_list(&group.parts));
+        log::warn!("event=prompt_released keys={}", key_list(&group.keys));
     }
 }
 
@@ -358,9 +358,9 @@
 }
 
 /// Returns the keys as text for the log.
-pub fn key_list(parts: &[EvidenceKey]) -> String {
-    let keys: Vec<_> = parts.iter().map(EvidenceKey::to_string).collect();
-    keys.join(",")
+pub fn key_list(keys: &[EvidenceKey]) -> String {
+    let texts: Vec<_> = keys.iter().map(EvidenceKey::to_string).collect();
+    texts.join(",")
 }
 
 fn key_value(key: EvidenceKey) -> u64 {
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -20,7 +20,7 @@
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
-use crate::gateway::quarantine::{evidence_keys, PromptWatch, RequestContent};
+use crate::gateway::quarantine::{evidence_keys, CrashWatch, RequestContent};
 use crate::gateway::response::{LocalReply, ResponseWriter};
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings};
@@ -71,7 +71,7 @@
     /// Turns at replicas that have named a limit.
     pub turns: Rc<TurnDesk>,
     /// Prompts that crash replicas.
-    pub prompts: Rc<PromptWatch>,
+    pub crashes: Rc<CrashWatch>,
     /// Other nodes of the fleet.
     pub peers: Rc<PeerTable>,
     /// Idle connections to replicas.
@@ -240,7 +240,7 @@
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         trace.record_route(request);
-        let verdict = self.check_prompt(request);
+        let verdict = self.check_request(request);
         if let QuarantineVerdict::Refused(wait) = verdict {
             let reply = self.quarantine_reply(wait);
             trace.record_outcome(reply_outcome(&reply));
@@ -286,7 +286,7 @@
                 AttemptOutcome::Lost(reason) => {
                     history.sent += 1;
                     history.ran += 1;
-                    self.prompts.report_loss(request, &target);
+                    self.crashes.report_loss(request, &target);
                     if !self.may_retry(request, &history) {
                         self.record_lost_response(request, &target.id);
                         let reply = LocalReply::lost(reason);
@@ -489,7 +489,7 @@
         if response.is_buffered() {
             // A failing replica may not have run the request.
             if response.head.status < 500 {
-                self.prompts.record_started(&request.evidence);
+                self.crashes.record_started(&request.evidence);
             }
             trace.record_outcome(RequestOutcome::Answered(response.head.status));
             let written = writer.write_whole(&response.head, &response.content).await;
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -135,7 +135,7 @@
                 false => StreamEnd::Broken,
             });
             if !self.has_started {
-                self.handler.prompts.report_loss(self.request, self.response.target());
+                self.handler.crashes.report_loss(self.request, self.response.target());
             }
             self.splitter.discard_partial();
             let next = match self.moved.take() {
@@ -169,7 +169,7 @@
     /// Records that the prompt did not crash the replica.
     fn record_started(&mut self) {
         if !std::mem::replace(&mut self.has_started, true) {
-            self.handler.prompts.record_started(&self.request.evidence);
+            self.handler.crashes.record_started(&self.request.evidence);
         }
     }
 
--- a/berylstep_core/src/fleet/quarantine.rs
+++ b/berylstep_core/src/fleet/quarantine.rs
@@ -93,22 +93,22 @@
     pub born: u64,
 }
 
-/// Evidence that a part was lost in a crash.
+/// Evidence that a part or a content was lost in a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PartSuspicion {
-    /// Key of the part.
-    pub part: EvidenceKey,
+pub struct CrashSuspicion {
+    /// Key of the part or the content.
+    pub key: EvidenceKey,
     /// Crash in which it was lost.
     pub crash: CrashId,
     /// Time of the crash.
     pub at: Duration,
 }
 
-/// Evidence that a part does not crash replicas.
+/// Evidence that a part or a content does not crash replicas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PartClearance {
-    /// Key of the part.
-    pub part: EvidenceKey,
+pub struct CrashClearance {
+    /// Key of the part or the content.
+    pub key: EvidenceKey,
     /// Time at which a request with it began to be answered.
     pub at: Duration,
 }
@@ -124,7 +124,7 @@
     Refused(Duration),
 }
 
-/// Crashes in which a part was lost, by when they became known.
+/// Crashes in which a part or a content was lost, by when they became known.
 #[derive(Clone, Debug, Default)]
 struct SuspectRow {
     /// Crashes with their times, ordered by crash.
@@ -160,42 +160,42 @@
 /// refused, because any one of them may be the cause.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantinedGroup {
-    /// Keys of the parts, in ascending order.
-    pub parts: Vec<EvidenceKey>,
+    /// Keys of the parts, or of the one content, in ascending order.
+    pub keys: Vec<EvidenceKey>,
     /// Number of crashes that the group explains.
     pub crashes: usize,
     review_at: Duration,
     review_delay: Duration,
 }
 
-/// Evidence about the parts of prompts, and the groups that it puts into quarantine.
+/// Evidence about parts of prompts and contents, and the groups that it puts into quarantine.
 #[derive(Debug, Default)]
-pub struct PromptQuarantine {
+pub struct RequestQuarantine {
     suspects: HashMap<EvidenceKey, SuspectRow>,
     /// Parts that lately began to be answered, with the time of the last such request.
     sound: HashMap<EvidenceKey, Duration>,
     /// Parts that were suspected and have been cleared, with the time of the answer. Nodes that
     /// have not heard of it may go on to announce the old evidence.
     cleared: HashMap<EvidenceKey, Duration>,
-    /// Clearances of suspected parts, with the time at which this node learnt of them.
-    clearances: Vec<(PartClearance, Duration)>,
+    /// Clearances of suspected keys, with the time at which this node learnt of them.
+    clearances: Vec<(CrashClearance, Duration)>,
     groups: Vec<QuarantinedGroup>,
-    /// Time of the last review of a group at this node, by its first part.
+    /// Time of the last review of a group at this node, by its first key.
     reviews: HashMap<EvidenceKey, Duration>,
 }
 
-impl PromptQuarantine {
-    /// Records that a request with `parts` began to be answered; returns whether one of them was
+impl RequestQuarantine {
+    /// Records that a request with `keys` began to be answered; returns whether one of them was
     /// suspected.
-    pub fn record_started(&mut self, parts: &[EvidenceKey], now: Duration) -> bool {
-        let cleared = parts.iter().map(|part| self.clear(*part, now, now)).filter(|is| *is);
+    pub fn record_started(&mut self, keys: &[EvidenceKey], now: Duration) -> bool {
+        let cleared = keys.iter().map(|key| self.clear(*key, now, now)).filter(|is| *is);
         cleared.count() > 0
     }
 
-    /// Records that a request with `parts` was lost in a crash before it began to be answered;
+    /// Records that a request with `keys` was lost in a crash before it began to be answered;
     /// returns whether that is new evidence.
-    pub fn record_crash(&mut self, parts: &[EvidenceKey], crash: CrashId, now: Duration) -> bool {
-        let suspicions = parts.iter().map(|part| PartSuspicion { part: *part, crash, at: now });
+    pub fn record_crash(&mut self, keys: &[EvidenceKey], crash: CrashId, now: Duration) -> bool {
+        let suspicions = keys.iter().map(|key| CrashSuspicion { key: *key, crash, at: now });
         let learnt = suspicions.map(|suspicion| self.suspect(suspicion, now)).filter(|is| *is);
         let is_new = learnt.count() > 0;
         self.update_groups(is_new);
@@ -205,28 +205,28 @@
     /// Applies evidence from peers; returns whether some of it is new.
     pub fn apply(
         &mut self,
-        suspicions: &[PartSuspicion],
-        clearances: &[PartClearance],
+        suspicions: &[CrashSuspicion],
+        clearances: &[CrashClearance],
         now: Duration,
     ) -> bool {
-        let cleared = clearances.iter().map(|it| self.clear(it.part, it.at, now));
+        let cleared = clearances.iter().map(|it| self.clear(it.key, it.at, now));
         let cleared = cleared.filter(|is| *is).count();
         let learnt = suspicions.iter().map(|it| self.suspect(*it, now)).filter(|is| *is).count();
         self.update_groups(learnt > 0);
         cleared + learnt > 0
     }
 
-    /// Decides on a request with `parts` that has not been sent yet. `is_reviewer` tells whether
-    /// this node reviews the group that a part is the first of, given for how long the review has
+    /// Decides on a request with `keys` that has not been sent yet. `is_reviewer` tells whether
+    /// this node reviews the group that a key is the first of, given for how long the review has
     /// been due; a review is used up by the call.
     pub fn check_new(
         &mut self,
-        parts: &[EvidenceKey],
+        keys: &[EvidenceKey],
         now: Duration,
         is_reviewer: impl FnOnce(EvidenceKey, Duration) -> bool,
     ) -> QuarantineVerdict {
-        let Some(group) = self.group_of(parts) else { return QuarantineVerdict::Allowed };
-        let (first, due_at) = (group.parts[0], self.review_due_at(group));
+        let Some(group) = self.group_of(keys) else { return QuarantineVerdict::Allowed };
+        let (first, due_at) = (group.keys[0], self.review_due_at(group));
         let wait = due_at.saturating_sub(now);
         if wait.is_zero() && is_reviewer(first, now - due_at) {
             self.reviews.insert(first, now);
@@ -235,9 +235,9 @@
         QuarantineVerdict::Refused(wait)
     }
 
-    /// Returns the time until the next review if requests with `parts` are refused.
-    pub fn refusal_wait(&self, parts: &[EvidenceKey], now: Duration) -> Option<Duration> {
-        Some(self.review_due_at(self.group_of(parts)?).saturating_sub(now))
+    /// Returns the time until the next review if requests with `keys` are refused.
+    pub fn refusal_wait(&self, keys: &[EvidenceKey], now: Duration) -> Option<Duration> {
+        Some(self.review_due_at(self.group_of(keys)?).saturating_sub(now))
     }
 
     /// Returns the groups in quarantine.
@@ -246,26 +246,26 @@
     }
 
     /// Returns the suspicions to announce to peers: new ones and, if `all`, those of quarantined
-    /// parts, which nodes that have just started must learn.
-    pub fn suspicions(&self, all: bool, now: Duration) -> Vec<PartSuspicion> {
+    /// groups, which nodes that have just started must learn.
+    pub fn suspicions(&self, all: bool, now: Duration) -> Vec<CrashSuspicion> {
         let quarantined: HashSet<_> =
-            self.groups.iter().flat_map(|group| &group.parts).copied().collect();
-        let is_announced = |part: &EvidenceKey, row: &SuspectRow| {
+            self.groups.iter().flat_map(|group| &group.keys).copied().collect();
+        let is_announced = |key: &EvidenceKey, row: &SuspectRow| {
             now.saturating_sub(row.learnt_at) < ANNOUNCEMENT_TIME
-                || (all && quarantined.contains(part))
+                || (all && quarantined.contains(key))
         };
-        let rows = self.suspects.iter().filter(|(part, row)| is_announced(part, row));
+        let rows = self.suspects.iter().filter(|(key, row)| is_announced(key, row));
         let mut rows: Vec<_> = rows.collect();
         rows.sort_unstable_by_key(|(_, row)| std::cmp::Reverse((row.crashes.len(), row.latest())));
-        let suspicions = rows.into_iter().flat_map(|(part, row)| {
+        let suspicions = rows.into_iter().flat_map(|(key, row)| {
             let crashes = row.crashes.iter();
-            crashes.map(|(crash, at)| PartSuspicion { part: *part, crash: *crash, at: *at })
+            crashes.map(|(crash, at)| CrashSuspicion { key: *key, crash: *crash, at: *at })
         });
         suspicions.take(MAX_ANNOUNCED).collect()
     }
 
     /// Returns the clearances to announce to peers.
-    pub fn clearances(&self) -> Vec<PartClearance> {
+    pub fn clearances(&self) -> Vec<CrashClearance> {
         self.clearances.iter().rev().take(MAX_ANNOUNCED).map(|(clearance, _)| *clearance).collect()
     }
 
@@ -281,51 +281,51 @@
     }
 
     fn review_due_at(&self, group: &QuarantinedGroup) -> Duration {
-        let reviewed = self.reviews.get(&group.parts[0]);
+        let reviewed = self.reviews.get(&group.keys[0]);
         let next = reviewed.map_or(Duration::ZERO, |at| *at + group.review_delay);
         next.max(group.review_at)
     }
 
-    fn group_of(&self, parts: &[EvidenceKey]) -> Option<&QuarantinedGroup> {
-        self.groups.iter().find(|group| group.parts.iter().all(|part| parts.contains(part)))
+    fn group_of(&self, keys: &[EvidenceKey]) -> Option<&QuarantinedGroup> {
+        self.groups.iter().find(|group| group.keys.iter().all(|key| keys.contains(key)))
     }
 
-    /// Records that a part began to be answered at `at`; returns whether it was suspected.
-    fn clear(&mut self, part: EvidenceKey, at: Duration, now: Duration) -> bool {
-        let sound = self.sound.entry(part).or_default();
+    /// Records that a key began to be answered at `at`; returns whether it was suspected.
+    fn clear(&mut self, key: EvidenceKey, at: Duration, now: Duration) -> bool {
+        let sound = self.sound.entry(key).or_default();
         *sound = at.max(*sound);
-        let Some(row) = self.suspects.get_mut(&part) else { return false };
+        let Some(row) = self.suspects.get_mut(&key) else { return false };
         let count = row.crashes.len();
         row.crashes.retain(|(_, crashed)| *crashed >= at + SOUND_PERIOD);
         if row.crashes.len() == count {
             return false;
         }
         if row.crashes.is_empty() {
-            self.suspects.remove(&part);
+            self.suspects.remove(&key);
         }
         if self.cleared.len() < MAX_SUSPECTS {
-            self.cleared.insert(part, at);
+            self.cleared.insert(key, at);
         }
-        self.announce_clearance(part, at, now);
+        self.announce_clearance(key, at, now);
         self.update_groups(count >= QUARANTINE_CRASHES);
         true
     }
 
-    fn announce_clearance(&mut self, part: EvidenceKey, at: Duration, now: Duration) {
-        self.clearances.retain(|(known, _)| known.part != part);
-        self.clearances.push((PartClearance { part, at }, now));
+    fn announce_clearance(&mut self, key: EvidenceKey, at: Duration, now: Duration) {
+        self.clearances.retain(|(known, _)| known.key != key);
+        self.clearances.push((CrashClearance { key, at }, now));
     }
 
     /// Records a suspicion; returns whether it is new.
-    fn suspect(&mut self, suspicion: PartSuspicion, now: Duration) -> bool {
-        let PartSuspicion { part, crash, at } = suspicion;
-        let sound = self.sound.get(&part).max(self.cleared.get(&part)).copied();
+    fn suspect(&mut self, suspicion: CrashSuspicion, now: Duration) -> bool {
+        let CrashSuspicion { key, crash, at } = suspicion;
+        let sound = self.sound.get(&key).max(self.cleared.get(&key)).copied();
         if let Some(sound) = sound.filter(|sound| *sound + SOUND_PERIOD > at) {
-            // The nodes that suspect the part may not know that it is sound.
-            self.announce_clearance(part, sound, now);
+            // The nodes that suspect the key may not know that it is sound.
+            self.announce_clearance(key, sound, now);
             return false;
         }
-        let retention = match part {
+        let retention = match key {
             EvidenceKey::Part(_) => EVIDENCE_RETENTION,
             EvidenceKey::Content(_) => CONTENT_RETENTION,
         };
@@ -333,10 +333,10 @@
         if is_over {
             return false;
         }
-        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
+        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&key) {
             self.drop_weakest_suspects();
         }
-        let row = self.suspects.entry(part).or_default();
+        let row = self.suspects.entry(key).or_default();
         let place = row.crashes.binary_search_by_key(&crash, |(known, _)| *known);
         let Err(place) = place else { return false };
         if row.crashes.len() >= MAX_CRASHES {
@@ -351,22 +351,22 @@
         true
     }
 
-    /// Drops some parts: those that were lost in the fewest crashes, of these the ones lost longest
+    /// Drops some keys: those that were lost in the fewest crashes, of these the ones lost longest
     /// ago.
     fn drop_weakest_suspects(&mut self) {
         let rows = self.suspects.iter();
-        let mut keys: Vec<_> =
-            rows.map(|(part, row)| (row.crashes.len(), row.latest(), *part)).collect();
-        let count = (MAX_SUSPECTS / 8).min(keys.len().saturating_sub(1));
-        keys.select_nth_unstable(count);
-        for (_, _, part) in &keys[..count] {
-            self.suspects.remove(part);
+        let mut weights: Vec<_> =
+            rows.map(|(key, row)| (row.crashes.len(), row.latest(), *key)).collect();
+        let count = (MAX_SUSPECTS / 8).min(weights.len().saturating_sub(1));
+        weights.select_nth_unstable(count);
+        for (_, _, key) in &weights[..count] {
+            self.suspects.remove(key);
         }
     }
 
     /// Determines the groups that explain the crashes, those with the most crashes first.
     ///
-    /// A crash that a group explains is no evidence against the other parts that were lost in it.
+    /// A crash that a group explains is no evidence against the others that were lost in it.
     fn update_groups(&mut self, is_due: bool) {
         if !is_due {
             return;
@@ -374,8 +374,8 @@
         let repeated =
             self.suspects.iter().filter(|(_, row)| row.crashes.len() >= QUARANTINE_CRASHES);
         let mut by_crashes: HashMap<Vec<CrashId>, Vec<EvidenceKey>> = HashMap::default();
-        for (part, row) in repeated {
-            by_crashes.entry(row.ids()).or_default().push(*part);
+        for (key, row) in repeated {
+            by_crashes.entry(row.ids()).or_default().push(*key);
         }
         let mut candidates: Vec<_> = by_crashes.into_iter().collect();
         candidates.sort_unstable_by(|(left, _), (right, _)| {
@@ -383,14 +383,14 @@
         });
         let mut explained: HashSet<CrashId> = HashSet::default();
         self.groups.clear();
-        for (crashes, mut keys) in candidates {
+        for (crashes, mut lost) in candidates {
             let unexplained = crashes.iter().filter(|crash| !explained.contains(crash)).count();
             if unexplained < QUARANTINE_CRASHES {
                 continue;
             }
-            keys.sort_unstable();
+            lost.sort_unstable();
             let is_part = |key: &EvidenceKey| matches!(key, EvidenceKey::Part(_));
-            let (parts, contents): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_part);
+            let (parts, contents): (Vec<_>, Vec<_>) = lost.into_iter().partition(is_part);
             let is_ambiguous = contents.len() > 1 && crashes.len() < AMBIGUOUS_CRASHES;
             let contents = contents.into_iter().filter(|_| !is_ambiguous).map(|key| vec![key]);
             let groups = Some(parts).filter(|parts| !parts.is_empty()).into_iter().chain(contents);
@@ -402,17 +402,17 @@
         }
     }
 
-    /// Returns the group of `parts`, which were lost in the same crashes.
-    fn group(&self, parts: Vec<EvidenceKey>, crashes: usize) -> QuarantinedGroup {
-        let rows = || parts.iter().filter_map(|part| self.suspects.get(part));
+    /// Returns the group of `keys`, which were lost in the same crashes.
+    fn group(&self, keys: Vec<EvidenceKey>, crashes: usize) -> QuarantinedGroup {
+        let rows = || keys.iter().filter_map(|key| self.suspects.get(key));
         let latest = rows().map(SuspectRow::latest).max().unwrap_or_default();
         let earliest = rows().map(SuspectRow::earliest).min().unwrap_or_default();
-        let review_delay = match parts[0] {
+        let review_delay = match keys[0] {
             EvidenceKey::Part(_) => review_delay(crashes),
             EvidenceKey::Content(_) => ((latest - earliest) * CONTENT_REVIEW_FACTOR)
                 .clamp(REVIEW_DELAY, MAX_CONTENT_REVIEW_DELAY),
         };
-        QuarantinedGroup { parts, crashes, review_at: latest + review_delay, review_delay }
+        QuarantinedGroup { keys, crashes, review_at: latest + review_delay, review_delay }
     }
 }
 
--- a/berylstep_core/tests/fleet_quarantine.rs
+++ b/berylstep_core/tests/fleet_quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use berylstep_core::fleet::quarantine::{
-    part_key, CrashId, EvidenceKey, PromptQuarantine, QuarantineVerdict,
+    part_key, CrashId, EvidenceKey, QuarantineVerdict, RequestQuarantine,
 };
 use berylstep_core::rendezvous;
 
@@ -25,7 +25,7 @@
     Duration::from_secs(100) + Duration::from_millis(milliseconds)
 }
 
-fn is_refused(quarantine: &mut PromptQuarantine, parts: &str, now: Duration) -> bool {
+fn is_refused(quarantine: &mut RequestQuarantine, parts: &str, now: Duration) -> bool {
     let verdict = quarantine.check_new(&keys(parts), now, |_, _| false);
     matches!(verdict, QuarantineVerdict::Refused(_))
 }
@@ -217,7 +217,7 @@
 #[test]
 fn only_requests_with_a_part_that_explains_the_crashes_are_refused() {
     for case in PATTERNS {
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for step in case.steps {
             match *step {
                 Lost(time, parts, number) => {
@@ -243,7 +243,7 @@
 /// Load of a fleet: each crash is seen by another node, and nodes exchange what is new.
 #[test]
 fn nodes_that_each_see_one_crash_quarantine_the_part_together() {
-    let mut nodes: Vec<PromptQuarantine> = (0..8).map(|_| PromptQuarantine::default()).collect();
+    let mut nodes: Vec<RequestQuarantine> = (0..8).map(|_| RequestQuarantine::default()).collect();
     for number in 0..3 {
         let now = at(u64::from(number) * 1000);
         let parts = keys(&format!("a s dead {number}"));
@@ -259,7 +259,7 @@
     }
     // A node that starts later learns it from a representative, which repeats it.
     let later = at(20_000);
-    let mut started = PromptQuarantine::default();
+    let mut started = RequestQuarantine::default();
     assert!(nodes[7].suspicions(false, later).is_empty());
     started.apply(&nodes[7].suspicions(true, later), &[], later);
     assert!(is_refused(&mut started, "a s dead 10", later));
@@ -272,7 +272,7 @@
         // What a peer repeats from before does not bring it back.
         let old = [crash(0), crash(1), crash(2)].map(|crash| {
             let part = part_key("s", "dead");
-            berylstep_core::fleet::quarantine::PartSuspicion { part, crash, at: at(1000) }
+            berylstep_core::fleet::quarantine::CrashSuspicion { key: part, crash, at: at(1000) }
         });
         assert!(!node.apply(&old, &[], later));
         assert!(!is_refused(node, "a s dead 13", later));
@@ -283,7 +283,7 @@
 /// no others lately.
 #[test]
 fn a_node_that_knows_a_suspected_part_as_sound_clears_it_for_the_others() {
-    let mut nodes = [PromptQuarantine::default(), PromptQuarantine::default()];
+    let mut nodes = [RequestQuarantine::default(), RequestQuarantine::default()];
     nodes[1].record_started(&keys("a s 1"), at(0));
     for number in 0..3 {
         nodes[0].record_crash(&keys(&format!("a t{number} u{number}")), crash(number), at(500));
@@ -300,7 +300,7 @@
 /// Guards against a quarantine that a node brings back after a freeze, in which it was ended.
 #[test]
 fn evidence_from_before_a_clearance_does_not_come_back() {
-    let mut nodes = [PromptQuarantine::default(), PromptQuarantine::default()];
+    let mut nodes = [RequestQuarantine::default(), RequestQuarantine::default()];
     for node in &mut nodes {
         for number in 0..3 {
             node.record_crash(&keys(&format!("s u{number}")), crash(number), at(0));
@@ -322,7 +322,7 @@
 
 #[test]
 fn one_node_reviews_a_quarantine_with_one_request_ever_more_rarely() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for number in 0..3 {
         quarantine.record_crash(&keys(&format!("dead {number}")), crash(number), at(0));
     }
@@ -350,7 +350,7 @@
 #[test]
 fn a_deadly_content_is_reviewed_ever_more_rarely_however_fast_it_crashed_replicas() {
     for burst in [3, 5] {
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         for number in 0..burst {
             quarantine.record_crash(&keys("=dead"), crash(number), at(u64::from(number) * 40));
         }
@@ -375,7 +375,7 @@
 /// evidence against it.
 #[test]
 fn a_deadly_request_is_known_right_after_a_mass_crash() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for number in 0..10_000 {
         quarantine.record_crash(&keys(&format!("=p{number}")), crash(number), at(0));
     }
@@ -388,7 +388,7 @@
 
 #[test]
 fn evidence_and_its_announcements_stay_bounded_in_a_mass_crash() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for number in 0..20_000 {
         quarantine.record_crash(&keys(&format!("p{number}")), crash(number), at(0));
     }
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -496,10 +496,10 @@
     /// Parts of prompts, and contents, that were lost in crashes of replicas: recent ones and, from a
     /// representative, all of those in quarantine.
     #[prost(message, repeated, tag = "26")]
-    pub part_suspicions: ::prost::alloc::vec::Vec<PartSuspicion>,
+    pub suspicions: ::prost::alloc::vec::Vec<CrashSuspicion>,
     /// Suspected parts that have lately begun to be answered.
     #[prost(message, repeated, tag = "27")]
-    pub part_clearances: ::prost::alloc::vec::Vec<PartClearance>,
+    pub clearances: ::prost::alloc::vec::Vec<CrashClearance>,
     /// Limits that replicas have named: recent changes and, at intervals, all in force.
     #[prost(message, repeated, tag = "28")]
     pub replica_limits: ::prost::alloc::vec::Vec<ReplicaLimit>,
@@ -563,7 +563,7 @@
 }
 /// A part of prompts, or the content of requests without one, that was lost in the crash of a replica.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
-pub struct PartSuspicion {
+pub struct CrashSuspicion {
     /// Hash of the service and the part's identifier, or of the content.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
@@ -582,7 +582,7 @@
 }
 /// A part of prompts, or a content, that does not crash replicas.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
-pub struct PartClearance {
+pub struct CrashClearance {
     /// Hash of the service and the part's identifier, or of the content.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
