Pause asks for turns by tier, and only for a second

Cause: a node that was denied a turn stopped asking for the whole service until the time it was told. A lower tier that waits for those above is told a long time, which stopped the higher tiers too. Change: a pause holds for its tier and those below, for at most a second; the decision is in the core. Evidence: fleet_turns::a_denied_turn_stops_neither_higher_tiers_nor_asks_for_long failed before and passes.

--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -8,7 +8,7 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::replica::ReplicaRow;
-use berylstep_core::fleet::turns::{TurnAnswer, TurnAsk, TurnCandidate, TurnKeeper};
+use berylstep_core::fleet::turns::{TurnAnswer, TurnAsk, TurnCandidate, TurnKeeper, TurnPauses};
 use berylstep_core::rendezvous;
 use berylstep_wire::{FleetPulse, TurnReply, TurnRequest};
 use prost::Message;
@@ -50,9 +50,8 @@
     /// Requests to other nodes that have not been answered.
     pending: RefCell<HashMap<u64, Sender<TurnAnswer>>>,
     next_request: Cell<u64>,
-    /// Times until which turns of a service are not asked for, where other replicas take its
-    /// requests.
-    pauses: RefCell<HashMap<SharedName, Duration>>,
+    /// Turns that are not asked for at present, where other replicas take the requests.
+    pauses: RefCell<TurnPauses>,
 }
 
 /// Components that a [`TurnDesk`] works with.
@@ -109,7 +108,7 @@
     pub fn expire(&self) {
         let now = self.clock.now();
         self.keeper.borrow_mut().expire(now);
-        self.pauses.borrow_mut().retain(|_, until| *until > now);
+        self.pauses.borrow_mut().expire(now);
     }
 
     /// Returns the address of the node that hands out the turns of `service`; `None` if it is this
@@ -136,8 +135,8 @@
             Some(Ok(answer)) => (answer, TurnResult::of(answer)),
             Some(Err(_)) | None => {
                 log::info!("event=turns_unanswered service={} keeper={address}", ask.service);
-                let until = self.clock.now() + SILENCE_PAUSE;
-                self.pauses.borrow_mut().insert(ask.service.into(), until);
+                // No tier gets an answer.
+                self.pause(ask.service, 0, SILENCE_PAUSE);
                 (TurnAnswer::Denied(SILENCE_PAUSE), TurnResult::Unanswered)
             }
         }
@@ -222,14 +221,12 @@
     }
 
     /// Stops asking for turns of `service` for a while, where other replicas take its requests.
-    fn pause(&self, service: &SharedName, wait: Duration) {
-        let until = self.clock.now() + wait;
-        self.pauses.borrow_mut().insert(service.clone(), until);
+    fn pause(&self, service: &str, tier: u8, wait: Duration) {
+        self.pauses.borrow_mut().pause(service, tier, wait, self.clock.now());
     }
 
-    fn is_paused(&self, service: &str) -> bool {
-        let pauses = self.pauses.borrow();
-        pauses.get(service).is_some_and(|until| *until > self.clock.now())
+    fn is_paused(&self, service: &str, tier: u8) -> bool {
+        self.pauses.borrow().is_paused(service, tier, self.clock.now())
     }
 
     /// Returns the limit of a replica as a candidate for a turn; `None` if it has none.
@@ -258,7 +255,7 @@
         let (candidates, limited) = self.limited_candidates(request, &history.tried, &target.id);
         let excluded: Vec<_> = history.tried.iter().chain(&limited).cloned().collect();
         let alternative = self.place_request(request, &excluded);
-        if alternative.is_some() && self.turns.is_paused(&request.service) {
+        if alternative.is_some() && self.turns.is_paused(&request.service, request.priority) {
             return alternative;
         }
         let patience = match alternative {
@@ -274,7 +271,7 @@
                 if alternative.is_none() {
                     history.turn_wait = Some(wait);
                 } else {
-                    self.turns.pause(&request.service, wait);
+                    self.turns.pause(&request.service, request.priority, wait);
                 }
                 // The table may have changed since the keeper was asked.
                 self.place_request(request, &excluded)
--- a/berylstep_core/src/fleet/turns.rs
+++ b/berylstep_core/src/fleet/turns.rs
@@ -28,6 +28,9 @@
 /// Time after which a replica or a service that nobody has asked for is forgotten.
 const IDLE_RETENTION: Duration = Duration::from_secs(60);
 
+/// Longest time for which a node does not ask for turns of a tier.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
 /// Number of tiers; lower ones share the last.
 const TIERS: usize = 10;
 
@@ -223,6 +226,34 @@
     }
 }
 
+/// Times until which a node does not ask for turns that were denied.
+#[derive(Debug, Default)]
+pub struct TurnPauses {
+    /// Pauses by service, with the highest tier that each holds for.
+    until: HashMap<SharedName, Vec<(u8, Duration)>>,
+}
+
+impl TurnPauses {
+    /// Records that no turn of `service` for requests of `tier`, nor of those below, is expected for
+    /// `wait`. The demand of the tiers above may end sooner, so a pause is short.
+    pub fn pause(&mut self, service: &str, tier: u8, wait: Duration, now: Duration) {
+        let pauses = self.until.entry(service.into()).or_default();
+        pauses.retain(|(known, _)| *known != tier);
+        pauses.push((tier, now + wait.min(MAX_PAUSE)));
+    }
+
+    /// Returns whether it is of no use to ask for a turn.
+    pub fn is_paused(&self, service: &str, tier: u8, now: Duration) -> bool {
+        let pauses = self.until.get(service);
+        pauses.is_some_and(|pauses| pauses.iter().any(|(at, until)| *at <= tier && *until > now))
+    }
+
+    /// Drops pauses that are over.
+    pub fn expire(&mut self, now: Duration) {
+        self.until.retain(|_, pauses| pauses.iter().any(|(_, until)| *until > now));
+    }
+}
+
 /// Hands out the turns of limited replicas.
 #[derive(Debug, Default)]
 pub struct TurnKeeper {
--- a/berylstep_core/tests/fleet_turns.rs
+++ b/berylstep_core/tests/fleet_turns.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use berylstep_core::fleet::turns::{TurnAnswer, TurnAsk, TurnCandidate, TurnKeeper};
+use berylstep_core::fleet::turns::{TurnAnswer, TurnAsk, TurnCandidate, TurnKeeper, TurnPauses};
 
 const SERVICE: &str = "s";
 const RUN_TIME: Duration = Duration::from_secs(60);
@@ -177,6 +177,20 @@
     assert!(wait(3, patience, now) >= Some(2500));
 }
 
+/// Guards against a limit that goes unused because a lower tier was denied a turn for long.
+#[test]
+fn a_denied_turn_stops_neither_higher_tiers_nor_asks_for_long() {
+    let mut pauses = TurnPauses::default();
+    let (now, long) = (Duration::from_secs(10), Duration::from_secs(30));
+    pauses.pause(SERVICE, 3, long, now);
+    let is_paused =
+        |tier, millis| pauses.is_paused(SERVICE, tier, now + Duration::from_millis(millis));
+    assert!(is_paused(3, 0) && is_paused(5, 0));
+    assert!(!is_paused(2, 0));
+    assert!(is_paused(3, 900) && !is_paused(3, 1100));
+    assert!(!pauses.is_paused("other", 3, now));
+}
+
 #[test]
 fn a_replica_with_a_tiny_limit_is_still_asked_whether_it_holds() {
     let result = run(&[1e-6], &[TierLoad { tier: 0, per_second: 10.0 }], None);
