Retry at limited replicas that have a turn left

Cause: limited replicas did not count as another place to go, so that no slow replica is given up for one without a turn. Change: they count for retries, which need a turn anyway, and not for giving up a replica that is only slow. Evidence: replica_limits::a_failed_request_is_retried_at_a_limited_replica_that_has_a_turn_left failed before and passes.

--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -11,6 +11,7 @@
 use berylstep_core::fleet::desired::{DesiredState, RouteEntry, RouteKind};
 use berylstep_core::fleet::engine::EngineSpeed;
 use berylstep_core::fleet::quarantine::{EvidenceKey, QuarantineVerdict};
+use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -315,16 +316,28 @@
             && history.ran < request.route.attempts
             && self.clock.now() < request.deadline
             && self.quarantine_wait(request, history).is_none()
-            && self.has_untried_replica(request, history)
+            && self.has_untried_replica(request, history, |_| true)
     }
 
-    fn has_untried_replica(&self, request: &RoutedRequest<'_>, history: &AttemptHistory) -> bool {
+    /// Returns whether a replica that takes any number of requests has not been tried. Only such a one
+    /// is a reason to give up a slow replica, because a limited one may have no turn left.
+    pub(super) fn has_unlimited_alternative(
+        &self,
+        request: &RoutedRequest<'_>,
+        history: &AttemptHistory,
+    ) -> bool {
+        self.has_untried_replica(request, history, |row| self.limits.rate(&row.entry.id).is_none())
+    }
+
+    fn has_untried_replica(
+        &self,
+        request: &RoutedRequest<'_>,
+        history: &AttemptHistory,
+        is_candidate: impl Fn(&ReplicaRow) -> bool,
+    ) -> bool {
         let replicas = self.mirror.replicas.borrow();
         let mut available = replicas.available(&request.service, self.clock.now());
-        // A limited replica may have no turn left, so it is no reason to give up another one.
-        available.any(|row| {
-            !history.tried.contains(&row.entry.id) && self.limits.rate(&row.entry.id).is_none()
-        })
+        available.any(|row| !history.tried.contains(&row.entry.id) && is_candidate(row))
     }
 
     /// Selects the next replica. A retry is charged to the retry budget.
@@ -393,7 +406,7 @@
     ) -> Option<Duration> {
         let retryable = request.route.is_retryable()
             && history.ran + 1 < request.route.attempts
-            && self.has_untried_replica(request, history);
+            && self.has_unlimited_alternative(request, history);
         retryable.then(|| request.route.target.mul_f64(TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT))
     }
 
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -223,6 +223,7 @@
         // A slow stream is only cut if it can go on elsewhere.
         let gap = gap.filter(|_| {
             self.handler.may_retry(self.request, self.history)
+                && self.handler.has_unlimited_alternative(self.request, self.history)
                 && self.handler.has_retry_budget(&self.request.service)
         });
         // Bytes that complete no event don't count as progress.
--- a/berylstep/tests/replica_limits.rs
+++ b/berylstep/tests/replica_limits.rs
@@ -242,6 +242,23 @@
     assert!(late * 20 <= refused.len(), "{late} of {} refused late", refused.len());
 }
 
+/// Guards against failures that are not retried because the other replicas have limits too.
+#[test]
+fn a_failed_request_is_retried_at_a_limited_replica_that_has_a_turn_left() {
+    let replicas = [
+        LimitedReplica::start_with("i-1", Some("60"), 500),
+        LimitedReplica::start("i-2", Some("60")),
+        LimitedReplica::start("i-3", Some("60")),
+    ];
+    let fleet = LimitedFleet::start(&replicas);
+    fleet.send_until(Instant::now() + CONTACT_TIME, SEND_INTERVAL, Spread::Even);
+    let until = Instant::now() + Duration::from_secs(2);
+    let sent = fleet.send_until(until, 2 * SEND_INTERVAL, Spread::Even);
+    let failed = sent.iter().filter(|request| request.status() != 200).count();
+    assert!(failed * 10 <= sent.len(), "{failed} of {}", sent.len());
+    assert!(replicas[0].arrived(until - Duration::from_secs(2), until) > 0);
+}
+
 /// Guards against a limit that outlasts the replica's need.
 #[test]
 fn a_limit_ends_when_the_replica_no_longer_names_it() {
