--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -152,7 +152,13 @@
     /// Verifies reported losses for as long as the node runs.
     pub async fn verify_losses(self: Rc<Self>) {
         loop {
-            if let Some(Ok(first)) = self.clock.timeout(SETTLE_INTERVAL, self.lost.1.recv()).await {
+            let receiving = self.lost.1.recv();
+            let is_settled = self.pending.borrow().is_empty();
+            let received = match is_settled {
+                true => Some(receiving.await),
+                false => self.clock.timeout(SETTLE_INTERVAL, receiving).await,
+            };
+            if let Some(Ok(first)) = received {
                 let mut batch = vec![first];
                 batch.extend(std::iter::from_fn(|| self.lost.1.try_recv().ok()));
                 self.probe_losses(batch).await;
