--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -42,6 +42,8 @@
     pub id: SharedName,
     /// Address for requests.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub version: SharedName,
     /// Another replica that probably has the KV cache of the session's shared prompt.
     pub cache_source: Option<SocketAddr>,
 }
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -366,12 +366,12 @@
             Ok(entry) => {
                 let (state, service, zone) =
                     (entry.state, entry.service.clone(), entry.zone.clone());
-                let spot = entry.spot;
+                let (spot, version) = (entry.spot, entry.version.clone());
                 let now = self.clock.now();
                 if self.replicas.borrow_mut().put(entry, revision, now) {
                     log::info!(
                         "event=replica_updated replica={id} state={state:?} service={service} \
-                         zone={zone} spot={spot} revision={revision}"
+                         zone={zone} version={version} spot={spot} revision={revision}"
                     );
                 }
             }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -387,9 +387,10 @@
             draw: fastrand::u64(..),
         };
         let placement = choice::choose_replica(&replicas, &query, self.clock.now())?;
-        let address = replicas.get(&placement.replica)?.entry.address;
+        let entry = &replicas.get(&placement.replica)?.entry;
+        let (address, version) = (entry.address, entry.version.clone());
         let cache_source = placement.warm.and_then(|warm| Some(replicas.get(&warm)?.entry.address));
-        Some(ReplicaTarget { id: placement.replica, address, cache_source })
+        Some(ReplicaTarget { id: placement.replica, address, version, cache_source })
     }
 
     fn engine_speed(&self, desired: &DesiredState, service: &str) -> EngineSpeed {
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::departure::{is_move_due, StreamProgress};
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::events::{EndMarker, EventSplitter};
@@ -10,7 +11,9 @@
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::ResponseWriter;
-use crate::gateway::telemetry::{RequestOutcome, RequestTrace, StreamEnd, StreamReport};
+use crate::gateway::telemetry::{
+    RequestOutcome, RequestTrace, ResumeCause, Resumption, StreamEnd, StreamReport,
+};
 use crate::platform::engines::{may_have_stopped, MovePhase};
 use crate::platform::headers::MovedRun;
 use crate::platform::{CallError, PlatformClient};
@@ -41,6 +44,8 @@
     /// Whether complete content has arrived.
     has_started: bool,
     first_event_at: Duration,
+    /// Version of the software that wrote the first event, once it has arrived.
+    began_version: Option<SharedName>,
     /// Time at which the last complete event arrived, or the response that continues the stream.
     last_event_at: Duration,
     /// Copy of the run and the replica that holds it, once the original run has been stopped.
@@ -81,12 +86,16 @@
             splitter: EventSplitter::default(),
             has_started: false,
             first_event_at: self.clock.now(),
+            began_version: None,
             last_event_at: self.clock.now(),
             moved: None,
             move_tried: false,
             move_not_before: Duration::ZERO,
             may_be_stopped: false,
         };
+        if request.headers.takes_up_stream() {
+            relay.record_resumed(ResumeCause::TakenUp);
+        }
         relay.run(writer).await
     }
 }
@@ -138,16 +147,21 @@
                 self.handler.crashes.report_loss(self.request, self.response.target());
             }
             self.splitter.discard_partial();
-            let next = match self.moved.take() {
-                Some((target, run)) => self.continue_moved_run(target, run).await,
+            let (cause, next) = match self.moved.take() {
+                Some((target, run)) => {
+                    (ResumeCause::Moved, self.continue_moved_run(target, run).await)
+                }
                 None => {
                     self.response.record_failure(self.handler, &reason);
-                    self.resume().await
+                    (ResumeCause::Broken, self.resume().await)
                 }
             };
             match next {
                 Some(next) => {
                     self.response = next;
+                    if self.has_started {
+                        self.record_resumed(cause);
+                    }
                     self.may_be_stopped = false;
                     self.last_event_at = self.handler.clock.now();
                 }
@@ -170,9 +184,18 @@
     fn record_started(&mut self) {
         if !std::mem::replace(&mut self.has_started, true) {
             self.handler.crashes.record_started(&self.request.evidence);
+            self.began_version = Some(self.response.target().version.clone());
         }
     }
 
+    /// Records that the stream goes on at the replica of the current response.
+    fn record_resumed(&self, cause: ResumeCause) {
+        let target = self.response.target();
+        let began_version = self.began_version.as_deref();
+        let resumption = Resumption { cause, target, began_version };
+        self.handler.metrics.record_resumed(self.request, resumption);
+    }
+
     /// Records how the current replica's response ended.
     fn record_end(&self, end: StreamEnd) {
         let report = StreamReport {
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -90,6 +90,7 @@
     requests: IntCounterVec,
     attempts: IntCounterVec,
     streams: IntCounterVec,
+    resumed_streams: IntCounterVec,
     limited_attempts: IntCounterVec,
     turns: IntCounterVec,
     first_content: HistogramVec,
@@ -138,6 +139,11 @@
                 "Ended responses of replicas to streams, by service, framing and end.",
                 &["service", "framing", "end"],
             )?,
+            resumed_streams: set.counters(
+                "berylstep_gateway_resumed_streams_total",
+                "Streams that went on at a replica, by service, cause and version of its software.",
+                &["service", "cause", "version"],
+            )?,
             limited_attempts: set.counters(
                 "berylstep_gateway_limited_attempts_total",
                 "Attempts at replicas that this node knew to have named a limit, by service.",
@@ -193,6 +199,27 @@
         })
     }
 
+    /// Counts and logs a stream that goes on at a replica.
+    pub fn record_resumed(&self, request: &RoutedRequest<'_>, resumption: Resumption<'_>) {
+        let Resumption { cause, target, began_version } = resumption;
+        let version = match began_version {
+            Some(began) if *began == *target.version => "same",
+            Some(_) => "other",
+            None => "unknown",
+        };
+        let labels = [&*request.service, cause.label(), version];
+        self.resumed_streams.with_label_values(&labels).inc();
+        log::info!(
+            "event=stream_resumed id={} cause={} began={} replica={} version={} began_version={}",
+            request.id(),
+            cause.label(),
+            request.headers.resumes.as_deref().unwrap_or_else(|| request.id()),
+            target.id,
+            target.version,
+            began_version.unwrap_or("-")
+        );
+    }
+
     /// Counts an attempt at a replica that has named a limit.
     pub fn record_limited_attempt(&self, service: &str) {
         self.limited_attempts.with_label_values(&[service]).inc();
@@ -214,6 +241,38 @@
     }
 }
 
+/// Why a stream goes on at another replica, or in another attempt of its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumeCause {
+    /// The replica's response broke off.
+    Broken,
+    /// The run was moved away from its replica.
+    Moved,
+    /// The caller took the stream up.
+    TakenUp,
+}
+
+impl ResumeCause {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Moved => "moved",
+            Self::TakenUp => "taken_up",
+        }
+    }
+}
+
+/// A stream that goes on at `target`.
+#[derive(Clone, Copy, Debug)]
+pub struct Resumption<'a> {
+    /// Why it goes on there.
+    pub cause: ResumeCause,
+    /// Replica at which it goes on.
+    pub target: &'a ReplicaTarget,
+    /// Version of the software that began it, if known.
+    pub began_version: Option<&'a str>,
+}
+
 /// Result of asking for a turn at a limited replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TurnResult {
--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -343,6 +343,11 @@
         let mut available = replicas.available(&request.service, self.clock.now());
         let row = available.find(|row| row.hash == hash)?;
         let cache_source = preferred.cache_source.filter(|_| row.entry.id == preferred.id);
-        Some(ReplicaTarget { id: row.entry.id.clone(), address: row.entry.address, cache_source })
+        Some(ReplicaTarget {
+            id: row.entry.id.clone(),
+            address: row.entry.address,
+            version: row.entry.version.clone(),
+            cache_source,
+        })
     }
 }
--- a/berylstep/src/platform/entries.rs
+++ b/berylstep/src/platform/entries.rs
@@ -16,6 +16,7 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    version: String,
     slots: u32,
     state: StateBody,
     /// Whether the platform may reclaim the replica, together with its zone.
@@ -44,6 +45,7 @@
         service: body.service.into(),
         address: body.address,
         zone: body.zone.into(),
+        version: body.version.into(),
         slots: body.slots,
         state: match body.state {
             StateBody::Ready => ReplicaState::Ready,
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -25,6 +25,7 @@
 const STORE_ERA: &str = "Store-Era";
 const RETRY_AFTER: &str = "Retry-After";
 const LAST_EVENT: &str = "Last-Event-Id";
+const RESUMES: &str = "Resumes";
 const FETCH_FROM: &str = "Kv-Fetch";
 const MOVED_FROM: &str = "Kv-From";
 
@@ -62,12 +63,21 @@
     pub size: Option<RequestSize>,
     /// Identifier of the prompt part that the requests of the caller's session share.
     pub session: Option<SharedName>,
+    /// Attempt that brought the first event of the stream that the caller takes up again.
+    pub resumes: Option<SharedName>,
+    /// Whether the caller has events of the stream already.
+    pub has_last_event: bool,
     /// Identifiers of the parts of the prompt, in their order; those beyond
     /// [`MAX_PROMPT_PARTS`] are left out.
     pub parts: Vec<SharedName>,
 }
 
 impl CallerHeaders {
+    /// Returns whether the caller takes up a stream that broke off.
+    pub fn takes_up_stream(&self) -> bool {
+        self.resumes.is_some() || self.has_last_event
+    }
+
     /// Reads the headers of a request; malformed values are ignored.
     pub fn read(headers: &HeaderList) -> Self {
         let shared = |name| headers.get(name).map(SharedName::from);
@@ -79,6 +89,8 @@
             key: shared(KEY),
             size,
             session: headers.get(PROMPT_PREFIX).and_then(session_part).map(SharedName::from),
+            resumes: shared(RESUMES),
+            has_last_event: headers.contains(LAST_EVENT),
             parts: headers.get(PROMPT_PREFIX).map(prompt_parts).unwrap_or_default(),
         }
     }
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -45,6 +45,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: SharedName,
+    /// Version of its software; what two versions stream doesn't fit together.
+    pub version: SharedName,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Lifecycle state.
--- a/berylstep_core/tests/fleet_choice.rs
+++ b/berylstep_core/tests/fleet_choice.rs
@@ -21,6 +21,7 @@
         service: SERVICE.into(),
         address: SocketAddr::from(([127, 0, 0, 1], 8000)),
         zone: zone.into(),
+        version: "v1".into(),
         slots: 64,
         state: ReplicaState::Ready,
         spot: false,
--- a/berylstep_core/tests/fleet_choice_cost.rs
+++ b/berylstep_core/tests/fleet_choice_cost.rs
@@ -33,6 +33,7 @@
             service: "model".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 8000)),
             zone: ["a", "b", "c"][index % 3].into(),
+            version: "v1".into(),
             slots: 12,
             state: ReplicaState::Ready,
             spot: false,
--- a/berylstep_core/tests/fleet_crashes.rs
+++ b/berylstep_core/tests/fleet_crashes.rs
@@ -20,6 +20,7 @@
         service: service.into(),
         address: ([127, 0, 0, 1], port).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 8,
         state: ReplicaState::Ready,
         spot: false,
--- a/berylstep_core/tests/fleet_state.rs
+++ b/berylstep_core/tests/fleet_state.rs
@@ -95,6 +95,7 @@
         service: "s".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 8000)),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 4,
         state,
         spot: false,
