--- /dev/null
+++ b/berylstep/tests/stream_versions.rs
@@ -0,0 +1,175 @@
+//! Streams of replicas whose software versions differ, seen by the callers of gateway processes.
+
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
+use berylstep_standins::fleet::message::{read_partial_message, request_text, RawMessage};
+use berylstep_standins::fleet::store::FakeStore;
+use berylstep_standins::fleet::versions::{
+    VersionedReplica, BREAK_AFTER, BREAK_FIRST, EVENT_PAUSE, STREAM_EVENTS,
+};
+use berylstep_standins::fleet::{desired_state, KEY_HEADER};
+use berylstep_standins::process::free_address;
+use serde_json::json;
+
+/// Start of processes that have run for long.
+const LONG_AGO: u64 = 7;
+
+/// Time within which a stream that cannot go on is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(700);
+
+/// Part of the streams that must go on where replicas of their version serve.
+const RESUMED_SHARE: f64 = 0.9;
+
+struct VersionedFleet {
+    store: FakeStore,
+    replicas: Vec<VersionedReplica>,
+    gateways: Vec<FleetGateway>,
+}
+
+impl VersionedFleet {
+    fn start(gateways: u8, versions: &[&str]) -> Self {
+        let store = FakeStore::start();
+        let mut desired = desired_state(1);
+        let services = desired["Services"].as_array_mut().unwrap();
+        for service in services.iter_mut().filter(|service| service["Name"] == "resumable") {
+            service["Engine"] =
+                json!({"Slots": 8, "KvCacheTokens": 10000, "Moves": true, "Stride": 1});
+        }
+        store.put("op", "config", Some(desired));
+        let replicas = versions.iter().enumerate().map(|(index, version)| {
+            let id = format!("i-{index}");
+            VersionedReplica::start(&id, "resumable", version, LONG_AGO)
+        });
+        let replicas: Vec<_> = replicas.collect();
+        for replica in &replicas {
+            store.put("servers", &replica.replica.id, Some(replica.entry("ready")));
+        }
+        let peer_port = free_address().port();
+        let numbers = 2..2 + gateways;
+        let gateways = numbers.map(|number| FleetGateway::start(&store, number, peer_port));
+        let gateways = gateways.collect();
+        // Gateways learn of each other with their first pulses.
+        std::thread::sleep(Duration::from_millis(700));
+        Self { store, replicas, gateways }
+    }
+
+    fn publish(&self, index: usize, state: &str) {
+        let replica = &self.replicas[index];
+        self.store.put("servers", &replica.replica.id, Some(replica.entry(state)));
+    }
+
+    /// Sends an attempt to a gateway, which may break off.
+    fn attempt(&self, gateway: usize, id: &str, headers: &str) -> StreamPart {
+        let mut stream = self.gateways[gateway].connect();
+        let text = request_text("resumable", id, 3000, &format!("{KEY_HEADER}{headers}"));
+        stream.write_all(text.as_bytes()).unwrap();
+        StreamPart::read(read_partial_message(&mut stream))
+    }
+
+    /// Begins a stream that breaks off after two events, whichever replica runs it.
+    fn begin_broken(&self, gateway: usize, id: &str) -> StreamPart {
+        let part = self.attempt(gateway, id, &format!("{BREAK_AFTER}: 2\r\n"));
+        assert!(!part.is_whole && !part.events.is_empty(), "{part:?}");
+        part
+    }
+
+    /// Takes up a stream that broke off.
+    fn take_up(&self, gateway: usize, id: &str, first: &str, begun: &StreamPart) -> StreamPart {
+        let last = begun.last_id();
+        let headers = format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n");
+        self.attempt(gateway, id, &headers)
+    }
+}
+
+/// What a caller got of a stream in one attempt.
+#[derive(Clone, Debug, Default)]
+struct StreamPart {
+    status: u16,
+    has_retry_time: bool,
+    is_whole: bool,
+    /// Identifier of each event and the version that wrote it.
+    events: Vec<(usize, String)>,
+}
+
+impl StreamPart {
+    fn read(answer: Option<(RawMessage, bool)>) -> Self {
+        let Some((message, is_whole)) = answer else { return Self::default() };
+        let events = message.body.split("\n\n").filter_map(|event| {
+            let (id, version) = event.strip_prefix("id: ")?.split_once("\ndata: ")?;
+            Some((id.parse().ok()?, version.to_owned()))
+        });
+        Self {
+            status: message.status(),
+            has_retry_time: message.header("retry-after").is_some(),
+            is_whole,
+            events: events.collect(),
+        }
+    }
+
+    fn last_id(&self) -> usize {
+        self.events.last().map_or(0, |(id, _)| *id)
+    }
+
+    /// Returns this part followed by the next one.
+    fn join(mut self, next: Self) -> Self {
+        self.events.extend(next.events);
+        Self { events: self.events, ..next }
+    }
+
+    fn is_mixed(&self) -> bool {
+        self.events.windows(2).any(|pair| pair[0].1 != pair[1].1)
+    }
+
+    fn is_complete(&self) -> bool {
+        self.is_whole && self.events.iter().map(|(id, _)| *id).eq(1..=STREAM_EVENTS)
+    }
+}
+
+/// Asserts that no stream holds events of two versions, and that most went on.
+fn check_streams(what: &str, streams: &[StreamPart]) {
+    let mixed = streams.iter().filter(|stream| stream.is_mixed()).count();
+    assert_eq!(mixed, 0, "{what}: streams of two versions of {}", streams.len());
+    let complete = streams.iter().filter(|stream| stream.is_complete()).count();
+    let wanted = streams.len() as f64 * RESUMED_SHARE;
+    assert!(complete as f64 >= wanted, "{what}: {complete} of {} went on", streams.len());
+}
+
+/// Guards against a stream that is resumed at another software version in one answer (ORDER).
+#[test]
+fn a_broken_stream_is_resumed_only_at_the_version_that_began_it() {
+    let fleet = VersionedFleet::start(1, &["v1", "v1", "v2", "v2", "v3", "v3"]);
+    let streams: Vec<_> = (0..40)
+        .map(|index| fleet.attempt(0, &format!("id-{index}"), &format!("{BREAK_FIRST}: 2\r\n")))
+        .collect();
+    check_streams("resumed", &streams);
+}
+
+/// Guards against a stream that its caller takes up at another gateway, and that goes on there at
+/// another software version (ORDER) or not at all (LOST).
+#[test]
+fn a_stream_taken_up_at_any_gateway_goes_on_at_the_version_that_began_it() {
+    let fleet = VersionedFleet::start(4, &["v1", "v1", "v2", "v2", "v3", "v3"]);
+    let streams: Vec<_> = (0..40)
+        .map(|index| {
+            let id = format!("id-{index}");
+            let begun = fleet.begin_broken(index % 4, &id);
+            // Every other caller takes its stream up twice, and names the first attempt each time.
+            let begun = match index % 2 {
+                0 => begun,
+                _ => {
+                    let last = begun.last_id();
+                    let headers =
+                        format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n{BREAK_AFTER}: 1\r\n");
+                    let gateway = (index + 2) % 4;
+                    let next = fleet.attempt(gateway, &format!("{id}-again"), &headers);
+                    begun.join(next)
+                }
+            };
+            let rest = fleet.take_up((index + 1) % 4, &format!("{id}-last"), &id, &begun);
+            begun.join(rest)
+        })
+        .collect();
+    check_streams("taken up", &streams);
+}
--- a/berylstep_standins/src/fleet.rs
+++ b/berylstep_standins/src/fleet.rs
@@ -11,6 +11,7 @@
 pub mod message;
 pub mod replica;
 pub mod store;
+pub mod versions;
 
 /// Header line with the API key of the only organisation in [`desired_state`].
 pub const KEY_HEADER: &str = "X-Api-Key: key-of-org\r\n";
--- a/berylstep_standins/src/fleet/crash.rs
+++ b/berylstep_standins/src/fleet/crash.rs
@@ -100,6 +100,11 @@
         lock(&self.state.received).clone()
     }
 
+    /// Closes all connections, as they are when the process ends.
+    pub fn close_connections(&self) {
+        close_all(&self.state);
+    }
+
     /// Returns the number of times that the process has started.
     pub fn starts(&self) -> u64 {
         self.state.starts.load(Ordering::SeqCst)
@@ -150,6 +155,10 @@
             }
         });
     }
+    close_all(state);
+}
+
+fn close_all(state: &ProcessState) {
     for connection in lock(&state.connections).drain(..) {
         if let Err(err) = connection.shutdown(Shutdown::Both) {
             log::debug!("connection was closed before the crash: {err}");
--- a/berylstep_standins/src/fleet/message.rs
+++ b/berylstep_standins/src/fleet/message.rs
@@ -32,14 +32,7 @@
 
 /// Reads a message whose body has a length or is chunked; `None` if it ends early or is malformed.
 pub fn read_message(stream: &mut impl Read) -> Option<RawMessage> {
-    let mut bytes = Vec::new();
-    let mut byte = [0; 1];
-    while !bytes.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        bytes.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&bytes).trim_end().to_owned();
-    let mut message = RawMessage { head, body: String::new() };
+    let mut message = RawMessage { head: read_head(stream)?, body: String::new() };
     if message.header("transfer-encoding").is_some() {
         message.body = read_chunks(stream)?;
         return Some(message);
@@ -51,25 +44,61 @@
     Some(message)
 }
 
+fn read_head(stream: &mut impl Read) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut byte = [0; 1];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        bytes.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&bytes).trim_end().to_owned())
+}
+
 fn read_chunks(stream: &mut impl Read) -> Option<String> {
     let mut body = String::new();
+    read_chunks_into(stream, &mut body).then_some(body)
+}
+
+/// Appends the content of chunks to `body`; returns whether the last one arrived.
+fn read_chunks_into(stream: &mut impl Read, body: &mut String) -> bool {
     loop {
-        let mut line = Vec::new();
-        let mut byte = [0; 1];
-        while !line.ends_with(b"\r\n") {
-            stream.read_exact(&mut byte).ok()?;
-            line.push(byte[0]);
+        match read_chunk(stream) {
+            Some(chunk) if chunk.is_empty() => return true,
+            Some(chunk) => body.push_str(&chunk),
+            None => return false,
         }
-        let size = usize::from_str_radix(String::from_utf8_lossy(&line).trim(), 16).ok()?;
-        let mut chunk = vec![0; size + 2];
-        stream.read_exact(&mut chunk).ok()?;
-        if size == 0 {
-            return Some(body);
-        }
-        body.push_str(&String::from_utf8_lossy(&chunk[..size]));
     }
 }
 
+/// Reads one chunk; the last one is empty.
+fn read_chunk(stream: &mut impl Read) -> Option<String> {
+    let mut line = Vec::new();
+    let mut byte = [0; 1];
+    while !line.ends_with(b"\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        line.push(byte[0]);
+    }
+    let size = usize::from_str_radix(String::from_utf8_lossy(&line).trim(), 16).ok()?;
+    let mut chunk = vec![0; size + 2];
+    stream.read_exact(&mut chunk).ok()?;
+    Some(String::from_utf8_lossy(&chunk[..size]).into_owned())
+}
+
+/// Reads a response that may break off: its head, what arrived of its body, and whether that is all
+/// of it. `None` if not even the head arrived.
+pub fn read_partial_message(stream: &mut impl Read) -> Option<(RawMessage, bool)> {
+    let mut message = RawMessage { head: read_head(stream)?, body: String::new() };
+    if message.header("transfer-encoding").is_some() {
+        let is_whole = read_chunks_into(stream, &mut message.body);
+        return Some((message, is_whole));
+    }
+    let length = message.header("content-length").and_then(|value| value.parse().ok())?;
+    let mut body = vec![0; length];
+    let is_whole = stream.read_exact(&mut body).is_ok();
+    message.body = String::from_utf8_lossy(&body).into_owned();
+    Some((message, is_whole))
+}
+
 /// Writes a complete response of a replica and returns whether it was written.
 ///
 /// `headers` are additional header lines, each ending in CRLF.
