Resume and move a stream only at the software version that began it

Cause: an entry's Version was read nowhere, so placement chose any replica for a stream that broke off or was moved.

Change: with its first event a request is pinned to the version that wrote it (VersionPin). Placement, retries, turns and moves then consider replicas of that version only. Without one, the stream breaks off visibly.

Evidence: a_broken_stream_is_resumed_only_at_the_version_that_began_it failed before and passes; a_run_is_moved_only_to_a_replica_of_its_version is new and fails on the code before (a stream of five events of v1 and one of v2).

--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -10,6 +10,7 @@
 use berylstep_core::fleet::choice::{self, PlacementQuery};
 use berylstep_core::fleet::desired::{DesiredState, RouteEntry, RouteKind};
 use berylstep_core::fleet::engine::EngineSpeed;
+use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::quarantine::{EvidenceKey, QuarantineVerdict};
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_http::{MessageStream, RequestMessage};
@@ -140,6 +141,8 @@
 pub struct AttemptHistory {
     /// Replicas that were selected for it.
     pub tried: Vec<SharedName>,
+    /// Version at which it must run, once an event has reached the caller.
+    pub pin: VersionPin,
     /// Attempts that reached a replica.
     pub sent: u32,
     /// Attempts that the replica may have executed.
@@ -337,7 +340,9 @@
     ) -> bool {
         let replicas = self.mirror.replicas.borrow();
         let mut available = replicas.available(&request.service, self.clock.now());
-        available.any(|row| !history.tried.contains(&row.entry.id) && is_candidate(row))
+        available.any(|row| {
+            history.pin.admits(row) && !history.tried.contains(&row.entry.id) && is_candidate(row)
+        })
     }
 
     /// Selects the next replica. A retry is charged to the retry budget.
@@ -373,6 +378,7 @@
     pub(super) fn place_request(
         &self,
         request: &RoutedRequest<'_>,
+        pin: VersionPin,
         tried: &[SharedName],
     ) -> Option<ReplicaTarget> {
         let replicas = self.mirror.replicas.borrow();
@@ -384,6 +390,7 @@
             short_share: self.demand.short_share(&request.service),
             zone: &self.settings.zone,
             excluded: tried,
+            pin,
             draw: fastrand::u64(..),
         };
         let placement = choice::choose_replica(&replicas, &query, self.clock.now())?;
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -6,6 +6,7 @@
 use berylstep_core::fleet::departure::{is_move_due, StreamProgress};
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::events::{EndMarker, EventSplitter};
+use berylstep_core::fleet::origins::{VersionId, VersionPin};
 use berylstep_http::{BodyFraming, ResponseMessage};
 
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
@@ -184,7 +185,10 @@
     fn record_started(&mut self) {
         if !std::mem::replace(&mut self.has_started, true) {
             self.handler.crashes.record_started(&self.request.evidence);
-            self.began_version = Some(self.response.target().version.clone());
+            let version = self.response.target().version.clone();
+            // What two versions write doesn't fit together, so the stream stays at this one.
+            self.history.pin = VersionPin::Only(VersionId::new(&self.request.service, &version));
+            self.began_version = Some(version);
         }
     }
 
--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -248,13 +248,13 @@
         request: &RoutedRequest<'_>,
         history: &mut AttemptHistory,
     ) -> Option<ReplicaTarget> {
-        let target = self.place_request(request, &history.tried)?;
+        let target = self.place_request(request, history.pin, &history.tried)?;
         if self.limits.rate(&target.id).is_none() {
             return Some(target);
         }
-        let (candidates, limited) = self.limited_candidates(request, &history.tried, &target.id);
+        let (candidates, limited) = self.limited_candidates(request, history, &target.id);
         let excluded: Vec<_> = history.tried.iter().chain(&limited).cloned().collect();
-        let alternative = self.place_request(request, &excluded);
+        let alternative = self.place_request(request, history.pin, &excluded);
         if alternative.is_some() && self.turns.is_paused(&request.service, request.priority) {
             return alternative;
         }
@@ -265,7 +265,7 @@
         match self.take_turn(request, &candidates, patience).await {
             TurnAnswer::Granted(replica) => match self.granted_target(request, replica, &target) {
                 Some(target) => Some(target),
-                None => self.place_request(request, &excluded),
+                None => self.place_request(request, history.pin, &excluded),
             },
             TurnAnswer::Denied(wait) => {
                 if alternative.is_none() {
@@ -274,7 +274,7 @@
                     self.turns.pause(&request.service, request.priority, wait);
                 }
                 // The table may have changed since the keeper was asked.
-                self.place_request(request, &excluded)
+                self.place_request(request, history.pin, &excluded)
             }
         }
     }
@@ -315,19 +315,20 @@
     fn limited_candidates(
         &self,
         request: &RoutedRequest<'_>,
-        tried: &[SharedName],
+        history: &AttemptHistory,
         preferred: &str,
     ) -> (Vec<TurnCandidate>, Vec<SharedName>) {
         let now = self.clock.now();
         let replicas = self.mirror.replicas.borrow();
         let available = replicas.available(&request.service, now);
-        let limited = available.filter_map(|row| Some((row, self.turns.candidate(row)?)));
+        let admitted = available.filter(|row| history.pin.admits(row));
+        let limited = admitted.filter_map(|row| Some((row, self.turns.candidate(row)?)));
         let mut limited: Vec<_> = limited.collect();
         limited.sort_unstable_by_key(|(row, _)| {
             (*row.entry.id != *preferred, !row.is_healthy(now), row.work(), row.entry.id.clone())
         });
         let ids = limited.iter().map(|(row, _)| row.entry.id.clone()).collect();
-        let untried = limited.iter().filter(|(row, _)| !tried.contains(&row.entry.id));
+        let untried = limited.iter().filter(|(row, _)| !history.tried.contains(&row.entry.id));
         let candidates = untried.map(|(_, candidate)| *candidate).take(MAX_CANDIDATES).collect();
         (candidates, ids)
     }
--- a/berylstep/tests/stream_versions.rs
+++ b/berylstep/tests/stream_versions.rs
@@ -16,6 +16,9 @@
 /// Start of processes that have run for long.
 const LONG_AGO: u64 = 7;
 
+/// Time after its start within which a gateway knows the others, and its share of the retries.
+const DISCOVERY_TIME: Duration = Duration::from_millis(2200);
+
 /// Time within which a stream that cannot go on is refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(700);
 
@@ -50,8 +53,7 @@
         let numbers = 2..2 + gateways;
         let gateways = numbers.map(|number| FleetGateway::start(&store, number, peer_port));
         let gateways = gateways.collect();
-        // Gateways learn of each other with their first pulses.
-        std::thread::sleep(Duration::from_millis(700));
+        std::thread::sleep(DISCOVERY_TIME);
         Self { store, replicas, gateways }
     }
 
@@ -146,6 +148,33 @@
     check_streams("resumed", &streams);
 }
 
+/// Guards against a run that is moved to another software version when its replica leaves (ORDER).
+#[test]
+fn a_run_is_moved_only_to_a_replica_of_its_version() {
+    for versions in [["v1", "v1", "v2", "v2"], ["v1", "v2", "v3", "v4"]] {
+        let mut fleet = VersionedFleet::start(1, &versions);
+        for round in 0..2 {
+            let headers = format!("{EVENT_PAUSE}: 300\r\nBerylstep-Token-Counts: 10,60\r\n");
+            let before: Vec<_> = fleet.replicas.iter().map(VersionedReplica::streams).collect();
+            let stream = std::thread::scope(|scope| {
+                let stream = scope.spawn(|| fleet.attempt(0, &format!("id-{round}"), &headers));
+                let mut source = None;
+                wait_until("a replica has the stream", || {
+                    let mut replicas = fleet.replicas.iter().zip(&before);
+                    source = replicas.position(|(replica, count)| replica.streams() > *count);
+                    source.is_some()
+                });
+                std::thread::sleep(Duration::from_millis(200));
+                fleet.publish(source.unwrap(), "draining");
+                stream.join().unwrap()
+            });
+            assert!(!stream.is_mixed(), "{versions:?}: {stream:?}");
+            assert!(stream.is_complete(), "{versions:?}: {stream:?}");
+        }
+        fleet.gateways.clear();
+    }
+}
+
 /// Guards against a stream that its caller takes up at another gateway, and that goes on there at
 /// another software version (ORDER) or not at all (LOST).
 #[test]
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod limits;
 pub mod losses;
+pub mod origins;
 pub mod position;
 pub mod quarantine;
 pub mod replica;
--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -9,6 +9,7 @@
 
 use crate::collections::SharedName;
 use crate::fleet::engine::EngineSpeed;
+use crate::fleet::origins::VersionPin;
 use crate::fleet::replica::{ReplicaRow, ReplicaTable, PLAIN_REQUEST_WORK};
 use crate::rendezvous;
 
@@ -109,6 +110,8 @@
     pub zone: &'a str,
     /// Replicas that must not be selected.
     pub excluded: &'a [SharedName],
+    /// Version that must be selected, where a stream goes on.
+    pub pin: VersionPin,
     /// Random number that selects among equally loaded replicas, so that nodes which see the same
     /// loads spread their requests.
     pub draw: u64,
@@ -142,7 +145,8 @@
 ) -> Option<Placement> {
     let mut rows: Vec<&ReplicaRow> = table.available(query.service, now).collect();
     rows.sort_unstable_by(|left, right| left.entry.id.cmp(&right.entry.id));
-    let is_allowed = |row: &&ReplicaRow| !query.excluded.contains(&row.entry.id);
+    let is_allowed =
+        |row: &&ReplicaRow| query.pin.admits(row) && !query.excluded.contains(&row.entry.id);
     let Some(size) = query.size else {
         let replica = least_loaded(rows.into_iter().filter(is_allowed), query, now)?;
         return Some(Placement { replica, warm: None });
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
+use crate::fleet::origins::VersionId;
 use crate::rendezvous;
 
 /// Time for which a replica is avoided after its first failure; about the restart time of its
@@ -75,6 +76,8 @@
     pub entry: ReplicaEntry,
     /// Hash of the identifier, which names the replica in messages between nodes.
     pub hash: u32,
+    /// Version of the software of its service.
+    pub version: VersionId,
     /// Revision of the entry in the store.
     pub revision: u64,
     /// Time at which this process of the replica was first seen.
@@ -187,6 +190,7 @@
             ReplicaState::Ready => drop(self.departures.remove(&entry.id)),
             ReplicaState::Draining => self.record_departure(&entry.id, entry.leaves_in, now),
         }
+        let version = VersionId::new(&entry.service, &entry.version);
         match self.rows.get_mut(&entry.id) {
             Some(row) => {
                 let restarted = row.entry.born != entry.born || row.entry.address != entry.address;
@@ -199,11 +203,13 @@
                     row.since = now;
                 }
                 row.entry = entry;
+                row.version = version;
                 changed
             }
             None => {
                 let row = ReplicaRow {
                     hash: rendezvous::score(&entry.id, "") as u32,
+                    version,
                     revision,
                     since: now,
                     own: ReplicaLoad::default(),
--- a/berylstep_core/tests/fleet_choice.rs
+++ b/berylstep_core/tests/fleet_choice.rs
@@ -9,6 +9,7 @@
     choose_replica, GroupSplit, PlacementQuery, RequestSize, MIN_SHORT_SHARE,
 };
 use berylstep_core::fleet::engine::EngineSpeed;
+use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState, ReplicaTable};
 
 const SERVICE: &str = "model";
@@ -42,6 +43,7 @@
 
 fn query<'a>(prompt: u64, session: &'a str, excluded: &'a [SharedName]) -> PlacementQuery<'a> {
     PlacementQuery {
+        pin: VersionPin::Any,
         service: SERVICE,
         size: Some(RequestSize { prompt, output: 100 }),
         session: Some(session),
--- a/berylstep_core/tests/fleet_choice_cost.rs
+++ b/berylstep_core/tests/fleet_choice_cost.rs
@@ -8,6 +8,7 @@
 
 use berylstep_core::fleet::choice::{choose_replica, PlacementQuery, RequestSize, MIN_SHORT_SHARE};
 use berylstep_core::fleet::engine::EngineSpeed;
+use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState, ReplicaTable};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -59,6 +60,7 @@
             let started = Instant::now();
             for number in 0..BATCH_SIZE {
                 let query = PlacementQuery {
+                    pin: VersionPin::Any,
                     service: "model",
                     size: Some(RequestSize {
                         prompt: if number % 2 == 0 { 800 } else { 12_000 },
--- a/berylstep_standins/src/fleet/versions.rs
+++ b/berylstep_standins/src/fleet/versions.rs
@@ -31,6 +31,14 @@
 struct ProcessInfo {
     version: String,
     born: u64,
+    /// Whether its runs were stopped by a move.
+    is_stopped: bool,
+}
+
+impl ProcessInfo {
+    fn new(version: &str, born: u64) -> Self {
+        Self { version: version.to_owned(), born, is_stopped: false }
+    }
 }
 
 /// A replica that streams numbered events, each of which names the version that wrote it.
@@ -46,7 +54,7 @@
     /// Starts a replica of `service` at this version. Its process started at `born`, in milliseconds
     /// since the Unix epoch.
     pub fn start(id: &str, service: &str, version: &str, born: u64) -> Self {
-        let process = Arc::new(Mutex::new(ProcessInfo { version: version.to_owned(), born }));
+        let process = Arc::new(Mutex::new(ProcessInfo::new(version, born)));
         let shared = process.clone();
         let replica = CrashingReplica::start(id, Duration::ZERO, move |request, stream| {
             serve(request, stream, &shared)
@@ -58,7 +66,7 @@
     /// entry in the store stays as it was.
     pub fn restart_as(&self, version: &str, born: u64) {
         let mut process = lock(&self.process);
-        *process = ProcessInfo { version: version.to_owned(), born };
+        *process = ProcessInfo::new(version, born);
         self.replica.close_connections();
     }
 
@@ -91,9 +99,10 @@
             respond(stream, request, 200, "", &report.to_string());
         }
         MOVE_PATH => {
+            lock(process).is_stopped |= request.body.contains("\"Last\":true");
             respond(stream, request, 200, "", "{\"Handle\": \"h1\", \"Created\": 1}");
         }
-        _ => write_stream(request, stream, &version),
+        _ => write_stream(request, stream, &version, process),
     }
     ScriptStep::Answered
 }
@@ -102,14 +111,21 @@
     request.header(header).and_then(|value| value.parse().ok())
 }
 
-fn write_stream(request: &RawMessage, stream: &mut TcpStream, version: &str) {
+fn write_stream(
+    request: &RawMessage,
+    stream: &mut TcpStream,
+    version: &str,
+    process: &Mutex<ProcessInfo>,
+) {
+    let is_moved = request.header("kv-from").is_some();
     let last = number(request, "last-event-id");
     let break_first = number(request, BREAK_FIRST).filter(|_| last.is_none());
     let break_after = number(request, BREAK_AFTER).or(break_first);
     let pause = Duration::from_millis(number(request, EVENT_PAUSE).unwrap_or_default() as u64);
     let mut is_open = begin_events(stream, request);
     for (written, id) in (last.unwrap_or_default() + 1..=STREAM_EVENTS).enumerate() {
-        if break_after.is_some_and(|limit| written >= limit) {
+        let is_stopped = !is_moved && lock(process).is_stopped;
+        if is_stopped || break_after.is_some_and(|limit| written >= limit) {
             // The gateway reads what was written before the reset discards it.
             std::thread::sleep(Duration::from_millis(30));
             if let Err(err) = SockRef::from(&*stream).set_linger(Some(Duration::ZERO)) {
