Take up a stream only at the software version that began it

Cause: only the node that served the first attempt could know which replica began the stream, and it forgot it.

Change: nodes remember the origins of their streams and, while a service has several versions, tell three representatives before the first event is relayed (fleet::origins, gateway::origins). A node where a stream is taken up asks them. If nobody knows, it goes on only where no other version was present within a minute; otherwise it is refused at once, and nothing has run. A stream whose version has left is refused likewise. Requests that wait for replies by datagram share PendingReplies with turns.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -13,7 +13,9 @@
 pub mod mirror;
 pub mod notifier;
 pub mod orders;
+pub mod origins;
 pub mod peers;
+pub mod pending;
 pub mod pulse;
 pub mod quarantine;
 pub mod request;
@@ -51,6 +53,7 @@
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
+use crate::gateway::origins::{OriginContext, OriginDesk};
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pulse::PulseExchange;
 use crate::gateway::quarantine::CrashWatch;
@@ -173,6 +176,7 @@
     mirror: Rc<StoreMirror>,
     limits: Rc<LimitWatch>,
     turns: Rc<TurnDesk>,
+    origins: Rc<OriginDesk>,
     crashes: Rc<CrashWatch>,
     peers: Rc<PeerTable>,
     metrics: Rc<GatewayMetrics>,
@@ -211,12 +215,21 @@
             mirror: mirror.clone(),
             peers: peers.clone(),
             limits: limits.clone(),
+            socket: socket.clone(),
+        });
+        let origins = OriginDesk::new(OriginContext {
+            clock: clock.clone(),
+            node: run.node.clone(),
+            incarnation: run.incarnation,
+            mirror: mirror.clone(),
+            peers: peers.clone(),
             socket,
         });
         Self {
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
             limits,
             turns: Rc::new(turns),
+            origins: Rc::new(origins),
             crashes: Rc::new(CrashWatch::new(clock.clone(), mirror.clone())),
             mirror,
             peers,
@@ -257,6 +270,7 @@
             crashes: self.crashes.clone(),
             limits: self.limits.clone(),
             turns: self.turns.clone(),
+            origins: self.origins.clone(),
             usage: self.usage.clone(),
             stop: self.stop.clone(),
             duty_fencing: self.duty_fencing.clone(),
@@ -306,6 +320,7 @@
             mirror: self.mirror.clone(),
             limits: self.limits.clone(),
             turns: self.turns.clone(),
+            origins: self.origins.clone(),
             crashes: self.crashes.clone(),
             peers: self.peers.clone(),
             upstreams: UpstreamPool::new(self.clock.clone()),
@@ -393,6 +408,7 @@
         handler.export_retry_budgets();
         handler.limits.expire();
         handler.turns.expire();
+        handler.origins.expire();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.crashes.expire();
         handler.metrics.quarantined_prompts.set(handler.crashes.quarantined_groups());
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -7,10 +7,13 @@
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_core::fleet::desired::RouteKind;
+use berylstep_core::fleet::limits::ProcessId;
+use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_http::{BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage};
 use futures_util::future::{select, Either};
 use smol::io::AsyncWriteExt;
 
+use crate::gateway::limits::process_of;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::request::{RequestHandler, RoutedRequest};
 use crate::gateway::upstreams::{has_crashed, UpstreamPool, UpstreamStream};
@@ -44,10 +47,25 @@
     pub address: SocketAddr,
     /// Version of its software.
     pub version: SharedName,
+    /// Process that published its entry.
+    pub process: ProcessId,
     /// Another replica that probably has the KV cache of the session's shared prompt.
     pub cache_source: Option<SocketAddr>,
 }
 
+impl ReplicaTarget {
+    /// Returns the target of a request to the replica in `row`.
+    pub fn new(row: &ReplicaRow, cache_source: Option<SocketAddr>) -> Self {
+        Self {
+            id: row.entry.id.clone(),
+            address: row.entry.address,
+            version: row.entry.version.clone(),
+            process: process_of(row),
+            cache_source,
+        }
+    }
+}
+
 /// Options of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptOptions<'a> {
--- /dev/null
+++ b/berylstep/src/gateway/origins.rs
@@ -0,0 +1,387 @@
+//! Origins of streams: this node tells some others which version of a service's software began its
+//! streams, and asks for the origin of a stream that a caller takes up here.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_core::collections::{HashMap, HashSet, SharedName};
+use berylstep_core::fleet::desired::RouteKind;
+use berylstep_core::fleet::limits::ProcessId;
+use berylstep_core::fleet::origins::{
+    keeper_order, service_hash, KeeperCandidate, OriginLedger, PresentVersions, StreamKey,
+    StreamOrigin, VersionId, VersionPin,
+};
+use berylstep_wire::{FleetPulse, OriginQuery, OriginReply, ServiceVersions};
+use prost::Message;
+use smol::net::UdpSocket;
+
+use crate::clock::RuntimeClock;
+use crate::gateway::attempt::ReplicaTarget;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::peers::PeerTable;
+use crate::gateway::pending::PendingReplies;
+use crate::gateway::request::{RequestHandler, RoutedRequest, DEFAULT_REQUEST_TIMEOUT};
+use crate::gateway::response::LocalReply;
+
+/// Number of nodes that keep the origin of a stream.
+const KEEPERS: usize = 3;
+
+/// Number of nodes that are asked for an origin: more than keep it, because the order of the keepers
+/// changes with the nodes that live.
+const ASKED_KEEPERS: usize = 2 * KEEPERS;
+
+/// Time within which nodes answer, even if their VMs have little processor time.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time after which nodes that have not answered are asked once more.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
+
+/// Time added to that within which a caller may take its stream up, for its way here.
+const RETENTION_SLACK: Duration = Duration::from_secs(1);
+
+/// Largest number of origins in one datagram.
+const MAX_ORIGINS_PER_MESSAGE: usize = 64;
+
+/// What is known about a stream that a caller takes up.
+#[derive(Clone, Debug)]
+enum OriginLookup {
+    /// Its origin.
+    Found(StreamOrigin),
+    /// Nobody who was asked knows it. The versions of services at the others, by hash of the service.
+    Unknown(HashMap<u32, PresentVersions>),
+    /// Nobody answered.
+    Unreachable,
+}
+
+/// Keeps the origins of streams of this node and of others.
+#[derive(Debug)]
+pub struct OriginDesk {
+    context: OriginContext,
+    ledger: RefCell<OriginLedger>,
+    /// Services that had several versions when that was last checked.
+    mixed: RefCell<HashSet<SharedName>>,
+    pending: PendingReplies<OriginReply>,
+}
+
+/// Components that an [`OriginDesk`] works with.
+#[derive(Clone, Debug)]
+pub struct OriginContext {
+    /// Clock for timeouts.
+    pub clock: RuntimeClock,
+    /// Name of this node.
+    pub node: SharedName,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Local copy of the list of replicas.
+    pub mirror: Rc<StoreMirror>,
+    /// Other nodes, from which the keepers are chosen.
+    pub peers: Rc<PeerTable>,
+    /// Socket for messages between nodes.
+    pub socket: UdpSocket,
+}
+
+impl OriginDesk {
+    /// Creates a desk that knows no streams.
+    pub fn new(context: OriginContext) -> Self {
+        Self {
+            context,
+            ledger: RefCell::default(),
+            mixed: RefCell::default(),
+            pending: PendingReplies::default(),
+        }
+    }
+
+    /// Drops the origins of streams that can no longer be taken up.
+    pub fn expire(&self) {
+        self.ledger.borrow_mut().expire(self.context.clock.now());
+    }
+
+    /// Returns the versions of a service that this node knows of.
+    fn present_versions(&self, service: &str) -> PresentVersions {
+        let OriginContext { clock, mirror, .. } = &self.context;
+        mirror.replicas.borrow().present_versions(service, clock.now(), clock.unix_ms())
+    }
+
+    /// Returns whether streams of a service may have begun at different versions.
+    fn is_mixed(&self, service: &str) -> bool {
+        self.present_versions(service).sole().is_none()
+    }
+
+    /// Returns the addresses of the other nodes that keep the origin of a stream, in their order.
+    fn keepers(&self, key: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let nodes = self.context.peers.representatives(self.context.clock.now());
+        let candidates: Vec<_> = nodes
+            .iter()
+            .map(|node| KeeperCandidate { node: &node.node, zone: &node.zone })
+            .collect();
+        let order = keeper_order(key, &candidates).into_iter().take(count);
+        let keepers = order.map(|index| &nodes[index]);
+        let others = keepers.filter(|keeper| keeper.node != self.context.node);
+        others.map(|keeper| keeper.peer_address).collect()
+    }
+
+    /// Records the origin of a stream, and tells its keepers if the service has several versions.
+    pub async fn announce(
+        &self,
+        service: &str,
+        key: StreamKey,
+        origin: StreamOrigin,
+        retention: Duration,
+    ) {
+        let now = self.context.clock.now();
+        self.ledger.borrow_mut().record(key, origin, retention, now);
+        if !self.is_mixed(service) {
+            return;
+        }
+        let message = FleetPulse {
+            stream_origins: vec![origin_message(key, origin, retention)],
+            ..self.envelope()
+        };
+        self.send(&self.keepers(key, KEEPERS), &message).await;
+    }
+
+    /// Tells the keepers of the streams that began while their service had one version, once it has
+    /// several.
+    pub async fn announce_after_change(&self) {
+        let Some(desired) = self.context.mirror.desired() else { return };
+        let names = desired.services().map(|service| &service.name);
+        let mixed: HashSet<_> = names.filter(|name| self.is_mixed(name)).cloned().collect();
+        let known = self.mixed.replace(mixed.clone());
+        if mixed.is_subset(&known) {
+            return;
+        }
+        let mut messages: HashMap<SocketAddr, Vec<_>> = HashMap::default();
+        let rows: Vec<_> = self.ledger.borrow().rows(self.context.clock.now()).collect();
+        for (key, origin, retention) in rows {
+            for keeper in self.keepers(key, KEEPERS) {
+                let origins = messages.entry(keeper).or_default();
+                origins.push(origin_message(key, origin, retention));
+            }
+        }
+        for (keeper, origins) in messages {
+            for part in origins.chunks(MAX_ORIGINS_PER_MESSAGE) {
+                let message = FleetPulse { stream_origins: part.to_vec(), ..self.envelope() };
+                self.send(&[keeper], &message).await;
+            }
+        }
+    }
+
+    /// Records what another node has announced.
+    pub fn record_all(&self, origins: &[berylstep_wire::StreamOrigin]) {
+        let now = self.context.clock.now();
+        let mut ledger = self.ledger.borrow_mut();
+        for message in origins {
+            let retention = Duration::from_millis(message.retention_ms.into());
+            ledger.record(StreamKey(message.stream), read_origin(message), retention, now);
+        }
+    }
+
+    /// Answers the query of another node.
+    pub async fn answer(&self, query: &OriginQuery, from: SocketAddr) {
+        let key = StreamKey(query.stream);
+        let origin = self.ledger.borrow().get(key);
+        let desired = self.context.mirror.desired();
+        let services = desired.iter().flat_map(|desired| desired.services()).map(|service| {
+            let present = self.present_versions(&service.name);
+            ServiceVersions {
+                service: service_hash(&service.name),
+                versions: present.versions.iter().map(|version| version.0).collect(),
+                complete: present.is_complete,
+            }
+        });
+        let reply = OriginReply {
+            request: query.request,
+            origin: origin.map(|origin| origin_message(key, origin, Duration::ZERO)),
+            services: services.collect(),
+        };
+        self.send(&[from], &FleetPulse { origin_reply: Some(reply), ..self.envelope() }).await;
+    }
+
+    /// Passes a reply on to the request that waits for it.
+    pub fn receive(&self, reply: OriginReply) {
+        let request = reply.request;
+        if !self.pending.deliver(request, reply) {
+            log::debug!("event=origin_reply_late request={request}");
+        }
+    }
+
+    /// Finds the origin of a stream here or at the nodes that keep it.
+    async fn find(&self, key: StreamKey) -> OriginLookup {
+        if let Some(origin) = self.ledger.borrow().get(key) {
+            return OriginLookup::Found(origin);
+        }
+        let keepers = self.keepers(key, ASKED_KEEPERS);
+        if keepers.is_empty() {
+            // A node that has lost all others may have an outdated list of replicas.
+            return match self.context.peers.peak_nodes() {
+                0 | 1 => OriginLookup::Unknown(HashMap::default()),
+                _ => OriginLookup::Unreachable,
+            };
+        }
+        let pending = self.pending.register(2 * keepers.len());
+        let query = OriginQuery { request: pending.request, stream: key.0 };
+        let message = FleetPulse { origin_query: Some(query), ..self.envelope() };
+        let clock = &self.context.clock;
+        let deadline = clock.now() + REPLY_TIMEOUT;
+        let (mut replies, mut versions) = (0, HashMap::<u32, PresentVersions>::default());
+        let mut wait = REPEAT_DELAY;
+        self.send(&keepers, &message).await;
+        while replies < keepers.len() {
+            let Some(reply) = clock.timeout(wait, pending.receive()).await.flatten() else {
+                let now = clock.now();
+                if now >= deadline {
+                    break;
+                }
+                wait = deadline - now;
+                self.send(&keepers, &message).await;
+                continue;
+            };
+            if let Some(origin) = &reply.origin {
+                return OriginLookup::Found(read_origin(origin));
+            }
+            replies += 1;
+            for service in &reply.services {
+                let present = PresentVersions {
+                    versions: service.versions.iter().copied().map(VersionId).collect(),
+                    is_complete: service.complete,
+                };
+                versions.entry(service.service).or_default().merge(&present);
+            }
+        }
+        match replies {
+            0 => OriginLookup::Unreachable,
+            _ => OriginLookup::Unknown(versions),
+        }
+    }
+
+    fn envelope(&self) -> FleetPulse {
+        FleetPulse {
+            node: self.context.node.to_string(),
+            incarnation: self.context.incarnation,
+            unix_ms: self.context.clock.unix_ms(),
+            ..FleetPulse::default()
+        }
+    }
+
+    async fn send(&self, addresses: &[SocketAddr], message: &FleetPulse) {
+        let bytes = message.encode_to_vec();
+        for address in addresses {
+            if let Err(err) = self.context.socket.send_to(&bytes, *address).await {
+                log::debug!("event=origin_message_not_sent peer={address} error=\"{err}\"");
+            }
+        }
+    }
+}
+
+fn origin_message(
+    key: StreamKey,
+    origin: StreamOrigin,
+    retention: Duration,
+) -> berylstep_wire::StreamOrigin {
+    berylstep_wire::StreamOrigin {
+        stream: key.0,
+        version: origin.version.0,
+        replica: origin.process.replica,
+        born: origin.process.born,
+        seen_unix_ms: origin.seen_ms,
+        retention_ms: u32::try_from(retention.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn read_origin(message: &berylstep_wire::StreamOrigin) -> StreamOrigin {
+    StreamOrigin {
+        version: VersionId(message.version),
+        process: ProcessId { replica: message.replica, born: message.born },
+        seen_ms: message.seen_unix_ms,
+    }
+}
+
+impl RequestHandler {
+    /// Returns the origin of a stream whose first event has just arrived from `target`.
+    pub(super) fn stream_origin(
+        &self,
+        request: &RoutedRequest<'_>,
+        target: &ReplicaTarget,
+    ) -> StreamOrigin {
+        StreamOrigin {
+            version: VersionId::new(&request.service, &target.version),
+            process: target.process,
+            seen_ms: self.clock.unix_ms(),
+        }
+    }
+
+    /// Records the origin of a stream before its first event is relayed, and tells other nodes.
+    pub(super) async fn announce_origin(&self, request: &RoutedRequest<'_>, origin: StreamOrigin) {
+        let headers = &request.headers;
+        let Some(id) = headers.resumes.as_ref().or(headers.request_id.as_ref()) else { return };
+        let timeout = headers.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
+        let time_left = (request.arrived + timeout).saturating_sub(self.clock.now());
+        let retention = time_left + RETENTION_SLACK;
+        self.origins.announce(&request.service, StreamKey::new(id), origin, retention).await;
+    }
+
+    /// Pins a request that takes up a stream to the version that began it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reply to the caller if the stream can't go on here. Nothing was run.
+    pub(super) async fn pin_stream(
+        &self,
+        request: &mut RoutedRequest<'_>,
+    ) -> Result<(), LocalReply> {
+        let headers = &request.headers;
+        if request.route.kind != RouteKind::Stream || !headers.takes_up_stream() {
+            return Ok(());
+        }
+        let key = StreamKey::new(headers.resumes.as_deref().unwrap_or_default());
+        let version = match self.origins.find(key).await {
+            OriginLookup::Found(origin) => self.confirm_origin(&origin),
+            OriginLookup::Unknown(others) => {
+                let mut present = self.origins.present_versions(&request.service);
+                if present.versions.is_empty() {
+                    return Ok(());
+                }
+                if let Some(others) = others.get(&service_hash(&request.service)) {
+                    present.merge(others);
+                }
+                present.sole()
+            }
+            OriginLookup::Unreachable => {
+                self.metrics.record_not_resumed(request, "no_peer");
+                return Err(LocalReply::refused("no peer knows the stream", self.retry_after()));
+            }
+        };
+        let Some(version) = version else {
+            self.metrics.record_not_resumed(request, "version_unknown");
+            return Err(LocalReply::not_resumed("version that began the stream is unknown"));
+        };
+        let replicas = self.mirror.replicas.borrow();
+        let services = request.route.targets.iter().filter(|target| target.weight > 0.0);
+        let serving = services
+            .map(|target| &target.service)
+            .find(|service| replicas.ready(service).any(|row| row.version == version));
+        let Some(service) = serving.cloned() else {
+            self.metrics.record_not_resumed(request, "version_gone");
+            return Err(LocalReply::not_resumed("version that began the stream has gone"));
+        };
+        drop(replicas);
+        request.pin = VersionPin::Only(version);
+        if service != request.service {
+            self.redirect_to(request, service);
+        }
+        Ok(())
+    }
+
+    /// Returns the version of an origin, unless its replica may have been replaced under the same
+    /// identifier before.
+    fn confirm_origin(&self, origin: &StreamOrigin) -> Option<VersionId> {
+        let replicas = self.mirror.replicas.borrow();
+        let listed = replicas.rows().find(|row| row.hash == origin.process.replica);
+        match listed {
+            Some(row) if row.version == origin.version => Some(origin.version),
+            listed => origin.version(listed.map(|row| row.entry.born)),
+        }
+    }
+}
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -11,7 +11,9 @@
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_core::fleet::window::{NodeRun, WindowCounts};
 use berylstep_core::rendezvous;
-use berylstep_wire::{FleetPulse, ReplicaDelta, ReplicaWork, RunUsage, TurnRequest, WindowUsage};
+use berylstep_wire::{
+    FleetPulse, OriginQuery, ReplicaDelta, ReplicaWork, RunUsage, TurnRequest, WindowUsage,
+};
 use prost::Message;
 use smol::net::UdpSocket;
 
@@ -20,6 +22,7 @@
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
+use crate::gateway::origins::OriginDesk;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::CrashWatch;
 use crate::gateway::settings::GatewaySettings;
@@ -67,6 +70,8 @@
     State,
     /// The decision on its request for a turn.
     Turn(TurnRequest),
+    /// The origin of a stream.
+    Origin(OriginQuery),
 }
 
 /// Sends this node's pulses and applies those of its peers.
@@ -85,6 +90,8 @@
     pub limits: Rc<LimitWatch>,
     /// Turns at replicas that have named a limit.
     pub turns: Rc<TurnDesk>,
+    /// Origins of streams.
+    pub origins: Rc<OriginDesk>,
     /// Usage counts of this node and its peers.
     pub usage: Rc<UsageLedger>,
     /// State of a planned stop.
@@ -126,6 +133,7 @@
         self.peers.expire(now);
         self.mirror.expire();
         self.update_peer_loads(now);
+        self.origins.announce_after_change().await;
         let pulse = self.pulse(sequence, now);
         self.peers.record_own_work(pulse.work.clone());
         let mut reached = HashSet::default();
@@ -208,6 +216,7 @@
                 Ok((count, from)) => match self.receive_datagram(&buffer[..count], from) {
                     Some(PulseReply::State) => self.answer_new_peer(from).await,
                     Some(PulseReply::Turn(request)) => self.turns.answer(&request, from).await,
+                    Some(PulseReply::Origin(query)) => self.origins.answer(&query, from).await,
                     None => {}
                 },
                 Err(err) => {
@@ -254,6 +263,14 @@
         if let Some(request) = pulse.turn_request {
             return Some(PulseReply::Turn(request));
         }
+        self.origins.record_all(&pulse.stream_origins);
+        if let Some(reply) = pulse.origin_reply {
+            self.origins.receive(reply);
+            return None;
+        }
+        if let Some(query) = pulse.origin_query {
+            return Some(PulseReply::Origin(query));
+        }
         if let Some(desired) = self.mirror.desired() {
             self.usage.learn_organisations(&desired);
         }
@@ -364,6 +381,9 @@
             isolated: !self.peers.is_connected(now),
             turn_request: None,
             turn_reply: None,
+            stream_origins: Vec::new(),
+            origin_query: None,
+            origin_reply: None,
             follows_store: self.mirror.is_following_store(),
         }
     }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -21,6 +21,7 @@
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
+use crate::gateway::origins::OriginDesk;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::{evidence_keys, CrashWatch, RequestContent};
 use crate::gateway::response::{LocalReply, ResponseWriter};
@@ -41,7 +42,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Timeout of a request whose caller sets no deadline. The timeout of its route caps it.
-const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
+pub(super) const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time after its start within which a node learns the size of the fleet.
 const FLEET_DISCOVERY_TIME: Duration = Duration::from_secs(2);
@@ -72,6 +73,8 @@
     pub limits: Rc<LimitWatch>,
     /// Turns at replicas that have named a limit.
     pub turns: Rc<TurnDesk>,
+    /// Origins of streams that callers may take up.
+    pub origins: Rc<OriginDesk>,
     /// Prompts that crash replicas.
     pub crashes: Rc<CrashWatch>,
     /// Other nodes of the fleet.
@@ -110,6 +113,8 @@
     pub speed: EngineSpeed,
     /// What evidence about crashes is collected for.
     pub evidence: Vec<EvidenceKey>,
+    /// Version at which it must run, if it takes up a stream.
+    pub pin: VersionPin,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// Time at which its first byte arrived.
@@ -167,10 +172,19 @@
         let mut writer = ResponseWriter::new(caller.stream.clone(), &message.method, keep_alive);
         let trace = RequestTrace::new(arrived);
         let serving = async {
-            match self.resolve(message, body, arrived) {
-                Ok(request) => self.forward(&request, &mut writer, &trace).await,
+            let mut request = match self.resolve(message, body, arrived) {
+                Ok(request) => request,
                 Err(reply) => {
                     trace.record_outcome(RequestOutcome::Rejected(reply.reason));
+                    return self.send_reply(&mut writer, &reply).await;
+                }
+            };
+            let pinned = self.pin_stream(&mut request).await;
+            trace.record_route(&request);
+            match pinned {
+                Ok(()) => self.forward(&request, &mut writer, &trace).await,
+                Err(reply) => {
+                    trace.record_outcome(reply_outcome(&reply));
                     self.send_reply(&mut writer, &reply).await
                 }
             }
@@ -212,20 +226,14 @@
         if !self.stop.admits(timeout) {
             return Err(LocalReply::refused("node is stopping", Duration::from_millis(20)));
         }
-        let content = RequestContent {
-            service: &service,
-            caller: headers.key.as_deref().unwrap_or_default(),
-            host,
-            method: &message.method,
-            target: &message.target,
-            body,
-        };
+        let evidence = content_keys(&service, message, body, &headers);
         Ok(RoutedRequest {
             message,
             body,
             organisation: holder.map(|organisation| organisation.name.clone()),
             priority: route.rank(holder.and_then(|holder| holder.priority)),
-            evidence: evidence_keys(&content, &headers.parts),
+            evidence,
+            pin: VersionPin::Any,
             headers,
             speed: self.engine_speed(&desired, &service),
             route,
@@ -236,6 +244,15 @@
         })
     }
 
+    /// Routes a request to another service of its route.
+    pub(super) fn redirect_to(&self, request: &mut RoutedRequest<'_>, service: SharedName) {
+        request.evidence = content_keys(&service, request.message, request.body, &request.headers);
+        if let Some(desired) = self.mirror.desired() {
+            request.speed = self.engine_speed(&desired, &service);
+        }
+        request.service = service;
+    }
+
     /// Sends a request to replicas until one responds or no retry is allowed.
     async fn forward(
         &self,
@@ -243,7 +260,6 @@
         writer: &mut ResponseWriter,
         trace: &RequestTrace,
     ) -> ResponseDelivery {
-        trace.record_route(request);
         let verdict = self.check_request(request);
         if let QuarantineVerdict::Refused(wait) = verdict {
             let reply = self.quarantine_reply(wait);
@@ -255,7 +271,8 @@
             budget.record_request(&handler.live.get().retry, handler.clock.now());
         });
         let is_review = verdict == QuarantineVerdict::Review;
-        let mut history = AttemptHistory { is_review, ..AttemptHistory::default() };
+        let pin = request.pin;
+        let mut history = AttemptHistory { is_review, pin, ..AttemptHistory::default() };
         let mut next = self.select_replica(request, &mut history).await;
         loop {
             let Some(target) = next else {
@@ -394,10 +411,9 @@
             draw: fastrand::u64(..),
         };
         let placement = choice::choose_replica(&replicas, &query, self.clock.now())?;
-        let entry = &replicas.get(&placement.replica)?.entry;
-        let (address, version) = (entry.address, entry.version.clone());
+        let row = replicas.get(&placement.replica)?;
         let cache_source = placement.warm.and_then(|warm| Some(replicas.get(&warm)?.entry.address));
-        Some(ReplicaTarget { id: placement.replica, address, version, cache_source })
+        Some(ReplicaTarget::new(row, cache_source))
     }
 
     fn engine_speed(&self, desired: &DesiredState, service: &str) -> EngineSpeed {
@@ -531,6 +547,24 @@
     }
 }
 
+/// Returns what evidence about crashes is collected for.
+fn content_keys(
+    service: &str,
+    message: &RequestMessage,
+    body: &[u8],
+    headers: &CallerHeaders,
+) -> Vec<EvidenceKey> {
+    let content = RequestContent {
+        service,
+        caller: headers.key.as_deref().unwrap_or_default(),
+        host: message.headers.get("host").unwrap_or_default(),
+        method: &message.method,
+        target: &message.target,
+        body,
+    };
+    evidence_keys(&content, &headers.parts)
+}
+
 fn log_denied_retry(request: &RoutedRequest<'_>, history: &AttemptHistory) {
     log::info!(
         "event=retry_denied id={} service={} reason=budget sent={}",
--- a/berylstep/src/gateway/response.rs
+++ b/berylstep/src/gateway/response.rs
@@ -27,6 +27,12 @@
         Self { status: 503, retry_after: Some(retry_after), reason }
     }
 
+    /// Returns a 503 for a request to go on with a stream that can't go on. It did not run, and coming
+    /// back is in vain.
+    pub fn not_resumed(reason: &'static str) -> Self {
+        Self { status: 503, retry_after: None, reason }
+    }
+
     /// Returns a 502 for a request that may have run but whose response is lost.
     pub fn lost(reason: &'static str) -> Self {
         Self { status: 502, retry_after: None, reason }
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -6,7 +6,7 @@
 use berylstep_core::fleet::departure::{is_move_due, StreamProgress};
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::events::{EndMarker, EventSplitter};
-use berylstep_core::fleet::origins::{VersionId, VersionPin};
+use berylstep_core::fleet::origins::VersionPin;
 use berylstep_http::{BodyFraming, ResponseMessage};
 
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
@@ -113,7 +113,7 @@
             content.clear();
             if !whole.is_empty() {
                 self.last_event_at = self.handler.clock.now();
-                self.record_started();
+                self.record_started().await;
             }
             if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
                 self.record_end(StreamEnd::Broken);
@@ -181,14 +181,16 @@
         }
     }
 
-    /// Records that the prompt did not crash the replica.
-    fn record_started(&mut self) {
+    /// Records that the prompt did not crash the replica, and which version began the stream.
+    async fn record_started(&mut self) {
         if !std::mem::replace(&mut self.has_started, true) {
             self.handler.crashes.record_started(&self.request.evidence);
-            let version = self.response.target().version.clone();
+            let target = self.response.target();
+            self.began_version = Some(target.version.clone());
+            let origin = self.handler.stream_origin(self.request, target);
             // What two versions write doesn't fit together, so the stream stays at this one.
-            self.history.pin = VersionPin::Only(VersionId::new(&self.request.service, &version));
-            self.began_version = Some(version);
+            self.history.pin = VersionPin::Only(origin.version);
+            self.handler.announce_origin(self.request, origin).await;
         }
     }
 
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -91,6 +91,7 @@
     attempts: IntCounterVec,
     streams: IntCounterVec,
     resumed_streams: IntCounterVec,
+    streams_not_resumed: IntCounterVec,
     limited_attempts: IntCounterVec,
     turns: IntCounterVec,
     first_content: HistogramVec,
@@ -144,6 +145,11 @@
                 "Streams that went on at a replica, by service, cause and version of its software.",
                 &["service", "cause", "version"],
             )?,
+            streams_not_resumed: set.counters(
+                "berylstep_gateway_streams_not_resumed_total",
+                "Streams that callers took up and that could not go on, by service and reason.",
+                &["service", "reason"],
+            )?,
             limited_attempts: set.counters(
                 "berylstep_gateway_limited_attempts_total",
                 "Attempts at replicas that this node knew to have named a limit, by service.",
@@ -220,6 +226,16 @@
         );
     }
 
+    /// Counts and logs a stream that a caller takes up and that can't go on.
+    pub fn record_not_resumed(&self, request: &RoutedRequest<'_>, reason: &str) {
+        self.streams_not_resumed.with_label_values(&[&*request.service, reason]).inc();
+        log::info!(
+            "event=stream_not_resumed id={} began={} reason={reason}",
+            request.id(),
+            request.headers.resumes.as_deref().unwrap_or("-")
+        );
+    }
+
     /// Counts an attempt at a replica that has named a limit.
     pub fn record_limited_attempt(&self, service: &str) {
         self.limited_attempts.with_label_values(&[service]).inc();
--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -1,18 +1,17 @@
 //! Turns at replicas that have named a limit: this node asks the keeper of a service for them, and
 //! hands them out where it is the keeper itself.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_core::fleet::turns::{TurnAnswer, TurnAsk, TurnCandidate, TurnKeeper, TurnPauses};
 use berylstep_core::rendezvous;
 use berylstep_wire::{FleetPulse, TurnReply, TurnRequest};
 use prost::Message;
-use smol::channel::{bounded, Sender};
 use smol::net::UdpSocket;
 
 use crate::clock::RuntimeClock;
@@ -20,6 +19,7 @@
 use crate::gateway::limits::{limit_message, process_of, read_limit, LimitWatch};
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
+use crate::gateway::pending::PendingReplies;
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::telemetry::TurnResult;
 
@@ -48,8 +48,7 @@
     socket: UdpSocket,
     keeper: RefCell<TurnKeeper>,
     /// Requests to other nodes that have not been answered.
-    pending: RefCell<HashMap<u64, Sender<TurnAnswer>>>,
-    next_request: Cell<u64>,
+    pending: PendingReplies<TurnAnswer>,
     /// Turns that are not asked for at present, where other replicas take the requests.
     pauses: RefCell<TurnPauses>,
 }
@@ -73,18 +72,6 @@
     pub socket: UdpSocket,
 }
 
-/// A request to the keeper that waits for its answer; it is withdrawn when dropped.
-struct PendingTurn<'a> {
-    desk: &'a TurnDesk,
-    request: u64,
-}
-
-impl Drop for PendingTurn<'_> {
-    fn drop(&mut self) {
-        self.desk.pending.borrow_mut().remove(&self.request);
-    }
-}
-
 impl TurnDesk {
     /// Creates a desk without turns in hand.
     pub fn new(context: TurnContext) -> Self {
@@ -98,8 +85,7 @@
             limits,
             socket,
             keeper: RefCell::default(),
-            pending: RefCell::default(),
-            next_request: Cell::new(0),
+            pending: PendingReplies::default(),
             pauses: RefCell::default(),
         }
     }
@@ -126,14 +112,11 @@
             let answer = self.keeper.borrow_mut().take(ask, self.clock.now());
             return (answer, TurnResult::of(answer));
         };
-        let request = self.next_request.replace(self.next_request.get() + 1);
-        let (sender, receiver) = bounded(1);
-        self.pending.borrow_mut().insert(request, sender);
-        let _pending = PendingTurn { desk: self, request };
-        self.send(address, self.request_message(request, ask)).await;
-        match self.clock.timeout(REPLY_TIMEOUT, receiver.recv()).await {
-            Some(Ok(answer)) => (answer, TurnResult::of(answer)),
-            Some(Err(_)) | None => {
+        let pending = self.pending.register(1);
+        self.send(address, self.request_message(pending.request, ask)).await;
+        match self.clock.timeout(REPLY_TIMEOUT, pending.receive()).await.flatten() {
+            Some(answer) => (answer, TurnResult::of(answer)),
+            None => {
                 log::info!("event=turns_unanswered service={} keeper={address}", ask.service);
                 // No tier gets an answer.
                 self.pause(ask.service, 0, SILENCE_PAUSE);
@@ -213,9 +196,7 @@
             true => TurnAnswer::Granted(reply.replica),
             false => TurnAnswer::Denied(Duration::from_millis(reply.wait_ms.into())),
         };
-        let waiting = self.pending.borrow_mut().remove(&reply.request);
-        let delivered = waiting.is_some_and(|sender| sender.try_send(answer).is_ok());
-        if !delivered {
+        if !self.pending.deliver(reply.request, answer) {
             log::debug!("event=turn_reply_late request={}", reply.request);
         }
     }
@@ -344,11 +325,6 @@
         let mut available = replicas.available(&request.service, self.clock.now());
         let row = available.find(|row| row.hash == hash)?;
         let cache_source = preferred.cache_source.filter(|_| row.entry.id == preferred.id);
-        Some(ReplicaTarget {
-            id: row.entry.id.clone(),
-            address: row.entry.address,
-            version: row.entry.version.clone(),
-            cache_source,
-        })
+        Some(ReplicaTarget::new(row, cache_source))
     }
 }
--- a/berylstep/tests/stream_versions.rs
+++ b/berylstep/tests/stream_versions.rs
@@ -202,3 +202,125 @@
         .collect();
     check_streams("taken up", &streams);
 }
+
+/// Guards against streams that cannot go on because the gateway that served them has been killed
+/// (LOST), or that go on at another version then (ORDER).
+#[test]
+fn a_stream_of_a_killed_gateway_goes_on_at_the_version_that_began_it() {
+    let mut fleet = VersionedFleet::start(4, &["v1", "v1", "v2", "v2"]);
+    let headers = format!("{EVENT_PAUSE}: 100\r\n");
+    let text = |index: usize| {
+        request_text("resumable", &format!("id-{index}"), 3000, &format!("{KEY_HEADER}{headers}"))
+    };
+    let mut callers: Vec<_> = (0..24).map(|_| fleet.gateways[0].connect()).collect();
+    for (index, caller) in callers.iter_mut().enumerate() {
+        caller.write_all(text(index).as_bytes()).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(250));
+    fleet.gateways[0].process.kill();
+    let streams = callers.iter_mut().enumerate().map(|(index, caller)| {
+        let begun = StreamPart::read(read_partial_message(caller));
+        assert!(!begun.events.is_empty() && !begun.is_whole, "{begun:?}");
+        let id = format!("id-{index}");
+        let rest = fleet.take_up(1 + index % 3, &format!("{id}-last"), &id, &begun);
+        begun.join(rest)
+    });
+    check_streams("of a killed gateway", &streams.collect::<Vec<_>>());
+}
+
+/// Guards against a stream of a time with one version that is lost, or goes on at the new one, when a
+/// release begins while it runs (ORDER, LOST).
+#[test]
+fn a_stream_that_began_before_a_release_goes_on_at_its_version() {
+    let fleet = VersionedFleet::start(4, &["v1", "v1", "v1"]);
+    let begun: Vec<_> =
+        (0..24).map(|index| fleet.begin_broken(index % 4, &format!("id-{index}"))).collect();
+    for number in 0..3 {
+        let id = format!("i-new-{number}");
+        let replica = VersionedReplica::start(&id, "resumable", "v2", LONG_AGO);
+        fleet.store.put("servers", &id, Some(replica.entry("ready")));
+    }
+    std::thread::sleep(Duration::from_millis(700));
+    let streams = begun.into_iter().enumerate().map(|(index, begun)| {
+        let id = format!("id-{index}");
+        let rest = fleet.take_up((index + 1) % 4, &format!("{id}-last"), &id, &begun);
+        begun.join(rest)
+    });
+    check_streams("before a release", &streams.collect::<Vec<_>>());
+}
+
+struct RefusalCase {
+    name: &'static str,
+    versions: &'static [&'static str],
+    /// Attempt that the caller names, where it isn't the one that began the stream.
+    first: Option<&'static str>,
+    /// Version whose replicas have left when the stream is taken up.
+    gone: Option<&'static str>,
+    /// Whether the stream goes on.
+    goes_on: bool,
+}
+
+/// Guards against a stream that goes on at a version that may not have begun it, and against a caller
+/// that isn't told at once that nothing ran (ORDER).
+#[test]
+fn a_stream_whose_version_is_unknown_or_gone_is_refused_at_once_and_not_run() {
+    let cases = [
+        RefusalCase {
+            name: "version has left",
+            versions: &["v1", "v2", "v2"],
+            first: None,
+            gone: Some("v1"),
+            goes_on: false,
+        },
+        RefusalCase {
+            name: "nobody knows the attempt, two versions",
+            versions: &["v1", "v1", "v2", "v2"],
+            first: Some("id-of-nobody"),
+            gone: None,
+            goes_on: false,
+        },
+        RefusalCase {
+            name: "nobody knows the attempt, one version",
+            versions: &["v1", "v1"],
+            first: Some("id-of-nobody"),
+            gone: None,
+            goes_on: true,
+        },
+        RefusalCase {
+            name: "nobody knows the attempt, the other version has just left",
+            versions: &["v1", "v1", "v2"],
+            first: Some("id-of-nobody"),
+            gone: Some("v2"),
+            goes_on: false,
+        },
+    ];
+    let checks = cases.map(|case| std::thread::spawn(move || check_refusal(&case)));
+    checks.into_iter().for_each(|check| check.join().unwrap());
+}
+
+fn check_refusal(case: &RefusalCase) {
+    let fleet = VersionedFleet::start(2, case.versions);
+    let is_gone = |version: &str| Some(version) == case.gone;
+    let begun = (0..50).find_map(|index| {
+        let id = format!("id-{index}");
+        let begun = fleet.begin_broken(0, &id);
+        let is_wanted = case.first.is_some() || is_gone(&begun.events[0].1);
+        is_wanted.then_some((id, begun))
+    });
+    let (id, begun) = begun.expect("a stream begins at the version");
+    for (index, _) in case.versions.iter().enumerate().filter(|(_, version)| is_gone(version)) {
+        fleet.store.put("servers", &fleet.replicas[index].replica.id, None);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let before: usize = fleet.replicas.iter().map(VersionedReplica::streams).sum();
+    let sent = Instant::now();
+    let rest = fleet.take_up(1, "id-last", case.first.unwrap_or(&id), &begun);
+    let ran = fleet.replicas.iter().map(VersionedReplica::streams).sum::<usize>() - before;
+    if case.goes_on {
+        assert!(begun.join(rest).is_complete(), "{}", case.name);
+        return;
+    }
+    assert!(sent.elapsed() < REFUSAL_TIME, "{}: {:?}", case.name, sent.elapsed());
+    assert_eq!((rest.status, ran), (503, 0), "{}", case.name);
+    assert!(!rest.has_retry_time, "{}: coming back is in vain", case.name);
+}
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
-use crate::fleet::origins::VersionId;
+use crate::fleet::origins::{PresentVersions, VersionHistory, VersionId, VERSION_RETENTION};
 use crate::rendezvous;
 
 /// Time for which a replica is avoided after its first failure; about the restart time of its
@@ -133,6 +133,7 @@
     rows: HashMap<SharedName, ReplicaRow>,
     departures: HashMap<SharedName, Departure>,
     leaving: HashMap<SharedName, LeavingMark>,
+    versions: VersionHistory,
 }
 
 /// A replica's own statement that it is shutting down. It outlasts entries that say otherwise, and
@@ -191,8 +192,10 @@
             ReplicaState::Draining => self.record_departure(&entry.id, entry.leaves_in, now),
         }
         let version = VersionId::new(&entry.service, &entry.version);
+        self.versions.record(&entry.service, version, now);
         match self.rows.get_mut(&entry.id) {
             Some(row) => {
+                self.versions.record(&row.entry.service, row.version, now);
                 let restarted = row.entry.born != entry.born || row.entry.address != entry.address;
                 let changed = row.entry != entry || row.expires_at.is_some();
                 row.revision = revision;
@@ -231,6 +234,7 @@
     pub fn remove(&mut self, id: &str, now: Duration) -> bool {
         let removed = self.rows.remove(id);
         if let Some(row) = &removed {
+            self.versions.record(&row.entry.service, row.version, now);
             self.record_departure(&row.entry.id, None, now);
         }
         removed.is_some()
@@ -266,8 +270,11 @@
         let expired: Vec<_> =
             self.rows.values().filter(lapsed).map(|row| row.entry.id.clone()).collect();
         for id in &expired {
-            self.rows.remove(id);
+            if let Some(row) = self.rows.remove(id) {
+                self.versions.record(&row.entry.service, row.version, now);
+            }
         }
+        self.versions.expire(now);
         expired
     }
 
@@ -296,6 +303,21 @@
         self.rows.values().filter(move |row| row.is_ready() && &*row.entry.service == service)
     }
 
+    /// Returns the versions of a service's software that are present or were lately; `unix_ms` is the
+    /// wall clock. A young node knows that there were no others if no process has started lately.
+    pub fn present_versions(&self, service: &str, now: Duration, unix_ms: u64) -> PresentVersions {
+        let rows = || self.rows.values().filter(|row| &*row.entry.service == service);
+        let latest_start = unix_ms.saturating_sub(VERSION_RETENTION.as_millis() as u64);
+        let are_old = rows().all(|row| (1..=latest_start).contains(&row.entry.born));
+        let mut present = PresentVersions {
+            versions: self.versions.recent(service, now).collect(),
+            is_complete: self.versions.is_complete(now) || are_old,
+        };
+        let listed = rows().map(|row| row.version).collect();
+        present.merge(&PresentVersions { versions: listed, is_complete: false });
+        present
+    }
+
     /// Adds a request of this node with its work, in prompt tokens.
     pub fn add_load(&mut self, id: &str, work: u64) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -512,6 +512,68 @@
     /// Whether the sender hears no representative, and asks for the names of the representatives.
     #[prost(bool, tag = "31")]
     pub isolated: bool,
+    /// Origins of streams for the receiver to keep. A message with this or one of the next two fields
+    /// has no sequence number either.
+    #[prost(message, repeated, tag = "32")]
+    pub stream_origins: ::prost::alloc::vec::Vec<StreamOrigin>,
+    #[prost(message, optional, tag = "33")]
+    pub origin_query: ::core::option::Option<OriginQuery>,
+    #[prost(message, optional, tag = "34")]
+    pub origin_reply: ::core::option::Option<OriginReply>,
+}
+/// Process of a replica that began a stream.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct StreamOrigin {
+    /// Hash of the identifier of the attempt that brought the stream's first event.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Hash of the service and the version of the replica's software.
+    #[prost(fixed32, tag = "2")]
+    pub version: u32,
+    /// Hash of the replica's identifier.
+    #[prost(fixed32, tag = "3")]
+    pub replica: u32,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "4")]
+    pub born: u64,
+    /// Time at which the first event arrived, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "5")]
+    pub seen_unix_ms: u64,
+    /// Time for which the caller may take the stream up, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub retention_ms: u32,
+}
+/// Asks for the origin of a stream.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct OriginQuery {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    #[prost(fixed64, tag = "2")]
+    pub stream: u64,
+}
+/// Answers an `OriginQuery`.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OriginReply {
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Absent if the sender doesn't know it.
+    #[prost(message, optional, tag = "2")]
+    pub origin: ::core::option::Option<StreamOrigin>,
+    #[prost(message, repeated, tag = "3")]
+    pub services: ::prost::alloc::vec::Vec<ServiceVersions>,
+}
+/// Versions of a service's software that are present at the sender, or were lately.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ServiceVersions {
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Hashes of the service and the version.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub versions: ::prost::alloc::vec::Vec<u32>,
+    /// Whether the sender knows that there were no others.
+    #[prost(bool, tag = "3")]
+    pub complete: bool,
 }
 /// Limit that a replica has named.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
