Ask replicas for the start of their process before a stream goes on

What callers would see: a stream that goes on at another version where a replica was started again under its identifier and its entry doesn't say so yet.

Change: before a stream goes on, the replica that wrote its last event and the one that is to go on are asked for the start of their process (a report, which takes no slot). A stream goes on only if both are the listed ones, or the first was replaced after its last event. Replicas that named a limit or a pause are not asked.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::limits::ProcessId;
+use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_http::{BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage};
 use futures_util::future::{select, Either};
@@ -196,6 +197,10 @@
         target: &ReplicaTarget,
         options: AttemptOptions<'_>,
     ) -> AttemptOutcome {
+        let goes_on = options.last_event.is_some() || request.pin != VersionPin::Any;
+        if goes_on && !self.is_listed_process(target).await {
+            return AttemptOutcome::NotSent("replica has a new process");
+        }
         let work = RequestSize::work(request.headers.size, request.speed);
         let was_idle = self.is_lightly_loaded(&target.id);
         let load =
--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -24,6 +24,7 @@
 use crate::gateway::pending::PendingReplies;
 use crate::gateway::request::{RequestHandler, RoutedRequest, DEFAULT_REQUEST_TIMEOUT};
 use crate::gateway::response::LocalReply;
+use crate::platform::PlatformClient;
 
 /// Number of nodes that keep the origin of a stream.
 const KEEPERS: usize = 3;
@@ -337,7 +338,7 @@
         }
         let key = StreamKey::new(headers.resumes.as_deref().unwrap_or_default());
         let version = match self.origins.find(key).await {
-            OriginLookup::Found(origin) => self.confirm_origin(&origin),
+            OriginLookup::Found(origin) => self.confirm_origin(&origin).await,
             OriginLookup::Unknown(others) => {
                 let mut present = self.origins.present_versions(&request.service);
                 if present.versions.is_empty() {
@@ -375,13 +376,50 @@
     }
 
     /// Returns the version of an origin, unless its replica may have been replaced under the same
-    /// identifier before.
-    fn confirm_origin(&self, origin: &StreamOrigin) -> Option<VersionId> {
-        let replicas = self.mirror.replicas.borrow();
-        let listed = replicas.rows().find(|row| row.hash == origin.process.replica);
-        match listed {
-            Some(row) if row.version == origin.version => Some(origin.version),
-            listed => origin.version(listed.map(|row| row.entry.born)),
+    /// identifier before. The replica is asked, because its entry may be out of date.
+    pub(super) async fn confirm_origin(&self, origin: &StreamOrigin) -> Option<VersionId> {
+        let listed = {
+            let replicas = self.mirror.replicas.borrow();
+            let row = replicas.rows().find(|row| row.hash == origin.process.replica);
+            row.map(|row| (ReplicaTarget::new(row, None), row.version))
+        };
+        let Some((target, version)) = listed else { return Some(origin.version) };
+        if target.process != origin.process {
+            let is_same = version == origin.version;
+            let known = origin.version(Some(target.process.born));
+            return known.or(Some(origin.version).filter(|_| is_same));
+        }
+        origin.version(self.running_process(&target).await)
+    }
+
+    /// Returns whether the process of a replica is the one that published its entry, as far as it
+    /// tells. A replica that can't be reached is left to the attempt.
+    pub(super) async fn is_listed_process(&self, target: &ReplicaTarget) -> bool {
+        let born = self.running_process(target).await;
+        let is_listed = born.is_none_or(|born| born == target.process.born);
+        if !is_listed {
+            let id = &target.id;
+            log::info!("event=replica_entry_outdated replica={id} born={}", target.process.born);
+        }
+        is_listed
+    }
+
+    /// Asks a replica for the start of its process; `None` if it doesn't tell, or may not be asked.
+    async fn running_process(&self, target: &ReplicaTarget) -> Option<u64> {
+        let is_limited = self.limits.rate(&target.id).is_some();
+        if target.process.born == 0 || is_limited || self.is_quiet(&target.id) {
+            return None;
+        }
+        let engine = PlatformClient::new(target.address, self.clock.clone());
+        let sent_at = self.clock.now();
+        let born = engine.process_start().await;
+        self.record_statement(&target.id, engine.statement(), sent_at);
+        match born {
+            Ok(born) => born,
+            Err(err) => {
+                log::debug!("event=process_not_told replica={} error=\"{err}\"", target.id);
+                None
+            }
         }
     }
 }
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -6,7 +6,7 @@
 use berylstep_core::fleet::departure::{is_move_due, StreamProgress};
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::events::{EndMarker, EventSplitter};
-use berylstep_core::fleet::origins::VersionPin;
+use berylstep_core::fleet::origins::{StreamOrigin, VersionPin};
 use berylstep_http::{BodyFraming, ResponseMessage};
 
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
@@ -47,6 +47,8 @@
     first_event_at: Duration,
     /// Version of the software that wrote the first event, once it has arrived.
     began_version: Option<SharedName>,
+    /// Process that wrote the latest events, once one has arrived.
+    origin: Option<StreamOrigin>,
     /// Time at which the last complete event arrived, or the response that continues the stream.
     last_event_at: Duration,
     /// Copy of the run and the replica that holds it, once the original run has been stopped.
@@ -88,6 +90,7 @@
             has_started: false,
             first_event_at: self.clock.now(),
             began_version: None,
+            origin: None,
             last_event_at: self.clock.now(),
             moved: None,
             move_tried: false,
@@ -160,6 +163,9 @@
             match next {
                 Some(next) => {
                     self.response = next;
+                    self.origin = self
+                        .origin
+                        .map(|_| self.handler.stream_origin(self.request, self.response.target()));
                     if self.has_started {
                         self.record_resumed(cause);
                     }
@@ -190,6 +196,7 @@
             let origin = self.handler.stream_origin(self.request, target);
             // What two versions write doesn't fit together, so the stream stays at this one.
             self.history.pin = VersionPin::Only(origin.version);
+            self.origin = Some(origin);
             self.handler.announce_origin(self.request, origin).await;
         }
     }
@@ -362,9 +369,22 @@
         }
     }
 
+    /// Returns whether the version that wrote the events so far is known. The replica's entry may be out
+    /// of date, if it was started again under its identifier before the last event.
+    async fn is_version_known(&self) -> bool {
+        let Some(origin) = self.origin else { return true };
+        let clock = &self.handler.clock;
+        let since_event = clock.now().saturating_sub(self.last_event_at);
+        let seen_ms = clock.unix_ms().saturating_sub(since_event.as_millis() as u64);
+        self.handler.confirm_origin(&StreamOrigin { seen_ms, ..origin }).await.is_some()
+    }
+
     /// Resumes the stream after its last event on another replica, if the request may run again.
     async fn resume(&mut self) -> Option<StartedResponse> {
-        while self.is_resumable() && self.handler.may_retry(self.request, self.history) {
+        if !self.is_resumable() || !self.is_version_known().await {
+            return None;
+        }
+        while self.handler.may_retry(self.request, self.history) {
             let target = self.handler.select_replica(self.request, self.history).await?;
             let last_event = self.splitter.last_id();
             let options = AttemptOptions { last_event, response_timeout: None, moved_run: None };
--- a/berylstep/src/platform/engines.rs
+++ b/berylstep/src/platform/engines.rs
@@ -14,6 +14,9 @@
 /// other moves.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Timeout of a report, which an engine answers without a slot.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
+
 const OK: u16 = 200;
 const NOT_FOUND: u16 = 404;
 const CONFLICT: u16 = 409;
@@ -48,6 +51,13 @@
     last: bool,
 }
 
+#[derive(Deserialize)]
+struct ReportBody {
+    /// Start of the process; spelled in lower case by the platform.
+    #[serde(default)]
+    born: u64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct MovedBody {
@@ -55,6 +65,19 @@
 }
 
 impl PlatformClient {
+    /// Returns the start of the engine's process in milliseconds since the Unix epoch; `None` if it
+    /// doesn't tell.
+    pub async fn process_start(&self) -> Result<Option<u64>, CallError> {
+        let request = self.request(Method::Get, "/v1/report", &[])?;
+        match self.call(request, REPORT_TIMEOUT).await? {
+            (OK, body) => {
+                let report: ReportBody = decode(&body)?;
+                Ok(Some(report.born).filter(|born| *born > 0))
+            }
+            (status, body) => Err(rejected(status, &body)),
+        }
+    }
+
     /// Copies the KV cache of the request `request_id` from this engine to the engine at `to`.
     pub async fn move_run(
         &self,
--- a/berylstep/tests/stream_versions.rs
+++ b/berylstep/tests/stream_versions.rs
@@ -1,7 +1,8 @@
 //! Streams of replicas whose software versions differ, seen by the callers of gateway processes.
 
 use std::io::Write;
-use std::time::{Duration, Instant};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
 use berylstep_standins::fleet::message::{read_partial_message, request_text, RawMessage};
@@ -129,6 +130,12 @@
     }
 }
 
+/// Waits for all checks before one that failed is reported, so that every gateway is stopped.
+fn join_all(checks: impl IntoIterator<Item = JoinHandle<()>>) {
+    let results: Vec<_> = checks.into_iter().map(JoinHandle::join).collect();
+    results.into_iter().for_each(|result| result.unwrap());
+}
+
 /// Asserts that no stream holds events of two versions, and that most went on.
 fn check_streams(what: &str, streams: &[StreamPart]) {
     let mixed = streams.iter().filter(|stream| stream.is_mixed()).count();
@@ -295,7 +302,7 @@
         },
     ];
     let checks = cases.map(|case| std::thread::spawn(move || check_refusal(&case)));
-    checks.into_iter().for_each(|check| check.join().unwrap());
+    join_all(checks);
 }
 
 fn check_refusal(case: &RefusalCase) {
@@ -324,3 +331,63 @@
     assert_eq!((rest.status, ran), (503, 0), "{}", case.name);
     assert!(!rest.has_retry_time, "{}: coming back is in vain", case.name);
 }
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    since.as_millis().try_into().unwrap()
+}
+
+struct RestartCase {
+    name: &'static str,
+    /// Position of the replica that has another version than its entry says; there are four.
+    restarted: &'static [usize],
+    /// Whether its entry is written before the stream is taken up.
+    is_published: bool,
+}
+
+/// Guards against a stream that goes on at another version because a replica was started again under
+/// its identifier before its entry told (ORDER).
+#[test]
+fn a_replica_restarted_at_another_version_under_its_identifier_mixes_no_stream() {
+    let cases = [
+        RestartCase { name: "one, not listed", restarted: &[0], is_published: false },
+        RestartCase { name: "two, not listed", restarted: &[0, 1], is_published: false },
+        RestartCase { name: "one, listed at the end", restarted: &[0], is_published: true },
+    ];
+    let checks = cases.map(|case| std::thread::spawn(move || check_restart(&case)));
+    join_all(checks);
+}
+
+fn check_restart(case: &RestartCase) {
+    let fleet = VersionedFleet::start(2, &["v1", "v1", "v1", "v1"]);
+    // Connections of the old processes are in the pools.
+    (0..12).for_each(|index| {
+        let part = fleet.attempt(index % 2, &format!("id-before-{index}"), "");
+        assert!(part.is_complete(), "{}: {part:?}", case.name);
+    });
+    case.restarted.iter().for_each(|index| fleet.replicas[*index].restart_as("v2", unix_ms()));
+    std::thread::sleep(Duration::from_millis(400));
+    let resumed: Vec<_> = (0..30)
+        .map(|index| {
+            let headers = format!("{BREAK_FIRST}: 2\r\n");
+            fleet.attempt(index % 2, &format!("id-resumed-{index}"), &headers)
+        })
+        .collect();
+    let begun: Vec<_> =
+        (0..30).map(|index| fleet.begin_broken(index % 2, &format!("id-{index}"))).collect();
+    if case.is_published {
+        case.restarted.iter().for_each(|index| fleet.publish(*index, "ready"));
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    let taken_up = begun.into_iter().enumerate().map(|(index, begun)| {
+        let id = format!("id-{index}");
+        let rest = fleet.take_up((index + 1) % 2, &format!("{id}-last"), &id, &begun);
+        begun.join(rest)
+    });
+    for (what, streams) in [("resumed", resumed), ("taken up", taken_up.collect())] {
+        let mixed = streams.iter().filter(|stream| stream.is_mixed()).count();
+        assert_eq!(mixed, 0, "{}, {what}: {mixed} of {}", case.name, streams.len());
+        let complete = streams.iter().filter(|stream| stream.is_complete()).count();
+        assert!(complete > 0, "{}, {what}: none of {} went on", case.name, streams.len());
+    }
+}
