Begin resumable streams away from the only replica of a version

What callers would see: a stream that breaks off and can't go on, because it began at the first replica of a release, or at the last of the version before.

Change: placement leaves the only replica of a version to other requests while another version has several that are not loaded beyond the bound for sessions.

Evidence: resumable_streams_avoid_the_only_replica_of_a_version_unless_the_others_are_loaded fails with the rule taken out (first of the release) and passes; the cost of a selection stays within its bound (fleet_choice_cost).

--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -408,6 +408,7 @@
             zone: &self.settings.zone,
             excluded: tried,
             pin,
+            is_resumable: request.route.kind == RouteKind::Stream && request.route.resumable,
             draw: fastrand::u64(..),
         };
         let placement = choice::choose_replica(&replicas, &query, self.clock.now())?;
--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -112,6 +112,8 @@
     pub excluded: &'a [SharedName],
     /// Version that must be selected, where a stream goes on.
     pub pin: VersionPin,
+    /// Whether it begins a stream that may go on at another replica of the same version.
+    pub is_resumable: bool,
     /// Random number that selects among equally loaded replicas, so that nodes which see the same
     /// loads spread their requests.
     pub draw: u64,
@@ -145,17 +147,57 @@
 ) -> Option<Placement> {
     let mut rows: Vec<&ReplicaRow> = table.available(query.service, now).collect();
     rows.sort_unstable_by(|left, right| left.entry.id.cmp(&right.entry.id));
-    let is_allowed =
-        |row: &&ReplicaRow| query.pin.admits(row) && !query.excluded.contains(&row.entry.id);
+    let rows = rows.as_slice();
+    let alone = match query.is_resumable {
+        true => replicas_left_alone(rows),
+        false => Vec::new(),
+    };
+    let least = alone.iter().map(|row| row.work()).min();
+    if let Some(least) = least {
+        let slack = SESSION_LOAD_SLACK as f64 * query.speed.token_scale();
+        let bound = least as f64 * SESSION_LOAD_FACTOR + slack;
+        let is_wanted = |row: &ReplicaRow| {
+            row.work() as f64 <= bound && alone.iter().all(|other| other.hash != row.hash)
+        };
+        if let Some(placement) = place_among(rows, query, now, is_wanted) {
+            return Some(placement);
+        }
+    }
+    place_among(rows, query, now, |_| true)
+}
+
+/// Returns the replicas at which no stream should begin that could go on elsewhere: those that are
+/// the only one of their version, while another version has several.
+fn replicas_left_alone<'a>(rows: &[&'a ReplicaRow]) -> Vec<&'a ReplicaRow> {
+    let mut versions: Vec<_> = rows.iter().map(|row| row.version).collect();
+    versions.sort_unstable();
+    let groups = || versions.chunk_by(|left, right| left == right);
+    if !groups().any(|group| group.len() > 1) {
+        return Vec::new();
+    }
+    let single: Vec<_> = groups().filter(|group| group.len() == 1).map(|group| group[0]).collect();
+    rows.iter().copied().filter(|row| single.contains(&row.version)).collect()
+}
+
+/// Selects among the replicas that are wanted.
+fn place_among(
+    rows: &[&ReplicaRow],
+    query: &PlacementQuery<'_>,
+    now: Duration,
+    is_wanted: impl Fn(&ReplicaRow) -> bool,
+) -> Option<Placement> {
+    let is_allowed = |row: &&ReplicaRow| {
+        query.pin.admits(row) && !query.excluded.contains(&row.entry.id) && is_wanted(row)
+    };
     let Some(size) = query.size else {
-        let replica = least_loaded(rows.into_iter().filter(is_allowed), query, now)?;
+        let replica = least_loaded(rows.iter().copied().filter(is_allowed), query, now)?;
         return Some(Placement { replica, warm: None });
     };
     let group = match size.is_short(query.speed) {
         true => SizeGroup::Short,
         false => SizeGroup::Long,
     };
-    let is_short = short_group_flags(&rows, query.short_share);
+    let is_short = short_group_flags(rows, query.short_share);
     let members = |wanted: SizeGroup| {
         let flags = rows.iter().zip(&is_short);
         let members = flags.filter(move |(_, short)| **short == (wanted == SizeGroup::Short));
--- a/berylstep_core/tests/fleet_choice.rs
+++ b/berylstep_core/tests/fleet_choice.rs
@@ -44,6 +44,7 @@
 fn query<'a>(prompt: u64, session: &'a str, excluded: &'a [SharedName]) -> PlacementQuery<'a> {
     PlacementQuery {
         pin: VersionPin::Any,
+        is_resumable: false,
         service: SERVICE,
         size: Some(RequestSize { prompt, output: 100 }),
         session: Some(session),
@@ -279,3 +280,66 @@
         assert!(largest as f64 <= 1.5 * mean, "{}: {counts:?}", case.name);
     }
 }
+
+struct ReleaseCase {
+    name: &'static str,
+    /// Number of the twelve replicas at the newer version.
+    newer: usize,
+    /// Work at each replica but the only one of a version.
+    work: u64,
+    is_resumable: bool,
+    /// Whether the only replica of a version gets some of two hundred streams.
+    uses_last: bool,
+}
+
+/// Guards against streams that can't go on when they break off, because a release has begun or is
+/// about to end and they began at the only replica of their version (LOST).
+#[test]
+fn resumable_streams_avoid_the_only_replica_of_a_version_unless_the_others_are_loaded() {
+    let case = |name, newer, work, is_resumable, uses_last| ReleaseCase {
+        name,
+        newer,
+        work,
+        is_resumable,
+        uses_last,
+    };
+    let cases = [
+        case("first of the release", 1, 0, true, false),
+        case("last of the release", 11, 0, true, false),
+        case("half of the release", 6, 0, true, true),
+        case("streams that can't be resumed", 1, 0, false, true),
+        case("the others are loaded", 1, 100_000, true, true),
+    ];
+    for case in cases {
+        let mut table = fleet();
+        let id = |index: usize| format!("r{index:02}");
+        for index in 0..12 {
+            let zone = ["a", "b", "c"][index % 3];
+            let version = if index < case.newer { "v2" } else { "v1" };
+            let entry = ReplicaEntry { version: version.into(), ..entry(&id(index), zone) };
+            table.put(entry, 2, START);
+        }
+        let last = if case.newer == 11 { id(11) } else { id(0) };
+        for index in (0..12).filter(|index| id(*index) != last) {
+            table.add_load(&id(index), case.work);
+        }
+        let uses = (0..200).any(|number| {
+            let session = format!("s{number}");
+            let prompt = if number % 2 == 0 { 800 } else { 12_000 };
+            let query =
+                PlacementQuery { is_resumable: case.is_resumable, ..query(prompt, &session, &[]) };
+            *choose_replica(&table, &query, NOW).unwrap().replica == *last
+        });
+        assert_eq!(uses, case.uses_last, "{}", case.name);
+    }
+}
+
+/// Guards against a request that is refused because only the last replica of a version is left.
+#[test]
+fn a_stream_begins_at_the_only_replica_of_a_version_if_no_other_is_left() {
+    let mut table = fleet();
+    table.put(ReplicaEntry { version: "v2".into(), ..entry("r00", "a") }, 2, START);
+    let excluded: Vec<SharedName> = (1..12).map(|index| format!("r{index:02}").into()).collect();
+    let query = PlacementQuery { is_resumable: true, ..query(800, "s", &excluded) };
+    assert_eq!(&*choose_replica(&table, &query, NOW).unwrap().replica, "r00");
+}
--- a/berylstep_core/tests/fleet_choice_cost.rs
+++ b/berylstep_core/tests/fleet_choice_cost.rs
@@ -61,6 +61,7 @@
             for number in 0..BATCH_SIZE {
                 let query = PlacementQuery {
                     pin: VersionPin::Any,
+                    is_resumable: true,
                     service: "model",
                     size: Some(RequestSize {
                         prompt: if number % 2 == 0 { 800 } else { 12_000 },
