Add a failing test of gateways that are cut off from replicas

Replicas of the test tell gateways apart by their addresses, for which upstream_source names the local address of connections to replicas; without it the system chooses, as before.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -323,7 +323,7 @@
             origins: self.origins.clone(),
             crashes: self.crashes.clone(),
             peers: self.peers.clone(),
-            upstreams: UpstreamPool::new(self.clock.clone()),
+            upstreams: UpstreamPool::new(self.clock.clone(), self.settings.upstream_source),
             usage: self.usage.clone(),
             stop: self.stop.clone(),
             metrics: self.metrics.clone(),
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -61,6 +61,9 @@
     /// Port for metrics, or 0 to serve none.
     #[serde(default)]
     pub metrics_port: u16,
+    /// Local address from which connections to replicas are opened; by default the system chooses.
+    #[serde(default)]
+    pub upstream_source: Option<IpAddr>,
     /// File descriptors that the process may open.
     #[serde(default = "default_descriptors")]
     pub file_descriptors: usize,
--- a/berylstep/src/gateway/upstreams.rs
+++ b/berylstep/src/gateway/upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use berylstep_core::collections::HashMap;
@@ -10,6 +10,8 @@
 use berylstep_http::{socket, MessageStream};
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
+use smol::Async;
+use socket2::{Domain, Socket, Type};
 
 use crate::clock::RuntimeClock;
 
@@ -66,10 +68,34 @@
     }
 }
 
+/// Opens a connection from a local address.
+async fn connect_from(source: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    match socket.connect(&address.into()) {
+        Err(err) if !is_in_progress(&err) => return Err(err),
+        Ok(()) | Err(_) => {}
+    }
+    let stream = Async::new(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(err) => Err(err),
+        None => Ok(stream.into()),
+    }
+}
+
+fn is_in_progress(err: &std::io::Error) -> bool {
+    err.kind() == ErrorKind::WouldBlock
+        || err.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error())
+}
+
 /// Pool of idle connections to replicas.
 #[derive(Debug)]
 pub struct UpstreamPool {
     clock: RuntimeClock,
+    /// Address from which connections are opened; by default the system chooses it.
+    source: Option<IpAddr>,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleStream>>>,
 }
 
@@ -91,8 +117,8 @@
 
 impl UpstreamPool {
     /// Creates an empty pool.
-    pub fn new(clock: RuntimeClock) -> Self {
-        Self { clock, idle: RefCell::default() }
+    pub fn new(clock: RuntimeClock, source: Option<IpAddr>) -> Self {
+        Self { clock, source, idle: RefCell::default() }
     }
 
     /// Returns an idle connection or opens a new one.
@@ -108,13 +134,27 @@
         if let Some(stream) = self.take_idle(address, retryable) {
             return Ok(UpstreamStream { stream, reused: true });
         }
-        let connecting = TcpStream::connect(address);
-        let connected = self.clock.timeout(CONNECT_TIMEOUT, connecting).await;
-        let stream = connected.unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()))?;
+        let stream = self.open(address).await?;
         socket::configure_with_timeout(&stream, DEAD_PEER_TIMEOUT)?;
         Ok(UpstreamStream { stream: MessageStream::new(stream), reused: false })
     }
 
+    /// Opens a connection that is not for a request yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the replica cannot be reached in time.
+    pub async fn open(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let connecting = async {
+            match self.source {
+                Some(source) => connect_from(source, address).await,
+                None => TcpStream::connect(address).await,
+            }
+        };
+        let connected = self.clock.timeout(CONNECT_TIMEOUT, connecting).await;
+        connected.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))
+    }
+
     /// Returns a connection to the pool after its last response was read completely.
     /// `keep_alive` is the idle timeout that the replica announced.
     pub fn release(
--- a/berylstep_standins/src/fleet.rs
+++ b/berylstep_standins/src/fleet.rs
@@ -7,6 +7,7 @@
 use serde_json::{json, Value};
 
 pub mod crash;
+pub mod cut;
 pub mod gateway;
 pub mod message;
 pub mod replica;
--- a/berylstep_standins/src/fleet/gateway.rs
+++ b/berylstep_standins/src/fleet/gateway.rs
@@ -42,6 +42,8 @@
     pub store_address: SocketAddr,
     /// Whether the fleet is being bootstrapped.
     pub first_start: bool,
+    /// Whether it connects to replicas from its own address, by which replicas tell gateways apart.
+    pub binds_upstreams: bool,
     /// Numbers of the gateways used as seed peers.
     pub seeds: Vec<u8>,
     /// Addresses of the caller, readiness, directory and metrics listeners, in this order.
@@ -53,7 +55,15 @@
     pub fn new(store_address: SocketAddr, number: u8, peer_port: u16) -> Self {
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 0, number));
         let listen = std::array::from_fn(|_| SocketAddr::new(ip, free_address().port()));
-        Self { number, peer_port, store_address, first_start: true, seeds: vec![2, 3], listen }
+        Self {
+            number,
+            peer_port,
+            store_address,
+            first_start: true,
+            binds_upstreams: false,
+            seeds: vec![2, 3],
+            listen,
+        }
     }
 
     /// Starts the process without waiting until it is ready; standard output goes to `log`.
@@ -65,12 +75,13 @@
         let seeds = self.seeds.iter().map(|number| format!("127.0.0.{number}:1"));
         let settings = json!({
             "node": format!("gateway-{}", self.number), "zone": "a", "region": "r",
-            "ip_address": ip, "peer_ports": [self.peer_port, self.peer_port],
+            "ip_address": ip, "peer_ports": [self.peer_port, self.peer_port + 1],
             "first_start": self.first_start, "seeds": seeds.collect::<Vec<_>>(),
             "listen": {"callers": caller_address, "readiness": readiness_address,
                        "directory": directory_address},
             "metrics_port": metrics_address.port(), "store_address": self.store_address,
             "cloud_address": self.store_address,
+            "upstream_source": self.binds_upstreams.then_some(ip),
             "drain_ms": 2000, "stop_grace_s": 8, "retry_ratio": 0.2, "retry_extra": 56,
             "retry_window_s": 10, "usage_window_s": 1,
         });
