Hand requests over while a node is cut off from replicas

Cause: a failed connection was always laid to the replica. A node that is itself cut off tried one replica after another and gave up; nothing told the others or the directory, so its callers came back.

Change: a node counts as cut off from a service once new connections to two replicas have failed in turn (fleet::reach) and tries on in the background. It says so in pulses and gossip, the directory leaves it out while there are others, and what still arrives is handed over whole to a node that reaches the service, through the second port between nodes (gateway::handover). A request is offered to another node only if it has not run; what was handed over is not handed on.

A planned stop of the node that took requests over loses none of them, and its crash breaks them off visibly.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod duties;
 pub mod endpoints;
 pub mod feeds;
+pub mod handover;
 pub mod limits;
 pub mod mirror;
 pub mod notifier;
@@ -18,6 +19,7 @@
 pub mod pending;
 pub mod pulse;
 pub mod quarantine;
+pub mod reach;
 pub mod request;
 pub mod response;
 pub mod service_level;
@@ -57,7 +59,8 @@
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pulse::PulseExchange;
 use crate::gateway::quarantine::CrashWatch;
-use crate::gateway::request::RequestHandler;
+use crate::gateway::reach::ReachWatch;
+use crate::gateway::request::{RequestHandler, RequestSource};
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings, SettingsError};
 use crate::gateway::state_transfer::StateTransfer;
@@ -94,6 +97,7 @@
     directory: TcpListener,
     metrics: Option<TcpListener>,
     peers: TcpListener,
+    handovers: Option<TcpListener>,
     pulses: UdpSocket,
 }
 
@@ -110,6 +114,10 @@
                 _ => Some(bind(metrics).await?),
             },
             peers: bind(settings.peer_address()).await?,
+            handovers: match settings.handover_address(settings.ip_address) {
+                None => None,
+                Some(address) => Some(bind(address).await?),
+            },
             pulses: pulses.map_err(|err| GatewayError::Listen(settings.peer_address(), err))?,
         })
     }
@@ -142,7 +150,7 @@
     context.serve_state_transfer(sockets.peers);
     let listeners = [Some(sockets.readiness), Some(sockets.directory), sockets.metrics];
     context.serve_endpoints(listeners.into_iter().flatten());
-    context.serve_callers(sockets.callers);
+    context.serve_callers(sockets.callers, sockets.handovers);
     let duties = context.start_duties();
     let file = Rc::new(SettingsFile {
         path,
@@ -177,6 +185,7 @@
     limits: Rc<LimitWatch>,
     turns: Rc<TurnDesk>,
     origins: Rc<OriginDesk>,
+    reach: Rc<ReachWatch>,
     crashes: Rc<CrashWatch>,
     peers: Rc<PeerTable>,
     metrics: Rc<GatewayMetrics>,
@@ -230,6 +239,7 @@
             limits,
             turns: Rc::new(turns),
             origins: Rc::new(origins),
+            reach: Rc::new(ReachWatch::new(clock.clone(), mirror.clone())),
             crashes: Rc::new(CrashWatch::new(clock.clone(), mirror.clone())),
             mirror,
             peers,
@@ -271,6 +281,7 @@
             limits: self.limits.clone(),
             turns: self.turns.clone(),
             origins: self.origins.clone(),
+            reach: self.reach.clone(),
             usage: self.usage.clone(),
             stop: self.stop.clone(),
             duty_fencing: self.duty_fencing.clone(),
@@ -306,13 +317,14 @@
             metrics: self.metrics.clone(),
             live: self.live.clone(),
             levels: self.levels.clone(),
+            reach: self.reach.clone(),
         });
         for listener in listeners {
             self.tasks.spawn(endpoints.clone().listen(self.tasks.clone(), listener)).detach();
         }
     }
 
-    fn serve_callers(&self, listener: TcpListener) {
+    fn serve_callers(&self, listener: TcpListener, handovers: Option<TcpListener>) {
         let handler = Rc::new(RequestHandler {
             started_at: self.clock.now(),
             settings: self.settings.clone(),
@@ -324,6 +336,9 @@
             crashes: self.crashes.clone(),
             peers: self.peers.clone(),
             upstreams: UpstreamPool::new(self.clock.clone(), self.settings.upstream_source),
+            reach: self.reach.clone(),
+            peer_connections: UpstreamPool::new(self.clock.clone(), None),
+            paused_peers: RefCell::default(),
             usage: self.usage.clone(),
             stop: self.stop.clone(),
             metrics: self.metrics.clone(),
@@ -334,13 +349,20 @@
         });
         self.tasks.spawn(run_maintenance(handler.clone())).detach();
         self.tasks.spawn(self.crashes.clone().verify_losses()).detach();
-        let callers = CallerListener {
-            handler,
-            tasks: self.tasks.clone(),
-            descriptors: self.settings.file_descriptors,
-            open: Rc::default(),
-        };
-        self.tasks.spawn(callers.run(listener)).detach();
+        self.tasks.spawn(handler.clone().watch_reach()).detach();
+        let open = Rc::<Cell<usize>>::default();
+        let listeners = [(Some(listener), RequestSource::Caller), (handovers, RequestSource::Peer)];
+        for (listener, source) in listeners {
+            let Some(listener) = listener else { continue };
+            let callers = CallerListener {
+                handler: handler.clone(),
+                tasks: self.tasks.clone(),
+                descriptors: self.settings.file_descriptors,
+                open: open.clone(),
+                source,
+            };
+            self.tasks.spawn(callers.run(listener)).detach();
+        }
     }
 
     /// Starts the duties if the deployment configures a cloud interface.
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -212,6 +212,7 @@
             Ok(upstream) => upstream,
             Err(err) => {
                 self.record_replica_failure(&target.id, &err.to_string());
+                self.reach.record_failure(&request.service, &target.id);
                 return AttemptOutcome::NotSent("cannot connect");
             }
         };
@@ -234,10 +235,14 @@
                 outcome
             }
             None if limit < time_left => {
+                self.reach.suspect(&request.service);
                 self.record_replica_failure(&target.id, "no response in time");
                 AttemptOutcome::Lost("replica is silent")
             }
-            None => AttemptOutcome::TimedOut,
+            None => {
+                self.reach.suspect(&request.service);
+                AttemptOutcome::TimedOut
+            }
         }
     }
 
@@ -291,9 +296,16 @@
             Err(reason) => {
                 log::debug!("event=attempt_broken id={} reused={reused}", request.id());
                 self.record_replica_failure(&target.id, reason);
+                match reused {
+                    true => self.reach.suspect(&request.service),
+                    false => self.reach.record_failure(&request.service, &target.id),
+                }
                 return AttemptOutcome::Lost(reason);
             }
         };
+        if !reused {
+            self.reach.record_success(&request.service);
+        }
         self.record_statement(&target.id, headers.statement, sent_at);
         let mut decoder = BodyDecoder::response(&head, method);
         if headers.not_executed {
--- a/berylstep/src/gateway/callers.rs
+++ b/berylstep/src/gateway/callers.rs
@@ -11,7 +11,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
 
-use crate::gateway::request::RequestHandler;
+use crate::gateway::request::{RequestHandler, RequestSource};
 use crate::gateway::response::{LocalReply, ResponseWriter};
 
 /// Timeout for receiving a request body.
@@ -42,6 +42,8 @@
     pub descriptors: usize,
     /// Number of open connections.
     pub open: Rc<Cell<usize>>,
+    /// Who connects here.
+    pub source: RequestSource,
 }
 
 /// Counts an open connection until dropped.
@@ -63,8 +65,9 @@
                     self.open.set(self.open.get() + 1);
                     let open = ConnectionGuard(self.open.clone());
                     let handler = self.handler.clone();
+                    let source = self.source;
                     let serving = async move {
-                        serve_connection(&handler, stream).await;
+                        serve_connection(&handler, stream, source).await;
                         drop(open);
                     };
                     self.tasks.spawn(serving).detach();
@@ -108,7 +111,7 @@
     }
 }
 
-async fn serve_connection(handler: &RequestHandler, stream: TcpStream) {
+async fn serve_connection(handler: &RequestHandler, stream: TcpStream, source: RequestSource) {
     if let Err(err) = socket::configure_with_timeout(&stream, DEAD_PEER_TIMEOUT) {
         log::debug!("event=caller_lost error=\"{err}\"");
         return;
@@ -118,7 +121,7 @@
         match receive(handler, &mut caller).await {
             Ok(received) => {
                 let ReceivedMessage { message, body, arrived } = received;
-                if !handler.serve(&mut caller, &message, &body, arrived).await {
+                if !handler.serve(&mut caller, &message, &body, arrived, source).await {
                     return;
                 }
             }
--- a/berylstep/src/gateway/endpoints.rs
+++ b/berylstep/src/gateway/endpoints.rs
@@ -13,6 +13,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
+use crate::gateway::reach::ReachWatch;
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings};
 use crate::gateway::stop::{GracefulStop, DIRECTORY_TTL};
@@ -59,6 +60,8 @@
     pub metrics: Rc<GatewayMetrics>,
     /// Outcomes against latency targets.
     pub levels: Rc<ServiceLevels>,
+    /// Services that this node is cut off from.
+    pub reach: Rc<ReachWatch>,
 }
 
 impl EndpointServer {
@@ -147,10 +150,14 @@
     /// list up to `MIN_ADDRESSES`.
     fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
         let nodes = self.peers.nodes(self.clock.now());
-        let ready = nodes.iter().filter(|node| node.ready);
-        let others = ready.map(|node| (&*node.zone, node.caller_address));
+        let ready: Vec<_> = nodes.iter().filter(|node| node.ready).collect();
+        let is_own_sound = self.reach.unreachable().is_empty();
+        // Callers of a node that is cut off from replicas are served by other nodes in the end.
+        let has_sound = is_own_sound || ready.iter().any(|node| node.unreachable.is_empty());
+        let others = ready.into_iter().filter(|node| !has_sound || node.unreachable.is_empty());
+        let others = others.map(|node| (&*node.zone, node.caller_address));
         let own = (&*self.settings.zone, self.settings.listen.callers);
-        let own = self.is_ready().then_some(own);
+        let own = (self.is_ready() && (is_own_sound || !has_sound)).then_some(own);
         let (mut local, mut remote) = (Vec::new(), Vec::new());
         for (node_zone, address) in own.into_iter().chain(others) {
             match node_zone == zone {
--- a/berylstep/src/gateway/peers/node.rs
+++ b/berylstep/src/gateway/peers/node.rs
@@ -32,6 +32,8 @@
     pub incarnation: u64,
     /// CPU share in thousandths of a core.
     pub core_permille: u32,
+    /// Hashes of the services that the node is cut off from.
+    pub unreachable: Vec<u32>,
 }
 
 impl KnownNode {
@@ -51,6 +53,7 @@
             leaving: self.leaving,
             incarnation: self.incarnation,
             core_permille: self.core_permille,
+            unreachable_services: self.unreachable.clone(),
         }
     }
 
@@ -70,6 +73,7 @@
             leaving: entry.leaving,
             incarnation: entry.incarnation,
             core_permille: entry.core_permille,
+            unreachable: entry.unreachable_services.clone(),
         })
     }
 
@@ -85,6 +89,7 @@
             leaving: pulse.leaving,
             incarnation: pulse.incarnation,
             core_permille: pulse.core_permille,
+            unreachable: pulse.unreachable_services.clone(),
         })
     }
 }
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -25,6 +25,7 @@
 use crate::gateway::origins::OriginDesk;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::CrashWatch;
+use crate::gateway::reach::ReachWatch;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::stop::GracefulStop;
 use crate::gateway::turns::TurnDesk;
@@ -92,6 +93,8 @@
     pub turns: Rc<TurnDesk>,
     /// Origins of streams.
     pub origins: Rc<OriginDesk>,
+    /// Services that this node is cut off from.
+    pub reach: Rc<ReachWatch>,
     /// Usage counts of this node and its peers.
     pub usage: Rc<UsageLedger>,
     /// State of a planned stop.
@@ -384,6 +387,7 @@
             stream_origins: Vec::new(),
             origin_query: None,
             origin_reply: None,
+            unreachable_services: self.reach.unreachable(),
             follows_store: self.mirror.is_following_store(),
         }
     }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -19,11 +19,13 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
 use crate::gateway::demand::DemandLedger;
+use crate::gateway::handover::PausedPeers;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::origins::OriginDesk;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::{evidence_keys, CrashWatch, RequestContent};
+use crate::gateway::reach::ReachWatch;
 use crate::gateway::response::{LocalReply, ResponseWriter};
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings};
@@ -81,6 +83,12 @@
     pub peers: Rc<PeerTable>,
     /// Idle connections to replicas.
     pub upstreams: UpstreamPool,
+    /// Services that this node is cut off from.
+    pub reach: Rc<ReachWatch>,
+    /// Idle connections to nodes that take requests over.
+    pub peer_connections: UpstreamPool,
+    /// Nodes that are offered no requests for now.
+    pub paused_peers: PausedPeers,
     /// Usage counts by organisation.
     pub usage: Rc<UsageLedger>,
     /// Graceful stop and the number of open requests.
@@ -113,6 +121,8 @@
     pub speed: EngineSpeed,
     /// What evidence about crashes is collected for.
     pub evidence: Vec<EvidenceKey>,
+    /// Whether another node has handed it over.
+    pub is_handed_over: bool,
     /// Version at which it must run, if it takes up a stream.
     pub pin: VersionPin,
     /// Priority; 0 is served first.
@@ -132,6 +142,15 @@
     }
 }
 
+/// Who sent a request to this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestSource {
+    /// A caller.
+    Caller,
+    /// A node that is cut off from the replicas.
+    Peer,
+}
+
 /// Whether the caller received the complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseDelivery {
@@ -166,6 +185,7 @@
         message: &RequestMessage,
         body: &[u8],
         arrived: Duration,
+        source: RequestSource,
     ) -> bool {
         let _open = self.stop.open_request();
         let keep_alive = message.keep_alive && !self.stop.is_stopping();
@@ -179,6 +199,11 @@
                     return self.send_reply(&mut writer, &reply).await;
                 }
             };
+            request.is_handed_over = source == RequestSource::Peer;
+            trace.record_route(&request);
+            if let Some(delivery) = self.hand_over(&request, &mut writer, &trace).await {
+                return delivery;
+            }
             let pinned = self.pin_stream(&mut request).await;
             trace.record_route(&request);
             match pinned {
@@ -196,7 +221,9 @@
         };
         let delivery = future::or(serving, disconnecting).await;
         let headers = CallerHeaders::read(&message.headers);
-        trace.finish(&self.metrics, &self.levels, headers.request_id.as_deref(), self.clock.now());
+        // The node that has the caller counts its service level.
+        let levels = (source == RequestSource::Caller).then_some(&*self.levels);
+        trace.finish(&self.metrics, levels, headers.request_id.as_deref(), self.clock.now());
         delivery == ResponseDelivery::Complete && keep_alive
     }
 
@@ -233,6 +260,7 @@
             organisation: holder.map(|organisation| organisation.name.clone()),
             priority: route.rank(holder.and_then(|holder| holder.priority)),
             evidence,
+            is_handed_over: false,
             pin: VersionPin::Any,
             headers,
             speed: self.engine_speed(&desired, &service),
@@ -273,6 +301,11 @@
         let is_review = verdict == QuarantineVerdict::Review;
         let pin = request.pin;
         let mut history = AttemptHistory { is_review, pin, ..AttemptHistory::default() };
+        if request.is_handed_over && self.reach.is_cut_off(&request.service) {
+            let reply = LocalReply::refused("node is cut off", self.retry_after());
+            trace.record_outcome(reply_outcome(&reply));
+            return self.send_reply(writer, &reply).await;
+        }
         let mut next = self.select_replica(request, &mut history).await;
         loop {
             let Some(target) = next else {
@@ -327,6 +360,12 @@
                     return self.send_reply(writer, &reply).await;
                 }
             };
+            // A retry has been charged to the budget if a replica was selected for it.
+            if history.sent == 0 || next.is_some() {
+                if let Some(delivery) = self.hand_over(request, writer, trace).await {
+                    return delivery;
+                }
+            }
         }
     }
 
@@ -501,7 +540,7 @@
         }
     }
 
-    async fn send_reply(
+    pub(super) async fn send_reply(
         &self,
         writer: &mut ResponseWriter,
         reply: &LocalReply,
@@ -575,7 +614,7 @@
     );
 }
 
-fn reply_outcome(reply: &LocalReply) -> RequestOutcome {
+pub(super) fn reply_outcome(reply: &LocalReply) -> RequestOutcome {
     match reply.status {
         503 => RequestOutcome::Refused(reply.reason),
         504 => RequestOutcome::TimedOut,
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -48,7 +48,8 @@
     pub region: SharedName,
     /// IP address of the VM.
     pub ip_address: IpAddr,
-    /// First and last port for traffic between nodes; only the first is used.
+    /// First and last port for traffic between nodes: the first is for messages, the next one for
+    /// requests that nodes hand over. Without a second port none are.
     pub peer_ports: (u16, u16),
     /// Addresses of other nodes, possibly stale. Only the IP address is used.
     #[serde(default)]
@@ -315,9 +316,17 @@
             leaving: false,
             incarnation,
             core_permille: self.core_permille(),
+            unreachable: Vec::new(),
         }
     }
 
+    /// Returns the address at which the node with this IP address takes requests from other nodes;
+    /// `None` if there is no port for it.
+    pub fn handover_address(&self, ip: IpAddr) -> Option<SocketAddr> {
+        let (first, last) = self.peer_ports;
+        (last > first).then(|| SocketAddr::new(ip, first + 1))
+    }
+
     /// Returns the time between the signal to stop and the end of the process.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s)
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -92,6 +92,7 @@
     streams: IntCounterVec,
     resumed_streams: IntCounterVec,
     streams_not_resumed: IntCounterVec,
+    handovers: IntCounterVec,
     limited_attempts: IntCounterVec,
     turns: IntCounterVec,
     first_content: HistogramVec,
@@ -150,6 +151,11 @@
                 "Streams that callers took up and that could not go on, by service and reason.",
                 &["service", "reason"],
             )?,
+            handovers: set.counters(
+                "berylstep_gateway_handovers_total",
+                "Requests that this node offered to another one, by service and result.",
+                &["service", "result"],
+            )?,
             limited_attempts: set.counters(
                 "berylstep_gateway_limited_attempts_total",
                 "Attempts at replicas that this node knew to have named a limit, by service.",
@@ -236,6 +242,23 @@
         );
     }
 
+    /// Counts and logs a request that was offered to another node.
+    pub fn record_handover(
+        &self,
+        request: &RoutedRequest<'_>,
+        peer: &str,
+        result: HandoverResult,
+        status: u16,
+    ) {
+        self.handovers.with_label_values(&[&*request.service, result.label()]).inc();
+        log::info!(
+            "event=request_handed_over id={} service={} peer={peer} result={} status={status}",
+            request.id(),
+            request.service,
+            result.label()
+        );
+    }
+
     /// Counts an attempt at a replica that has named a limit.
     pub fn record_limited_attempt(&self, service: &str) {
         self.limited_attempts.with_label_values(&[service]).inc();
@@ -289,6 +312,30 @@
     pub began_version: Option<&'a str>,
 }
 
+/// Result of offering a request to another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandoverResult {
+    /// The node responds to it.
+    Taken,
+    /// The node refuses it; it did not run.
+    Refused,
+    /// The node can't be reached.
+    NotSent,
+    /// The request may have run, but its response is lost.
+    Lost,
+}
+
+impl HandoverResult {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Refused => "refused",
+            Self::NotSent => "not_sent",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// Result of asking for a turn at a limited replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TurnResult {
@@ -434,9 +481,7 @@
         }
         let (result, detail) = match outcome {
             AttemptOutcome::Responded(_) => {
-                if self.first_content.get().is_none() {
-                    self.first_content.set(Some(now));
-                }
+                self.record_first_content(now);
                 return;
             }
             AttemptOutcome::NotSent(reason) => ("not_sent", *reason),
@@ -464,6 +509,13 @@
         self.stream.set(Some(report));
     }
 
+    /// Records that the first content of the response has arrived.
+    pub fn record_first_content(&self, now: Duration) {
+        if self.first_content.get().is_none() {
+            self.first_content.set(Some(now));
+        }
+    }
+
     /// Records the outcome of the request. Only the first call has an effect.
     pub fn record_outcome(&self, outcome: RequestOutcome) {
         if self.outcome.get().is_none() {
@@ -475,7 +527,7 @@
     pub fn finish(
         &self,
         metrics: &GatewayMetrics,
-        levels: &ServiceLevels,
+        levels: Option<&ServiceLevels>,
         id: Option<&str>,
         now: Duration,
     ) {
@@ -507,7 +559,9 @@
         if let Some(level) =
             outcome.target_outcome(first.is_some_and(|first| first <= labels.target))
         {
-            levels.count_request(&labels.route, labels.organisation.as_ref(), level);
+            if let Some(levels) = levels {
+                levels.count_request(&labels.route, labels.organisation.as_ref(), level);
+            }
         }
         log::log!(
             outcome.log_level(),
--- a/berylstep/src/gateway/upstreams.rs
+++ b/berylstep/src/gateway/upstreams.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Closes the idle connections to a replica.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections whose idle timeout has expired.
     pub fn close_expired(&self) {
         let now = self.clock.now();
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -177,6 +177,16 @@
     }
 }
 
+/// Appends the headers of a request for another node, which treats it as its caller's.
+pub fn write_handover_headers(headers: &HeaderList, time_left: Duration, out: &mut Vec<u8>) {
+    for field in headers.end_to_end() {
+        if !field.name.eq_ignore_ascii_case(DEADLINE) {
+            write_header(&field.name, &field.value, out);
+        }
+    }
+    write_header(DEADLINE, time_left.as_millis().to_string().as_bytes(), out);
+}
+
 /// Appends one header line to `out`.
 pub fn write_header(name: &str, value: &[u8], out: &mut Vec<u8>) {
     out.extend_from_slice(name.as_bytes());
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -13,6 +13,7 @@
 fn node(zone: &str, number: u8, core_permille: u32) -> KnownNode {
     let address = |port| SocketAddr::from(([127, 0, zone.as_bytes()[0], number], port));
     KnownNode {
+        unreachable: Vec::new(),
         node: format!("{zone}{number}").as_str().into(),
         zone: zone.into(),
         peer_address: address(7000),
--- a/berylstep/tests/replica_cuts.rs
+++ b/berylstep/tests/replica_cuts.rs
@@ -30,6 +30,23 @@
     IpAddr::V4(Ipv4Addr::new(127, 0, 0, number))
 }
 
+/// Starts gateways that replicas can tell apart, and waits until they know each other.
+fn start_gateways(store: &FakeStore, count: u8) -> Vec<FleetGateway> {
+    let peer_port = free_address().port();
+    let gateways = (2..2 + count).map(|number| {
+        let config = GatewayConfig {
+            binds_upstreams: true,
+            ..GatewayConfig::new(store.address, number, peer_port)
+        };
+        let gateway = config.spawn(std::process::Stdio::piped()).unwrap();
+        wait_until("the gateway is ready", || gateway.is_ready());
+        gateway
+    });
+    let gateways = gateways.collect();
+    std::thread::sleep(Duration::from_millis(2200));
+    gateways
+}
+
 struct CutFleet {
     replicas: Vec<CuttableReplica>,
     gateways: Vec<FleetGateway>,
@@ -50,18 +67,7 @@
             replica
         });
         let replicas = replicas.collect();
-        let peer_port = free_address().port();
-        let gateways = (2..2 + GATEWAYS).map(|number| {
-            let config = GatewayConfig {
-                binds_upstreams: true,
-                ..GatewayConfig::new(store.address, number, peer_port)
-            };
-            let gateway = config.spawn(std::process::Stdio::piped()).unwrap();
-            wait_until("the gateway is ready", || gateway.is_ready());
-            gateway
-        });
-        let gateways = gateways.collect();
-        std::thread::sleep(Duration::from_millis(2200));
+        let gateways = start_gateways(&store, GATEWAYS);
         Self { replicas, gateways, _store: store }
     }
 
@@ -191,3 +197,62 @@
     let longest = counted.iter().flatten().map(|request| request.took).max().unwrap_or_default();
     assert!(longest < Duration::from_millis(1600), "{case:?}: {longest:?}");
 }
+
+/// Events of a slow stream, and the pause before each.
+const SLOW_EVENTS: u32 = 8;
+const SLOW_PAUSE: Duration = Duration::from_millis(150);
+
+struct TakerCase {
+    name: &'static str,
+    /// Ends the node that has taken the requests over, while they run.
+    end: fn(&mut FleetGateway),
+    /// Whether the callers get whole responses.
+    is_whole: bool,
+}
+
+/// Guards against requests that are lost, or look complete, when the node that took them over stops or
+/// dies (RECOVER, MIXED), and against replicas that go on working for callers that have left.
+#[test]
+fn requests_that_were_handed_over_outlast_a_planned_stop_and_visibly_break_with_a_crash() {
+    let cases = [
+        TakerCase {
+            name: "planned stop",
+            end: |gateway| gateway.process.terminate(),
+            is_whole: true,
+        },
+        TakerCase { name: "crash", end: |gateway| gateway.process.kill(), is_whole: false },
+    ];
+    for case in cases {
+        let replica = CuttableReplica::start("i-1", |request, stream| {
+            begin_events(stream, request)
+                && (1..=SLOW_EVENTS).all(|number| {
+                    std::thread::sleep(SLOW_PAUSE);
+                    write_event(stream, number)
+                })
+                && end_events(stream)
+        });
+        let store = FakeStore::start();
+        store.put("op", "config", Some(desired_state(1)));
+        store.put("servers", "i-1", Some(replica.entry("plain")));
+        let mut gateways = start_gateways(&store, 2);
+        replica.cut(&[source(2)], CutMode::Silent);
+        let send = |id: &str| {
+            let mut stream = gateways[0].connect();
+            let text = request_text("plain", id, 2900, KEY_HEADER);
+            std::io::Write::write_all(&mut stream, text.as_bytes()).unwrap();
+            stream
+        };
+        // The first finds out that the gateway is cut off.
+        let first = read_partial_message(&mut send("id-first"));
+        assert_eq!(first.map(|(message, _)| message.status()), Some(200), "{}", case.name);
+        let mut streams = ["id-1", "id-2", "id-3"].map(send);
+        std::thread::sleep(3 * SLOW_PAUSE);
+        (case.end)(&mut gateways[1]);
+        for stream in &mut streams {
+            let (message, is_whole) = read_partial_message(stream).expect("the head arrived");
+            assert_eq!((message.status(), is_whole), (200, case.is_whole), "{}", case.name);
+        }
+        let sources: Vec<_> = replica.received().iter().map(|(source, _)| *source).collect();
+        assert_eq!(sources, [source(3); 4], "{}", case.name);
+    }
+}
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -15,6 +15,7 @@
 pub mod origins;
 pub mod position;
 pub mod quarantine;
+pub mod reach;
 pub mod replica;
 pub mod turns;
 pub mod window;
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -520,6 +520,9 @@
     pub origin_query: ::core::option::Option<OriginQuery>,
     #[prost(message, optional, tag = "34")]
     pub origin_reply: ::core::option::Option<OriginReply>,
+    /// Hashes of the services whose replicas the sender can't reach.
+    #[prost(fixed32, repeated, tag = "35")]
+    pub unreachable_services: ::prost::alloc::vec::Vec<u32>,
 }
 /// Process of a replica that began a stream.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -725,6 +728,9 @@
     pub caller_ip: ::prost::alloc::vec::Vec<u8>,
     #[prost(uint32, tag = "12")]
     pub caller_port: u32,
+    /// Hashes of the services whose replicas the node can't reach.
+    #[prost(fixed32, repeated, tag = "13")]
+    pub unreachable_services: ::prost::alloc::vec::Vec<u32>,
 }
 /// Usage counted by one incarnation of a node.
 #[derive(Clone, PartialEq, ::prost::Message)]
