Let a node that is cut off count no losses as crashes of replicas

Cause: a loss counted as one in a crash if a new connection to its replica was refused, which is also what a node sees that is cut off itself.

Change: at the same moment up to four other replicas are tried. If none accepts a connection, the loss waits until the list of replicas shows a new process at its place, as for replicas whose hosts go on accepting connections.

--- a/berylstep/src/gateway/quarantine.rs
+++ b/berylstep/src/gateway/quarantine.rs
@@ -11,7 +11,7 @@
     QuarantinedGroup, RequestQuarantine,
 };
 use berylstep_core::rendezvous;
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use sha2::{Digest, Sha256};
 use smol::channel::{bounded, Receiver, Sender};
 
@@ -21,7 +21,10 @@
 use crate::gateway::peers::KnownNode;
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::LocalReply;
-use crate::gateway::upstreams::probe_replica;
+use crate::gateway::upstreams::{accepts_connections, probe_replica};
+
+/// Number of other replicas that tell a crash from a cut of this node's own paths.
+const MAX_WITNESSES: usize = 4;
 
 /// Largest number of lost requests that wait to be verified.
 const MAX_UNVERIFIED: usize = 256;
@@ -178,18 +181,33 @@
 
     /// Decides on `losses`, all at one process, and on pending ones there.
     async fn probe_process(&self, mut losses: Vec<LostRequest>) {
-        let probe = probe_replica(&self.clock, losses[0].loss.address).await;
         let crash = losses[0].loss.crash;
+        // Both at once: a moment later the other replicas may have crashed too.
+        let probing = probe_replica(&self.clock, losses[0].loss.address);
+        let (probe, reaches_others) = join(probing, self.reaches_others(crash)).await;
         let is_same_process = |lost: &LostRequest| lost.loss.crash == crash;
         let (same, pending) = self.pending.take().into_iter().partition(is_same_process);
         *self.pending.borrow_mut() = pending;
         losses.extend::<Vec<_>>(same);
         let latest = losses.iter().map(|lost| lost.loss.at).max().unwrap_or_default();
         let is_recent = |lost: &&LostRequest| latest - lost.loss.at < SETTLE_INTERVAL;
-        let verdict = judge_probe(probe, losses.iter().filter(is_recent).count());
+        let recent = losses.iter().filter(is_recent).count();
+        let verdict = judge_probe(probe, recent, reaches_others);
         losses.into_iter().for_each(|lost| self.apply_verdict(lost, verdict));
     }
 
+    /// Returns whether this node reaches a replica other than the one of `crash`, or there is none.
+    async fn reaches_others(&self, crash: CrashId) -> bool {
+        let addresses = {
+            let replicas = self.mirror.replicas.borrow();
+            let others = replicas.rows().filter(|row| row.hash != crash.replica && row.is_ready());
+            fastrand::choose_multiple(others.map(|row| row.entry.address), MAX_WITNESSES)
+        };
+        let is_alone = addresses.is_empty();
+        let tries = addresses.into_iter().map(|address| accepts_connections(&self.clock, address));
+        is_alone || join_all(tries).await.contains(&true)
+    }
+
     /// Decides on pending losses by the list of replicas.
     fn settle_pending(&self) {
         let now = self.clock.now();
--- a/berylstep/src/gateway/upstreams.rs
+++ b/berylstep/src/gateway/upstreams.rs
@@ -50,6 +50,12 @@
     }
 }
 
+/// Returns whether a replica accepts connections.
+pub async fn accepts_connections(clock: &RuntimeClock, address: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(address);
+    matches!(clock.timeout(CRASH_CHECK_TIMEOUT, connecting).await, Some(Ok(_)))
+}
+
 /// Opens a connection to a replica that lost a request, and returns what becomes of it.
 pub async fn probe_replica(clock: &RuntimeClock, address: SocketAddr) -> ProbeResult {
     let connecting = TcpStream::connect(address);
--- a/berylstep_core/src/fleet/crashes.rs
+++ b/berylstep_core/src/fleet/crashes.rs
@@ -55,10 +55,12 @@
     Alive,
 }
 
-/// Decides on a loss by a new connection to the replica and the number of requests that this node lost
-/// there at the same time.
-pub fn judge_probe(probe: ProbeResult, lost: usize) -> LossVerdict {
+/// Decides on a loss by a new connection to the replica, the number of requests that this node lost
+/// there at the same time, and whether it reaches any other replica. A node that is cut off from all of
+/// them can't tell a crash from the cut; the list of replicas shows it later.
+pub fn judge_probe(probe: ProbeResult, lost: usize, reaches_others: bool) -> LossVerdict {
     match probe {
+        _ if !reaches_others => LossVerdict::Pending,
         ProbeResult::Refused => LossVerdict::Crashed,
         ProbeResult::Dropped if lost >= LOST_AT_ONCE => LossVerdict::Crashed,
         ProbeResult::Dropped | ProbeResult::Open | ProbeResult::Silent => LossVerdict::Pending,
--- a/berylstep_core/tests/fleet_crashes.rs
+++ b/berylstep_core/tests/fleet_crashes.rs
@@ -32,22 +32,32 @@
 struct ProbeCase {
     probe: ProbeResult,
     lost: usize,
+    /// Whether the node reaches other replicas.
+    reaches_others: bool,
     verdict: LossVerdict,
 }
 
+/// Guards against requests that are refused at all nodes because one that is cut off from the replicas
+/// takes the cut for their crashes (RECOVER).
 #[test]
 fn a_new_connection_tells_whether_the_process_has_ended() {
     let cases = [
-        ProbeCase { probe: ProbeResult::Refused, lost: 1, verdict: Crashed },
-        ProbeCase { probe: ProbeResult::Dropped, lost: 1, verdict: Pending },
-        ProbeCase { probe: ProbeResult::Dropped, lost: 2, verdict: Crashed },
-        ProbeCase { probe: ProbeResult::Open, lost: 1, verdict: Pending },
-        ProbeCase { probe: ProbeResult::Open, lost: 9, verdict: Pending },
-        ProbeCase { probe: ProbeResult::Silent, lost: 9, verdict: Pending },
+        ProbeCase { probe: ProbeResult::Refused, lost: 1, reaches_others: true, verdict: Crashed },
+        ProbeCase { probe: ProbeResult::Dropped, lost: 1, reaches_others: true, verdict: Pending },
+        ProbeCase { probe: ProbeResult::Dropped, lost: 2, reaches_others: true, verdict: Crashed },
+        ProbeCase { probe: ProbeResult::Open, lost: 1, reaches_others: true, verdict: Pending },
+        ProbeCase { probe: ProbeResult::Open, lost: 9, reaches_others: true, verdict: Pending },
+        ProbeCase { probe: ProbeResult::Silent, lost: 9, reaches_others: true, verdict: Pending },
+        ProbeCase { probe: ProbeResult::Refused, lost: 1, reaches_others: false, verdict: Pending },
+        ProbeCase { probe: ProbeResult::Dropped, lost: 9, reaches_others: false, verdict: Pending },
     ];
     for case in cases {
-        let verdict = judge_probe(case.probe, case.lost);
-        assert_eq!(verdict, case.verdict, "{:?}, {} lost", case.probe, case.lost);
+        let verdict = judge_probe(case.probe, case.lost, case.reaches_others);
+        assert_eq!(
+            verdict, case.verdict,
+            "{:?}, {} lost, reaches others: {}",
+            case.probe, case.lost, case.reaches_others
+        );
     }
 }
 
