Accept entries that name no software version

Replicas that name none count as one version. malformed_replica_entries_are_rejected failed since and passes.

--- a/berylstep/src/platform/entries.rs
+++ b/berylstep/src/platform/entries.rs
@@ -16,6 +16,8 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// Replicas that name none count as one version.
+    #[serde(default)]
     version: String,
     slots: u32,
     state: StateBody,
