Leave the port after a test's free port to the test

Cause: gateways of tests listen on two ports since requests are handed over (second1, RECOVER), and another test could get the second. Seen once in a run of all tests: a gateway of replica_cuts didn't become ready.

--- a/berylstep_standins/src/process.rs
+++ b/berylstep_standins/src/process.rs
@@ -117,11 +117,11 @@
 static RESERVATIONS: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
 
 /// Returns a free loopback address; each address is returned only once during the life of the
-/// process.
+/// process. Its port is even, and the next one is left to the caller too: gateways use two ports.
 pub fn free_address() -> SocketAddr {
     let _guard = START_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(LISTENER_PORTS)));
+        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(LISTENER_PORTS) & !1));
         let Ok(reservation) = UdpSocket::bind(address) else { continue };
         if TcpListener::bind(address).is_ok() {
             RESERVATIONS.lock().unwrap_or_else(PoisonError::into_inner).push(reservation);
