Keep brittle replicas from turning requests away

Cause: Server-Brittle was read nowhere. A node learns that a replica is full only from its own rejections, and their sum over all nodes is what the replica can't bear.

Change: the slots of a replica that says so are divided among the nodes; a request without room waits shortly or is refused (fleet::brittle, gateway::brittle).

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -4,6 +4,7 @@
 //! All tasks run on one thread and share state through `Rc` handles.
 
 pub mod attempt;
+pub mod brittle;
 pub mod callers;
 pub mod demand;
 pub mod duties;
@@ -47,6 +48,7 @@
 use smol::LocalExecutor;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::callers::CallerListener;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::duties::{DutyContext, DutyKeeper};
@@ -183,6 +185,7 @@
     stop: Rc<GracefulStop>,
     mirror: Rc<StoreMirror>,
     limits: Rc<LimitWatch>,
+    brittle: Rc<BrittleWatch>,
     turns: Rc<TurnDesk>,
     origins: Rc<OriginDesk>,
     reach: Rc<ReachWatch>,
@@ -237,6 +240,12 @@
         Self {
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
             limits,
+            brittle: Rc::new(BrittleWatch::new(
+                clock.clone(),
+                settings.node.clone(),
+                mirror.clone(),
+                peers.clone(),
+            )),
             turns: Rc::new(turns),
             origins: Rc::new(origins),
             reach: Rc::new(ReachWatch::new(clock.clone(), mirror.clone())),
@@ -331,6 +340,7 @@
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
             limits: self.limits.clone(),
+            brittle: self.brittle.clone(),
             turns: self.turns.clone(),
             origins: self.origins.clone(),
             crashes: self.crashes.clone(),
@@ -430,6 +440,7 @@
         handler.export_retry_budgets();
         handler.limits.expire();
         handler.turns.expire();
+        handler.brittle.expire();
         handler.origins.expire();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.crashes.expire();
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -256,6 +256,7 @@
     /// `sent_at`.
     pub fn record_statement(&self, id: &str, statement: ReplicaStatement, sent_at: Duration) {
         self.limits.observe(id, statement.limit, sent_at);
+        self.brittle.observe(id, statement.brittle);
         if statement.leaving {
             self.mirror.record_replica_leaving(id);
         }
@@ -384,7 +385,10 @@
         let now = self.clock.now();
         match response.status {
             421 => self.record_replica_failure(&target.id, "another replica has its address"),
-            _ => self.mirror.replicas.borrow_mut().record_full(&target.id, now),
+            _ => {
+                self.mirror.replicas.borrow_mut().record_full(&target.id, now);
+                self.brittle.record_rejection(&target.id);
+            }
         }
         AttemptOutcome::NotExecuted(response.status)
     }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
+use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::handover::PausedPeers;
 use crate::gateway::limits::LimitWatch;
@@ -73,6 +74,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Limits that replicas name.
     pub limits: Rc<LimitWatch>,
+    /// Replicas that are brittle.
+    pub brittle: Rc<BrittleWatch>,
     /// Turns at replicas that have named a limit.
     pub turns: Rc<TurnDesk>,
     /// Origins of streams that callers may take up.
@@ -415,7 +418,7 @@
             log_denied_retry(request, history);
             return None;
         }
-        let target = self.claim_replica(request, history).await?;
+        let target = self.claim_room(request, history).await?;
         if history.sent > 0 {
             let bounds = self.live.get().retry;
             let nodes = self.budget_nodes();
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use berylstep_core::fleet::brittle::BrittleStatement;
 use berylstep_core::fleet::limits::LimitStatement;
 use berylstep_http::{ClientResponse, ExchangeError};
 use displaydoc::Display;
@@ -92,6 +93,8 @@
     pub pause: Option<Duration>,
     /// Limit of the requests that it takes from all nodes together.
     pub limit: LimitStatement,
+    /// Rejections that it tolerates.
+    pub brittle: BrittleStatement,
 }
 
 /// Status code and body of a response.
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::brittle::BrittleStatement;
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_core::fleet::limits::LimitStatement;
 use berylstep_http::{HeaderList, ResponseMessage};
@@ -22,6 +23,7 @@
 const NOT_EXECUTED: &str = "Berylstep-Not-Executed";
 const SERVER_LEAVING: &str = "Server-Leaving";
 const SERVER_LIMIT: &str = "Server-Limit";
+const SERVER_BRITTLE: &str = "Server-Brittle";
 const STORE_ERA: &str = "Store-Era";
 const RETRY_AFTER: &str = "Retry-After";
 const LAST_EVENT: &str = "Last-Event-Id";
@@ -252,6 +254,18 @@
     }
 }
 
+/// Reads how many requests a brittle replica may turn away in a second. A value that is not a whole
+/// number says nothing.
+pub fn parse_brittle(value: &str) -> BrittleStatement {
+    match value.trim().parse() {
+        Ok(rejections) => BrittleStatement::Tolerates(rejections),
+        Err(err) => {
+            log::debug!("event=brittle_malformed value={value:?} error=\"{err}\"");
+            BrittleStatement::Unsaid
+        }
+    }
+}
+
 /// Returns the era of the store in which a response was given; 0 if it names none.
 pub fn read_store_era(response: &http_types::Response) -> u64 {
     let value = response.header(STORE_ERA).and_then(|values| values.as_str().trim().parse().ok());
@@ -268,6 +282,7 @@
             .filter(|_| is_unavailable)
             .and_then(|value| parse_pause(value, SystemTime::now())),
         limit: value(SERVER_LIMIT).map(parse_limit).unwrap_or_default(),
+        brittle: value(SERVER_BRITTLE).map(parse_brittle).unwrap_or_default(),
     }
 }
 
@@ -286,10 +301,11 @@
         let signed = headers.contains(SIGNATURE);
         let misdirected = response.status == MISDIRECTED && !signed;
         let not_executed = headers.contains(NOT_EXECUTED) || misdirected;
-        // Only the replica itself can tell that it has no limit.
-        let unnamed = match (signed || headers.contains(NOT_EXECUTED)) && !misdirected {
-            true => LimitStatement::Unlimited,
-            false => LimitStatement::Unsaid,
+        // Only the replica itself can tell that it has no limit, or is not brittle.
+        let is_own = (signed || headers.contains(NOT_EXECUTED)) && !misdirected;
+        let (unnamed, sound) = match is_own {
+            true => (LimitStatement::Unlimited, BrittleStatement::Sound),
+            false => (LimitStatement::Unsaid, BrittleStatement::Unsaid),
         };
         Self {
             owner,
@@ -302,6 +318,7 @@
                     .filter(|_| response.status == UNAVAILABLE)
                     .and_then(|value| parse_pause(value, SystemTime::now())),
                 limit: headers.get(SERVER_LIMIT).map_or(unnamed, parse_limit),
+                brittle: headers.get(SERVER_BRITTLE).map_or(sound, parse_brittle),
             },
         }
     }
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of self-registering upstream replicas and the desired state that routes requests to
 //! them.
 
+pub mod brittle;
 pub mod budget;
 pub mod capacity;
 pub mod choice;
--- a/berylstep_standins/src/fleet.rs
+++ b/berylstep_standins/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use serde_json::{json, Value};
 
+pub mod brittle;
 pub mod crash;
 pub mod cut;
 pub mod gateway;
