--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -23,6 +23,7 @@
 pub mod reach;
 pub mod request;
 pub mod response;
+pub mod selection;
 pub mod service_level;
 pub mod settings;
 pub mod state_transfer;
--- a/berylstep_http/src/socket.rs
+++ b/berylstep_http/src/socket.rs
@@ -14,7 +14,8 @@
 /// Unanswered keepalive probes after which a connection is considered dead.
 const KEEPALIVE_RETRIES: u32 = 3;
 
-/// Time for which sent data may stay unacknowledged before a connection is considered dead.
+/// Time for which sent data or keepalive probes may stay unacknowledged before a connection is
+/// considered dead, whatever the number of probes.
 const USER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Sets `TCP_NODELAY`, keepalive and `TCP_USER_TIMEOUT`.
