Take streams up after a common restart where one version has served for long

Cause: a young node ruled other versions out only if no process of the service had started within a minute, and orders start some all the time.

Change: the period is twice the longest timeout of the service's routes, between 10 s and a minute, and one older process of the only version is enough. A version whose replacement took longer than that, and that left just before a common restart, is not noticed.

--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -10,8 +10,8 @@
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::limits::ProcessId;
 use berylstep_core::fleet::origins::{
-    keeper_order, service_hash, KeeperCandidate, OriginLedger, PresentVersions, StreamKey,
-    StreamOrigin, VersionId, VersionPin,
+    keeper_order, max_stream_age, service_hash, KeeperCandidate, OriginLedger, PresentVersions,
+    StreamKey, StreamOrigin, VersionId, VersionPin,
 };
 use berylstep_wire::{FleetPulse, OriginQuery, OriginReply, ServiceVersions};
 use prost::Message;
@@ -102,7 +102,12 @@
     /// Returns the versions of a service that this node knows of.
     fn present_versions(&self, service: &str) -> PresentVersions {
         let OriginContext { clock, mirror, .. } = &self.context;
-        mirror.replicas.borrow().present_versions(service, clock.now(), clock.unix_ms())
+        let desired = mirror.desired();
+        let routes = desired.iter().flat_map(|desired| desired.routes());
+        let routes =
+            routes.filter(|route| route.targets.iter().any(|target| &*target.service == service));
+        let period = max_stream_age(routes.map(|route| route.timeout).max().unwrap_or_default());
+        mirror.replicas.borrow().present_versions(service, period, clock.now(), clock.unix_ms())
     }
 
     /// Returns whether streams of a service may have begun at different versions.
--- a/berylstep_core/src/fleet/origins.rs
+++ b/berylstep_core/src/fleet/origins.rs
@@ -12,11 +12,18 @@
 use crate::fleet::replica::ReplicaRow;
 use crate::rendezvous;
 
-/// Time for which a version counts as present after its last replica has left, and at least which a
-/// node must have known the list of replicas to say that there was no other version. No stream that
-/// is taken up began earlier.
+/// Longest time for which a version counts as present after its last replica has left.
 pub const VERSION_RETENTION: Duration = Duration::from_secs(60);
 
+/// Shortest such time.
+const MIN_STREAM_AGE: Duration = Duration::from_secs(10);
+
+/// Returns the age up to which a stream may be taken up, if its route ends it after `timeout` at the
+/// latest. Its caller may have taken it up before.
+pub fn max_stream_age(timeout: Duration) -> Duration {
+    (2 * timeout).clamp(MIN_STREAM_AGE, VERSION_RETENTION)
+}
+
 /// Longest time for which an origin is kept.
 const MAX_ORIGIN_RETENTION: Duration = Duration::from_secs(300);
 
@@ -173,7 +180,7 @@
 pub struct PresentVersions {
     /// The versions, in ascending order.
     pub versions: Vec<VersionId>,
-    /// Whether no other version was present for [`VERSION_RETENTION`].
+    /// Whether no other version was present when a stream that may be taken up began.
     pub is_complete: bool,
 }
 
@@ -225,17 +232,21 @@
         self.last_seen.retain(|(_, _, at)| now.saturating_sub(*at) < VERSION_RETENTION);
     }
 
-    /// Returns the versions of a service that were present lately.
-    pub fn recent(&self, service: &str, now: Duration) -> impl Iterator<Item = VersionId> + '_ {
+    /// Returns the versions of a service that were present within `period`.
+    pub fn recent(
+        &self,
+        service: &str,
+        period: Duration,
+        now: Duration,
+    ) -> impl Iterator<Item = VersionId> + '_ {
         let service = service_hash(service);
         let of_service = self.last_seen.iter().filter(move |(name, ..)| *name == service);
-        let recent =
-            of_service.filter(move |(_, _, at)| now.saturating_sub(*at) < VERSION_RETENTION);
+        let recent = of_service.filter(move |(_, _, at)| now.saturating_sub(*at) < period);
         recent.map(|(_, version, _)| *version)
     }
 
-    /// Returns whether the history goes back far enough to rule out other versions.
-    pub fn is_complete(&self, now: Duration) -> bool {
-        self.begins_at.is_some_and(|at| now.saturating_sub(at) >= VERSION_RETENTION)
+    /// Returns whether the history goes back for `period`.
+    pub fn is_complete(&self, period: Duration, now: Duration) -> bool {
+        self.begins_at.is_some_and(|at| now.saturating_sub(at) >= period)
     }
 }
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
-use crate::fleet::origins::{PresentVersions, VersionHistory, VersionId, VERSION_RETENTION};
+use crate::fleet::origins::{PresentVersions, VersionHistory, VersionId};
 use crate::rendezvous;
 
 /// Time for which a replica is avoided after its first failure; about the restart time of its
@@ -303,15 +303,23 @@
         self.rows.values().filter(move |row| row.is_ready() && &*row.entry.service == service)
     }
 
-    /// Returns the versions of a service's software that are present or were lately; `unix_ms` is the
-    /// wall clock. A young node knows that there were no others if no process has started lately.
-    pub fn present_versions(&self, service: &str, now: Duration, unix_ms: u64) -> PresentVersions {
+    /// Returns the versions of a service's software that are present or were within `period`;
+    /// `unix_ms` is the wall clock. A node whose list is younger takes the listed ones for all if one of
+    /// their processes is older, so that a version that left meanwhile was not replaced by these in a
+    /// release of usual length.
+    pub fn present_versions(
+        &self,
+        service: &str,
+        period: Duration,
+        now: Duration,
+        unix_ms: u64,
+    ) -> PresentVersions {
         let rows = || self.rows.values().filter(|row| &*row.entry.service == service);
-        let latest_start = unix_ms.saturating_sub(VERSION_RETENTION.as_millis() as u64);
-        let are_old = rows().all(|row| (1..=latest_start).contains(&row.entry.born));
+        let latest_start = unix_ms.saturating_sub(period.as_millis() as u64);
+        let has_old = rows().any(|row| (1..=latest_start).contains(&row.entry.born));
         let mut present = PresentVersions {
-            versions: self.versions.recent(service, now).collect(),
-            is_complete: self.versions.is_complete(now) || are_old,
+            versions: self.versions.recent(service, period, now).collect(),
+            is_complete: self.versions.is_complete(period, now) || has_old,
         };
         let listed = rows().map(|row| row.version).collect();
         present.merge(&PresentVersions { versions: listed, is_complete: false });
