Show that brittle replicas of a small service fall before many gateways

No decision changes.

The stand-in lets requests wait for a time, and its list entry follows its restarts.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -289,6 +289,7 @@
     ) -> AttemptOutcome {
         let bytes = self.encode(request, target, options);
         let sent_at = self.clock.now();
+        let was_brittle = self.brittle.is_brittle(&target.id);
         let UpstreamStream { mut stream, reused } = upstream;
         let method = &*request.message.method;
         let received = send_and_receive(&mut stream, &bytes, request, reused).await;
@@ -310,6 +311,9 @@
         self.record_statement(&target.id, headers.statement, sent_at);
         let mut decoder = BodyDecoder::response(&head, method);
         if headers.not_executed {
+            if head.status != 421 && self.brittle.is_brittle(&target.id) {
+                self.log_brittle_rejection(request, target, was_brittle);
+            }
             return self.handle_refusal(target, head, decoder, stream, sent_whole).await;
         }
         if head.status < 300 && !headers.is_acceptable(&head) {
@@ -362,6 +366,24 @@
             && has_crashed(&self.clock, target.address).await
     }
 
+    /// Logs that a brittle replica turned a request away, and whether it was known to be brittle when
+    /// the request was sent.
+    fn log_brittle_rejection(
+        &self,
+        request: &RoutedRequest<'_>,
+        target: &ReplicaTarget,
+        was_known: bool,
+    ) {
+        self.metrics.record_brittle_rejection(&request.service, was_known);
+        log::info!(
+            "event=brittle_rejection replica={} born={} id={} known={was_known} running={}",
+            target.id,
+            target.process.born,
+            request.id(),
+            self.mirror.replicas.borrow().get(&target.id).map_or(0, |row| row.own.requests)
+        );
+    }
+
     /// Handles a response stating that the request did not run.
     async fn handle_refusal(
         &self,
--- a/berylstep/src/gateway/brittle.rs
+++ b/berylstep/src/gateway/brittle.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Returns whether the replica `id` is known to be brittle.
+    pub fn is_brittle(&self, id: &str) -> bool {
+        let replicas = self.mirror.replicas.borrow();
+        let process = replicas.get(id).map(process_of);
+        process.is_some_and(|process| self.ledger.borrow().tolerated(process).is_some())
+    }
+
     /// Records that the replica `id` turned a request away for want of room.
     pub fn record_rejection(&self, id: &str) {
         let replicas = self.mirror.replicas.borrow();
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -95,6 +95,7 @@
     handovers: IntCounterVec,
     limited_attempts: IntCounterVec,
     turns: IntCounterVec,
+    brittle_rejections: IntCounterVec,
     first_content: HistogramVec,
     duration: HistogramVec,
     /// Number of requests in progress.
@@ -166,6 +167,11 @@
                 "Turns at limited replicas that this node asked for, by service and result.",
                 &["service", "result"],
             )?,
+            brittle_rejections: set.counters(
+                "berylstep_gateway_brittle_rejections_total",
+                "Requests that brittle replicas turned away, by service and what this node knew.",
+                &["service", "knowledge"],
+            )?,
             first_content: set.histograms(
                 "berylstep_gateway_first_content_seconds",
                 "Time from arrival to the first content of the answer.",
@@ -269,6 +275,13 @@
         self.turns.with_label_values(&[service, result.label()]).inc();
     }
 
+    /// Counts a request that a brittle replica turned away; `was_known` tells whether this node knew
+    /// when it sent the request that the replica is brittle.
+    pub fn record_brittle_rejection(&self, service: &str, was_known: bool) {
+        let knowledge = if was_known { "known" } else { "unknown" };
+        self.brittle_rejections.with_label_values(&[service, knowledge]).inc();
+    }
+
     /// Sets the number of retries that this node may still make for a service.
     pub fn set_retry_budget(&self, service: &str, remaining: u32) {
         self.retry_budget.with_label_values(&[service]).set(remaining.into());
--- a/berylstep_standins/src/fleet/brittle.rs
+++ b/berylstep_standins/src/fleet/brittle.rs
@@ -13,6 +13,9 @@
 /// Window in which rejections count.
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 
+/// Interval at which a waiting request looks for a slot.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// How a [`BrittleReplica`] serves.
 #[derive(Clone, Copy, Debug)]
 pub struct BrittleConfig {
@@ -26,11 +29,19 @@
     pub says_so: bool,
     /// Time for which it is down after it fell over.
     pub down_time: Duration,
+    /// Requests that may wait for a slot.
+    pub waiting: u32,
+    /// Time after its first request from which none may wait.
+    pub waiting_time: Duration,
 }
 
 #[derive(Debug, Default)]
 struct BrittleState {
+    first_request: Option<Instant>,
+    /// Number of the process; counts begin anew with each.
+    process: usize,
     running: u32,
+    waiting: u32,
     served: usize,
     falls: usize,
     rejections: Vec<Instant>,
@@ -55,22 +66,18 @@
                 true => format!("Server-Brittle: {}\r\n", config.tolerated),
                 false => String::new(),
             };
-            let is_admitted = {
-                let mut state = lock(&shared);
-                let is_admitted = state.running < config.slots;
-                state.running += u32::from(is_admitted);
-                is_admitted
-            };
-            if !is_admitted {
+            let Some(process) = admit(&shared, &config) else {
                 let header = format!("{header}Berylstep-Not-Executed: full\r\n");
                 respond(stream, request, 503, &header, "full");
                 return record_rejection(&mut lock(&shared), config.tolerated);
-            }
+            };
             std::thread::sleep(config.run_time);
             respond(stream, request, 200, &header, "answer");
             let mut state = lock(&shared);
-            state.running = state.running.saturating_sub(1);
-            state.served += 1;
+            if state.process == process {
+                state.running -= 1;
+                state.served += 1;
+            }
             ScriptStep::Answered
         });
         Self { replica, config, state }
@@ -91,6 +98,36 @@
     }
 }
 
+/// Takes a slot, and waits for one where that is allowed; returns the process whose slot it is, or `None`
+/// if there is no room.
+fn admit(shared: &Mutex<BrittleState>, config: &BrittleConfig) -> Option<usize> {
+    let process = {
+        let mut state = lock(shared);
+        let first_request = *state.first_request.get_or_insert_with(Instant::now);
+        if state.running < config.slots {
+            state.running += 1;
+            return Some(state.process);
+        }
+        if first_request.elapsed() >= config.waiting_time || state.waiting >= config.waiting {
+            return None;
+        }
+        state.waiting += 1;
+        state.process
+    };
+    loop {
+        std::thread::sleep(POLL_INTERVAL);
+        let mut state = lock(shared);
+        if state.process != process {
+            return Some(process);
+        }
+        if state.running < config.slots {
+            state.waiting -= 1;
+            state.running += 1;
+            return Some(process);
+        }
+    }
+}
+
 fn record_rejection(state: &mut BrittleState, tolerated: usize) -> ScriptStep {
     let now = Instant::now();
     state.rejections.retain(|at| now - *at < REJECTION_WINDOW);
@@ -99,7 +136,8 @@
         return ScriptStep::Answered;
     }
     state.rejections.clear();
-    state.running = 0;
+    (state.running, state.waiting) = (0, 0);
+    state.process += 1;
     state.falls += 1;
     ScriptStep::Crash
 }
