Ask keepers for slots from the first request of a node that has restarted

Cause: for a second after a service has become brittle nodes keep to their shares, because all have to learn of it. A node that restarts in the middle of it began that second anew, and one that learnt of it from a peer counted it from its next pulse.

Change: a node that learns of it within 3 s of its start has missed the onset.

--- a/berylstep/src/gateway/brittle.rs
+++ b/berylstep/src/gateway/brittle.rs
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 pub struct BrittleWatch {
     clock: RuntimeClock,
+    started_at: Duration,
     node: SharedName,
     mirror: Rc<StoreMirror>,
     peers: Rc<PeerTable>,
@@ -55,7 +56,8 @@
         runs: Rc<RunWatch>,
     ) -> Self {
         let (ledger, shares) = (RefCell::default(), RefCell::default());
-        Self { clock, node, mirror, peers, runs, ledger, shares }
+        let started_at = clock.now();
+        Self { clock, started_at, node, mirror, peers, runs, ledger, shares }
     }
 
     /// Records what the response of the replica `id` to a request that was sent at `sent_at` says.
@@ -77,16 +79,19 @@
     /// Applies the notices of a peer.
     pub fn apply(&self, messages: &[ReplicaBrittleness]) {
         let now = self.clock.now();
+        let mut is_news = false;
         for notice in messages.iter().map(read_notice) {
             if !self.ledger.borrow_mut().apply(notice, now) {
                 continue;
             }
-            {
-                let replicas = self.mirror.replicas.borrow();
-                let mut rows = replicas.rows();
-                let row = rows.find(|row| process_of(row) == notice.process);
-                log_change(row.map_or("-", |row| &row.entry.id), &notice, "peer");
-            }
+            is_news = true;
+            let replicas = self.mirror.replicas.borrow();
+            let mut rows = replicas.rows();
+            let row = rows.find(|row| process_of(row) == notice.process);
+            log_change(row.map_or("-", |row| &row.entry.id), &notice, "peer");
+        }
+        if is_news {
+            self.update();
             self.mirror.changed.notify();
         }
     }
@@ -101,7 +106,7 @@
     pub fn update(&self) {
         let replicas = self.mirror.replicas.borrow();
         let listed = replicas.rows().map(|row| (&row.entry.service, process_of(row)));
-        self.ledger.borrow_mut().update_services(listed, self.clock.now());
+        self.ledger.borrow_mut().update_services(listed, self.started_at, self.clock.now());
     }
 
     /// Returns the rejections per second that a replica tolerates; `None` if it is sound.
--- a/berylstep_core/src/fleet/brittle.rs
+++ b/berylstep_core/src/fleet/brittle.rs
@@ -21,6 +21,9 @@
 /// have at its replicas.
 const ONSET_TIME: Duration = Duration::from_secs(1);
 
+/// Time after its start within which a node learns of services that have been brittle before.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Time for which a service counts as brittle while its replicas have not said anything about it, because
 /// all of them have restarted.
 const SILENCE_RETENTION: Duration = Duration::from_secs(60);
@@ -63,6 +66,8 @@
 struct ServiceRow {
     tolerated: u32,
     since: Duration,
+    /// Time from which keepers hand out the slots.
+    kept_from: Duration,
     /// Time at which a listed replica was last known to be brittle.
     seen: Duration,
 }
@@ -111,9 +116,12 @@
 
     /// Updates what is known of the services from the `listed` replicas. Replicas of a service are brittle
     /// at the same time, so one that has just restarted is taken for brittle like the others.
+    ///
+    /// A node that has started at `started_at` and learns of it soon has missed the onset.
     pub fn update_services<'a>(
         &mut self,
         listed: impl Iterator<Item = (&'a SharedName, ProcessId)>,
+        started_at: Duration,
         now: Duration,
     ) {
         let mut known: HashMap<&SharedName, Option<u32>> = HashMap::default();
@@ -129,9 +137,11 @@
             Some(lowest) => lowest.is_some(),
             None => now.saturating_sub(row.seen) < SILENCE_RETENTION,
         });
+        let has_missed_onset = now.saturating_sub(started_at) < START_TIME;
+        let kept_from = if has_missed_onset { now } else { now + ONSET_TIME };
         for (service, lowest) in known {
             let Some(tolerated) = lowest else { continue };
-            let row = ServiceRow { tolerated, since: now, seen: now };
+            let row = ServiceRow { tolerated, since: now, kept_from, seen: now };
             let row = self.services.entry(service.clone()).or_insert(row);
             (row.tolerated, row.seen) = (tolerated, now);
         }
@@ -157,8 +167,8 @@
         if self.tolerated(process, service).is_none() {
             return SlotSource::Free;
         }
-        let since = self.services.get(service).map_or(now, |row| row.since);
-        match has_keeper && now.saturating_sub(since) >= ONSET_TIME {
+        let is_kept = self.services.get(service).is_some_and(|row| now >= row.kept_from);
+        match has_keeper && is_kept {
             true => SlotSource::Keeper,
             false => SlotSource::Share,
         }
--- a/berylstep_core/tests/fleet_brittle.rs
+++ b/berylstep_core/tests/fleet_brittle.rs
@@ -57,6 +57,10 @@
 
 const SERVICE: &str = "s";
 
+/// Time at which a node started, and one at which it has run for long.
+const STARTED: Duration = Duration::ZERO;
+const OLD: Duration = Duration::from_secs(100);
+
 /// Guards against a node that goes on sending to a brittle replica that turned it away (LIMIT).
 #[test]
 fn a_node_leaves_a_brittle_replica_alone_after_a_rejection() {
@@ -88,20 +92,20 @@
 #[test]
 fn a_restarted_replica_of_a_brittle_service_is_taken_for_brittle() {
     let mut ledger = BrittleLedger::default();
-    let at = Duration::from_millis;
+    let at = |millis| OLD + Duration::from_millis(millis);
     let service: SharedName = SERVICE.into();
     let restarted = ProcessId { born: 8, ..PROCESS };
     let other = ProcessId { replica: 2, born: 7 };
     let brittle = LimitNotice { process: PROCESS, version: 1, rate: Some(4.0) };
     assert!(ledger.apply(brittle, at(0)), "a peer has heard of it");
-    ledger.update_services([(&service, PROCESS), (&service, other)].into_iter(), at(0));
+    ledger.update_services([(&service, PROCESS), (&service, other)].into_iter(), STARTED, at(0));
     assert_eq!(ledger.tolerated(other, SERVICE), Some(4), "the others of its service are, too");
     assert_eq!(ledger.tolerated(other, "t"), None, "those of another service are not");
     assert_eq!(ledger.slot_source(other, SERVICE, true, at(900)), SlotSource::Share);
     assert_eq!(ledger.slot_source(other, SERVICE, true, at(1000)), SlotSource::Keeper);
     assert_eq!(ledger.slot_source(other, SERVICE, false, at(1000)), SlotSource::Share);
     // All that have said something are gone.
-    ledger.update_services([(&service, restarted)].into_iter(), at(5_000));
+    ledger.update_services([(&service, restarted)].into_iter(), STARTED, at(5_000));
     assert_eq!(ledger.tolerated(restarted, SERVICE), Some(4));
     assert_eq!(ledger.slot_source(restarted, SERVICE, true, at(5_000)), SlotSource::Keeper);
     // A response that was under way says nothing; a later one does.
@@ -110,10 +114,27 @@
     assert_eq!(ledger.tolerated(restarted, SERVICE), Some(4));
     assert!(ledger.observe(restarted, SERVICE, sound, at(5_100), at(5_200)).is_some());
     assert_eq!(ledger.tolerated(restarted, SERVICE), None);
-    ledger.update_services([(&service, restarted)].into_iter(), at(5_300));
+    ledger.update_services([(&service, restarted)].into_iter(), STARTED, at(5_300));
     assert_eq!(ledger.tolerated(other, SERVICE), None, "the service is sound again");
 }
 
+/// Guards against a node that has restarted, and keeps to its share of the slots while the others ask the
+/// keepers for theirs (LIMIT).
+#[test]
+fn a_node_that_has_just_started_has_missed_the_onset() {
+    let service: SharedName = SERVICE.into();
+    let brittle = LimitNotice { process: PROCESS, version: 1, rate: Some(4.0) };
+    for (age_s, source) in
+        [(0, SlotSource::Keeper), (2, SlotSource::Keeper), (3, SlotSource::Share)]
+    {
+        let mut ledger = BrittleLedger::default();
+        let now = STARTED + Duration::from_secs(age_s);
+        assert!(ledger.apply(brittle, now));
+        ledger.update_services([(&service, PROCESS)].into_iter(), STARTED, now);
+        assert_eq!(ledger.slot_source(PROCESS, SERVICE, true, now), source, "{age_s} s old");
+    }
+}
+
 /// Guards against a service that counts as brittle for ever, although its replicas are no longer there.
 #[test]
 fn a_service_that_nothing_is_heard_of_is_sound_in_the_end() {
@@ -122,9 +143,13 @@
     let restarted = ProcessId { born: 8, ..PROCESS };
     let brittle = LimitNotice { process: PROCESS, version: 1, rate: Some(0.0) };
     assert!(ledger.apply(brittle, Duration::ZERO));
-    ledger.update_services([(&service, PROCESS)].into_iter(), Duration::ZERO);
+    ledger.update_services([(&service, PROCESS)].into_iter(), STARTED, Duration::ZERO);
     for (seconds, tolerated) in [(1, Some(0)), (59, Some(0)), (60, None)] {
-        ledger.update_services([(&service, restarted)].into_iter(), Duration::from_secs(seconds));
+        ledger.update_services(
+            [(&service, restarted)].into_iter(),
+            STARTED,
+            Duration::from_secs(seconds),
+        );
         assert_eq!(ledger.tolerated(restarted, SERVICE), tolerated, "after {seconds} s");
     }
 }
