Note the versions of a service in the store

Cause: a node that has just started took the listed versions for all there were as soon as one process had run for long. That process may have served beside the version that has just left, and nobody remembers that one after a common restart.

Change: nodes that follow the store note the versions there when a second one appears and when it has been gone for long enough. A young node relies on the notes.

Ruled out: history of the feed, asking the replicas, refusing all (docs/design/versions.md).

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -36,6 +36,7 @@
 pub mod turns;
 pub mod upstreams;
 pub mod usage;
+pub mod version_notes;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -76,6 +77,7 @@
 use crate::gateway::turns::{TurnContext, TurnDesk};
 use crate::gateway::upstreams::UpstreamPool;
 use crate::gateway::usage::UsageLedger;
+use crate::gateway::version_notes::VersionNoter;
 use crate::platform::PlatformClient;
 
 /// Interval at which the settings file is checked for changes made without a signal.
@@ -299,6 +301,13 @@
             };
             self.tasks.spawn(follower.run()).detach();
         }
+        let noter = VersionNoter {
+            clock: self.clock.clone(),
+            store: self.store.clone(),
+            mirror: self.mirror.clone(),
+            origins: self.origins.clone(),
+        };
+        self.tasks.spawn(noter.run()).detach();
     }
 
     fn start_pulses(&self, socket: UdpSocket) -> Rc<PulseExchange> {
--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -100,14 +100,14 @@
     }
 
     /// Returns the versions of a service that this node knows of.
-    fn present_versions(&self, service: &str) -> PresentVersions {
+    pub fn present_versions(&self, service: &str) -> PresentVersions {
         let OriginContext { clock, mirror, .. } = &self.context;
         let desired = mirror.desired();
         let routes = desired.iter().flat_map(|desired| desired.routes());
         let routes =
             routes.filter(|route| route.targets.iter().any(|target| &*target.service == service));
         let period = max_stream_age(routes.map(|route| route.timeout).max().unwrap_or_default());
-        mirror.replicas.borrow().present_versions(service, period, clock.now(), clock.unix_ms())
+        mirror.replicas.borrow().present_versions(service, period, clock.now())
     }
 
     /// Returns whether streams of a service may have begun at different versions.
@@ -352,6 +352,11 @@
                 if let Some(others) = others.get(&service_hash(&request.service)) {
                     present.merge(others);
                 }
+                if !present.is_complete && present.versions.len() == 1 {
+                    self.metrics.record_not_resumed(request, "versions_not_read");
+                    let reason = "earlier versions of the service are not known yet";
+                    return Err(LocalReply::refused(reason, self.retry_after()));
+                }
                 present.sole()
             }
             OriginLookup::Unreachable => {
--- /dev/null
+++ b/berylstep/src/gateway/version_notes.rs
@@ -0,0 +1,146 @@
+//! Notes in the store of the versions that a service has, or had lately. They outlast a common restart of
+//! the nodes, after which the list of replicas doesn't tell which versions have just left.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylstep_core::collections::HashMap;
+use berylstep_core::fleet::origins::{service_hash, VersionId, VersionNotes};
+
+use crate::clock::RuntimeClock;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::origins::OriginDesk;
+use crate::platform::store::{CommitResult, RowWrite};
+use crate::platform::{CallError, PlatformClient};
+
+/// Table that stores the versions of each service, keyed by the service.
+const VERSION_TABLE: &str = "versions";
+
+/// Interval at which the notes are compared with the list of replicas.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Backoff after a failed call.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+/// Notes of the store at one revision.
+#[derive(Debug)]
+struct StoredNotes {
+    /// Era of the store, which rises with each restore from an older copy.
+    era: u64,
+    notes: VersionNotes,
+    /// Revisions of the rows, by hash of the service.
+    revisions: HashMap<u32, u64>,
+}
+
+/// Reads and writes the notes while this node follows the store.
+pub struct VersionNoter {
+    /// Source of monotonic time.
+    pub clock: RuntimeClock,
+    /// Client of the store.
+    pub store: Rc<PlatformClient>,
+    /// Local copy of the list of replicas.
+    pub mirror: Rc<StoreMirror>,
+    /// Versions that this node knows of.
+    pub origins: Rc<OriginDesk>,
+}
+
+impl VersionNoter {
+    /// Keeps the notes up to date for as long as the node runs.
+    pub async fn run(self) {
+        let mut stored = None;
+        let mut backoff = MIN_BACKOFF;
+        loop {
+            if self.mirror.is_following_store() {
+                match self.update(&mut stored).await {
+                    Ok(()) => backoff = MIN_BACKOFF,
+                    Err(err) => {
+                        stored = None;
+                        log::warn!(
+                            "event=version_notes_failed retry_ms={} error=\"{err}\"",
+                            backoff.as_millis()
+                        );
+                        self.clock.sleep(backoff.mul_f64(0.5 + fastrand::f64())).await;
+                        backoff = (backoff * 2).min(MAX_BACKOFF);
+                        continue;
+                    }
+                }
+            }
+            // Nodes that follow the store look at different times, so that mostly one writes.
+            self.clock.sleep(CHECK_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
+        }
+    }
+
+    /// Reads the notes if they aren't known, and writes those that have changed.
+    async fn update(&self, stored: &mut Option<StoredNotes>) -> Result<(), CallError> {
+        let era = self.mirror.era();
+        if stored.as_ref().is_none_or(|stored| stored.era != era) {
+            *stored = Some(self.read(era).await?);
+        }
+        if !stored.as_ref().is_some_and(|stored| self.is_outdated(stored)) {
+            return Ok(());
+        }
+        // Another node may have written them meanwhile.
+        let current = self.read(era).await?;
+        let writes = self.writes(&current);
+        *stored = Some(current);
+        if writes.is_empty() {
+            return Ok(());
+        }
+        let result = self.store.commit(&writes, &[]).await?;
+        log::info!(
+            "event=versions_noted services={} written={}",
+            writes.len(),
+            result == CommitResult::Committed
+        );
+        *stored = Some(self.read(era).await?);
+        Ok(())
+    }
+
+    async fn read(&self, era: u64) -> Result<StoredNotes, CallError> {
+        let snapshot = self.store.rows(VERSION_TABLE, "").await?;
+        let mut stored =
+            StoredNotes { era, notes: HashMap::default(), revisions: HashMap::default() };
+        for row in snapshot.rows {
+            let Some(value) = row.value else { continue };
+            let service = service_hash(&row.key);
+            stored.revisions.insert(service, row.revision);
+            match serde_json::from_slice::<Vec<u32>>(&value) {
+                Ok(versions) => {
+                    let versions = versions.into_iter().map(VersionId).collect();
+                    stored.notes.insert(service, versions);
+                }
+                Err(err) => {
+                    log::error!("event=version_note_malformed service={} error=\"{err}\"", row.key);
+                }
+            }
+        }
+        self.mirror.replicas.borrow_mut().set_version_notes(stored.notes.clone());
+        Ok(stored)
+    }
+
+    fn is_outdated(&self, stored: &StoredNotes) -> bool {
+        !self.writes(stored).is_empty()
+    }
+
+    /// Returns the rows that differ from what this node knows.
+    fn writes(&self, stored: &StoredNotes) -> Vec<RowWrite> {
+        let Some(desired) = self.mirror.desired() else { return Vec::new() };
+        let services = desired.services().filter_map(|service| {
+            let present = self.origins.present_versions(&service.name);
+            let hash = service_hash(&service.name);
+            let noted = stored.notes.get(&hash).map(|noted| &**noted).unwrap_or_default();
+            if noted == present.noted() {
+                return None;
+            }
+            let versions: Vec<_> = present.noted().iter().map(|version| version.0).collect();
+            Some(RowWrite {
+                table: VERSION_TABLE,
+                key: service.name.to_string(),
+                value: serde_json::to_vec(&versions).expect("versions serialize to JSON"),
+                expected: Some(stored.revisions.get(&hash).copied().unwrap_or_default()),
+            })
+        });
+        services.collect()
+    }
+}
--- a/berylstep_core/src/fleet/origins.rs
+++ b/berylstep_core/src/fleet/origins.rs
@@ -193,6 +193,14 @@
         self.is_complete |= other.is_complete;
     }
 
+    /// Returns the versions to note down; none if there is one only.
+    pub fn noted(&self) -> &[VersionId] {
+        match self.versions.len() {
+            0 | 1 => &[],
+            _ => &self.versions,
+        }
+    }
+
     /// Returns the only version that a stream can have begun at; `None` if there may be others.
     pub fn sole(&self) -> Option<VersionId> {
         match *self.versions {
@@ -209,8 +217,14 @@
     last_seen: Vec<(u32, VersionId, Duration)>,
     /// Time of the first record.
     begins_at: Option<Duration>,
+    /// Versions that the fleet has noted down, by service; `None` until they have been read.
+    noted: Option<VersionNotes>,
 }
 
+/// Versions of each service that are present, or were lately, as the fleet has noted them down where they
+/// outlast its nodes. A service that isn't noted has had one.
+pub type VersionNotes = HashMap<u32, Vec<VersionId>>;
+
 /// Returns the hash that names a service in messages between nodes.
 pub fn service_hash(service: &str) -> u32 {
     rendezvous::score(service, "service") as u32
@@ -232,8 +246,7 @@
         self.last_seen.retain(|(_, _, at)| now.saturating_sub(*at) < VERSION_RETENTION);
     }
 
-    /// Returns the versions of a service that were present within `period`.
-    pub fn recent(
+    fn recent(
         &self,
         service: &str,
         period: Duration,
@@ -245,8 +258,21 @@
         recent.map(|(_, version, _)| *version)
     }
 
-    /// Returns whether the history goes back for `period`.
-    pub fn is_complete(&self, period: Duration, now: Duration) -> bool {
-        self.begins_at.is_some_and(|at| now.saturating_sub(at) >= period)
+    /// Sets the versions that have been noted down.
+    pub fn set_notes(&mut self, notes: VersionNotes) {
+        self.noted = Some(notes);
+    }
+
+    /// Returns the versions of a service that were present within `period`. A history that doesn't go
+    /// back so far relies on what has been noted down.
+    pub fn present(&self, service: &str, period: Duration, now: Duration) -> PresentVersions {
+        let versions = self.recent(service, period, now).collect();
+        let is_long = self.begins_at.is_some_and(|at| now.saturating_sub(at) >= period);
+        let mut present = PresentVersions { versions, is_complete: is_long };
+        if let Some(noted) = self.noted.as_ref().filter(|_| !is_long) {
+            let versions = noted.get(&service_hash(service)).cloned().unwrap_or_default();
+            present.merge(&PresentVersions { versions, is_complete: true });
+        }
+        present
     }
 }
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
-use crate::fleet::origins::{PresentVersions, VersionHistory, VersionId};
+use crate::fleet::origins::{PresentVersions, VersionHistory, VersionId, VersionNotes};
 use crate::rendezvous;
 
 /// Time for which a replica is avoided after its first failure; about the restart time of its
@@ -303,29 +303,25 @@
         self.rows.values().filter(move |row| row.is_ready() && &*row.entry.service == service)
     }
 
-    /// Returns the versions of a service's software that are present or were within `period`;
-    /// `unix_ms` is the wall clock. A node whose list is younger takes the listed ones for all if one of
-    /// their processes is older, so that a version that left meanwhile was not replaced by these in a
-    /// release of usual length.
+    /// Returns the versions of a service's software that are present or were within `period`.
     pub fn present_versions(
         &self,
         service: &str,
         period: Duration,
         now: Duration,
-        unix_ms: u64,
     ) -> PresentVersions {
-        let rows = || self.rows.values().filter(|row| &*row.entry.service == service);
-        let latest_start = unix_ms.saturating_sub(period.as_millis() as u64);
-        let has_old = rows().any(|row| (1..=latest_start).contains(&row.entry.born));
-        let mut present = PresentVersions {
-            versions: self.versions.recent(service, period, now).collect(),
-            is_complete: self.versions.is_complete(period, now) || has_old,
-        };
-        let listed = rows().map(|row| row.version).collect();
+        let rows = self.rows.values().filter(|row| &*row.entry.service == service);
+        let listed = rows.map(|row| row.version).collect();
+        let mut present = self.versions.present(service, period, now);
         present.merge(&PresentVersions { versions: listed, is_complete: false });
         present
     }
 
+    /// Sets the versions of services that the fleet has noted down.
+    pub fn set_version_notes(&mut self, notes: VersionNotes) {
+        self.versions.set_notes(notes);
+    }
+
     /// Adds a request of this node with its work, in prompt tokens.
     pub fn add_load(&mut self, id: &str, work: u64) {
         if let Some(row) = self.rows.get_mut(id) {
