Close connections that have carried a refusal

Cause: a copy of an earlier refusal on a kept connection was believed if it named no attempt, or the identifier of a caller that used it twice.

Change: a connection is not used again after a refusal, and a refusal that names no attempt is skipped on a connection from the pool, as a success was before.

Costs a new connection for each refusal of a replica.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -34,9 +34,6 @@
 /// Interim responses that are skipped before the response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
-/// Time for which the rest of a refusal is awaited, so that its connection can be used again.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Responses to other requests that are skipped on a connection.
 const MAX_STALE_RESPONSES: u32 = 2;
 
@@ -347,7 +344,7 @@
                 self.log_brittle_rejection(request, target, was_brittle);
                 self.slots.report_rejection(target, tolerated).await;
             }
-            return self.handle_refusal(target, head, decoder, stream, sent_whole).await;
+            return self.record_refusal(target, head.status);
         }
         if head.status < 300 && !headers.is_acceptable(&head) {
             self.record_replica_failure(&target.id, "answer is not the replica's own");
@@ -421,35 +418,18 @@
         );
     }
 
-    /// Handles a response stating that the request did not run.
-    async fn handle_refusal(
-        &self,
-        target: &ReplicaTarget,
-        response: ResponseMessage,
-        mut decoder: BodyDecoder,
-        mut stream: MessageStream,
-        sent_whole: bool,
-    ) -> AttemptOutcome {
-        let mut content = Vec::new();
-        let reading = buffer_body(&mut stream, &mut decoder, &mut content);
-        let read = self.clock.timeout(REFUSAL_BODY_TIMEOUT, reading).await;
-        if matches!(read, Some(Ok(())))
-            && sent_whole
-            && decoder.is_complete()
-            && response.keep_alive
-        {
-            let keep_alive = response.headers.get("keep-alive").and_then(keep_alive_timeout);
-            self.upstreams.release(target.address, stream, keep_alive);
-        }
+    /// Handles a response stating that the request did not run. Its connection is closed, because a faulty
+    /// replica may write the refusal once more where the response to another request is due.
+    fn record_refusal(&self, target: &ReplicaTarget, status: u16) -> AttemptOutcome {
         let now = self.clock.now();
-        match response.status {
+        match status {
             421 => self.record_replica_failure(&target.id, "another replica has its address"),
             _ => {
                 self.mirror.replicas.borrow_mut().record_full(&target.id, now);
                 self.brittle.record_rejection(&target.id);
             }
         }
-        AttemptOutcome::NotExecuted(response.status)
+        AttemptOutcome::NotExecuted(status)
     }
 
     /// Counts the request towards its organisation's usage, at most once.
@@ -522,8 +502,8 @@
     }
 }
 
-/// Receives the head of the response to `request`. Skips responses to other requests, and responses
-/// without an attempt identifier that an earlier request may have left on a `reused` connection.
+/// Receives the head of the response to `request`. Skips responses to other requests, and successes and
+/// refusals without an attempt identifier that an earlier request may have left on a `reused` connection.
 async fn receive_head(
     stream: &mut MessageStream,
     request: &RoutedRequest<'_>,
@@ -552,7 +532,11 @@
         let is_stale = match headers.owner {
             ResponseOwner::Own => false,
             ResponseOwner::Other => true,
-            ResponseOwner::Unnamed => reused && !headers.signed && response.status < 300,
+            ResponseOwner::Unnamed => {
+                // A replica can't name a request that has no identifier.
+                let is_refusal = headers.not_executed && request.headers.request_id.is_some();
+                reused && !headers.signed && (response.status < 300 || is_refusal)
+            }
         };
         if !is_stale {
             return Ok((response, headers));
--- a/berylstep_standins/src/fleet/replica.rs
+++ b/berylstep_standins/src/fleet/replica.rs
@@ -47,6 +47,28 @@
         Self { id: id.to_owned(), address, received }
     }
 
+    /// Starts a replica that handles the requests of each connection with a script of its own, made by
+    /// `new_script`. It returns whether to keep the connection open.
+    pub fn start_with<S>(id: &str, new_script: impl Fn() -> S + Send + Sync + 'static) -> Self
+    where
+        S: FnMut(&RawMessage, &mut TcpStream) -> bool,
+    {
+        let received: Arc<Mutex<Vec<RawMessage>>> = Arc::default();
+        let messages = received.clone();
+        let new_script = Arc::new(new_script);
+        let address = listen(move |stream| {
+            let mut script = new_script();
+            let mut reader = BufReader::new(stream);
+            while let Some(message) = read_message(&mut reader) {
+                lock(&messages).push(message.clone());
+                if !script(&message, reader.get_mut()) {
+                    return;
+                }
+            }
+        });
+        Self { id: id.to_owned(), address, received }
+    }
+
     /// Returns the requests received so far, in order.
     pub fn received(&self) -> Vec<RawMessage> {
         lock(&self.received).clone()
