Take entries with unprintable identifiers for no replica

What was seen: an entry of another writer whose identifier holds a line break was used, and the identifier became header lines of the requests to its address. Entries without slots, with port 0, or with an address of nobody or of many were used, too.

Cause: the identifier is the key of the row, and was checked by nothing.

--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -377,8 +377,9 @@
             }
             Err(err) => {
                 log::warn!(
-                    "event=replica_entry_rejected replica={id} revision={revision} error=\"{err}\" \
-                     outcome=not_used"
+                    "event=replica_entry_rejected replica={} revision={revision} error=\"{err}\" \
+                     outcome=not_used",
+                    id.escape_debug()
                 );
                 let now = self.clock.now();
                 self.replicas.borrow_mut().remove(id, now);
--- a/berylstep/src/platform/entries.rs
+++ b/berylstep/src/platform/entries.rs
@@ -1,9 +1,11 @@
 //! Decodes the entries with which replicas register themselves in the store.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use berylstep_core::fleet::replica::{ReplicaEntry, ReplicaState};
+use serde::de::Error;
 use serde::Deserialize;
 
 /// Table that stores the entries of replicas, keyed by replica identifier.
@@ -19,7 +21,7 @@
     /// Replicas that name none count as one version.
     #[serde(default)]
     version: String,
-    slots: u32,
+    slots: NonZeroU32,
     state: StateBody,
     /// Whether the platform may reclaim the replica, together with its zone.
     #[serde(default)]
@@ -39,16 +41,24 @@
     Draining,
 }
 
-/// Decodes the entry of the replica `id`; a missing or mistyped field is an error.
+/// Decodes the entry of the replica `id`; a missing or mistyped field is an error, as is an identifier that
+/// can't be sent in a header, or an address that requests can't be sent to.
 pub fn decode_entry(id: &str, content: &[u8]) -> Result<ReplicaEntry, serde_json::Error> {
     let body: EntryBody = serde_json::from_slice(content)?;
+    if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(Error::custom("identifier is empty or not printable"));
+    }
+    let (ip, port) = (body.address.ip(), body.address.port());
+    if port == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return Err(Error::custom("address accepts no connections"));
+    }
     Ok(ReplicaEntry {
         id: id.into(),
         service: body.service.into(),
         address: body.address,
         zone: body.zone.into(),
         version: body.version.into(),
-        slots: body.slots,
+        slots: body.slots.get(),
         state: match body.state {
             StateBody::Ready => ReplicaState::Ready,
             StateBody::Draining => ReplicaState::Draining,
--- a/berylstep_standins/src/fleet/store.rs
+++ b/berylstep_standins/src/fleet/store.rs
@@ -117,10 +117,15 @@
 
     /// Writes a row on behalf of the operator or a replica; `None` deletes it.
     pub fn put(&self, table: &str, key: &str, value: Option<Value>) {
+        self.put_bytes(table, key, value.map(|value| value.to_string().into_bytes()));
+    }
+
+    /// Writes a row of any content; `None` deletes it.
+    pub fn put_bytes(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = lock(&self.state.0);
         state.version += 1;
         let version = state.version;
-        let value = value.map(|value| STANDARD.encode(value.to_string()));
+        let value = value.map(|value| STANDARD.encode(value));
         state.rows.insert((table.to_owned(), key.to_owned()), Row { value, version });
         self.state.1.notify_all();
     }
