Look for brittle replicas only where some are known

Each request asked for every replica of its service whether it is brittle, although nearly always none is: two lookups for each of 204 replicas.

--- a/berylstep/src/gateway/brittle.rs
+++ b/berylstep/src/gateway/brittle.rs
@@ -109,6 +109,11 @@
         self.ledger.borrow_mut().update_services(listed, self.started_at, self.clock.now());
     }
 
+    /// Returns whether some service may be brittle.
+    pub fn knows_brittle(&self) -> bool {
+        self.ledger.borrow().knows_brittle()
+    }
+
     /// Returns the rejections per second that a replica tolerates; `None` if it is sound.
     pub fn tolerated(&self, row: &ReplicaRow) -> Option<u32> {
         self.ledger.borrow().tolerated(process_of(row), &row.entry.service)
@@ -304,6 +309,9 @@
     /// Returns the replicas of a service that must get no further request from this node now; with
     /// `all_brittle`, also those whose slots a keeper hands out.
     fn full_replicas(&self, service: &str, all_brittle: bool) -> Vec<SharedName> {
+        if !self.brittle.knows_brittle() {
+            return Vec::new();
+        }
         let replicas = self.mirror.replicas.borrow();
         let mut full = Vec::new();
         let mut shared = Vec::new();
--- a/berylstep_core/src/fleet/brittle.rs
+++ b/berylstep_core/src/fleet/brittle.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Returns whether some service may be brittle.
+    pub fn knows_brittle(&self) -> bool {
+        !self.services.is_empty() || self.notices.limited_replicas() > 0
+    }
+
     /// Returns the rejections per second that a process of `service` tolerates; `None` if it is sound.
     pub fn tolerated(&self, process: ProcessId, service: &str) -> Option<u32> {
         match self.notices.notice(process) {
