--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -50,8 +50,6 @@
     pub process: ProcessId,
     /// Another replica that probably has the KV cache of the session's shared prompt.
     pub cache_source: Option<SocketAddr>,
-    /// Number of its slots.
-    pub slots: u32,
     /// Slot that was claimed there, if it needs one.
     pub run: Option<Rc<RunGuard>>,
 }
@@ -65,7 +63,6 @@
             version: row.entry.version.clone(),
             process: process_of(row),
             cache_source,
-            slots: row.entry.slots,
             run: None,
         }
     }
--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -22,6 +22,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pending::PendingReplies;
+use crate::gateway::pulse::envelope;
 use crate::gateway::request::{RequestHandler, RoutedRequest, DEFAULT_REQUEST_TIMEOUT};
 use crate::gateway::response::LocalReply;
 use crate::platform::PlatformClient;
@@ -263,12 +264,8 @@
     }
 
     fn envelope(&self) -> FleetPulse {
-        FleetPulse {
-            node: self.context.node.to_string(),
-            incarnation: self.context.incarnation,
-            unix_ms: self.context.clock.unix_ms(),
-            ..FleetPulse::default()
-        }
+        let OriginContext { clock, node, incarnation, .. } = &self.context;
+        envelope(clock, node, *incarnation)
     }
 
     async fn send(&self, addresses: &[SocketAddr], message: &FleetPulse) {
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -456,6 +456,18 @@
     }
 }
 
+/// Returns a message without a sequence number, which carries no state of its sender.
+pub fn envelope(clock: &RuntimeClock, node: &str, incarnation: u64) -> FleetPulse {
+    let unix_ms = clock.unix_ms();
+    FleetPulse { node: node.to_owned(), incarnation, unix_ms, ..FleetPulse::default() }
+}
+
+/// Returns a duration as it stands in messages; the largest number of milliseconds stands for any longer
+/// one.
+pub fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn window_message(window: u64, ended: bool, counts: WindowCounts) -> WindowUsage {
     let (organisations, requests) =
         counts.iter().map(|(name, requests)| (organisation_hash(name), *requests)).unzip();
--- a/berylstep/src/gateway/slots.rs
+++ b/berylstep/src/gateway/slots.rs
@@ -25,6 +25,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::{KnownNode, PeerTable};
 use crate::gateway::pending::{PendingReplies, PendingReply};
+use crate::gateway::pulse::{envelope, milliseconds};
 use crate::gateway::runs::{RunGuard, RunWatch};
 
 /// Time within which a keeper answers, even if its VM has little processor time. A request is sent
@@ -193,7 +194,6 @@
             request: guard.number(),
             replica: claim.target.process.replica,
             born: claim.target.process.born,
-            slots: claim.target.slots,
             tier: claim.tier.into(),
             patience_ms: milliseconds(claim.patience),
             lifetime_ms: milliseconds(lifetime),
@@ -398,14 +398,9 @@
         }
     }
 
-    /// Returns a message without a sequence number, which carries no state of this node.
     fn envelope(&self) -> FleetPulse {
-        FleetPulse {
-            node: self.context.run.node.to_string(),
-            incarnation: self.context.run.incarnation,
-            unix_ms: self.context.clock.unix_ms(),
-            ..FleetPulse::default()
-        }
+        let SlotContext { clock, run, .. } = &self.context;
+        envelope(clock, &run.node, run.incarnation)
     }
 
     async fn send(&self, address: SocketAddr, message: &FleetPulse) {
@@ -443,7 +438,3 @@
     });
     RunReport { next: message.next, asked: message.asked.clone(), held: held.collect() }
 }
-
-fn milliseconds(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -20,6 +20,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pending::PendingReplies;
+use crate::gateway::pulse::{envelope, milliseconds};
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::telemetry::TurnResult;
 
@@ -141,14 +142,8 @@
         FleetPulse { turn_request: Some(turn_request), ..self.envelope() }
     }
 
-    /// Returns a message without a sequence number, which carries no state of this node.
     fn envelope(&self) -> FleetPulse {
-        FleetPulse {
-            node: self.node.to_string(),
-            incarnation: self.incarnation,
-            unix_ms: self.clock.unix_ms(),
-            ..FleetPulse::default()
-        }
+        envelope(&self.clock, &self.node, self.incarnation)
     }
 
     async fn send(&self, address: SocketAddr, message: FleetPulse) {
@@ -217,10 +212,6 @@
     }
 }
 
-fn milliseconds(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 impl RequestHandler {
     /// Places a request, and gets a turn for it where the replica has named a limit. A limited
     /// replica without a turn is left to other requests.
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -568,17 +568,14 @@
     /// Start of its process, in milliseconds since the Unix epoch.
     #[prost(uint64, tag = "3")]
     pub born: u64,
-    /// Number of its slots.
-    #[prost(uint32, tag = "4")]
-    pub slots: u32,
     /// Tier of the request; 0 comes first.
-    #[prost(uint32, tag = "5")]
+    #[prost(uint32, tag = "4")]
     pub tier: u32,
     /// Time for which the request may wait for a slot, in milliseconds.
-    #[prost(uint32, tag = "6")]
+    #[prost(uint32, tag = "5")]
     pub patience_ms: u32,
     /// Longest time for which the slot is in use, in milliseconds.
-    #[prost(uint32, tag = "7")]
+    #[prost(uint32, tag = "6")]
     pub lifetime_ms: u32,
 }
 /// Answers a `RunRequest`.
@@ -590,7 +587,7 @@
     pub replica: u32,
     #[prost(bool, tag = "3")]
     pub granted: bool,
-    /// Whether the request waits at the sender; another reply tells when it gets a slot.
+    /// Whether the request waits for a slot; another reply tells when it gets one.
     #[prost(bool, tag = "4")]
     pub queued: bool,
     /// Time until a slot is expected, in milliseconds, if not granted.
