--- a/berylstep/tests/replica_cuts.rs
+++ b/berylstep/tests/replica_cuts.rs
@@ -151,6 +151,20 @@
         CutCase { mode: CutMode::Reset, cut: 3, service: None },
         CutCase { mode: CutMode::Silent, cut: 2, service: Some("unsafe") },
     ];
+    check_cuts(cases);
+}
+
+/// Guards against the same where a host on the way accepts connections for the replicas (RECOVER).
+#[test]
+fn callers_of_gateways_behind_a_host_that_accepts_connections_for_replicas_are_served_as_elsewhere()
+{
+    check_cuts([
+        CutCase { mode: CutMode::RequestReset, cut: 2, service: None },
+        CutCase { mode: CutMode::RequestSilent, cut: 2, service: None },
+    ]);
+}
+
+fn check_cuts<const COUNT: usize>(cases: [CutCase; COUNT]) {
     let checks = cases.map(|case| std::thread::spawn(move || check_cut(case)));
     let results: Vec<_> = checks.into_iter().map(|check| check.join()).collect();
     results.into_iter().for_each(|result| result.unwrap());
--- a/berylstep_standins/src/fleet/cut.rs
+++ b/berylstep_standins/src/fleet/cut.rs
@@ -1,6 +1,6 @@
 //! Scripted replicas that some of the gateways can't reach.
 
-use std::io::BufReader;
+use std::io::{BufReader, Read};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -21,6 +21,27 @@
     NewSilent,
     /// New connections are reset once they are accepted, and open ones at once.
     Reset,
+    /// New connections are accepted and reset when a request arrives, and open ones at once.
+    RequestReset,
+    /// New connections are accepted and never answered, and open ones go silent.
+    RequestSilent,
+}
+
+impl CutMode {
+    /// Returns whether new connections hang.
+    fn drops_connections(self) -> bool {
+        matches!(self, Self::Silent | Self::NewSilent)
+    }
+
+    /// Returns whether open connections are reset.
+    fn resets_open(self) -> bool {
+        matches!(self, Self::Reset | Self::RequestReset)
+    }
+
+    /// Returns whether requests on open connections don't arrive.
+    fn silences_open(self) -> bool {
+        matches!(self, Self::Silent | Self::RequestSilent)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -32,8 +53,9 @@
 }
 
 impl CutState {
-    fn is_cut(&self, source: IpAddr, mode: CutMode) -> bool {
-        self.mode == Some(mode) && self.cut.contains(&source)
+    /// Returns what happens to the connections of a gateway; `None` if it is not cut off.
+    fn mode_of(&self, source: IpAddr) -> Option<CutMode> {
+        self.mode.filter(|_| self.cut.contains(&source))
     }
 }
 
@@ -64,10 +86,15 @@
         std::thread::spawn(move || {
             for stream in accepting.incoming().flatten() {
                 let Ok(source) = stream.peer_addr().map(|source| source.ip()) else { continue };
-                if lock(&shared).is_cut(source, CutMode::Reset) {
+                let mode = lock(&shared).mode_of(source);
+                if mode == Some(CutMode::Reset) {
                     reset(&stream);
                     continue;
                 }
+                if mode == Some(CutMode::RequestReset) {
+                    std::thread::spawn(move || reset_request(stream));
+                    continue;
+                }
                 let copy = stream.try_clone().expect("a socket can be cloned");
                 lock(&shared).connections.push((source, copy));
                 let (shared, script) = (shared.clone(), script.clone());
@@ -90,12 +117,12 @@
     pub fn cut(&self, sources: &[IpAddr], mode: CutMode) {
         let mut state = lock(&self.state);
         (state.cut, state.mode) = (sources.to_vec(), Some(mode));
-        if mode != CutMode::Reset {
+        if mode.drops_connections() {
             let filter = drop_filter(sources);
             SockRef::from(&self.listener).attach_filter(&filter).expect("the filter is valid");
         }
         state.connections.retain(|(source, stream)| {
-            let is_reset = mode == CutMode::Reset && sources.contains(source);
+            let is_reset = mode.resets_open() && sources.contains(source);
             if is_reset {
                 reset(stream);
             }
@@ -110,7 +137,7 @@
     /// If the system rejects it.
     pub fn heal(&self) {
         let mut state = lock(&self.state);
-        if matches!(state.mode, Some(CutMode::Silent | CutMode::NewSilent)) {
+        if state.mode.is_some_and(CutMode::drops_connections) {
             SockRef::from(&self.listener).detach_filter().expect("a filter is attached");
         }
         (state.cut, state.mode) = (Vec::new(), None);
@@ -131,6 +158,14 @@
     }
 }
 
+/// Waits for a request, or the end of the connection, and resets the connection.
+fn reset_request(mut stream: TcpStream) {
+    if let Err(err) = stream.read(&mut [0]) {
+        log::debug!("connection was closed before: {err}");
+    }
+    reset(&stream);
+}
+
 fn serve(
     stream: TcpStream,
     source: IpAddr,
@@ -139,7 +174,7 @@
 ) {
     let mut reader = BufReader::new(stream);
     while let Some(message) = read_message(&mut reader) {
-        if lock(state).is_cut(source, CutMode::Silent) {
+        if lock(state).mode_of(source).is_some_and(CutMode::silences_open) {
             // What a gateway sends behind the cut doesn't arrive.
             continue;
         }
