Count requests that are lost without any response as a sign of a cut

Cause: only a connection that fails to open showed a cut, and one that opens took it back, though it opens at the host.

Change: requests lost at two replicas, all sent after the last response of their services, count too; then only a response ends the cut, and requests are tried more and more rarely (fleet::reach).

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -259,12 +259,12 @@
                 outcome
             }
             None if limit < time_left => {
-                self.reach.suspect(&request.service);
+                self.reach.record_loss(&request.service, &target.id, sent_at);
                 self.record_replica_failure(&target.id, "no response in time");
                 AttemptOutcome::Lost("replica is silent")
             }
             None => {
-                self.reach.suspect(&request.service);
+                self.reach.record_loss(&request.service, &target.id, sent_at);
                 AttemptOutcome::TimedOut
             }
         }
@@ -322,16 +322,14 @@
             Err(reason) => {
                 log::debug!("event=attempt_broken id={} reused={reused}", request.id());
                 self.record_replica_failure(&target.id, reason);
-                match reused {
-                    true => self.reach.suspect(&request.service),
-                    false => self.reach.record_failure(&request.service, &target.id),
+                self.reach.record_loss(&request.service, &target.id, sent_at);
+                if !reused {
+                    self.reach.record_failure(&request.service, &target.id);
                 }
                 return AttemptOutcome::Lost(reason);
             }
         };
-        if !reused {
-            self.reach.record_success(&request.service);
-        }
+        self.reach.record_response(&request.service, !reused);
         self.record_statement(&target.id, headers.statement, sent_at);
         let mut decoder = BodyDecoder::response(&head, method);
         if headers.not_executed {
--- a/berylstep/src/gateway/handover.rs
+++ b/berylstep/src/gateway/handover.rs
@@ -78,6 +78,9 @@
         if request.is_handed_over || !self.reach.is_cut_off(&request.service) {
             return None;
         }
+        if self.reach.admits_trial(&request.service, request.route.is_retryable()) {
+            return None;
+        }
         for _ in 0..MAX_OFFERS {
             let target = self.choose_peer(&request.service)?;
             let outcome = self.offer(request, &target).await;
--- a/berylstep/src/gateway/reach.rs
+++ b/berylstep/src/gateway/reach.rs
@@ -73,14 +73,36 @@
         self.apply(service, change);
     }
 
-    /// Records that a new connection to a replica of the service works.
-    pub fn record_success(&self, service: &SharedName) {
-        let change = self.ledger.borrow_mut().record_success(service);
+    /// Records that a new connection to a replica of the service was opened.
+    fn record_open(&self, service: &SharedName) {
+        let change = self.ledger.borrow_mut().record_open(service);
         self.apply(service, change);
     }
 
+    /// Records that a request that was sent to a replica at `sent_at` got no response, and has new
+    /// connections to the service tried.
+    pub fn record_loss(&self, service: &SharedName, replica: &SharedName, sent_at: Duration) {
+        let now = self.clock.now();
+        let change = self.ledger.borrow_mut().record_loss(service, replica, sent_at, now);
+        self.apply(service, change);
+        self.suspect(service);
+    }
+
+    /// Records a response of a replica of the service; `is_new` tells whether its connection was opened for
+    /// the request.
+    pub fn record_response(&self, service: &SharedName, is_new: bool) {
+        let now = self.clock.now();
+        let change = self.ledger.borrow_mut().record_response(service, is_new, now);
+        self.apply(service, change);
+    }
+
+    /// Returns whether a request is to be tried at a service that this node is cut off from.
+    pub fn admits_trial(&self, service: &str, is_repeatable: bool) -> bool {
+        self.ledger.borrow_mut().admits_trial(service, is_repeatable, self.clock.now())
+    }
+
     /// Has new connections to the service tried, because an old one was silent or broke.
-    pub fn suspect(&self, service: &SharedName) {
+    fn suspect(&self, service: &SharedName) {
         if self.suspected.borrow_mut().insert(service.clone()) {
             self.wake.notify();
         }
@@ -140,7 +162,7 @@
             Err(_) => false,
         };
         match is_open {
-            true => self.reach.record_success(service),
+            true => self.reach.record_open(service),
             false => self.reach.record_try_failure(service, &target.id),
         }
     }
--- a/berylstep/tests/brittle_replicas.rs
+++ b/berylstep/tests/brittle_replicas.rs
@@ -3,13 +3,14 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use berylstep_standins::fleet::brittle::{BrittleConfig, BrittleReplica};
 use berylstep_standins::fleet::gateway::{wait_until, FleetGateway, GatewayConfig, WAIT_TIMEOUT};
 use berylstep_standins::fleet::message::{read_message, request_text};
 use berylstep_standins::fleet::store::FakeStore;
-use berylstep_standins::fleet::{desired_state, KEY_HEADER};
+use berylstep_standins::fleet::{desired_state, lock, KEY_HEADER};
 use berylstep_standins::process::free_address;
 
 const REPLICAS: usize = 3;
@@ -145,8 +146,12 @@
     assert!(failures.is_empty(), "{}", failures.join("; "));
 }
 
+/// Cases run one after the other: together they would measure the machine.
+static CASE_LOCK: Mutex<()> = Mutex::new(());
+
 /// Sends the requests of a case; fails with a description of what the replicas had to bear.
 fn run(case: &BrittleCase) -> Result<(), String> {
+    let _turn = lock(&CASE_LOCK);
     let config = case.replica;
     let replicas: Vec<_> =
         (0..REPLICAS).map(|index| BrittleReplica::start(&format!("i-{index}"), config)).collect();
