Show that a second of silence of a sound replica cuts its streams

Cause: a stream that may be resumed is given up after four gap targets without an event, before it is known whether another replica has room. If all of them reject it, it ends without its end. Change: case 2 of the review and a stand-in for a model replica with slots and a queue.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,7 +2,9 @@
 //! if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
 mod endless;
+mod engine;
 mod fleet;
+mod silence;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +33,7 @@
     };
     let verdict = match name.as_str() {
         "endless" => endless::run(&record, &directory, trouble),
+        "silence" => silence::run(&record, &directory, trouble),
         _ => Err(format!("no case {name}")),
     };
     match verdict {
