Show that streams go on at a replica of another version that answers late

Cause: a replica that doesn't tell the start of its process within 100 ms is taken for the process of its entry, which may be out of date after a restart in place. Change: case 3 of the review; the stand-in for a model replica may crash and start again.

--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -1,12 +1,15 @@
-//! A sound model replica: `slots` requests run, a few more wait, the others are rejected as not executed.
+//! A sound model replica: `slots` requests run, a few more wait, the others are rejected as not executed. Its
+//! process may crash and start again, and may be silent for a while.
 
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use berylstep_standins::fleet::message::{begin_events, end_events, respond, RawMessage};
-use berylstep_standins::fleet::replica::FakeReplica;
+use berylstep_standins::fleet::message::{
+    begin_events, end_events, read_message, respond, RawMessage,
+};
+use berylstep_standins::process::free_address;
 use serde_json::{json, Value};
 
 use crate::fleet::Record;
@@ -17,123 +20,226 @@
 /// Time between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Milliseconds since the epoch at which the replicas started, long ago.
-const BORN: u64 = 1_700_000_000_000;
+/// Interval at which the listener looks for a crash or a start.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// What changes with a new process of the replica.
 #[derive(Default)]
-struct EngineState {
+struct EngineProcess {
+    version: String,
+    born: u128,
+    /// Number of the process; 0 while none runs.
+    number: u64,
+    started: u64,
     running: usize,
     waiting: usize,
     /// Time until which the replica says nothing.
     silent_until: Option<Instant>,
+    connections: Vec<TcpStream>,
 }
 
 struct EngineShared {
-    state: Mutex<EngineState>,
+    id: String,
+    slots: usize,
+    queue: usize,
+    record: Record,
+    process: Mutex<EngineProcess>,
     freed: Condvar,
 }
 
 pub struct ModelReplica {
-    pub replica: FakeReplica,
+    pub id: String,
+    pub address: SocketAddr,
     shared: Arc<EngineShared>,
-    slots: usize,
 }
 
 impl ModelReplica {
-    pub fn start(id: &str, slots: usize, queue: usize, record: &Record) -> Self {
-        let shared = Arc::new(EngineShared { state: Mutex::default(), freed: Condvar::new() });
-        let (engine, record, name) = (shared.clone(), record.clone(), id.to_owned());
-        let replica = FakeReplica::start(id, move |message, _, stream| {
-            engine.wait_while_silent();
-            if message.target().starts_with("/v1/report") {
-                let report =
-                    json!({"Stage": "combined", "Busy": false, "Sequence": 1, "born": BORN});
-                return respond(stream, message, 200, "", &report.to_string());
-            }
-            let id = message.header("berylstep-attempt-id").unwrap_or("-").to_owned();
-            if !engine.admit(slots, queue) {
-                record.line(&format!("{name}: {id} rejected as not executed, full"));
-                return respond(stream, message, 503, "Berylstep-Not-Executed: full\r\n", "full");
-            }
-            let is_whole = engine.run(&name, &id, message, stream, &record);
-            engine.release();
-            is_whole
+    pub fn start(id: &str, version: &str, slots: usize, queue: usize, record: &Record) -> Self {
+        let address = free_address();
+        let shared = Arc::new(EngineShared {
+            id: id.to_owned(),
+            slots,
+            queue,
+            record: record.clone(),
+            process: Mutex::default(),
+            freed: Condvar::new(),
         });
-        Self { replica, shared, slots }
+        let engine = shared.clone();
+        std::thread::spawn(move || engine.listen(address));
+        let replica = Self { id: id.to_owned(), address, shared };
+        replica.start_process(version, Duration::ZERO);
+        replica
+    }
+
+    /// Starts a new process under the same identifier, which is silent at first.
+    pub fn start_process(&self, version: &str, silence: Duration) {
+        let mut process = self.shared.process.lock().unwrap();
+        process.version = version.to_owned();
+        process.born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        process.started += 1;
+        process.number = process.started;
+        process.silent_until = Some(Instant::now() + silence);
+        drop(process);
+        std::thread::sleep(5 * POLL_INTERVAL);
+    }
+
+    /// Ends the process: its connections break and new ones are refused.
+    pub fn crash(&self) {
+        let mut process = self.shared.process.lock().unwrap();
+        process.number = 0;
+        (process.running, process.waiting) = (0, 0);
+        for connection in process.connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        self.shared.freed.notify_all();
+        drop(process);
+        std::thread::sleep(5 * POLL_INTERVAL);
     }
 
+    /// Returns the entry that the current process writes to the store.
     pub fn entry(&self, service: &str) -> Value {
-        let mut entry = self.replica.entry(service, "ready");
-        entry["Slots"] = json!(self.slots);
-        entry["born"] = json!(BORN);
-        entry
+        let process = self.shared.process.lock().unwrap();
+        json!({"Service": service, "Address": self.address, "Zone": "a", "Version": process.version,
+               "Slots": self.shared.slots, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1,
+               "born": process.born as u64})
     }
 
     /// Makes the replica say nothing for this time, after which it goes on.
     pub fn fall_silent(&self, time: Duration) {
-        self.shared.state.lock().unwrap().silent_until = Some(Instant::now() + time);
+        self.shared.process.lock().unwrap().silent_until = Some(Instant::now() + time);
     }
 
     /// Returns the numbers of running and waiting requests.
     pub fn load(&self) -> (usize, usize) {
-        let state = self.shared.state.lock().unwrap();
-        (state.running, state.waiting)
+        let process = self.shared.process.lock().unwrap();
+        (process.running, process.waiting)
     }
 }
 
 impl EngineShared {
+    /// Accepts connections while a process runs.
+    fn listen(self: Arc<Self>, address: SocketAddr) {
+        let mut listener: Option<TcpListener> = None;
+        loop {
+            let number = self.process.lock().unwrap().number;
+            match (&listener, number) {
+                (Some(_), 0) => listener = None,
+                (None, 1..) => {
+                    listener = TcpListener::bind(address).ok();
+                    if let Some(listener) = &listener {
+                        let _ = listener.set_nonblocking(true);
+                    }
+                }
+                _ => {}
+            }
+            match listener.as_ref().map(TcpListener::accept) {
+                Some(Ok((stream, _))) => {
+                    let _ = stream.set_nonblocking(false);
+                    let _ = stream.set_nodelay(true);
+                    if let Ok(copy) = stream.try_clone() {
+                        self.process.lock().unwrap().connections.push(copy);
+                    }
+                    let engine = self.clone();
+                    std::thread::spawn(move || engine.serve(stream, number));
+                }
+                _ => std::thread::sleep(POLL_INTERVAL),
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, number: u64) {
+        let mut reader = BufReader::new(stream);
+        while let Some(message) = read_message(&mut reader) {
+            self.wait_while_silent();
+            if !self.is_alive(number) || !self.answer(&message, reader.get_mut(), number) {
+                break;
+            }
+        }
+        let _ = reader.get_ref().shutdown(Shutdown::Both);
+    }
+
+    fn is_alive(&self, number: u64) -> bool {
+        self.process.lock().unwrap().number == number
+    }
+
+    fn answer(&self, message: &RawMessage, stream: &mut TcpStream, number: u64) -> bool {
+        if message.target().starts_with("/v1/report") {
+            let born = self.process.lock().unwrap().born as u64;
+            let report = json!({"Stage": "combined", "Busy": false, "Sequence": 1, "born": born});
+            return respond(stream, message, 200, "", &report.to_string());
+        }
+        let id = message.header("berylstep-attempt-id").unwrap_or("-").to_owned();
+        let name = &self.id;
+        if message.header("berylstep-expected-replica").is_some_and(|expected| expected != *name) {
+            return respond(stream, message, 421, "Berylstep-Not-Executed: other\r\n", "other");
+        }
+        if !self.admit(number) {
+            self.record.line(&format!("{name}: {id} rejected as not executed, full"));
+            return respond(stream, message, 503, "Berylstep-Not-Executed: full\r\n", "full");
+        }
+        let is_whole = self.run(&id, message, stream, number);
+        let mut process = self.process.lock().unwrap();
+        if process.number == number {
+            process.running -= 1;
+        }
+        self.freed.notify_all();
+        is_whole
+    }
+
     fn wait_while_silent(&self) {
-        let until = self.state.lock().unwrap().silent_until;
+        let until = self.process.lock().unwrap().silent_until;
         if let Some(until) = until {
             std::thread::sleep(until.saturating_duration_since(Instant::now()));
         }
     }
 
     /// Waits for a slot; returns `false` if the queue is full.
-    fn admit(&self, slots: usize, queue: usize) -> bool {
-        let mut state = self.state.lock().unwrap();
-        if state.running >= slots && state.waiting >= queue {
+    fn admit(&self, number: u64) -> bool {
+        let mut process = self.process.lock().unwrap();
+        if process.running >= self.slots && process.waiting >= self.queue {
             return false;
         }
-        state.waiting += 1;
-        let mut state = self.freed.wait_while(state, |state| state.running >= slots).unwrap();
-        state.waiting -= 1;
-        state.running += 1;
+        process.waiting += 1;
+        let is_full =
+            |process: &mut EngineProcess| process.number == number && process.running >= self.slots;
+        let mut process = self.freed.wait_while(process, is_full).unwrap();
+        if process.number == number {
+            process.waiting -= 1;
+            process.running += 1;
+        }
         true
     }
 
-    fn release(&self) {
-        self.state.lock().unwrap().running -= 1;
-        self.freed.notify_all();
-    }
-
-    fn run(
-        &self,
-        name: &str,
-        id: &str,
-        message: &RawMessage,
-        stream: &mut TcpStream,
-        record: &Record,
-    ) -> bool {
+    fn run(&self, id: &str, message: &RawMessage, stream: &mut TcpStream, number: u64) -> bool {
+        let (name, record) = (&self.id, &self.record);
+        let version = self.process.lock().unwrap().version.clone();
         let count = message.header(EVENTS).and_then(|value| value.parse().ok()).unwrap_or(1);
         let last: u32 =
             message.header("last-event-id").and_then(|value| value.parse().ok()).unwrap_or(0);
-        record.line(&format!("{name}: {id} runs after event {last}"));
-        for number in last + 1..=count {
+        record.line(&format!("{name} ({version}): {id} runs after event {last}"));
+        for event in last + 1..=count {
             std::thread::sleep(EVENT_PAUSE);
             self.wait_while_silent();
-            let is_begun = number > last + 1 || begin_events(stream, message);
-            if !is_begun || !write_event(stream, number) {
-                record.line(&format!("{name}: {id} left by the gateway before event {number}"));
+            if !self.is_alive(number) {
+                record.line(&format!(
+                    "{name} ({version}): {id} lost in a crash before event {event}"
+                ));
+                return false;
+            }
+            let is_begun = event > last + 1 || begin_events(stream, message);
+            if !is_begun || !write_event(stream, event, &version) {
+                record.line(&format!(
+                    "{name} ({version}): {id} left by the gateway before event {event}"
+                ));
                 return false;
             }
         }
-        record.line(&format!("{name}: {id} ran to its end"));
+        record.line(&format!("{name} ({version}): {id} ran to its end"));
         end_events(stream)
     }
 }
 
-fn write_event(stream: &mut TcpStream, number: u32) -> bool {
-    let event = format!("id: {number}\ndata: tokens\n\n");
+fn write_event(stream: &mut TcpStream, number: u32, version: &str) -> bool {
+    let event = format!("id: {number}\ndata: {version}\n\n");
     stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok()
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod fleet;
 mod silence;
+mod versions;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,6 +35,7 @@
     let verdict = match name.as_str() {
         "endless" => endless::run(&record, &directory, trouble),
         "silence" => silence::run(&record, &directory, trouble),
+        "versions" => versions::run(&record, &directory, trouble),
         _ => Err(format!("no case {name}")),
     };
     match verdict {
--- a/review/standins/src/silence.rs
+++ b/review/standins/src/silence.rs
@@ -44,10 +44,10 @@
     store.put("op", "config", Some(desired_state(1, &routes)));
     let replicas: Vec<_> = ["i-model-1", "i-model-2", "i-model-3"]
         .into_iter()
-        .map(|id| ModelReplica::start(id, SLOTS, QUEUE, record))
+        .map(|id| ModelReplica::start(id, "v1", SLOTS, QUEUE, record))
         .collect();
     for replica in &replicas {
-        store.put("servers", &replica.replica.id, Some(replica.entry(SERVICE)));
+        store.put("servers", &replica.id, Some(replica.entry(SERVICE)));
     }
     let peer_port = free_address().port();
     let plans =
@@ -95,7 +95,7 @@
         .collect();
     std::thread::sleep(Duration::from_millis(500));
     for replica in &replicas {
-        record.line(&format!("{}: (running, waiting) = {:?}", replica.replica.id, replica.load()));
+        record.line(&format!("{}: (running, waiting) = {:?}", replica.id, replica.load()));
     }
     record.line("SIGTERM to gateway 2");
     let _ = Command::new("kill").arg("-TERM").arg(gateways[0].child.id().to_string()).status();
