Show that a move without room ends the stream that it has stopped

Cause: a limited replica is told to stop a run before room for it is known. Its answer 503 names a handle with which the run can go on, which is dropped.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod engine;
 mod fleet;
+mod moves;
 mod silence;
 mod versions;
 
@@ -35,6 +36,7 @@
     let verdict = match name.as_str() {
         "endless" => endless::run(&record, &directory, trouble),
         "silence" => silence::run(&record, &directory, trouble),
+        "moves" => moves::run(&record, &directory, trouble),
         "versions" => versions::run(&record, &directory, trouble),
         _ => Err(format!("no case {name}")),
     };
--- a/review/standins/src/silence.rs
+++ b/review/standins/src/silence.rs
@@ -15,7 +15,7 @@
 use crate::fleet::{desired_state, request, route, GatewayPlan, Record};
 use crate::Verdict;
 
-const SERVICE: &str = "skipper-model";
+pub const SERVICE: &str = "skipper-model";
 
 /// Slots and places in the queue of each replica.
 const SLOTS: usize = 4;
@@ -27,7 +27,13 @@
 /// Time before which the gateways are in touch, from their start.
 const CONTACT_TIME: Duration = Duration::from_millis(3500);
 
-fn model_route(name: &str, timeout_ms: u64, target_ms: u64, attempts: u32, gap_ms: u64) -> Value {
+pub fn model_route(
+    name: &str,
+    timeout_ms: u64,
+    target_ms: u64,
+    attempts: u32,
+    gap_ms: u64,
+) -> Value {
     let mut route = route(name, "stream", timeout_ms, target_ms, attempts);
     route["Service"] = json!(SERVICE);
     route["GapTargetMs"] = json!(gap_ms);
@@ -65,7 +71,7 @@
     let ask = |number: u32| {
         let (record, callers) = (record.clone(), plans[0].callers());
         std::thread::spawn(move || {
-            read_stream("guest-ask", &format!("ask-{number}"), 45, 12_000, callers, &record)
+            read_stream("guest-ask", &format!("ask-{number}"), (None, 45), 12_000, callers, &record)
         })
     };
     let asked: Vec<_> = (0..6)
@@ -83,7 +89,7 @@
                 read_stream(
                     "trip-report",
                     &format!("report-{number}"),
-                    90,
+                    (None, 90),
                     15_000,
                     callers,
                     &record,
@@ -116,22 +122,26 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StreamEnd {
+pub enum StreamEnd {
     /// The whole stream, or a failure that is whole.
     Complete,
     /// The connection ended before.
     Cut,
 }
 
-fn read_stream(
+pub fn read_stream(
     route: &str,
     id: &str,
-    events: u32,
+    (prompt, events): (Option<u32>, u32),
     limit_ms: u64,
     callers: std::net::SocketAddr,
     record: &Record,
 ) -> StreamEnd {
-    let text = request("POST", route, id, limit_ms, &format!("{EVENTS}: {events}\r\n"), "prompt");
+    // With a stride of 1, the output tokens are the events.
+    let size = prompt
+        .map_or(String::new(), |prompt| format!("Berylstep-Token-Counts: {prompt},{events}\r\n"));
+    let more = format!("{EVENTS}: {events}\r\n{size}");
+    let text = request("POST", route, id, limit_ms, &more, "prompt");
     let Ok(mut stream) = TcpStream::connect(callers) else {
         record.line(&format!("{id}: no connection"));
         return StreamEnd::Complete;
