Show that a store drill removes replicas that were restarted in place before

Cause: removals of entries are remembered although the entries have come back; after a restore of the store these replicas are taken for gone.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `review_case NAME RECORD DIRECTORY`. Exits with 1 if the rule was broken, 0
 //! if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod drill;
 mod endless;
 mod engine;
 mod fleet;
@@ -36,6 +37,7 @@
     let verdict = match name.as_str() {
         "endless" => endless::run(&record, &directory, trouble),
         "silence" => silence::run(&record, &directory, trouble),
+        "drill" => drill::run(&record, &directory, trouble),
         "moves" => moves::run(&record, &directory, trouble),
         "versions" => versions::run(&record, &directory, trouble),
         _ => Err(format!("no case {name}")),
