--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../case.sh" versions review/3
+exec "$(dirname "$0")/../case.sh" drill review/3
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../case.sh" moves review/4
+exec "$(dirname "$0")/../case.sh" silence review/4
