Show that the loss of all gateways but one loses the origins of streams

Cause: the origins of streams are kept in memory at the gateway that began them and at three others.

--- a/review/standins/src/drill.rs
+++ b/review/standins/src/drill.rs
@@ -65,7 +65,7 @@
             std::thread::sleep(Duration::from_millis(20));
             std::thread::spawn(move || {
                 let id = format!("ask-{number}");
-                run_stream(&id, plans[0].callers(), plans[1].callers(), &record)
+                run_stream(&id, plans[0].callers(), plans[1].callers(), STREAM_EVENTS, &record)
             })
         })
         .collect();
@@ -108,7 +108,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum TakeUp {
+pub enum TakeUp {
     NotNeeded,
     GoneOn,
     Refused,
@@ -117,16 +117,22 @@
 /// What came of one attempt.
 #[derive(Debug)]
 #[allow(dead_code, reason = "all of it goes into the record")]
-struct StreamPart {
-    status: String,
-    events: usize,
-    is_complete: bool,
+pub struct StreamPart {
+    pub status: String,
+    pub events: usize,
+    pub is_complete: bool,
 }
 
 /// Runs a stream at one gateway, and takes it up at the other when its connection breaks.
-fn run_stream(id: &str, first: SocketAddr, second: SocketAddr, record: &Record) -> TakeUp {
+pub fn run_stream(
+    id: &str,
+    first: SocketAddr,
+    second: SocketAddr,
+    events: u32,
+    record: &Record,
+) -> TakeUp {
     let started = Instant::now();
-    let part = attempt(id, "", STREAM_EVENTS, first, TIME_LIMIT);
+    let part = attempt(id, "", events, first, TIME_LIMIT);
     record.line(&format!("{id}: {part:?}"));
     if part.is_complete || part.events == 0 {
         return TakeUp::NotNeeded;
@@ -134,7 +140,7 @@
     // Requesters of these streams come back once, as on the site's sheet.
     let more = format!("Last-Event-Id: {}\r\nResumes: {id}\r\n", part.events);
     let left = TIME_LIMIT.saturating_sub(started.elapsed());
-    let next = attempt(&format!("{id}-again"), &more, STREAM_EVENTS, second, left);
+    let next = attempt(&format!("{id}-again"), &more, events, second, left);
     record.line(&format!("{id} taken up after event {}: {next:?}", part.events));
     match next.events {
         0 => TakeUp::Refused,
@@ -142,7 +148,13 @@
     }
 }
 
-fn attempt(id: &str, more: &str, events: u32, callers: SocketAddr, limit: Duration) -> StreamPart {
+pub fn attempt(
+    id: &str,
+    more: &str,
+    events: u32,
+    callers: SocketAddr,
+    limit: Duration,
+) -> StreamPart {
     let more = format!("{EVENTS}: {events}\r\n{more}");
     let text = request("POST", "guest-ask", id, limit.as_millis() as u64, &more, "question");
     let mut received = Vec::new();
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -44,6 +44,7 @@
     pub with_cloud: bool,
     pub directory: PathBuf,
     pub seeds: Vec<u8>,
+    pub zone: &'static str,
 }
 
 impl GatewayPlan {
@@ -62,6 +63,7 @@
             with_cloud: false,
             directory: directory.to_owned(),
             seeds: seeds.to_owned(),
+            zone: "a",
         }
     }
 
@@ -81,7 +83,7 @@
     pub fn start(&self, bootstrap: bool) -> std::io::Result<Gateway> {
         let seeds: Vec<_> = self.seeds.iter().map(|seed| format!("127.0.0.{seed}:1")).collect();
         let mut settings = json!({
-            "node": format!("frontend-a-{}", self.number), "zone": "a", "region": "r",
+            "node": format!("frontend-{}-{}", self.zone, self.number), "zone": self.zone, "region": "r",
             "ip_address": self.ip(), "peer_ports": [self.peer_port, self.peer_port + 1],
             "listen": {"callers": self.address(0), "readiness": self.address(1),
                        "directory": self.address(2)},
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod fleet;
 mod moves;
+mod rejoin;
 mod silence;
 mod versions;
 
@@ -37,6 +38,7 @@
     let verdict = match name.as_str() {
         "endless" => endless::run(&record, &directory, trouble),
         "silence" => silence::run(&record, &directory, trouble),
+        "rejoin" => rejoin::run(&record, &directory, trouble),
         "drill" => drill::run(&record, &directory, trouble),
         "moves" => moves::run(&record, &directory, trouble),
         "versions" => versions::run(&record, &directory, trouble),
