--- a/review/standins/src/drill.rs
+++ b/review/standins/src/drill.rs
@@ -5,7 +5,6 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::process::Command;
 use std::time::{Duration, Instant};
 
 use berylstep_standins::fleet::store::FakeStore;
@@ -77,7 +76,7 @@
     new.iter().for_each(publish);
     record.line("two replicas of build-2 are added");
     record.line("SIGTERM to gateway 2");
-    let _ = Command::new("kill").arg("-TERM").arg(gateways[0].child.id().to_string()).status();
+    gateways[0].terminate();
     // New streams at gateway 3, in the seconds in which the others are taken up.
     std::thread::sleep(Duration::from_millis(7_800));
     let begun: Vec<_> = (0..STREAMS)
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -142,6 +142,12 @@
         false
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let command = format!("kill -TERM {}", self.child.id());
+        let _ = Command::new("sh").arg("-c").arg(command).status();
+    }
+
     /// Returns how the process has ended by itself, if it has.
     pub fn ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
--- a/review/standins/src/moves.rs
+++ b/review/standins/src/moves.rs
@@ -2,7 +2,6 @@
 //! not be resumed, must not be cut around a planned stop of the gateway.
 
 use std::path::Path;
-use std::process::Command;
 use std::time::Duration;
 
 use berylstep_standins::fleet::store::FakeStore;
@@ -64,7 +63,7 @@
         record.line(&format!("{}: (running, waiting) = {:?}", replica.id, replica.load()));
     }
     record.line("SIGTERM to gateway 2");
-    let _ = Command::new("kill").arg("-TERM").arg(gateways[0].child.id().to_string()).status();
+    gateways[0].terminate();
     if trouble {
         record.line("i-model-1 is draining");
         let entry = replicas[0].entry_in_state(SERVICE, "draining");
--- a/review/standins/src/silence.rs
+++ b/review/standins/src/silence.rs
@@ -4,7 +4,6 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::Path;
-use std::process::Command;
 use std::time::Duration;
 
 use berylstep_standins::fleet::store::FakeStore;
@@ -104,7 +103,7 @@
         record.line(&format!("{}: (running, waiting) = {:?}", replica.id, replica.load()));
     }
     record.line("SIGTERM to gateway 2");
-    let _ = Command::new("kill").arg("-TERM").arg(gateways[0].child.id().to_string()).status();
+    gateways[0].terminate();
     std::thread::sleep(Duration::from_millis(300));
     if trouble {
         record.line(&format!("i-model-1 falls silent for {} ms", SILENCE.as_millis()));
