--- a/review/standins/src/drill.rs
+++ b/review/standins/src/drill.rs
@@ -46,8 +46,10 @@
         return Err("a gateway isn't ready".to_owned());
     }
     for replica in &old {
-        replica.crash();
+        // A planned restart: the entry is removed, and the replica serves on for `DrainMs` and a little longer.
         store.put("servers", &replica.id, None);
+        std::thread::sleep(Duration::from_millis(2200));
+        replica.crash();
         std::thread::sleep(Duration::from_millis(500));
         replica.start_process("build-1", Duration::ZERO);
         publish(replica);
