Use live replicas again after a restore of the store

Cause: the mirror took the identifiers of all retained removals for gone when a new era began, also of replicas that had come back since, and left their entries out of the restored list for good. Ruled out: a restored list that lacks the replicas (the copy of the case holds them).

Change: a removal names the process whose entry was removed, ends with the return of the entry and is forgotten after two minutes. After a restore only entries of removed processes are withheld, until they are written again or have outlasted the check-in timeout of the platform. Nodes hand withheld entries on; nodes of the version before ignore the new field.

--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -2,13 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use berylstep_core::collections::{HashMap, HashSet, SharedName};
+use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::desired::DesiredState;
 use berylstep_core::fleet::position::StorePosition;
-use berylstep_core::fleet::replica::{LeavingMark, ReplicaState, ReplicaTable};
+use berylstep_core::fleet::replica::{LeavingMark, ReplicaEntry, ReplicaState, ReplicaTable};
 use berylstep_wire::{LeavingReplica, ReplicaCopy, ReplicaRemoval};
 
 use crate::clock::RuntimeClock;
@@ -33,6 +34,13 @@
 /// Maximum number of removals retained for incremental responses to peers.
 const MAX_REMOVALS: usize = 512;
 
+/// Time for which the removal of an entry is remembered; copies from which the store is restored are
+/// younger.
+const REMOVAL_RETENTION: Duration = Duration::from_secs(120);
+
+/// Number of check-in intervals without a sign of life after which the platform removes an entry.
+const SILENT_INTERVALS: u32 = 3;
+
 /// Changes in the list of replicas since a revision.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaChanges {
@@ -76,6 +84,21 @@
     pub value: Vec<u8>,
 }
 
+/// Process of a replica whose entry was removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RemovedProcess {
+    born: u64,
+    address: SocketAddr,
+    removed_at: Duration,
+}
+
+impl RemovedProcess {
+    /// Returns whether this process published `entry`.
+    fn published(&self, entry: &ReplicaEntry) -> bool {
+        self.born == entry.born && self.address == entry.address
+    }
+}
+
 /// Local copy of the store, with the freshness of each part.
 #[derive(Debug)]
 pub struct StoreMirror {
@@ -90,9 +113,15 @@
     removals_since: Cell<u64>,
     /// Newest known position of the list of replicas.
     position: Cell<StorePosition>,
-    /// Replicas that were removed before a restore of the store. Entries of the older copy don't
-    /// bring them back; only an entry written since does.
-    gone: RefCell<HashSet<SharedName>>,
+    /// Processes of replicas whose entries were removed and have not returned.
+    removed: RefCell<HashMap<SharedName, RemovedProcess>>,
+    /// Entries of removed processes that a restored store lists again.
+    withheld: RefCell<HashMap<SharedName, StoredCopy>>,
+    /// Time until which entries are withheld after a restore of the store.
+    withheld_until: Cell<Duration>,
+    /// Time for which they are withheld: the platform removes an entry whose replica doesn't check
+    /// in, so those that remain belong to live replicas.
+    withholding_time: Duration,
     has_replicas: Cell<bool>,
     store_failed_at: Cell<Option<Duration>>,
     store_responded_at: Cell<Option<Duration>>,
@@ -106,7 +135,9 @@
 
 impl StoreMirror {
     /// Creates an empty copy.
-    pub fn new(clock: RuntimeClock) -> Self {
+    ///
+    /// Replicas check in with the store once per `check_in_interval`.
+    pub fn new(clock: RuntimeClock, check_in_interval: Duration) -> Self {
         Self {
             clock,
             desired: RefCell::default(),
@@ -116,7 +147,10 @@
             removals: RefCell::default(),
             removals_since: Cell::new(0),
             position: Cell::default(),
-            gone: RefCell::default(),
+            removed: RefCell::default(),
+            withheld: RefCell::default(),
+            withheld_until: Cell::default(),
+            withholding_time: check_in_interval * SILENT_INTERVALS + STORE_FAILURE_TIMEOUT,
             has_replicas: Cell::new(false),
             store_failed_at: Cell::new(None),
             store_responded_at: Cell::new(None),
@@ -164,8 +198,9 @@
 
     /// Takes note that the store has been restored from an older copy, if `era` is a newer one.
     ///
-    /// What is known stays in use until the list is read anew. A replica known as leaving or removed
-    /// stays so, although the older copy may show it as ready.
+    /// What is known stays in use until the list is read anew. A process known as leaving stays so, although
+    /// the older copy may show it as ready. Entries of removed processes are withheld until they are
+    /// written again or have outlasted the check-in timeout.
     pub fn enter_era(&self, era: u64) {
         let previous = self.position.get();
         if era <= previous.era {
@@ -175,8 +210,9 @@
         let first_contact = previous == StorePosition::default();
         if !first_contact {
             log::warn!("event=store_restored era={era} previous={}", previous.era);
-            let removed = self.removals.borrow_mut().drain(..).collect::<Vec<_>>();
-            self.gone.borrow_mut().extend(removed.into_iter().map(|(id, _)| id));
+            self.removals.borrow_mut().clear();
+            self.withheld.borrow_mut().clear();
+            self.withheld_until.set(self.clock.now() + self.withholding_time);
             self.replicas.borrow_mut().begin_era(self.clock.now());
             self.copies.borrow_mut().values_mut().for_each(|copy| copy.revision = 0);
             self.record_store_failure();
@@ -270,7 +306,7 @@
         if revision > self.replica_revision() {
             self.changed.notify();
         }
-        self.gone.borrow_mut().remove(id);
+        self.withheld.borrow_mut().remove(id);
         self.advance_replica_revision(revision);
         let known = self.copies.borrow().get(id).map_or(0, |copy| copy.revision);
         if revision < known {
@@ -295,8 +331,7 @@
             return;
         }
         let revision = position.revision;
-        let gone = self.gone.borrow().clone();
-        entries.retain(|(id, _)| !gone.contains(&**id));
+        self.withhold_removed(&mut entries);
         let listed: Vec<&str> = entries.iter().map(|(id, _)| &**id).collect();
         let known: Vec<SharedName> = self.copies.borrow().keys().cloned().collect();
         for id in known.iter().filter(|id| !listed.contains(&&***id)) {
@@ -352,15 +387,73 @@
         self.changed.notify();
     }
 
-    /// Removes replicas whose entries went missing and have not returned in time.
+    /// Removes replicas whose entries went missing and have not returned in time, and admits those whose
+    /// entries have outlasted a restore of the store.
     pub fn expire(&self) {
-        for id in self.replicas.borrow_mut().expire(self.clock.now()) {
-            log::info!("event=replica_removed replica={id} reason=entry_did_not_return");
+        let now = self.clock.now();
+        let mut removed = self.removed.borrow_mut();
+        removed.retain(|_, process| now.saturating_sub(process.removed_at) < REMOVAL_RETENTION);
+        for row in self.replicas.borrow_mut().expire(now) {
+            log::info!("event=replica_removed replica={} reason=entry_did_not_return", row.id);
+            removed.insert(row.id.clone(), removed_process(&row, now));
+        }
+        drop(removed);
+        if now < self.withheld_until.get() {
+            return;
+        }
+        for (id, copy) in self.withheld.take() {
+            log::info!("event=replica_readmitted replica={id} revision={}", copy.revision);
+            self.put_replica(&id, copy.revision, copy.value);
+            self.changed.notify();
         }
     }
 
+    /// Returns the withheld entries, for peers that may not know of their removal.
+    pub fn withheld_entries(&self) -> Vec<ReplicaCopy> {
+        let withheld = self.withheld.borrow();
+        let messages = withheld.iter().map(|(id, copy)| ReplicaCopy {
+            id: id.to_string(),
+            revision: copy.revision,
+            value: copy.value.clone(),
+        });
+        messages.collect()
+    }
+
+    /// Withholds entries that a peer withholds, unless they are in use here.
+    pub fn withhold_entries(&self, entries: Vec<ReplicaCopy>) {
+        let now = self.clock.now();
+        if !entries.is_empty() && self.withheld_until.get() <= now {
+            self.withheld_until.set(now + self.withholding_time);
+        }
+        for ReplicaCopy { id, revision, value } in entries {
+            if !self.copies.borrow().contains_key(&*id) {
+                let copy = StoredCopy { revision, value };
+                self.withheld.borrow_mut().entry(id.into()).or_insert(copy);
+            }
+        }
+    }
+
+    /// Takes the entries of removed processes out of a list that was read after a restore of the store.
+    fn withhold_removed(&self, entries: &mut Vec<(String, StoredCopy)>) {
+        if self.clock.now() >= self.withheld_until.get() {
+            return;
+        }
+        let removed = self.removed.borrow();
+        let mut withheld = self.withheld.borrow_mut();
+        entries.retain(|(id, copy)| {
+            let Some(process) = removed.get(&**id) else { return true };
+            if !decode_entry(id, &copy.value).is_ok_and(|entry| process.published(&entry)) {
+                return true;
+            }
+            log::info!("event=replica_withheld replica={id} revision={}", copy.revision);
+            withheld.insert((&**id).into(), copy.clone());
+            false
+        });
+    }
+
     fn put_replica(&self, id: &str, revision: u64, value: Vec<u8>) {
         let decoded = decode_entry(id, &value);
+        self.removed.borrow_mut().remove(id);
         self.copies.borrow_mut().insert(id.into(), StoredCopy { revision, value });
         match decoded {
             Ok(entry) => {
@@ -403,16 +496,23 @@
         let now = self.clock.now();
         let has_failed = self.has_store_failed_recently();
         let mut replicas = self.replicas.borrow_mut();
-        let is_ready = replicas.get(id).is_some_and(|row| row.entry.state == ReplicaState::Ready);
+        let entry = replicas.get(id).map(|row| row.entry.clone());
+        let is_ready = entry.as_ref().is_some_and(|entry| entry.state == ReplicaState::Ready);
         if has_failed && is_ready {
             replicas.lapse(id, now);
             log::info!(
                 "event=replica_lapsed replica={id} revision={revision} reason=store_trouble"
             );
-        } else if replicas.remove(id, now) {
+        } else if let (Some(entry), true) = (entry, replicas.remove(id, now)) {
+            let removed = removed_process(&entry, now);
+            self.removed.borrow_mut().insert(entry.id, removed);
             log::info!(
                 "event=replica_removed replica={id} revision={revision} reason=entry_removed"
             );
         }
     }
 }
+
+fn removed_process(entry: &ReplicaEntry, removed_at: Duration) -> RemovedProcess {
+    RemovedProcess { born: entry.born, address: entry.address, removed_at }
+}
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -104,7 +104,12 @@
             self.mirror.record_store_failure();
         }
         let leaving = std::mem::take(&mut copy.leaving);
+        let withheld = std::mem::take(&mut copy.withheld);
+        let era = copy.store_era;
         self.apply_replicas(copy, peer);
+        if era == self.mirror.era() {
+            self.mirror.withhold_entries(withheld);
+        }
         leaving.iter().for_each(|notice| self.mirror.apply_leaving_notice(notice));
     }
 
@@ -192,6 +197,7 @@
             removed,
             store_era: self.mirror.era(),
             leaving: self.mirror.all_leaving(),
+            withheld: self.mirror.withheld_entries(),
             store_troubled: self.mirror.has_store_failed_recently(),
         }
     }
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -257,9 +257,9 @@
         }
     }
 
-    /// Removes lapsed replicas whose entries did not reappear within [`LAPSE_GRACE`]; returns their
-    /// identifiers. Also drops departures that are no longer needed.
-    pub fn expire(&mut self, now: Duration) -> Vec<SharedName> {
+    /// Removes lapsed replicas whose entries did not reappear within [`LAPSE_GRACE`]; returns these
+    /// entries. Also drops departures that are no longer needed.
+    pub fn expire(&mut self, now: Duration) -> Vec<ReplicaEntry> {
         self.departures
             .retain(|_, departure| now.saturating_sub(departure.noticed_at) < DEPARTURE_RETENTION);
         let rows = &self.rows;
@@ -269,13 +269,15 @@
         let lapsed = |row: &&ReplicaRow| row.expires_at.is_some_and(|at| at <= now);
         let expired: Vec<_> =
             self.rows.values().filter(lapsed).map(|row| row.entry.id.clone()).collect();
-        for id in &expired {
-            if let Some(row) = self.rows.remove(id) {
+        let removed = expired.iter().filter_map(|id| self.rows.remove(id));
+        let entries: Vec<_> = removed
+            .map(|row| {
                 self.versions.record(&row.entry.service, row.version, now);
-            }
-        }
+                row.entry
+            })
+            .collect();
         self.versions.expire(now);
-        expired
+        entries
     }
 
     /// Returns a replica by identifier.
--- a/berylstep_core/tests/fleet_state.rs
+++ b/berylstep_core/tests/fleet_state.rs
@@ -126,7 +126,7 @@
     assert_eq!(table.ready("s").count(), 2);
     table.put(entry("back", ReplicaState::Ready, 1), 2, now);
     let expired = table.expire(now + LAPSE_GRACE);
-    assert_eq!(expired.iter().map(|id| &**id).collect::<Vec<_>>(), ["gone"]);
+    assert_eq!(expired.iter().map(|entry| &*entry.id).collect::<Vec<_>>(), ["gone"]);
     assert!(table.get("back").unwrap().is_healthy(now));
 }
 
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -916,6 +916,9 @@
     /// Replicas that have said that they are shutting down.
     #[prost(message, repeated, tag = "9")]
     pub leaving: ::prost::alloc::vec::Vec<LeavingReplica>,
+    /// Entries that a restored store lists again although their processes were removed before.
+    #[prost(message, repeated, tag = "10")]
+    pub withheld: ::prost::alloc::vec::Vec<ReplicaCopy>,
 }
 /// An entry that was removed from the replica list.
 #[derive(Clone, PartialEq, ::prost::Message)]
