Let other tasks run beside a response without end

Cause: all tasks share one thread, and a read that finds bytes returns without yielding; timeouts look at their timers only when the operation waits. Ruled out: a relay that merely takes too much processor time (a reader let no other task run for 64 MiB).

The loops that accept connections and receive datagrams yield too, and serve skips at most 16 interim responses.

--- a/berylstep/src/gateway/callers.rs
+++ b/berylstep/src/gateway/callers.rs
@@ -80,6 +80,8 @@
                     self.handler.clock.sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
+            // A burst of connections must not hold up requests in progress.
+            future::yield_now().await;
         }
     }
 }
--- a/berylstep/src/gateway/endpoints.rs
+++ b/berylstep/src/gateway/endpoints.rs
@@ -7,6 +7,7 @@
 use berylstep_http::ServerConnection;
 use http_types::{Request, Response, StatusCode};
 use serde::Serialize;
+use smol::future;
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
 
@@ -78,6 +79,8 @@
                     self.clock.sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
+            // A burst of connections must not hold up requests in progress.
+            future::yield_now().await;
         }
     }
 
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -16,6 +16,7 @@
     TurnRequest, WindowUsage,
 };
 use prost::Message;
+use smol::future;
 use smol::net::UdpSocket;
 
 use crate::clock::RuntimeClock;
@@ -245,6 +246,8 @@
                     self.clock.sleep(PULSE_INTERVAL).await;
                 }
             }
+            // A burst of datagrams must not hold up requests in progress.
+            future::yield_now().await;
         }
     }
 
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -12,6 +12,7 @@
 use berylstep_wire::frame::Body;
 use berylstep_wire::{FleetCopy, FleetQuery, Frame};
 use futures_util::{SinkExt, StreamExt};
+use smol::future;
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
 use tokio_util::codec::Framed;
@@ -151,6 +152,8 @@
                     self.clock.sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
+            // A burst of connections must not hold up requests in progress.
+            future::yield_now().await;
         }
     }
 
--- a/berylstep/tests/endless_bytes.rs
+++ b/berylstep/tests/endless_bytes.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use berylstep_standins::fleet::gateway::{write_request, FleetGateway};
-use berylstep_standins::fleet::message::{begin_events, RawMessage};
+use berylstep_standins::fleet::message::{begin_events, respond, RawMessage};
 use berylstep_standins::fleet::replica::FakeReplica;
 use berylstep_standins::fleet::store::FakeStore;
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
@@ -15,6 +15,12 @@
 /// Time within which a request ends; its deadline is two seconds.
 const END_TIME: Duration = Duration::from_millis(2600);
 
+/// Time in which a flood begins, and within which requests beside it are answered; that of a route whose
+/// requests time out after two seconds.
+const FLOOD_START: Duration = Duration::from_millis(300);
+const FLOOD_ANSWER_TIME: Duration = Duration::from_millis(500);
+const FLOOD_REQUESTS: usize = 15;
+
 /// Requests at once, and the memory that all of them may take at a node of 160 MB.
 const PARALLEL_REQUESTS: usize = 200;
 const MAX_GROWTH_KIB: u64 = 80 * 1024;
@@ -192,6 +198,68 @@
     }
 }
 
+struct FloodCase {
+    name: &'static str,
+    route: &'static str,
+    start: fn(&RawMessage, &mut TcpStream) -> bool,
+    repeated: &'static [u8],
+}
+
+const FLOOD_CASES: &[FloodCase] = &[
+    FloodCase {
+        name: "events",
+        route: "plain",
+        start: |request, stream| begin_events(stream, request),
+        repeated: b"8\r\nid: 1\n\n\n\r\n",
+    },
+    FloodCase {
+        name: "body without length",
+        route: "unsafe",
+        start: |_, stream| stream.write_all(format!("{HEAD}\r\n").as_bytes()).is_ok(),
+        repeated: &[b'x'; 4096],
+    },
+];
+
+// Guards against a response that arrives as fast as it is read and keeps all other tasks from running.
+#[test]
+fn a_body_without_end_at_full_speed_holds_up_no_other_request_and_ends_at_its_deadline() {
+    for case in FLOOD_CASES {
+        let flooding = FakeReplica::start("i-1", |request, _, stream| {
+            let block = case.repeated.repeat((64 * 1024 / case.repeated.len()).max(1));
+            let begun = (case.start)(request, stream);
+            while begun && stream.write_all(&block).is_ok() {}
+            false
+        });
+        let sound = FakeReplica::start("i-2", |request, _, stream| {
+            respond(stream, request, 200, "", "answer")
+        });
+        let store = FakeStore::start();
+        store.put("op", "config", Some(desired_state(1)));
+        store.put("servers", "i-1", Some(flooding.entry(case.route, "ready")));
+        store.put("servers", "i-2", Some(sound.entry("safe", "ready")));
+        let gateway = FleetGateway::start(&store, 4, free_address().port());
+        let mut stream = gateway.connect();
+        let reading = std::thread::spawn(move || {
+            let started = Instant::now();
+            write_request(&mut stream, case.route, &format!("{KEY_HEADER}Connection: close\r\n"));
+            let mut block = vec![0; 1 << 20];
+            while stream.read(&mut block).is_ok_and(|count| count > 0) {}
+            started.elapsed()
+        });
+        std::thread::sleep(FLOOD_START);
+        for number in 0..FLOOD_REQUESTS {
+            let started = Instant::now();
+            let answer = gateway.send("safe", KEY_HEADER).expect("an answer");
+            let elapsed = started.elapsed();
+            assert_eq!(answer.status(), 200, "{}: request {number}", case.name);
+            assert!(elapsed < FLOOD_ANSWER_TIME, "{}: {number} took {elapsed:?}", case.name);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let elapsed = reading.join().expect("the reader ends");
+        assert!(elapsed < END_TIME, "{}: ended after {elapsed:?}", case.name);
+    }
+}
+
 /// Returns the resident memory of a process, in KiB.
 fn resident_kib(gateway: &FleetGateway) -> u64 {
     let path = format!("/proc/{}/status", gateway.process.id());
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -27,6 +27,9 @@
 const BODY_BUFFER_BYTES: usize = 512;
 const SWITCHING_PROTOCOLS: u16 = 101;
 
+/// Interim responses that are skipped before the response.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// Why an exchange failed.
 #[derive(Debug, Display)]
 pub enum ExchangeError {
@@ -214,7 +217,7 @@
         &mut self,
         buffer: &mut Vec<u8>,
     ) -> Result<ResponseHead, ExchangeError> {
-        loop {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
             let bytes = read_head(&mut self.stream, buffer).await.map_err(ExchangeError::Head)?;
             let Some(bytes) = bytes else {
                 return Err(ExchangeError::Broken(std::io::ErrorKind::UnexpectedEof.into()));
@@ -225,6 +228,7 @@
                 return Ok(head);
             }
         }
+        Err(ExchangeError::Head(HeadError::Malformed("interim responses without end")))
     }
 }
 
--- a/berylstep_http/src/framed.rs
+++ b/berylstep_http/src/framed.rs
@@ -7,6 +7,8 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use crate::turn::ReadTurn;
+
 /// Last bytes of a chunked body without trailers.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -35,12 +37,14 @@
     position: usize,
     end: MessageEnd,
     tail: Vec<u8>,
+    turn: ReadTurn,
 }
 
 impl FramedStream {
     /// Creates a stream of `prefix` and the socket's bytes up to `end`, which includes the prefix.
     pub fn new(prefix: Vec<u8>, end: MessageEnd, stream: TcpStream) -> Self {
-        let state = FrameState { prefix, position: 0, end, tail: Vec::new() };
+        let state =
+            FrameState { prefix, position: 0, end, tail: Vec::new(), turn: ReadTurn::default() };
         Self { state: Arc::new(Mutex::new(state)), stream }
     }
 
@@ -104,9 +108,14 @@
                 state.record_read(&buf[..count]);
                 return Poll::Ready(Ok(count));
             }
+            if !state.turn.begin_read(cx) {
+                return Poll::Pending;
+            }
             allowed
         };
-        let count = match Pin::new(&mut this.stream).poll_read(cx, &mut buf[..allowed]) {
+        let polled = Pin::new(&mut this.stream).poll_read(cx, &mut buf[..allowed]);
+        this.lock().turn.record_read(&polled);
+        let count = match polled {
             Poll::Ready(count) => count?,
             Poll::Pending => return Poll::Pending,
         };
--- a/berylstep_http/src/lib.rs
+++ b/berylstep_http/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod message;
 pub mod server;
 pub mod socket;
+mod turn;
 
 pub use body::{channel_body, task_body, BodySender};
 pub use client::{ClientConnection, ClientResponse, ExchangeError, SendTerms};
--- a/berylstep_http/src/message.rs
+++ b/berylstep_http/src/message.rs
@@ -16,6 +16,7 @@
     body_framing, find_head_end, has_token, parse_request, parse_response, BodyFraming, HeadError,
     HEAD_END, MAX_HEADERS,
 };
+use crate::turn::ReadTurn;
 
 /// Bytes read from a socket at once; a typical prompt takes two reads.
 const READ_BYTES: usize = 16 * 1024;
@@ -179,12 +180,13 @@
     /// Underlying TCP connection, for writes and socket options; reads go through the buffer.
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    turn: ReadTurn,
 }
 
 impl MessageStream {
     /// Creates a message stream with an empty buffer.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self { stream, buffer: Vec::new(), turn: ReadTurn::default() }
     }
 
     /// Returns whether bytes have been received beyond the messages read so far.
@@ -202,11 +204,15 @@
     /// The read is cancel-safe, and a connection without buffered bytes holds no memory for them
     /// while it waits.
     pub async fn fill(&mut self) -> std::io::Result<bool> {
-        let (stream, buffer) = (&mut self.stream, &mut self.buffer);
+        let (stream, buffer, turn) = (&mut self.stream, &mut self.buffer, &mut self.turn);
         let reading = poll_fn(|cx| {
+            if !turn.begin_read(cx) {
+                return Poll::Pending;
+            }
             let filled = buffer.len();
             buffer.resize(filled + READ_BYTES, 0);
             let polled = Pin::new(&mut *stream).poll_read(cx, &mut buffer[filled..]);
+            turn.record_read(&polled);
             let count = match &polled {
                 Poll::Ready(Ok(count)) => *count,
                 _ => 0,
--- a/berylstep_http/tests/message_cases.rs
+++ b/berylstep_http/tests/message_cases.rs
@@ -189,3 +189,36 @@
         assert_eq!(stream.read_head(1024).await.unwrap().unwrap(), head);
     });
 }
+
+// Guards against a peer that sends faster than it is read and keeps the thread to itself.
+#[test]
+fn a_body_that_is_always_readable_lets_other_tasks_run() {
+    const MAX_BYTES: usize = 64 << 20;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let writer = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let block = [b'x'; 1 << 16];
+        while stream.write_all(&block).is_ok() {}
+    });
+    let tasks = smol::LocalExecutor::new();
+    let has_run = std::rc::Rc::new(std::cell::Cell::new(false));
+    let received = smol::block_on(tasks.run(async {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let head = b"HTTP/1.1 200 OK\r\n\r\n";
+        let mut decoder = BodyDecoder::response(&ResponseMessage::parse(head).unwrap(), "GET");
+        let mut message = MessageStream::new(stream);
+        smol::Timer::after(Duration::from_millis(100)).await;
+        let other = has_run.clone();
+        tasks.spawn(async move { other.set(true) }).detach();
+        let (mut received, mut content) = (0, Vec::new());
+        while !has_run.get() && received < MAX_BYTES {
+            message.read_content(&mut decoder, &mut content).await.unwrap();
+            received += content.len();
+            content.clear();
+        }
+        received
+    }));
+    writer.join().unwrap();
+    assert!(has_run.get(), "{received} bytes were read in one go");
+}
