Keep a stalled stream until another replica goes on with it

Cause: after four gaps of silence the relay ended the response and looked for another replica afterwards. Ruled out: the graceful stop (streams of the other replicas were complete).

Change: the search runs beside the response, whichever continues first has the stream; without a substitute it stays where it is. An attempt that is dropped because the first replica went on counts as one that ran.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -7,7 +7,8 @@
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::events::{EndMarker, EventSplitter};
 use berylstep_core::fleet::origins::{StreamOrigin, VersionPin};
-use berylstep_http::{BodyFraming, ResponseMessage};
+use berylstep_http::{BodyError, BodyFraming, ResponseMessage};
+use smol::future;
 
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
@@ -51,6 +52,8 @@
     origin: Option<StreamOrigin>,
     /// Time at which the last complete event arrived, or the response that continues the stream.
     last_event_at: Duration,
+    /// Time at which the latest search for another replica ended without one.
+    searched_at: Duration,
     /// Copy of the run and the replica that holds it, once the original run has been stopped.
     moved: Option<(ReplicaTarget, MovedRun)>,
     /// Whether a move was attempted, successfully or not.
@@ -61,6 +64,24 @@
     may_be_stopped: bool,
 }
 
+/// Reason for which no more content of a response arrives.
+enum ReadFailure {
+    /// The replica is silent, but its connection is open, so that it may go on.
+    Stalled,
+    /// The response has ended or failed, or its time is up.
+    Ended(String),
+}
+
+/// Result of the search for a replica that takes a stalled stream over.
+enum StallOutcome {
+    /// Another replica goes on with the stream.
+    Replaced(Box<StartedResponse>),
+    /// The replica itself goes on.
+    Recovered,
+    /// No other replica takes the stream over.
+    NoSubstitute,
+}
+
 /// Returns whether a response consists of events. On the route of a stream, one without a content
 /// type does.
 fn is_event_stream(kind: RouteKind, head: &ResponseMessage) -> bool {
@@ -92,6 +113,7 @@
             began_version: None,
             origin: None,
             last_event_at: self.clock.now(),
+            searched_at: Duration::ZERO,
             moved: None,
             move_tried: false,
             move_not_before: Duration::ZERO,
@@ -142,15 +164,25 @@
             if !self.response.is_complete() && self.is_move_due() {
                 self.move_run().await;
             }
-            let Err(reason) = self.read_more(&mut content).await else { continue };
-            self.record_end(match self.response.is_complete() {
-                true => StreamEnd::Truncated,
-                false => StreamEnd::Broken,
-            });
-            if !self.has_started {
-                self.handler.crashes.report_loss(self.request, self.response.target());
-            }
-            self.splitter.discard_partial();
+            let reason = match self.read_more(&mut content).await {
+                Ok(()) => continue,
+                Err(ReadFailure::Ended(reason)) => reason,
+                Err(ReadFailure::Stalled) => {
+                    self.response.record_failure(self.handler, "no event before the timeout");
+                    let outcome = self.replace_stalled(&mut content).await;
+                    self.log_stall(&outcome);
+                    match outcome {
+                        StallOutcome::Replaced(next) => {
+                            self.record_broken();
+                            content = self.go_on(*next, ResumeCause::Broken);
+                        }
+                        StallOutcome::Recovered => {}
+                        StallOutcome::NoSubstitute => self.searched_at = self.handler.clock.now(),
+                    }
+                    continue;
+                }
+            };
+            self.record_broken();
             let (cause, next) = match self.moved.take() {
                 Some((target, run)) => {
                     (ResumeCause::Moved, self.continue_moved_run(target, run).await)
@@ -160,31 +192,58 @@
                     (ResumeCause::Broken, self.resume().await)
                 }
             };
-            match next {
-                Some(next) => {
-                    self.response = next;
-                    self.origin = self
-                        .origin
-                        .map(|_| self.handler.stream_origin(self.request, self.response.target()));
-                    if self.has_started {
-                        self.record_resumed(cause);
-                    }
-                    self.may_be_stopped = false;
-                    self.last_event_at = self.handler.clock.now();
-                }
-                None => {
-                    log::info!(
-                        "event=stream_broken id={} replica={} events={} age_ms={} reason=\"{reason}\"",
-                        self.request.id(),
-                        self.response.target().id,
-                        self.splitter.events(),
-                        self.handler.clock.now().saturating_sub(self.request.arrived).as_millis()
-                    );
-                    return RequestOutcome::Broken(self.splitter.events());
-                }
-            }
-            content = std::mem::take(&mut self.response.content);
+            let Some(next) = next else {
+                log::info!(
+                    "event=stream_broken id={} replica={} events={} age_ms={} reason=\"{reason}\"",
+                    self.request.id(),
+                    self.response.target().id,
+                    self.splitter.events(),
+                    self.handler.clock.now().saturating_sub(self.request.arrived).as_millis()
+                );
+                return RequestOutcome::Broken(self.splitter.events());
+            };
+            content = self.go_on(next, cause);
+        }
+    }
+
+    /// Records that the current response is given up before it was whole.
+    fn record_broken(&mut self) {
+        self.record_end(match self.response.is_complete() {
+            true => StreamEnd::Truncated,
+            false => StreamEnd::Broken,
+        });
+        if !self.has_started {
+            self.handler.crashes.report_loss(self.request, self.response.target());
+        }
+        self.splitter.discard_partial();
+    }
+
+    /// Goes on with another response; returns its first content.
+    fn go_on(&mut self, next: StartedResponse, cause: ResumeCause) -> Vec<u8> {
+        self.response = next;
+        self.origin =
+            self.origin.map(|_| self.handler.stream_origin(self.request, self.response.target()));
+        if self.has_started {
+            self.record_resumed(cause);
         }
+        self.may_be_stopped = false;
+        self.last_event_at = self.handler.clock.now();
+        std::mem::take(&mut self.response.content)
+    }
+
+    fn log_stall(&self, outcome: &StallOutcome) {
+        let outcome = match outcome {
+            StallOutcome::Replaced(_) => "replaced",
+            StallOutcome::Recovered => "recovered",
+            StallOutcome::NoSubstitute => "no_substitute",
+        };
+        log::info!(
+            "event=stream_stalled id={} replica={} events={} silent_ms={} outcome={outcome}",
+            self.request.id(),
+            self.response.target().id,
+            self.splitter.events(),
+            self.handler.clock.now().saturating_sub(self.last_event_at).as_millis()
+        );
     }
 
     /// Records that the prompt did not crash the replica, and which version began the stream.
@@ -249,31 +308,51 @@
     }
 
     /// Reads more content, or returns why there is none.
-    async fn read_more(&mut self, content: &mut Vec<u8>) -> Result<(), String> {
+    async fn read_more(&mut self, content: &mut Vec<u8>) -> Result<(), ReadFailure> {
         if self.response.is_complete() {
-            return Err("response ended before it was whole".to_owned());
+            return Err(ReadFailure::Ended("response ended before it was whole".to_owned()));
         }
         let clock = &self.handler.clock;
         let time_left = self.request.deadline.saturating_sub(clock.now());
         let gap = self.request.route.gap_target.filter(|_| self.is_resumable());
-        // A slow stream is only cut if it can go on elsewhere.
+        // Another replica is only looked for if the stream can go on there.
         let gap = gap.filter(|_| {
             self.handler.may_retry(self.request, self.history)
                 && self.handler.has_unlimited_alternative(self.request, self.history)
                 && self.handler.has_retry_budget(&self.request.service)
         });
         // Bytes that complete no event don't count as progress.
-        let silent = clock.now().saturating_sub(self.last_event_at);
+        let silent = clock.now().saturating_sub(self.last_event_at.max(self.searched_at));
         let limit = gap.map_or(time_left, |gap| {
             (gap * STALL_TIMEOUT_GAPS).saturating_sub(silent).min(time_left)
         });
         match clock.timeout(limit, self.response.read_content(content)).await {
             Some(Ok(())) => Ok(()),
-            Some(Err(err)) => Err(err.to_string()),
-            None => Err("no event before the timeout".to_owned()),
+            Some(Err(err)) => Err(ReadFailure::Ended(err.to_string())),
+            None if limit < time_left && self.moved.is_none() => Err(ReadFailure::Stalled),
+            None => Err(ReadFailure::Ended("no event before the timeout".to_owned())),
         }
     }
 
+    /// Looks for another replica that goes on with a stalled stream. The connection to the current one
+    /// stays open until another has responded, and the stream stays there if it goes on first.
+    async fn replace_stalled(&mut self, content: &mut Vec<u8>) -> StallOutcome {
+        let splitter = self.splitter.clone();
+        let (response, mut search) = self.split_search();
+        let recovering = async {
+            match read_event(response, splitter, content).await {
+                Ok(()) => StallOutcome::Recovered,
+                // A response that has failed leaves it to the search.
+                Err(_) => future::pending().await,
+            }
+        };
+        let searching = async {
+            let found = search.run().await;
+            found.map_or(StallOutcome::NoSubstitute, |next| StallOutcome::Replaced(Box::new(next)))
+        };
+        future::or(recovering, searching).await
+    }
+
     fn is_resumable(&self) -> bool {
         self.request.route.kind == RouteKind::Stream && self.request.route.resumable
     }
@@ -371,6 +450,43 @@
         }
     }
 
+    /// Resumes the stream after its last event on another replica, if the request may run again.
+    async fn resume(&mut self) -> Option<StartedResponse> {
+        match self.is_resumable() {
+            true => self.split_search().1.run().await,
+            false => None,
+        }
+    }
+
+    /// Returns the current response, and the search for a replica that goes on after its last event.
+    fn split_search(&mut self) -> (&mut StartedResponse, ResumeSearch<'_>) {
+        let search = ResumeSearch {
+            handler: self.handler,
+            request: self.request,
+            history: self.history,
+            trace: self.trace,
+            last_event: self.splitter.last_id().map(str::to_owned),
+            origin: self.origin,
+            last_event_at: self.last_event_at,
+        };
+        (&mut self.response, search)
+    }
+}
+
+/// Search for a replica that goes on with a stream.
+struct ResumeSearch<'a> {
+    handler: &'a RequestHandler,
+    request: &'a RoutedRequest<'a>,
+    history: &'a mut AttemptHistory,
+    trace: &'a RequestTrace,
+    /// Last event that the caller received.
+    last_event: Option<String>,
+    /// Process that wrote it.
+    origin: Option<StreamOrigin>,
+    last_event_at: Duration,
+}
+
+impl ResumeSearch<'_> {
     /// Returns whether the version that wrote the events so far is known. The replica's entry may be out
     /// of date, if it was started again under its identifier before the last event.
     async fn is_version_known(&self) -> bool {
@@ -381,32 +497,50 @@
         self.handler.confirm_origin(&StreamOrigin { seen_ms, ..origin }).await.is_some()
     }
 
-    /// Resumes the stream after its last event on another replica, if the request may run again.
-    async fn resume(&mut self) -> Option<StartedResponse> {
-        if !self.is_resumable() || !self.is_version_known().await {
+    /// Sends the request to other replicas until one goes on. A search that is dropped counts the attempt in
+    /// progress as one that ran.
+    async fn run(&mut self) -> Option<StartedResponse> {
+        if !self.is_version_known().await {
             return None;
         }
         while self.handler.may_retry(self.request, self.history) {
             let target = self.handler.select_replica(self.request, self.history).await?;
-            let last_event = self.splitter.last_id();
+            let last_event = self.last_event.as_deref();
             let options = AttemptOptions { last_event, response_timeout: None, moved_run: None };
+            self.history.sent += 1;
+            self.history.ran += 1;
             let outcome = self.handler.attempt(self.request, &target, options).await;
             self.trace.record_attempt(self.request, &target, &outcome, self.handler.clock.now());
             match outcome {
                 AttemptOutcome::Responded(response) if response.head.status < 300 => {
-                    self.history.ran += 1;
                     return Some(*response);
                 }
                 AttemptOutcome::Responded(_)
                 | AttemptOutcome::Lost(_)
-                | AttemptOutcome::TimedOut => {
-                    self.history.ran += 1;
-                    self.history.sent += 1;
+                | AttemptOutcome::TimedOut => {}
+                AttemptOutcome::NotSent(_) => {
+                    self.history.sent -= 1;
+                    self.history.ran -= 1;
                 }
-                AttemptOutcome::NotSent(_) => {}
-                AttemptOutcome::NotExecuted(_) => self.history.sent += 1,
+                AttemptOutcome::NotExecuted(_) => self.history.ran -= 1,
             }
         }
         None
     }
 }
+
+/// Reads content up to the end of an event or of the response; `splitter` holds what arrived before.
+async fn read_event(
+    response: &mut StartedResponse,
+    mut splitter: EventSplitter,
+    content: &mut Vec<u8>,
+) -> Result<(), BodyError> {
+    loop {
+        let known = content.len();
+        response.read_content(content).await?;
+        let has_event = !splitter.accept(&content[known..]).is_empty();
+        if has_event || response.is_complete() || splitter.partial_bytes() > MAX_EVENT_BYTES {
+            return Ok(());
+        }
+    }
+}
