Continue streams only with events

Callers: where the replica that was asked to go on with a stream answered with a success of another kind, its text stood in the middle of the stream, which ended as complete; after a 204 the stream ended as complete too early.

Cause: any success was taken for a continuation; whether content consists of events was decided from the first response. Ruled out: bytes of a failed attempt in a buffer (failures leave no text in the stream).

Change: a stream goes on only with a response of the same status that consists of events, in resumed streams and after moves. Any other success is a failed attempt.

Evidence: truncated_streams::a_stream_goes_on_only_with_events and the new case of a moved run fail on the code before and pass now.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -90,6 +90,12 @@
     kind == RouteKind::Stream && head.status < 300 && media_type.eq_ignore_ascii_case(EVENT_STREAM)
 }
 
+/// Returns whether a response goes on with the events of a stream that began with `status`. Any other success
+/// is an answer of its own, which has no place in the stream.
+fn continues_events(status: u16, head: &ResponseMessage) -> bool {
+    head.status == status && is_event_stream(RouteKind::Stream, head)
+}
+
 impl RequestHandler {
     /// Relays a stream until it ends.
     pub(super) async fn relay_stream(
@@ -445,7 +451,11 @@
         let outcome = self.handler.attempt(self.request, &target, options).await;
         self.trace.record_attempt(self.request, &target, &outcome, self.handler.clock.now());
         match outcome {
-            AttemptOutcome::Responded(response) if response.head.status < 300 => Some(*response),
+            AttemptOutcome::Responded(response)
+                if continues_events(self.response.head.status, &response.head) =>
+            {
+                Some(*response)
+            }
             _ => self.resume().await,
         }
     }
@@ -465,6 +475,7 @@
             request: self.request,
             history: self.history,
             trace: self.trace,
+            status: self.response.head.status,
             last_event: self.splitter.last_id().map(str::to_owned),
             origin: self.origin,
             last_event_at: self.last_event_at,
@@ -479,6 +490,8 @@
     request: &'a RoutedRequest<'a>,
     history: &'a mut AttemptHistory,
     trace: &'a RequestTrace,
+    /// Status with which the stream began.
+    status: u16,
     /// Last event that the caller received.
     last_event: Option<String>,
     /// Process that wrote it.
@@ -512,12 +525,20 @@
             let outcome = self.handler.attempt(self.request, &target, options).await;
             self.trace.record_attempt(self.request, &target, &outcome, self.handler.clock.now());
             match outcome {
-                AttemptOutcome::Responded(response) if response.head.status < 300 => {
+                AttemptOutcome::Responded(response)
+                    if continues_events(self.status, &response.head) =>
+                {
                     return Some(*response);
                 }
-                AttemptOutcome::Responded(_)
-                | AttemptOutcome::Lost(_)
-                | AttemptOutcome::TimedOut => {}
+                AttemptOutcome::Responded(response) => {
+                    log::info!(
+                        "event=continuation_rejected id={} replica={} status={}",
+                        self.request.id(),
+                        target.id,
+                        response.head.status
+                    );
+                }
+                AttemptOutcome::Lost(_) | AttemptOutcome::TimedOut => {}
                 AttemptOutcome::NotSent(_) => {
                     self.history.sent -= 1;
                     self.history.ran -= 1;
--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use berylstep_standins::fleet::crash::{CrashingReplica, ScriptStep};
-use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
+use berylstep_standins::fleet::gateway::{wait_until, write_request, FleetGateway};
 use berylstep_standins::fleet::message::{
-    begin_events, begin_unframed_events, read_message, request_text, respond, RawMessage,
+    begin_events, begin_unframed_events, read_message, read_partial_message, request_text, respond,
+    RawMessage,
 };
 use berylstep_standins::fleet::replica::{entry, FakeReplica};
 use berylstep_standins::fleet::store::FakeStore;
@@ -263,6 +264,58 @@
     }
 }
 
+struct ContinuationCase {
+    name: &'static str,
+    /// Answer of the replica that is asked to go on.
+    answer: &'static str,
+}
+
+const CONTINUATIONS: &[ContinuationCase] = &[
+    ContinuationCase {
+        name: "success of another type",
+        answer: "200 OK\r\nContent-Type: text/plain\r\nContent-Length: 9\r\n\r\nfailure\n\n",
+    },
+    ContinuationCase {
+        name: "success of another type that looks like an event",
+        answer: "200 OK\r\nContent-Type: text/html\r\nContent-Length: 20\r\n\r\nid: 4\ndata: failed\n\n",
+    },
+    ContinuationCase { name: "no content", answer: "204 No Content\r\n\r\n" },
+    ContinuationCase {
+        name: "another success",
+        answer: "202 Accepted\r\nContent-Type: text/event-stream\r\nContent-Length: 14\r\n\r\nid: 3\ndata: x\n\n",
+    },
+    ContinuationCase {
+        name: "failure",
+        answer: "500 Failed\r\nContent-Type: text/event-stream\r\nContent-Length: 14\r\n\r\nid: 3\ndata: x\n\n",
+    },
+];
+
+/// Guards against an answer of another kind in the middle of a stream, or as its end (ORDER, MIXED).
+#[test]
+fn a_stream_goes_on_only_with_events() {
+    for case in CONTINUATIONS {
+        for framing in [Framing::Close, Framing::Chunked] {
+            let replicas = ["i-1", "i-2"].map(|id| {
+                FakeReplica::start(id, move |request, _, stream| {
+                    if request.header("last-event-id").is_some() {
+                        let head =
+                            "Berylstep-Attempt-Id: id-1\r\nBerylstep-Replica-Signature: s\r\n";
+                        let answer = case.answer.replacen("\r\n", &format!("\r\n{head}"), 1);
+                        return stream.write_all(format!("HTTP/1.1 {answer}").as_bytes()).is_ok();
+                    }
+                    write_stream(stream, request, framing, "id: 1\ndata: a\n\nid: 2\nda")
+                })
+            });
+            let (_store, gateway) = start_fleet("resumable", &[&replicas[0], &replicas[1]]);
+            let mut caller = gateway.connect();
+            write_request(&mut caller, "resumable", KEY_HEADER);
+            let (message, is_whole) = read_partial_message(&mut caller).expect("a head");
+            assert!(!is_whole, "{}, {framing:?}: looks complete", case.name);
+            assert_eq!(message.body, EVENTS[0], "{}, {framing:?}", case.name);
+        }
+    }
+}
+
 /// Events of the stream that is moved, one every [`EVENT_INTERVAL`].
 const MOVED_EVENTS: usize = 200;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -273,6 +326,7 @@
     stream: &mut TcpStream,
     stopped: &AtomicBool,
     answer_stop: ServeStop,
+    moved_type: &str,
 ) -> bool {
     if request.target() == "/v1/kv-move" {
         let is_last = request.body.contains("\"Last\":true");
@@ -284,7 +338,13 @@
     }
     let is_moved = request.header("kv-from").is_some();
     let last = request.header("last-event-id").map_or(0, |id| id.parse::<usize>().unwrap());
-    assert!(begin_unframed_events(stream, request));
+    let mut head = Vec::new();
+    assert!(begin_unframed_events(&mut head, request));
+    let mut head = String::from_utf8(head).unwrap();
+    if is_moved {
+        head = head.replace("text/event-stream", moved_type);
+    }
+    assert!(stream.write_all(head.as_bytes()).is_ok());
     for number in last + 1..=MOVED_EVENTS {
         if !is_moved && stopped.load(Ordering::SeqCst) {
             break;
@@ -306,6 +366,8 @@
 struct MoveCase {
     name: &'static str,
     answer_stop: ServeStop,
+    /// Media type of the response that continues the moved run.
+    moved_type: &'static str,
     /// Whether the caller gets the whole stream.
     whole: bool,
 }
@@ -317,17 +379,30 @@
         MoveCase {
             name: "moved",
             answer_stop: |request, stream| respond(stream, request, 200, "", MOVED_HANDLE),
+            moved_type: "text/event-stream",
             whole: true,
         },
-        MoveCase { name: "answer of the call lost", answer_stop: |_, _| false, whole: false },
+        MoveCase {
+            name: "moved, and answered without events",
+            answer_stop: |request, stream| respond(stream, request, 200, "", MOVED_HANDLE),
+            moved_type: "text/plain",
+            whole: false,
+        },
+        MoveCase {
+            name: "answer of the call lost",
+            answer_stop: |_, _| false,
+            moved_type: "text/event-stream",
+            whole: false,
+        },
         MoveCase {
             name: "no room at the other replica, after the run was stopped",
             answer_stop: |request, stream| respond(stream, request, 503, "", MOVED_HANDLE),
+            moved_type: "text/event-stream",
             whole: false,
         },
     ];
     for case in cases {
-        let answer = move_stream(case.answer_stop);
+        let answer = move_stream(case.answer_stop, case.moved_type);
         let numbers = answer.map(|answer| {
             let numbers = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
             numbers.map(|number| number.parse().unwrap()).collect::<Vec<usize>>()
@@ -338,12 +413,12 @@
 }
 
 /// Sends a request whose replica leaves while it streams; returns the response if it is complete.
-fn move_stream(answer_stop: ServeStop) -> Option<RawMessage> {
+fn move_stream(answer_stop: ServeStop, moved_type: &'static str) -> Option<RawMessage> {
     let stopped = Arc::new(AtomicBool::new(false));
     let replicas = ["i-1", "i-2"].map(|id| {
         let stopped = stopped.clone();
         FakeReplica::start(id, move |request, _, stream| {
-            serve_movable_run(request, stream, &stopped, answer_stop)
+            serve_movable_run(request, stream, &stopped, answer_stop, moved_type)
         })
     });
     let store = FakeStore::start();
