Resume only responses with events

Callers: a response without events on the route of a resumable stream that broke off was followed by another replica's response from its start, in one answer.

Cause: whether a response may go on elsewhere was decided by its route alone; without events there is no position to go on from.

Change: only a response with events whose identifiers are known is resumed.

Evidence: truncated_streams::a_response_without_events_is_not_resumed got the first half twice on the code before and passes now.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -359,8 +359,13 @@
         future::or(recovering, searching).await
     }
 
+    /// Returns whether the response may go on at another replica. One without events, or whose events have no
+    /// identifiers, would begin anew there.
     fn is_resumable(&self) -> bool {
-        self.request.route.kind == RouteKind::Stream && self.request.route.resumable
+        let is_allowed =
+            self.request.route.kind == RouteKind::Stream && self.request.route.resumable;
+        let can_go_on = !self.has_started || self.splitter.last_id().is_some();
+        is_allowed && self.is_event_stream && can_go_on
     }
 
     /// Returns whether the run must be moved because its replica stops before the stream ends.
--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -316,6 +316,27 @@
     }
 }
 
+/// Guards against a response without events that another replica's response is appended to (MIXED).
+#[test]
+fn a_response_without_events_is_not_resumed() {
+    let replicas = ["i-1", "i-2"].map(|id| {
+        FakeReplica::start(id, |request, index, stream| {
+            let mut message = Vec::new();
+            write_message(&mut message, request, Framing::Chunked, "half an answer\n\n");
+            let message = String::from_utf8(message).unwrap();
+            let message = message.replace("text/event-stream", "text/plain");
+            let end = message.len() - if index == 0 { "0\r\n\r\n".len() } else { 0 };
+            stream.write_all(&message.as_bytes()[..end]).is_ok() && index > 0
+        })
+    });
+    let (_store, gateway) = start_fleet("resumable", &[&replicas[0], &replicas[1]]);
+    let mut caller = gateway.connect();
+    write_request(&mut caller, "resumable", KEY_HEADER);
+    let (message, is_whole) = read_partial_message(&mut caller).expect("a head");
+    assert!(!is_whole, "{message:?}");
+    assert_eq!(message.body, "half an answer\n\n");
+}
+
 /// Events of the stream that is moved, one every [`EVENT_INTERVAL`].
 const MOVED_EVENTS: usize = 200;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
