Test that a head which is cut never becomes a success

A report from other operators: a replica closed the connection inside the head of its answer, and callers got a 200 with an empty body. Tried here with heads cut at every third byte: with a length, without one, chunked, of a stream, after an interim response, and after a response to another request.

A response of a node that takes requests over is framed; one without framing now counts as lost, since its end is unknown.

--- a/berylstep/src/gateway/handover.rs
+++ b/berylstep/src/gateway/handover.rs
@@ -168,6 +168,10 @@
             Some(Some(head)) => {
                 let decoder = BodyDecoder::response(&head, &request.message.method);
                 let address = target.address;
+                // A node frames its responses, so the end of one without framing is unknown.
+                if head.framing == BodyFraming::Unframed && !decoder.is_complete() {
+                    return OfferOutcome::Lost;
+                }
                 OfferOutcome::Responded(Box::new(PeerResponse { head, decoder, stream, address }))
             }
             Some(None) => OfferOutcome::Lost,
--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -264,6 +264,76 @@
     }
 }
 
+struct HeadCase {
+    name: &'static str,
+    route: &'static str,
+    /// Bytes before the head that is cut.
+    before: &'static str,
+    /// Headers and blank line, of which only a part is written.
+    rest: &'static str,
+}
+
+const CUT_HEADS: &[HeadCase] = &[
+    HeadCase {
+        name: "with a length",
+        route: "unsafe",
+        before: "",
+        rest: "Content-Length: 0\r\n\r\n",
+    },
+    HeadCase { name: "without a length", route: "unsafe", before: "", rest: "\r\n" },
+    HeadCase {
+        name: "chunked",
+        route: "plain",
+        before: "",
+        rest: "Transfer-Encoding: chunked\r\n\r\n",
+    },
+    HeadCase {
+        name: "of a stream without a length",
+        route: "plain",
+        before: "",
+        rest: "Content-Type: text/event-stream\r\n\r\n",
+    },
+    HeadCase {
+        name: "after an interim response",
+        route: "unsafe",
+        before: "HTTP/1.1 102 Processing\r\n\r\n",
+        rest: "Content-Length: 0\r\n\r\n",
+    },
+    HeadCase {
+        name: "after a response to another request",
+        route: "unsafe",
+        before: "HTTP/1.1 200 OK\r\nBerylstep-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nok",
+        rest: "Content-Length: 0\r\n\r\n",
+    },
+];
+
+/// Guards against a success whose replica closed the connection inside its head (MIXED).
+#[test]
+fn a_head_that_is_cut_never_becomes_a_success() {
+    for case in CUT_HEADS {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nBerylstep-Attempt-Id: id-1\r\nBerylstep-Replica-Signature: s\r\n{}",
+            case.rest
+        );
+        let cuts: Vec<_> = (0..head.len()).rev().step_by(3).collect();
+        let (count, lengths) = (cuts.len(), cuts.clone());
+        let replica = FakeReplica::start("i-1", move |_, index, stream| {
+            let part = format!("{}{}", case.before, &head[..lengths[index % lengths.len()]]);
+            if let Err(err) = stream.write_all(part.as_bytes()) {
+                log::debug!("the gateway closed the connection: {err}");
+            }
+            false
+        });
+        let (_store, gateway) = start_fleet(case.route, &[&replica]);
+        for _ in 0..count {
+            let answer = gateway.send(case.route, KEY_HEADER);
+            let status = answer.map_or(0, |answer| answer.status());
+            assert!(!(200..300).contains(&status), "{}: {status}", case.name);
+        }
+        assert!(replica.received().len() >= count, "{}: too few were cut", case.name);
+    }
+}
+
 struct ContinuationCase {
     name: &'static str,
     /// Answer of the replica that is asked to go on.
