Refuse streams of unknown origin at gateways that are out of step

Callers: streams that had begun at a new version went on at the old one, when they were taken up at a gateway that had been cut off or stood still while the new version joined (ORDER).

Cause: where nobody knew the origin of a stream, one version in the list of the gateway and of any node that answered was taken for the only one, however old these lists were. Ruled out: one gateway out of step (the others answer with both versions), replicas with new processes.

Without the store a gateway goes on only if it hears from most of the fleet; without other gateways the notes decide.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod handover;
 pub mod limits;
 pub mod mirror;
+pub mod noted_versions;
 pub mod notifier;
 pub mod orders;
 pub mod origins;
@@ -60,6 +61,7 @@
 use crate::gateway::feeds::{FollowedTable, TableFollower};
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
+use crate::gateway::noted_versions::NoteReader;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::origins::{OriginContext, OriginDesk};
 use crate::gateway::peers::PeerTable;
@@ -256,12 +258,14 @@
             runs: runs.clone(),
             socket: socket.clone(),
         });
+        let store = Rc::new(PlatformClient::new(settings.store_address, clock.clone()));
         let origins = OriginDesk::new(OriginContext {
             clock: clock.clone(),
             node: run.node.clone(),
             incarnation: run.incarnation,
             mirror: mirror.clone(),
             peers: peers.clone(),
+            notes: Rc::new(NoteReader::new(clock.clone(), store.clone())),
             socket,
         });
         Self {
@@ -283,7 +287,7 @@
             demand: Rc::new(DemandLedger::new(clock.clone())),
             duty_fencing: Rc::default(),
             peer_ahead: Rc::default(),
-            store: Rc::new(PlatformClient::new(settings.store_address, clock.clone())),
+            store,
             settings,
             clock,
             tasks,
--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -20,6 +20,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::ReplicaTarget;
 use crate::gateway::mirror::StoreMirror;
+use crate::gateway::noted_versions::NoteReader;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pending::PendingReplies;
 use crate::gateway::pulse::envelope;
@@ -57,6 +58,15 @@
     Unreachable,
 }
 
+/// What is known about the versions at which a stream of unknown origin may have begun.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum VersionLookup {
+    /// The versions of the service.
+    Known(PresentVersions),
+    /// What this node knows may be out of date, for this reason.
+    Outdated(&'static str),
+}
+
 /// Keeps the origins of streams of this node and of others.
 #[derive(Debug)]
 pub struct OriginDesk {
@@ -80,6 +90,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Other nodes, from which the keepers are chosen.
     pub peers: Rc<PeerTable>,
+    /// Notes of the versions in the store.
+    pub notes: Rc<NoteReader>,
     /// Socket for messages between nodes.
     pub socket: UdpSocket,
 }
@@ -263,6 +275,40 @@
         }
     }
 
+    /// Finds the versions at which a stream may have begun whose origin nobody knows, given those that
+    /// other nodes know of; `None` if no other node answered.
+    ///
+    /// A node that was cut off or stood still, and the nodes that it reaches, may know the old versions only. One
+    /// version alone is therefore compared with the notes in the store. While the store can't be read by anyone,
+    /// no other version can appear, so a node that reaches most others may rely on its list.
+    async fn find_versions(
+        &self,
+        service: &str,
+        others: Option<&HashMap<u32, PresentVersions>>,
+    ) -> VersionLookup {
+        let mut present = self.present_versions(service);
+        if let Some(others) = others.and_then(|others| others.get(&service_hash(service))) {
+            present.merge(others);
+        }
+        match present.versions.len() {
+            0 => return VersionLookup::Outdated("versions_not_read"),
+            1 => {}
+            _ => return VersionLookup::Known(present),
+        }
+        let OriginContext { clock, peers, notes, .. } = &self.context;
+        match (notes.noted_versions(service).await, others) {
+            (Some(versions), _) => {
+                present.merge(&PresentVersions { versions, is_complete: true });
+                VersionLookup::Known(present)
+            }
+            (None, None) => VersionLookup::Outdated("no_peer"),
+            (None, Some(_)) if present.is_complete && peers.sees_most_nodes(clock.now()) => {
+                VersionLookup::Known(present)
+            }
+            (None, Some(_)) => VersionLookup::Outdated("versions_not_read"),
+        }
+    }
+
     fn envelope(&self) -> FleetPulse {
         let OriginContext { clock, node, incarnation, .. } = &self.context;
         envelope(clock, node, *incarnation)
@@ -341,25 +387,8 @@
         let key = StreamKey::new(headers.resumes.as_deref().unwrap_or_default());
         let version = match self.origins.find(key).await {
             OriginLookup::Found(origin) => self.confirm_origin(&origin).await,
-            OriginLookup::Unknown(others) => {
-                let mut present = self.origins.present_versions(&request.service);
-                if present.versions.is_empty() {
-                    return Ok(());
-                }
-                if let Some(others) = others.get(&service_hash(&request.service)) {
-                    present.merge(others);
-                }
-                if !present.is_complete && present.versions.len() == 1 {
-                    self.metrics.record_not_resumed(request, "versions_not_read");
-                    let reason = "earlier versions of the service are not known yet";
-                    return Err(LocalReply::refused(reason, self.retry_after()));
-                }
-                present.sole()
-            }
-            OriginLookup::Unreachable => {
-                self.metrics.record_not_resumed(request, "no_peer");
-                return Err(LocalReply::refused("no peer knows the stream", self.retry_after()));
-            }
+            OriginLookup::Unknown(others) => self.find_sole_version(request, Some(&others)).await?,
+            OriginLookup::Unreachable => self.find_sole_version(request, None).await?,
         };
         let Some(version) = version else {
             self.metrics.record_not_resumed(request, "version_unknown");
@@ -382,6 +411,22 @@
         Ok(())
     }
 
+    /// Returns the only version at which a stream of unknown origin can have begun; `None` if there are several.
+    async fn find_sole_version(
+        &self,
+        request: &RoutedRequest<'_>,
+        others: Option<&HashMap<u32, PresentVersions>>,
+    ) -> Result<Option<VersionId>, LocalReply> {
+        match self.origins.find_versions(&request.service, others).await {
+            VersionLookup::Known(present) => Ok(present.sole()),
+            VersionLookup::Outdated(reason) => {
+                self.metrics.record_not_resumed(request, reason);
+                let reason = "versions of the service may be out of date here";
+                Err(LocalReply::refused(reason, self.retry_after()))
+            }
+        }
+    }
+
     /// Returns the version of an origin, unless its replica may have been replaced under the same
     /// identifier before. The replica is asked, because its entry may be out of date.
     pub(super) async fn confirm_origin(&self, origin: &StreamOrigin) -> Option<VersionId> {
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -232,6 +232,12 @@
         self.peak.get()
     }
 
+    /// Returns whether this node hears from most of the nodes that it has ever heard from at once, so that it
+    /// isn't cut off with a few others.
+    pub fn sees_most_nodes(&self, now: Duration) -> bool {
+        2 * (self.view(now).nodes.len() + 1) > self.peak_nodes()
+    }
+
     /// Returns the representatives of all zones, including this node if it is one.
     pub fn representatives(&self, now: Duration) -> Vec<KnownNode> {
         self.view(now).representatives.clone()
--- a/berylstep/src/gateway/version_notes.rs
+++ b/berylstep/src/gateway/version_notes.rs
@@ -4,18 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use berylstep_core::collections::HashMap;
-use berylstep_core::fleet::origins::{service_hash, VersionId, VersionNotes};
+use berylstep_core::fleet::origins::service_hash;
 
 use crate::clock::RuntimeClock;
 use crate::gateway::mirror::StoreMirror;
+use crate::gateway::noted_versions::{read_notes, StoredNotes, VERSION_TABLE};
 use crate::gateway::origins::OriginDesk;
 use crate::platform::store::{CommitResult, RowWrite};
 use crate::platform::{CallError, PlatformClient};
 
-/// Table that stores the versions of each service, keyed by the service.
-const VERSION_TABLE: &str = "versions";
-
 /// Interval at which the notes are compared with the list of replicas.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -23,14 +20,11 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
-/// Notes of the store at one revision.
+/// Notes and the era of the store, which rises with each restore from an older copy.
 #[derive(Debug)]
-struct StoredNotes {
-    /// Era of the store, which rises with each restore from an older copy.
+struct EraNotes {
     era: u64,
-    notes: VersionNotes,
-    /// Revisions of the rows, by hash of the service.
-    revisions: HashMap<u32, u64>,
+    stored: StoredNotes,
 }
 
 /// Reads and writes the notes while this node follows the store.
@@ -48,14 +42,14 @@
 impl VersionNoter {
     /// Keeps the notes up to date for as long as the node runs.
     pub async fn run(self) {
-        let mut stored = None;
+        let mut latest = None;
         let mut backoff = MIN_BACKOFF;
         loop {
             if self.mirror.is_following_store() {
-                match self.update(&mut stored).await {
+                match self.update(&mut latest).await {
                     Ok(()) => backoff = MIN_BACKOFF,
                     Err(err) => {
-                        stored = None;
+                        latest = None;
                         log::warn!(
                             "event=version_notes_failed retry_ms={} error=\"{err}\"",
                             backoff.as_millis()
@@ -72,18 +66,18 @@
     }
 
     /// Reads the notes if they aren't known, and writes those that have changed.
-    async fn update(&self, stored: &mut Option<StoredNotes>) -> Result<(), CallError> {
+    async fn update(&self, latest: &mut Option<EraNotes>) -> Result<(), CallError> {
         let era = self.mirror.era();
-        if stored.as_ref().is_none_or(|stored| stored.era != era) {
-            *stored = Some(self.read(era).await?);
+        if latest.as_ref().is_none_or(|notes| notes.era != era) {
+            *latest = Some(self.read(era).await?);
         }
-        if !stored.as_ref().is_some_and(|stored| self.is_outdated(stored)) {
+        if !latest.as_ref().is_some_and(|notes| self.is_outdated(&notes.stored)) {
             return Ok(());
         }
         // Another node may have written them meanwhile.
         let current = self.read(era).await?;
-        let writes = self.writes(&current);
-        *stored = Some(current);
+        let writes = self.writes(&current.stored);
+        *latest = Some(current);
         if writes.is_empty() {
             return Ok(());
         }
@@ -93,30 +87,14 @@
             writes.len(),
             result == CommitResult::Committed
         );
-        *stored = Some(self.read(era).await?);
+        *latest = Some(self.read(era).await?);
         Ok(())
     }
 
-    async fn read(&self, era: u64) -> Result<StoredNotes, CallError> {
-        let snapshot = self.store.rows(VERSION_TABLE, "").await?;
-        let mut stored =
-            StoredNotes { era, notes: HashMap::default(), revisions: HashMap::default() };
-        for row in snapshot.rows {
-            let Some(value) = row.value else { continue };
-            let service = service_hash(&row.key);
-            stored.revisions.insert(service, row.revision);
-            match serde_json::from_slice::<Vec<u32>>(&value) {
-                Ok(versions) => {
-                    let versions = versions.into_iter().map(VersionId).collect();
-                    stored.notes.insert(service, versions);
-                }
-                Err(err) => {
-                    log::error!("event=version_note_malformed service={} error=\"{err}\"", row.key);
-                }
-            }
-        }
+    async fn read(&self, era: u64) -> Result<EraNotes, CallError> {
+        let stored = read_notes(&self.store).await?;
         self.mirror.replicas.borrow_mut().set_version_notes(stored.notes.clone());
-        Ok(stored)
+        Ok(EraNotes { era, stored })
     }
 
     fn is_outdated(&self, stored: &StoredNotes) -> bool {
--- a/berylstep/tests/stream_versions.rs
+++ b/berylstep/tests/stream_versions.rs
@@ -1,6 +1,7 @@
 //! Streams of replicas whose software versions differ, seen by the callers of gateway processes.
 
 use std::io::Write;
+use std::net::UdpSocket;
 use std::process::Stdio;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -13,6 +14,7 @@
 };
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
 use berylstep_standins::process::free_address;
+use berylstep_standins::relay::{RelayMode, TcpRelay};
 use serde_json::json;
 
 /// Start of processes that have run for long.
@@ -60,6 +62,24 @@
         Self { store, peer_port, replicas, gateways }
     }
 
+    /// Starts a fleet whose first two gateways reach the store through a relay.
+    fn start_relayed(gateways: u8, versions: &[&str]) -> (Self, TcpRelay) {
+        let mut fleet = Self::start(0, versions);
+        let relay = TcpRelay::start(fleet.store.address).unwrap();
+        for number in 2..2 + gateways {
+            let address = match number {
+                2 | 3 => relay.address(),
+                _ => fleet.store.address,
+            };
+            let config = GatewayConfig::new(address, number, fleet.peer_port);
+            fleet.gateways.push(config.spawn(Stdio::null()).expect("the gateway starts"));
+        }
+        for gateway in &fleet.gateways {
+            wait_until("the gateway is ready", || gateway.is_ready());
+        }
+        (fleet, relay)
+    }
+
     /// Kills all gateways at once, and starts them again.
     fn restart_gateways(&mut self) {
         let count = self.gateways.len() as u8;
@@ -501,3 +521,87 @@
         }
     }
 }
+
+/// Time after which a gateway takes the versions that it has listed for all that there were.
+const LISTED_TIME: Duration = Duration::from_secs(11);
+
+/// Time after which gateways that stand still are forgotten by the others.
+const FORGET_TIME: Duration = Duration::from_secs(4);
+
+/// Time in which gateways that go on hear from each other.
+const GREETING_TIME: Duration = Duration::from_millis(800);
+
+const OUT_OF_STEP: std::ops::Range<usize> = 0..2;
+const IN_STEP: std::ops::Range<usize> = 2..4;
+
+/// Fills the receive buffer of a gateway that stands still, so that it misses what the others tell it.
+fn fill_receive_buffer(number: u8, peer_port: u16) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for _ in 0..4000 {
+        if let Err(err) =
+            socket.send_to(&[0; 1000], (format!("127.0.0.{number}").as_str(), peer_port))
+        {
+            log::debug!("datagram not sent: {err}");
+        }
+    }
+}
+
+/// Guards against a stream that goes on at another version at a gateway that was out of step while that of
+/// the stream appeared, and asks another that was out of step too (ORDER).
+#[test]
+fn a_gateway_out_of_step_refuses_streams_of_versions_that_it_has_missed() {
+    let (mut fleet, relay) = VersionedFleet::start_relayed(4, &["v1", "v1"]);
+    std::thread::sleep(LISTED_TIME);
+    fleet.gateways[OUT_OF_STEP].iter().for_each(|gateway| gateway.process.freeze());
+    relay.set_mode(RelayMode::Hold);
+    (2..4).for_each(|number| fill_receive_buffer(number, fleet.peer_port));
+    for id in ["i-2", "i-3"] {
+        fleet.replicas.push(VersionedReplica::start(id, "resumable", "v2", LONG_AGO));
+        fleet.publish(fleet.replicas.len() - 1, "ready");
+    }
+    std::thread::sleep(FORGET_TIME);
+    let begun: Vec<_> =
+        (0..24).map(|index| fleet.begin_broken(IN_STEP.start, &format!("id-{index}"))).collect();
+    assert!(
+        begun.iter().any(|part| part.events[0].1 == "v2"),
+        "no stream began at the new version"
+    );
+    fleet.gateways[IN_STEP].iter().for_each(|gateway| gateway.process.freeze());
+    fleet.gateways[OUT_OF_STEP].iter().for_each(|gateway| gateway.process.thaw());
+    std::thread::sleep(GREETING_TIME);
+    let streams = begun.into_iter().enumerate().map(|(index, begun)| {
+        let (id, next) = (format!("id-{index}"), format!("id-{index}-again"));
+        let rest = fleet.take_up(index % 2, &next, &id, &begun);
+        assert!(rest.status != 503 || rest.has_retry_time, "{rest:?}");
+        begun.join(rest)
+    });
+    let mixed = streams.filter(StreamPart::is_mixed).count();
+    assert_eq!(mixed, 0, "streams of two versions");
+}
+
+/// Guards against streams of a service with one version that are refused because the store is away, or
+/// because no other gateway answers (LOST).
+#[test]
+fn streams_of_the_only_version_go_on_without_the_store_or_without_other_gateways() {
+    let (mut fleet, relay) = VersionedFleet::start_relayed(2, &["v1", "v1"]);
+    std::thread::sleep(LISTED_TIME);
+    let begin = |fleet: &VersionedFleet, name: &str| {
+        let begun = (0..12).map(|index| fleet.begin_broken(1, &format!("{name}-{index}")));
+        begun.collect::<Vec<_>>()
+    };
+    let take_up = |fleet: &VersionedFleet, name: &str, begun: Vec<StreamPart>| {
+        let streams = begun.into_iter().enumerate().map(|(index, begun)| {
+            let id = format!("{name}-{index}");
+            let rest = fleet.take_up(0, &format!("{id}-again"), &id, &begun);
+            begun.join(rest)
+        });
+        check_streams(name, &streams.collect::<Vec<_>>());
+    };
+    let begun = begin(&fleet, "without the store");
+    relay.set_mode(RelayMode::Hold);
+    take_up(&fleet, "without the store", begun);
+    relay.set_mode(RelayMode::Open);
+    let begun = begin(&fleet, "without others");
+    fleet.gateways[1].process.kill();
+    take_up(&fleet, "without others", begun);
+}
