Pass over replicas that don't confirm their process

Cause: a replica that didn't tell the start of its process within 100 ms counted as the process of its entry.

Change: a replica that doesn't answer, or can't be reached, is passed over; the limit is 200 ms. One that answers without telling its start is used as before, and so is one that names a limit, which isn't asked.

--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -26,7 +26,7 @@
 use crate::gateway::pulse::envelope;
 use crate::gateway::request::{RequestHandler, RoutedRequest, DEFAULT_REQUEST_TIMEOUT};
 use crate::gateway::response::LocalReply;
-use crate::platform::PlatformClient;
+use crate::platform::{CallError, PlatformClient};
 
 /// Number of nodes that keep the origin of a stream.
 const KEEPERS: usize = 3;
@@ -67,6 +67,17 @@
     Outdated(&'static str),
 }
 
+/// What a replica tells about its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProcessAnswer {
+    /// Start of the process, in milliseconds since the Unix epoch.
+    Running(u64),
+    /// It doesn't tell, or may not be asked.
+    Untold,
+    /// It can't be reached, or doesn't answer in time.
+    Silent,
+}
+
 /// Keeps the origins of streams of this node and of others.
 #[derive(Debug)]
 pub struct OriginDesk {
@@ -444,33 +455,50 @@
         origin.version(self.running_process(&target).await)
     }
 
-    /// Returns whether the process of a replica is the one that published its entry, as far as it
-    /// tells. A replica that can't be reached is left to the attempt.
+    /// Returns whether the process of a replica is the one that published its entry, as far as it tells. One
+    /// that doesn't answer may be another.
     pub(super) async fn is_listed_process(&self, target: &ReplicaTarget) -> bool {
-        let born = self.running_process(target).await;
-        let is_listed = born.is_none_or(|born| born == target.process.born);
-        if !is_listed {
-            let id = &target.id;
-            log::info!("event=replica_entry_outdated replica={id} born={}", target.process.born);
+        let (id, listed) = (&target.id, target.process.born);
+        let answer = self.ask_process(target).await;
+        match answer {
+            ProcessAnswer::Running(born) if born != listed => {
+                log::info!("event=replica_entry_outdated replica={id} born={listed}");
+                false
+            }
+            ProcessAnswer::Running(_) | ProcessAnswer::Untold => true,
+            ProcessAnswer::Silent => {
+                self.record_replica_failure(id, "process is not confirmed");
+                false
+            }
         }
-        is_listed
     }
 
-    /// Asks a replica for the start of its process; `None` if it doesn't tell, or may not be asked.
+    /// Returns the start of the process that a replica has now; `None` if that isn't known.
     async fn running_process(&self, target: &ReplicaTarget) -> Option<u64> {
+        match self.ask_process(target).await {
+            ProcessAnswer::Running(born) => Some(born),
+            ProcessAnswer::Untold | ProcessAnswer::Silent => None,
+        }
+    }
+
+    /// Asks a replica for the start of its process, unless it may not be asked.
+    async fn ask_process(&self, target: &ReplicaTarget) -> ProcessAnswer {
         let is_limited = self.limits.rate(&target.id).is_some();
         if target.process.born == 0 || is_limited || self.is_quiet(&target.id) {
-            return None;
+            return ProcessAnswer::Untold;
         }
         let engine = PlatformClient::new(target.address, self.clock.clone());
         let sent_at = self.clock.now();
         let born = engine.process_start().await;
         self.record_statement(&target.id, engine.statement(), sent_at);
         match born {
-            Ok(born) => born,
+            Ok(Some(born)) => ProcessAnswer::Running(born),
+            Ok(None) | Err(CallError::Rejected(..) | CallError::Refused(_)) => {
+                ProcessAnswer::Untold
+            }
             Err(err) => {
-                log::debug!("event=process_not_told replica={} error=\"{err}\"", target.id);
-                None
+                log::info!("event=process_not_told replica={} error=\"{err}\"", target.id);
+                ProcessAnswer::Silent
             }
         }
     }
--- a/berylstep/src/platform/engines.rs
+++ b/berylstep/src/platform/engines.rs
@@ -14,8 +14,8 @@
 /// other moves.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Timeout of a report, which an engine answers without a slot.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout of a report, which an engine answers without a slot. One that is silent for longer is passed over.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
 const OK: u16 = 200;
 const NOT_FOUND: u16 = 404;
--- a/berylstep/tests/stream_versions.rs
+++ b/berylstep/tests/stream_versions.rs
@@ -382,12 +382,17 @@
     since.as_millis().try_into().unwrap()
 }
 
+/// Time in which a replica answers late; it is passed over then.
+const LATE_ANSWER: Duration = Duration::from_millis(300);
+
 struct RestartCase {
     name: &'static str,
     /// Position of the replica that has another version than its entry says; there are four.
     restarted: &'static [usize],
     /// Whether its entry is written before the stream is taken up.
     is_published: bool,
+    /// Time that its process takes to answer.
+    delay: Duration,
 }
 
 /// Guards against a stream that goes on at another version because a replica was started again under
@@ -395,14 +400,58 @@
 #[test]
 fn a_replica_restarted_at_another_version_under_its_identifier_mixes_no_stream() {
     let cases = [
-        RestartCase { name: "one, not listed", restarted: &[0], is_published: false },
-        RestartCase { name: "two, not listed", restarted: &[0, 1], is_published: false },
-        RestartCase { name: "one, listed at the end", restarted: &[0], is_published: true },
+        RestartCase {
+            name: "one, not listed",
+            restarted: &[0],
+            is_published: false,
+            delay: Duration::ZERO,
+        },
+        RestartCase {
+            name: "two, not listed",
+            restarted: &[0, 1],
+            is_published: false,
+            delay: Duration::ZERO,
+        },
+        RestartCase {
+            name: "one, listed at the end",
+            restarted: &[0],
+            is_published: true,
+            delay: Duration::ZERO,
+        },
     ];
     let checks = cases.map(|case| std::thread::spawn(move || check_restart(&case)));
     join_all(checks);
 }
 
+/// Guards against a stream that began at a process whose entry was not written yet, and that goes on at
+/// the version of the entry because the process answers late (ORDER).
+#[test]
+fn a_stream_that_began_at_a_restarted_replica_that_answers_late_is_not_mixed() {
+    check_restart(&RestartCase {
+        name: "one, not listed, answers late",
+        restarted: &[0],
+        is_published: false,
+        delay: LATE_ANSWER,
+    });
+}
+
+/// Guards against a stream that goes on at a replica that was started again at another version, and does
+/// not answer in time which process it is (ORDER).
+#[test]
+fn a_stream_is_not_taken_up_at_a_replica_that_does_not_confirm_its_process() {
+    let fleet = VersionedFleet::start(2, &["v1", "v1", "v1", "v1"]);
+    let begun: Vec<_> =
+        (0..30).map(|index| fleet.begin_broken(index % 2, &format!("id-{index}"))).collect();
+    fleet.replicas[0].restart_as("v2", unix_ms());
+    fleet.replicas[0].set_delay(LATE_ANSWER);
+    let streams = begun.into_iter().enumerate().map(|(index, begun)| {
+        let id = format!("id-{index}");
+        let rest = fleet.take_up((index + 1) % 2, &format!("{id}-last"), &id, &begun);
+        begun.join(rest)
+    });
+    check_streams("beside a late replica", &streams.collect::<Vec<_>>());
+}
+
 fn check_restart(case: &RestartCase) {
     let fleet = VersionedFleet::start(2, &["v1", "v1", "v1", "v1"]);
     // Connections of the old processes are in the pools.
@@ -410,7 +459,10 @@
         let part = fleet.attempt(index % 2, &format!("id-before-{index}"), "");
         assert!(part.is_complete(), "{}: {part:?}", case.name);
     });
-    case.restarted.iter().for_each(|index| fleet.replicas[*index].restart_as("v2", unix_ms()));
+    for index in case.restarted {
+        fleet.replicas[*index].restart_as("v2", unix_ms());
+        fleet.replicas[*index].set_delay(case.delay);
+    }
     std::thread::sleep(Duration::from_millis(400));
     let resumed: Vec<_> = (0..30)
         .map(|index| {
--- a/berylstep_standins/src/fleet/versions.rs
+++ b/berylstep_standins/src/fleet/versions.rs
@@ -33,11 +33,13 @@
     born: u64,
     /// Whether its runs were stopped by a move.
     is_stopped: bool,
+    /// Time that it takes to answer.
+    delay: Duration,
 }
 
 impl ProcessInfo {
     fn new(version: &str, born: u64) -> Self {
-        Self { version: version.to_owned(), born, is_stopped: false }
+        Self { version: version.to_owned(), born, is_stopped: false, delay: Duration::ZERO }
     }
 }
 
@@ -70,6 +72,11 @@
         self.replica.close_connections();
     }
 
+    /// Makes the current process answer everything so late.
+    pub fn set_delay(&self, delay: Duration) {
+        lock(&self.process).delay = delay;
+    }
+
     /// Returns the entry that the current process writes to the store.
     pub fn entry(&self, state: &str) -> Value {
         let process = lock(&self.process);
@@ -89,10 +96,11 @@
 const MOVE_PATH: &str = "/v1/kv-move";
 
 fn serve(request: &RawMessage, stream: &mut TcpStream, process: &Mutex<ProcessInfo>) -> ScriptStep {
-    let (version, born) = {
+    let (version, born, delay) = {
         let process = lock(process);
-        (process.version.clone(), process.born)
+        (process.version.clone(), process.born, process.delay)
     };
+    std::thread::sleep(delay);
     match request.target() {
         REPORT_PATH => {
             let report = json!({"Stage": "combined", "Busy": false, "Sequence": 1, "born": born});
