Withdraw requests from silent replicas only once another has them

Callers: a request whose sound replica was silent for some hundred milliseconds failed with 502, if all others rejected it or failed, although the replica answered it a moment later.

Cause: the request was withdrawn when the response timeout passed, before another replica was asked.

Change: the replica keeps the request until another one hasn't rejected it for 100 ms. A substitute that rejects it, or fails in that time, leaves it where it is; if the first answers meanwhile, its answer counts.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod selection;
 pub mod service_level;
 pub mod settings;
+pub mod silence;
 pub mod slots;
 pub mod state_transfer;
 pub mod status;
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -80,8 +80,6 @@
 pub struct AttemptOptions<'a> {
     /// Last event that the caller received, when a stream is resumed after it.
     pub last_event: Option<&'a str>,
-    /// Timeout for the start of the response; `None` waits until the deadline.
-    pub response_timeout: Option<Duration>,
     /// Moved run that the request continues.
     pub moved_run: Option<&'a MovedRun>,
 }
@@ -244,9 +242,8 @@
             self.metrics.record_limited_attempt(&request.service);
         }
         let time_left = request.deadline.saturating_sub(self.clock.now());
-        let limit = options.response_timeout.map_or(time_left, |timeout| timeout.min(time_left));
         let exchanging = self.exchange(request, target, options, upstream, load);
-        match self.clock.timeout(limit, exchanging).await {
+        match self.clock.timeout(time_left, exchanging).await {
             Some(outcome) => {
                 if let (AttemptOutcome::Responded(response), Some(size), true) =
                     (&outcome, request.headers.size, was_idle)
@@ -258,11 +255,6 @@
                 }
                 outcome
             }
-            None if limit < time_left => {
-                self.reach.record_loss(&request.service, &target.id, sent_at);
-                self.record_replica_failure(&target.id, "no response in time");
-                AttemptOutcome::Lost("replica is silent")
-            }
             None => {
                 self.reach.record_loss(&request.service, &target.id, sent_at);
                 AttemptOutcome::TimedOut
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -15,7 +15,7 @@
 use smol::future;
 
 use crate::clock::RuntimeClock;
-use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, StartedResponse};
+use crate::gateway::attempt::{AttemptOutcome, StartedResponse};
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::handover::PausedPeers;
@@ -307,9 +307,8 @@
                 trace.record_outcome(reply_outcome(&reply));
                 return self.send_reply(writer, &reply).await;
             };
-            let response_timeout = self.response_timeout(request, &history);
-            let options = AttemptOptions { last_event: None, response_timeout, moved_run: None };
-            let outcome = self.attempt(request, &target, options).await;
+            let (target, outcome) =
+                self.attempt_until_silent(request, target, &mut history, trace).await;
             trace.record_attempt(request, &target, &outcome, self.clock.now());
             next = match outcome {
                 AttemptOutcome::Responded(response) => {
--- /dev/null
+++ b/berylstep/src/gateway/silence.rs
@@ -0,0 +1,145 @@
+//! Attempts at replicas that stay silent: the request is withdrawn only once another replica has taken it.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use smol::future;
+
+use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget};
+use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
+use crate::gateway::telemetry::RequestTrace;
+
+/// Time within which a replica without room rejects a request.
+const REJECTION_TIME: Duration = Duration::from_millis(100);
+
+/// First status of a failure of the replica.
+const FIRST_FAILURE: u16 = 500;
+
+/// An attempt in progress.
+type PendingAttempt<'a> = Pin<Box<dyn future::Future<Output = AttemptOutcome> + 'a>>;
+
+/// Result of offering the request of a silent replica to another one.
+enum OfferOutcome {
+    /// The silent replica has answered meanwhile.
+    Answered(AttemptOutcome),
+    /// The other replica has rejected the request or failed, while the silent one still has it.
+    Failed,
+    /// The other replica has the request.
+    Taken(ReplicaTarget, AttemptOutcome),
+}
+
+impl RequestHandler {
+    /// Sends the request to `target`. If it stays silent, others are asked; it keeps the request until one of
+    /// them hasn't rejected it. Returns the replica that has the request, and the outcome there, which
+    /// isn't counted in `history` yet.
+    pub(super) async fn attempt_until_silent(
+        &self,
+        request: &RoutedRequest<'_>,
+        target: ReplicaTarget,
+        history: &mut AttemptHistory,
+        trace: &RequestTrace,
+    ) -> (ReplicaTarget, AttemptOutcome) {
+        let options = AttemptOptions { last_event: None, moved_run: None };
+        let sent_at = self.clock.now();
+        let mut first: PendingAttempt<'_> = Box::pin(self.attempt(request, &target, options));
+        let Some(timeout) = self.response_timeout(request, history) else {
+            let outcome = first.await;
+            return (target, outcome);
+        };
+        if let Some(outcome) = self.clock.timeout(timeout, first.as_mut()).await {
+            drop(first);
+            return (target, outcome);
+        }
+        self.reach.record_loss(&request.service, &target.id, sent_at);
+        self.record_replica_failure(&target.id, "no response in time");
+        history.sent += 1;
+        history.ran += 1;
+        while self.may_retry(request, history) {
+            match self.offer_elsewhere(request, &mut first, history, trace).await {
+                Some(OfferOutcome::Answered(outcome)) => {
+                    drop(first);
+                    return (uncounted(history, target), outcome);
+                }
+                Some(OfferOutcome::Taken(other, outcome)) => {
+                    let withdrawn = AttemptOutcome::Lost("replica is silent");
+                    trace.record_attempt(request, &target, &withdrawn, self.clock.now());
+                    self.crashes.report_loss(request, &target);
+                    log::info!(
+                        "event=silent_replica_replaced id={} replica={} by={}",
+                        request.id(),
+                        target.id,
+                        other.id
+                    );
+                    return (other, outcome);
+                }
+                Some(OfferOutcome::Failed) => {}
+                None => break,
+            }
+        }
+        let outcome = first.await;
+        (uncounted(history, target), outcome)
+    }
+
+    /// Offers the request to one more replica; `None` if there is none to ask.
+    async fn offer_elsewhere<'a>(
+        &'a self,
+        request: &'a RoutedRequest<'a>,
+        first: &mut PendingAttempt<'_>,
+        history: &mut AttemptHistory,
+        trace: &RequestTrace,
+    ) -> Option<OfferOutcome> {
+        let answering = async { Err(first.as_mut().await) };
+        let selecting = async { Ok(self.select_replica(request, history).await) };
+        let other = match future::or(answering, selecting).await {
+            Ok(selected) => selected?,
+            Err(outcome) => return Some(OfferOutcome::Answered(outcome)),
+        };
+        let options = AttemptOptions { last_event: None, moved_run: None };
+        let mut second: PendingAttempt<'_> = Box::pin(self.attempt(request, &other, options));
+        let answering = async { Err(first.as_mut().await) };
+        let offering = async { Ok(second.as_mut().await) };
+        let raced = self.clock.timeout(REJECTION_TIME, future::or(answering, offering)).await;
+        let outcome = match raced {
+            Some(Err(outcome)) => {
+                // The other attempt is dropped, and may have run.
+                history.sent += 1;
+                history.ran += 1;
+                return Some(OfferOutcome::Answered(outcome));
+            }
+            Some(Ok(outcome)) => outcome,
+            None => {
+                // Withdraws the request from the silent replica.
+                *first = Box::pin(future::pending());
+                let outcome = second.as_mut().await;
+                drop(second);
+                return Some(OfferOutcome::Taken(other, outcome));
+            }
+        };
+        drop(second);
+        match &outcome {
+            AttemptOutcome::Responded(response) if response.head.status < FIRST_FAILURE => {
+                return Some(OfferOutcome::Taken(other, outcome));
+            }
+            AttemptOutcome::NotSent(_) => {}
+            AttemptOutcome::NotExecuted(_) => history.sent += 1,
+            AttemptOutcome::Responded(_) => {
+                history.sent += 1;
+                history.ran += 1;
+            }
+            AttemptOutcome::Lost(_) | AttemptOutcome::TimedOut => {
+                history.sent += 1;
+                history.ran += 1;
+                self.crashes.report_loss(request, &other);
+            }
+        }
+        trace.record_attempt(request, &other, &outcome, self.clock.now());
+        Some(OfferOutcome::Failed)
+    }
+}
+
+/// Takes the attempt at `target` out of the counts, because its outcome will be counted.
+fn uncounted(history: &mut AttemptHistory, target: ReplicaTarget) -> ReplicaTarget {
+    history.sent -= 1;
+    history.ran -= 1;
+    target
+}
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -452,7 +452,7 @@
     ) -> Option<StartedResponse> {
         self.history.tried.push(target.id.clone());
         let last_event = self.splitter.last_id();
-        let options = AttemptOptions { last_event, response_timeout: None, moved_run: Some(&run) };
+        let options = AttemptOptions { last_event, moved_run: Some(&run) };
         let outcome = self.handler.attempt(self.request, &target, options).await;
         self.trace.record_attempt(self.request, &target, &outcome, self.handler.clock.now());
         match outcome {
@@ -524,7 +524,7 @@
         while self.handler.may_retry(self.request, self.history) {
             let target = self.handler.select_replica(self.request, self.history).await?;
             let last_event = self.last_event.as_deref();
-            let options = AttemptOptions { last_event, response_timeout: None, moved_run: None };
+            let options = AttemptOptions { last_event, moved_run: None };
             self.history.sent += 1;
             self.history.ran += 1;
             let outcome = self.handler.attempt(self.request, &target, options).await;
--- a/berylstep/tests/stalled_streams.rs
+++ b/berylstep/tests/stalled_streams.rs
@@ -1,7 +1,9 @@
-//! Tests of a gateway process with a replica that falls silent in the middle of a stream: the stream goes on
-//! wherever it can, and is not given up before another replica has taken it over.
+//! Tests of a gateway process with a replica that falls silent: a stream goes on wherever it can, and neither it
+//! nor a request without a response is given up before another replica has taken it over.
 
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use berylstep_standins::fleet::gateway::{write_request, FleetGateway};
@@ -105,3 +107,59 @@
         (1..=ALL_EVENTS).map(|number| format!("id: {number}\ndata: d{number}\n\n")).collect();
     answer.is_some_and(|answer| answer.body == whole)
 }
+
+/// Time in which a replica that was silent from the start answers.
+const FIRST_SILENCE: Duration = Duration::from_millis(1000);
+
+struct SilentCase {
+    name: &'static str,
+    /// What the replica does that gets the request once the first has been silent for 500 ms.
+    other: ReplicaScript,
+}
+
+const SILENT_CASES: &[SilentCase] = &[
+    SilentCase { name: "the other is full", other: reject },
+    SilentCase { name: "the other closes", other: close },
+    SilentCase { name: "the other fails", other: fail },
+    SilentCase { name: "the other answers", other: answer },
+    SilentCase {
+        name: "the other answers late",
+        other: |request, stream| {
+            std::thread::sleep(Duration::from_millis(300));
+            answer(request, stream)
+        },
+    },
+];
+
+fn answer(request: &RawMessage, stream: &mut TcpStream) -> bool {
+    respond(stream, request, 200, "", "answer")
+}
+
+// Guards against requests that fail since their sound replica was silent and no other had room.
+#[test]
+fn a_request_is_withdrawn_from_a_silent_replica_only_once_another_has_it() {
+    let failed = SILENT_CASES.iter().filter(|case| !is_answered(case));
+    let failed: Vec<_> = failed.map(|case| case.name).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+fn is_answered(case: &'static SilentCase) -> bool {
+    let is_first = Arc::new(AtomicBool::new(true));
+    let replicas = ["i-1", "i-2"].map(|id| {
+        let is_first = is_first.clone();
+        FakeReplica::start(id, move |request, _, stream| {
+            if is_first.swap(false, Ordering::SeqCst) {
+                std::thread::sleep(FIRST_SILENCE);
+                return answer(request, stream);
+            }
+            (case.other)(request, stream)
+        })
+    });
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired_state(1)));
+    for replica in &replicas {
+        store.put("servers", &replica.id, Some(replica.entry("safe", "ready")));
+    }
+    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    gateway.send("safe", KEY_HEADER).is_some_and(|answer| answer.status() == 200)
+}
