Save the origins of streams in the store

Cause: the origin of a stream, which tells the version that began it, was kept in memory at four nodes, which can all go at once.

Change: while a service has several versions, the first keeper of each origin writes it to the store, with those of half a second in one row that expires with them. A node reads the rows, at most once in 100 ms, where no node tells an origin.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod request;
 pub mod response;
 pub mod runs;
+pub mod saved_origins;
 pub mod selection;
 pub mod service_level;
 pub mod settings;
@@ -71,6 +72,7 @@
 use crate::gateway::reach::ReachWatch;
 use crate::gateway::request::{RequestHandler, RequestSource};
 use crate::gateway::runs::RunWatch;
+use crate::gateway::saved_origins::SavedOrigins;
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings, SettingsError};
 use crate::gateway::slots::{SlotContext, SlotDesk};
@@ -267,6 +269,7 @@
             mirror: mirror.clone(),
             peers: peers.clone(),
             notes: Rc::new(NoteReader::new(clock.clone(), store.clone())),
+            saved: Rc::new(SavedOrigins::new(clock.clone(), run.node.clone(), store.clone())),
             socket,
         });
         Self {
@@ -314,6 +317,8 @@
             origins: self.origins.clone(),
         };
         self.tasks.spawn(noter.run()).detach();
+        let saved = self.origins.saved();
+        self.tasks.spawn(async move { saved.run().await }).detach();
     }
 
     fn start_pulses(&self, socket: UdpSocket) -> Rc<PulseExchange> {
--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -21,11 +21,12 @@
 use crate::gateway::attempt::ReplicaTarget;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::noted_versions::NoteReader;
-use crate::gateway::peers::PeerTable;
+use crate::gateway::peers::{KnownNode, PeerTable};
 use crate::gateway::pending::PendingReplies;
 use crate::gateway::pulse::envelope;
 use crate::gateway::request::{RequestHandler, RoutedRequest, DEFAULT_REQUEST_TIMEOUT};
 use crate::gateway::response::LocalReply;
+use crate::gateway::saved_origins::SavedOrigins;
 use crate::platform::{CallError, PlatformClient};
 
 /// Number of nodes that keep the origin of a stream.
@@ -103,6 +104,8 @@
     pub peers: Rc<PeerTable>,
     /// Notes of the versions in the store.
     pub notes: Rc<NoteReader>,
+    /// Origins in the store.
+    pub saved: Rc<SavedOrigins>,
     /// Socket for messages between nodes.
     pub socket: UdpSocket,
 }
@@ -118,6 +121,11 @@
         }
     }
 
+    /// Returns the origins in the store.
+    pub fn saved(&self) -> Rc<SavedOrigins> {
+        self.context.saved.clone()
+    }
+
     /// Drops the origins of streams that can no longer be taken up.
     pub fn expire(&self) {
         self.ledger.borrow_mut().expire(self.context.clock.now());
@@ -139,19 +147,32 @@
         self.present_versions(service).sole().is_none()
     }
 
-    /// Returns the addresses of the other nodes that keep the origin of a stream, in their order.
-    fn keepers(&self, key: StreamKey, count: usize) -> Vec<SocketAddr> {
+    /// Returns the first nodes that keep the origin of a stream, in their order.
+    fn keeper_nodes(&self, key: StreamKey, count: usize) -> Vec<KnownNode> {
         let nodes = self.context.peers.representatives(self.context.clock.now());
         let candidates: Vec<_> = nodes
             .iter()
             .map(|node| KeeperCandidate { node: &node.node, zone: &node.zone })
             .collect();
         let order = keeper_order(key, &candidates).into_iter().take(count);
-        let keepers = order.map(|index| &nodes[index]);
+        order.map(|index| nodes[index].clone()).collect()
+    }
+
+    /// Returns the addresses of the other nodes that keep the origin of a stream, in their order.
+    fn keepers(&self, key: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let keepers = self.keeper_nodes(key, count).into_iter();
         let others = keepers.filter(|keeper| keeper.node != self.context.node);
         others.map(|keeper| keeper.peer_address).collect()
     }
 
+    /// Saves an origin if this node is the first of its keepers, so that one of them does.
+    fn save(&self, message: &berylstep_wire::StreamOrigin) {
+        let first = self.keeper_nodes(StreamKey(message.stream), 1);
+        if first.first().is_some_and(|keeper| keeper.node == self.context.node) {
+            self.context.saved.add(*message);
+        }
+    }
+
     /// Records the origin of a stream, and tells its keepers if the service has several versions.
     pub async fn announce(
         &self,
@@ -165,10 +186,9 @@
         if !self.is_mixed(service) {
             return;
         }
-        let message = FleetPulse {
-            stream_origins: vec![origin_message(key, origin, retention)],
-            ..self.envelope()
-        };
+        let message = origin_message(key, origin, retention);
+        self.save(&message);
+        let message = FleetPulse { stream_origins: vec![message], ..self.envelope() };
         self.send(&self.keepers(key, KEEPERS), &message).await;
     }
 
@@ -185,9 +205,10 @@
         let mut messages: HashMap<SocketAddr, Vec<_>> = HashMap::default();
         let rows: Vec<_> = self.ledger.borrow().rows(self.context.clock.now()).collect();
         for (key, origin, retention) in rows {
+            let message = origin_message(key, origin, retention);
+            self.save(&message);
             for keeper in self.keepers(key, KEEPERS) {
-                let origins = messages.entry(keeper).or_default();
-                origins.push(origin_message(key, origin, retention));
+                messages.entry(keeper).or_default().push(message);
             }
         }
         for (keeper, origins) in messages {
@@ -205,6 +226,7 @@
         for message in origins {
             let retention = Duration::from_millis(message.retention_ms.into());
             ledger.record(StreamKey(message.stream), read_origin(message), retention, now);
+            self.save(message);
         }
     }
 
@@ -350,7 +372,7 @@
     }
 }
 
-fn read_origin(message: &berylstep_wire::StreamOrigin) -> StreamOrigin {
+pub(super) fn read_origin(message: &berylstep_wire::StreamOrigin) -> StreamOrigin {
     StreamOrigin {
         version: VersionId(message.version),
         process: ProcessId { replica: message.replica, born: message.born },
@@ -398,8 +420,10 @@
         let key = StreamKey::new(headers.resumes.as_deref().unwrap_or_default());
         let version = match self.origins.find(key).await {
             OriginLookup::Found(origin) => self.confirm_origin(&origin).await,
-            OriginLookup::Unknown(others) => self.find_sole_version(request, Some(&others)).await?,
-            OriginLookup::Unreachable => self.find_sole_version(request, None).await?,
+            OriginLookup::Unknown(others) => {
+                self.find_unkept_version(request, key, Some(&others)).await?
+            }
+            OriginLookup::Unreachable => self.find_unkept_version(request, key, None).await?,
         };
         let Some(version) = version else {
             self.metrics.record_not_resumed(request, "version_unknown");
@@ -422,19 +446,28 @@
         Ok(())
     }
 
-    /// Returns the only version at which a stream of unknown origin can have begun; `None` if there are several.
-    async fn find_sole_version(
+    /// Returns the version of a stream whose origin no node knows: the only one there was, or the one that is
+    /// saved in the store. `None` if neither tells.
+    async fn find_unkept_version(
         &self,
         request: &RoutedRequest<'_>,
+        key: StreamKey,
         others: Option<&HashMap<u32, PresentVersions>>,
     ) -> Result<Option<VersionId>, LocalReply> {
-        match self.origins.find_versions(&request.service, others).await {
-            VersionLookup::Known(present) => Ok(present.sole()),
+        let present = match self.origins.find_versions(&request.service, others).await {
+            VersionLookup::Known(present) => present,
             VersionLookup::Outdated(reason) => {
                 self.metrics.record_not_resumed(request, reason);
                 let reason = "versions of the service may be out of date here";
-                Err(LocalReply::refused(reason, self.retry_after()))
+                return Err(LocalReply::refused(reason, self.retry_after()));
             }
+        };
+        if let Some(version) = present.sole() {
+            return Ok(Some(version));
+        }
+        match self.origins.saved().find(key).await {
+            Some(origin) => Ok(self.confirm_origin(&origin).await),
+            None => Ok(None),
         }
     }
 
--- a/berylstep/tests/stream_versions.rs
+++ b/berylstep/tests/stream_versions.rs
@@ -657,3 +657,22 @@
     fleet.gateways[1].process.kill();
     take_up(&fleet, "without others", begun);
 }
+
+/// Time in which the origins of streams are written to the store.
+const SAVE_TIME: Duration = Duration::from_millis(1500);
+
+/// Guards against streams that don't go on because all gateways but one were killed at once (LOST).
+#[test]
+fn streams_go_on_at_the_last_gateway_after_all_others_were_killed() {
+    let mut fleet = VersionedFleet::start(7, &["v1", "v1", "v2", "v2"]);
+    let begun: Vec<_> =
+        (0..30).map(|index| fleet.begin_broken(index % 6, &format!("id-{index}"))).collect();
+    std::thread::sleep(SAVE_TIME);
+    fleet.gateways[..6].iter_mut().for_each(|gateway| gateway.process.kill());
+    let streams = begun.into_iter().enumerate().map(|(index, begun)| {
+        let id = format!("id-{index}");
+        let rest = fleet.take_up(6, &format!("{id}-again"), &id, &begun);
+        begun.join(rest)
+    });
+    check_streams("at the last gateway", &streams.collect::<Vec<_>>());
+}
