Go on at the source of a run that was stopped without room elsewhere

Cause: the answer 503 to the call that stops a run names the handle of its KV cache, which stays at the source. It was taken for a call without effect, though the run had been stopped.

Change: the stream goes on at its source with that handle, with a turn of its own where the source names a limit, and only while the drain lasts.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -16,7 +16,7 @@
 use crate::gateway::telemetry::{
     RequestOutcome, RequestTrace, ResumeCause, Resumption, StreamEnd, StreamReport,
 };
-use crate::platform::engines::{may_have_stopped, MovePhase};
+use crate::platform::engines::{may_have_stopped, MoveOutcome, MovePhase};
 use crate::platform::headers::MovedRun;
 use crate::platform::{CallError, PlatformClient};
 
@@ -24,6 +24,13 @@
 /// the gap between events.
 const STALL_TIMEOUT_GAPS: u32 = 4;
 
+/// Time before the end of the drain of a replica in which no run returns to it; other nodes may have learnt
+/// of its shutdown earlier.
+const RETURN_MARGIN: Duration = Duration::from_millis(300);
+
+/// Longest wait for a turn of a run that returns.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(400);
+
 /// Largest event, or content without events, that is buffered until its end.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -406,7 +413,8 @@
         let Ok(target) = claimed else { return };
         let result = self.copy_and_stop(&source, &target, is_limited).await;
         let outcome = match &result {
-            Ok(_) => "moved".to_owned(),
+            Ok(MoveOutcome::Moved(_)) => "moved".to_owned(),
+            Ok(MoveOutcome::Kept(_)) => "no room, kept at its replica".to_owned(),
             Err(err) => format!("not moved: {err}"),
         };
         log::info!(
@@ -416,7 +424,10 @@
             target.id,
             self.splitter.events()
         );
-        self.moved = result.ok().map(|run| (target, run));
+        self.moved = result.ok().map(|outcome| match outcome {
+            MoveOutcome::Moved(run) => (target, run),
+            MoveOutcome::Kept(run) => (source, run),
+        });
     }
 
     async fn copy_and_stop(
@@ -424,7 +435,7 @@
         source: &ReplicaTarget,
         target: &ReplicaTarget,
         is_limited: bool,
-    ) -> Result<MovedRun, CallError> {
+    ) -> Result<MoveOutcome, CallError> {
         if self.handler.is_quiet(&source.id) {
             return Err(CallError::NotSent("replica wants no calls for now".to_owned()));
         }
@@ -444,12 +455,35 @@
         stopped
     }
 
-    /// Continues the stream on the replica that the run was moved to.
+    /// Returns whether the run may go on at the replica that has stopped it, which is shutting down.
+    async fn may_return(&self, source: &ReplicaTarget) -> bool {
+        let handler = self.handler;
+        if handler.is_quiet(&source.id) {
+            return false;
+        }
+        // A replica that names a limit gets the request with a turn of its own.
+        if let Err(wait) = handler.claim_call(self.request, &source.id).await {
+            handler.clock.sleep(wait.min(MAX_TURN_WAIT)).await;
+            if handler.claim_call(self.request, &source.id).await.is_err() {
+                return false;
+            }
+        }
+        let replicas = handler.mirror.replicas.borrow();
+        let Some(departure) = replicas.departure(&source.id) else { return false };
+        let accepts_until = departure.noticed_at + handler.live.get().drain;
+        handler.clock.now() + RETURN_MARGIN < accepts_until
+    }
+
+    /// Continues the stream on the replica that holds the run.
     async fn continue_moved_run(
         &mut self,
         target: ReplicaTarget,
         run: MovedRun,
     ) -> Option<StartedResponse> {
+        let returns = target.id == self.response.target().id;
+        if returns && !self.may_return(&target).await {
+            return self.resume().await;
+        }
         self.history.tried.push(target.id.clone());
         let last_event = self.splitter.last_id();
         let options = AttemptOptions { last_event, moved_run: Some(&run) };
--- a/berylstep/src/platform/engines.rs
+++ b/berylstep/src/platform/engines.rs
@@ -8,7 +8,7 @@
 
 use super::headers::MovedRun;
 use super::store::{decode, encode};
-use super::{rejected, CallError, PlatformClient};
+use super::{rejected, CallError, PlatformClient, TOO_MANY_REQUESTS, UNAVAILABLE};
 
 /// Timeout of a move; a long prompt takes a few milliseconds on an idle link, but queues behind
 /// other moves.
@@ -30,9 +30,18 @@
     Stop,
 }
 
+/// Where the KV cache of a run is after a move.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MoveOutcome {
+    /// At the other engine.
+    Moved(MovedRun),
+    /// Still at this engine, which has stopped the run.
+    Kept(MovedRun),
+}
+
 /// Returns whether the engine may have stopped the run, after a call with [`MovePhase::Stop`]. It
 /// stops a run before it copies the rest, so a run may be stopped although the copy failed.
-pub fn may_have_stopped(stopped: &Result<MovedRun, CallError>) -> bool {
+pub fn may_have_stopped(stopped: &Result<MoveOutcome, CallError>) -> bool {
     match stopped {
         Ok(_) | Err(CallError::AnswerLost(_) | CallError::Malformed(_) | CallError::Refused(_)) => {
             true
@@ -78,23 +87,32 @@
         }
     }
 
-    /// Copies the KV cache of the request `request_id` from this engine to the engine at `to`.
+    /// Copies the KV cache of the request `request_id` from this engine to the engine at `to`. An engine that
+    /// has stopped the run although the other has no room keeps its KV cache.
     pub async fn move_run(
         &self,
         request_id: &str,
         to: SocketAddr,
         phase: MovePhase,
-    ) -> Result<MovedRun, CallError> {
+    ) -> Result<MoveOutcome, CallError> {
         let mut request = self.request(Method::Post, "/v1/kv-move", &[])?;
         let last = phase == MovePhase::Stop;
         request.set_body(encode(&MoveBody { id: request_id, to, last })?);
         request.set_content_type(http_types::mime::JSON);
-        match self.call(request, MOVE_TIMEOUT).await? {
-            (OK, body) => {
-                let moved: MovedBody = decode(&body)?;
-                Ok(MovedRun { source: self.address, handle: moved.handle })
+        let exchanged = self.clock.timeout(MOVE_TIMEOUT, self.exchange(request)).await;
+        let Some(exchanged) = exchanged else {
+            return Err(CallError::AnswerLost("timeout".to_owned()));
+        };
+        let (status, body, _) = exchanged?;
+        let run = decode::<MovedBody>(&body)
+            .map(|moved| MovedRun { source: self.address, handle: moved.handle });
+        match status {
+            OK => run.map(MoveOutcome::Moved),
+            UNAVAILABLE if last => {
+                run.map(MoveOutcome::Kept).map_err(|_| CallError::Refused(status))
             }
-            (status, body) => Err(rejected(status, &body)),
+            TOO_MANY_REQUESTS | UNAVAILABLE => Err(CallError::Refused(status)),
+            status => Err(rejected(status, &body)),
         }
     }
 }
--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -489,6 +489,12 @@
             name: "no room at the other replica, after the run was stopped",
             answer_stop: |request, stream| respond(stream, request, 503, "", MOVED_HANDLE),
             moved_type: "text/event-stream",
+            whole: true,
+        },
+        MoveCase {
+            name: "no room at the other replica, and no handle",
+            answer_stop: |request, stream| respond(stream, request, 503, "", "{}"),
+            moved_type: "text/event-stream",
             whole: false,
         },
     ];
