Bound the idle timeout that a replica announces

Callers: their connection ended after an answer whose replica had announced a Keep-Alive timeout near the largest number.

Cause: the sum of the timeout and the age of the process overflowed, and the panic ended the task of the connection.

Change: idle connections are kept for an hour at most, whatever is announced.

Evidence: gateway::a_replica_may_announce_any_idle_timeout fails on the code before (overflow when adding durations).

--- a/berylstep/src/gateway/upstreams.rs
+++ b/berylstep/src/gateway/upstreams.rs
@@ -21,6 +21,9 @@
 /// Time without TCP acknowledgements after which a replica is considered dead.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Longest time for which an idle connection is kept, whatever its replica announces.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// Idle timeout of a connection if the replica announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -170,8 +173,9 @@
         keep_alive: Option<Duration>,
     ) {
         let is_clean = !stream.has_buffered_bytes() && socket::is_idle_and_open(&stream.stream);
-        let lifetime =
+        let announced =
             keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.saturating_sub(IDLE_MARGIN));
+        let lifetime = announced.min(MAX_IDLE_TIMEOUT);
         if !is_clean || lifetime.is_zero() {
             return;
         }
--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -447,3 +447,21 @@
     assert_eq!(fleet.gateway.send("safe", KEY_HEADER).unwrap().status(), 200);
     assert_eq!(fleet.gateway.process.exit_code(), None);
 }
+
+// Guards against an overflow that ends the connection of a caller after its answer.
+#[test]
+fn a_replica_may_announce_any_idle_timeout() {
+    let replica = FakeReplica::start("i-1", |request, _, stream| {
+        let header = format!("Keep-Alive: timeout={}\r\n", u64::MAX);
+        respond(stream, request, 200, &header, "answer")
+    });
+    let fleet = start_fleet("safe", &[&replica]);
+    // The sum of the timeout and the age of the process overflows.
+    std::thread::sleep(Duration::from_millis(1200));
+    let mut caller = fleet.gateway.connect();
+    for number in 0..2 {
+        write_request(&mut caller, "safe", KEY_HEADER);
+        let answer = read_message(&mut caller).map(|answer| answer.status());
+        assert_eq!(answer, Some(200), "request {number}");
+    }
+}
