Send no body in response to HEAD on the route of a stream

Callers: the response to a HEAD request on the route of a stream was followed by a last chunk, which was taken for the next response on the connection.

Cause: the end of a stream was written whatever the method.

Change: a response to HEAD ends with its head.

Evidence: gateway::a_response_to_head_on_the_route_of_a_stream_has_no_body fails on the code before.

--- a/berylstep/src/gateway/response.rs
+++ b/berylstep/src/gateway/response.rs
@@ -87,7 +87,7 @@
         }
         write_header("Content-Type", b"text/plain", &mut bytes);
         self.end_head(Some(reply.reason.len()), &mut bytes);
-        if self.method != "HEAD" {
+        if !self.is_bodiless() {
             bytes.extend_from_slice(reply.reason.as_bytes());
         }
         self.write(&bytes).await
@@ -128,7 +128,9 @@
         let mut bytes = self.replica_head(response);
         write_header("Transfer-Encoding", b"chunked", &mut bytes);
         self.end_head(None, &mut bytes);
-        write_chunk(content, &mut bytes);
+        if !self.is_bodiless() {
+            write_chunk(content, &mut bytes);
+        }
         self.write(&bytes).await
     }
 
@@ -138,12 +140,12 @@
     ///
     /// Returns an error if the connection to the caller fails.
     pub async fn write_content(&mut self, content: &[u8]) -> std::io::Result<()> {
+        if content.is_empty() || self.is_bodiless() {
+            return Ok(());
+        }
         let mut bytes = Vec::with_capacity(content.len() + 16);
         write_chunk(content, &mut bytes);
-        match bytes.is_empty() {
-            true => Ok(()),
-            false => self.write(&bytes).await,
-        }
+        self.write(&bytes).await
     }
 
     /// Writes the last content of a stream and completes it.
@@ -152,12 +154,20 @@
     ///
     /// Returns an error if the connection to the caller fails.
     pub async fn end_stream(&mut self, content: &[u8]) -> std::io::Result<()> {
+        if self.is_bodiless() {
+            return Ok(());
+        }
         let mut bytes = Vec::with_capacity(content.len() + 16);
         write_chunk(content, &mut bytes);
         bytes.extend_from_slice(LAST_CHUNK);
         self.write(&bytes).await
     }
 
+    /// Returns whether the response ends with its head.
+    fn is_bodiless(&self) -> bool {
+        self.method == "HEAD"
+    }
+
     fn replica_head(&self, response: &ResponseMessage) -> Vec<u8> {
         let mut bytes = status_line(response.status, &response.reason);
         for field in response.headers.end_to_end() {
--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -2,7 +2,7 @@
 //! to the caller's request, requests that must run at most once are not repeated, and the status
 //! tells whether a request may have run.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -465,3 +465,29 @@
         assert_eq!(answer, Some(200), "request {number}");
     }
 }
+
+// Guards against a response to HEAD with a body, which the next response on the connection is taken for.
+#[test]
+fn a_response_to_head_on_the_route_of_a_stream_has_no_body() {
+    let replica = FakeReplica::start("i-1", |request, _, stream| {
+        let is_head = request.head.starts_with("HEAD ");
+        let is_begun = begin_events(stream, request);
+        is_begun && (is_head || write_event(stream, 1) && end_events(stream))
+    });
+    let fleet = start_fleet("plain", &[&replica]);
+    let mut caller = fleet.gateway.connect();
+    let request = format!(
+        "HEAD /plain/x HTTP/1.1\r\nHost: h.example\r\nBerylstep-Attempt-Id: id-0\r\n\
+         Berylstep-Deadline-Milliseconds: 2000\r\n{KEY_HEADER}\r\n"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        caller.read_exact(&mut byte).unwrap();
+        head.push(byte[0]);
+    }
+    write_request(&mut caller, "plain", KEY_HEADER);
+    let answer = read_message(&mut caller).expect("the answer to the next request");
+    assert_eq!((answer.status(), &*answer.body), (200, "id: 1\ndata: d1\n\n"));
+}
