Hold long bodies once while they are relayed

A gateway grew by 90 and 105 MiB in two of seven runs of endless_bytes::memory_stays_flat_with_many_at_once (80 allowed; load averages of 10 to 25), since tasks take turns at reading.

Cause: a body without events was held up to three times while its first part was written: as it was read, as a copy that the relay wrote, and as the chunk made of it. With turns, many responses are in that state at once.

Change: the relay writes the content that it has read, and large chunks are written without a copy.

--- a/berylstep/src/gateway/response.rs
+++ b/berylstep/src/gateway/response.rs
@@ -9,6 +9,10 @@
 use crate::platform::headers::write_header;
 
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+const CHUNK_END: &[u8] = b"\r\n";
+
+/// Largest content that is copied to be written at once with its framing.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 
 /// A response that the gateway itself generates.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -128,10 +132,10 @@
         let mut bytes = self.replica_head(response);
         write_header("Transfer-Encoding", b"chunked", &mut bytes);
         self.end_head(None, &mut bytes);
-        if !self.is_bodiless() {
-            write_chunk(content, &mut bytes);
+        match self.is_bodiless() {
+            true => self.write(&bytes).await,
+            false => self.write_chunk(bytes, content).await,
         }
-        self.write(&bytes).await
     }
 
     /// Writes more content of a stream.
@@ -143,9 +147,7 @@
         if content.is_empty() || self.is_bodiless() {
             return Ok(());
         }
-        let mut bytes = Vec::with_capacity(content.len() + 16);
-        write_chunk(content, &mut bytes);
-        self.write(&bytes).await
+        self.write_chunk(Vec::new(), content).await
     }
 
     /// Writes the last content of a stream and completes it.
@@ -157,8 +159,8 @@
         if self.is_bodiless() {
             return Ok(());
         }
-        let mut bytes = Vec::with_capacity(content.len() + 16);
-        write_chunk(content, &mut bytes);
+        let mut bytes = Vec::new();
+        append_chunk(content, &mut bytes);
         bytes.extend_from_slice(LAST_CHUNK);
         self.write(&bytes).await
     }
@@ -186,6 +188,19 @@
         bytes.extend_from_slice(b"\r\n");
     }
 
+    /// Writes `bytes` and `content` as a chunk. A large chunk isn't copied, since many at once would take much
+    /// memory while their callers don't read.
+    async fn write_chunk(&mut self, mut bytes: Vec<u8>, content: &[u8]) -> std::io::Result<()> {
+        if content.len() <= MAX_COPIED_BYTES {
+            append_chunk(content, &mut bytes);
+            return self.write(&bytes).await;
+        }
+        bytes.extend_from_slice(&chunk_size(content));
+        self.write(&bytes).await?;
+        self.write(content).await?;
+        self.write(CHUNK_END).await
+    }
+
     async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.started = true;
         self.stream.write_all(bytes).await
@@ -197,13 +212,19 @@
 }
 
 /// Appends `content` as a chunk. Empty content is skipped, because an empty chunk ends the body.
-fn write_chunk(content: &[u8], bytes: &mut Vec<u8>) {
+fn append_chunk(content: &[u8], bytes: &mut Vec<u8>) {
     if content.is_empty() {
         return;
     }
-    bytes.extend_from_slice(format!("{:x}\r\n", content.len()).as_bytes());
+    bytes.reserve(content.len() + 16);
+    bytes.extend_from_slice(&chunk_size(content));
     bytes.extend_from_slice(content);
-    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(CHUNK_END);
+}
+
+/// Returns the line that begins a chunk.
+fn chunk_size(content: &[u8]) -> Vec<u8> {
+    format!("{:x}\r\n", content.len()).into_bytes()
 }
 
 fn reason_phrase(status: u16) -> &'static str {
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -146,7 +146,7 @@
         loop {
             let whole = match self.is_event_stream {
                 true => self.splitter.accept(&content),
-                false => content.clone(),
+                false => std::mem::take(&mut content),
             };
             content.clear();
             if !whole.is_empty() {
