--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod noted_versions;
 pub mod notifier;
 pub mod orders;
+pub mod origin_message;
 pub mod origins;
 pub mod peers;
 pub mod pending;
--- a/berylstep/src/gateway/origins.rs
+++ b/berylstep/src/gateway/origins.rs
@@ -8,7 +8,6 @@
 
 use berylstep_core::collections::{HashMap, HashSet, SharedName};
 use berylstep_core::fleet::desired::RouteKind;
-use berylstep_core::fleet::limits::ProcessId;
 use berylstep_core::fleet::origins::{
     keeper_order, max_stream_age, service_hash, KeeperCandidate, OriginLedger, PresentVersions,
     StreamKey, StreamOrigin, VersionId, VersionPin,
@@ -21,6 +20,7 @@
 use crate::gateway::attempt::ReplicaTarget;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::noted_versions::NoteReader;
+use crate::gateway::origin_message::{origin_message, read_origin};
 use crate::gateway::peers::{KnownNode, PeerTable};
 use crate::gateway::pending::PendingReplies;
 use crate::gateway::pulse::envelope;
@@ -357,29 +357,6 @@
     }
 }
 
-fn origin_message(
-    key: StreamKey,
-    origin: StreamOrigin,
-    retention: Duration,
-) -> berylstep_wire::StreamOrigin {
-    berylstep_wire::StreamOrigin {
-        stream: key.0,
-        version: origin.version.0,
-        replica: origin.process.replica,
-        born: origin.process.born,
-        seen_unix_ms: origin.seen_ms,
-        retention_ms: u32::try_from(retention.as_millis()).unwrap_or(u32::MAX),
-    }
-}
-
-pub(super) fn read_origin(message: &berylstep_wire::StreamOrigin) -> StreamOrigin {
-    StreamOrigin {
-        version: VersionId(message.version),
-        process: ProcessId { replica: message.replica, born: message.born },
-        seen_ms: message.seen_unix_ms,
-    }
-}
-
 impl RequestHandler {
     /// Returns the origin of a stream whose first event has just arrived from `target`.
     pub(super) fn stream_origin(
--- a/berylstep/src/gateway/saved_origins.rs
+++ b/berylstep/src/gateway/saved_origins.rs
@@ -11,6 +11,7 @@
 use smol::lock::Mutex;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::origin_message::read_origin;
 use crate::platform::store::RowWrite;
 use crate::platform::{CallError, PlatformClient};
 
@@ -162,9 +163,12 @@
                 continue;
             }
             match FleetPulse::decode(&*row.value.unwrap_or_default()) {
-                Ok(content) => origins.extend(content.stream_origins.iter().map(|message| {
-                    (StreamKey(message.stream), crate::gateway::origins::read_origin(message))
-                })),
+                Ok(content) => origins.extend(
+                    content
+                        .stream_origins
+                        .iter()
+                        .map(|message| (StreamKey(message.stream), read_origin(message))),
+                ),
                 Err(err) => {
                     log::error!("event=saved_origins_malformed key={} error=\"{err}\"", row.key);
                 }
