Let all streams of a test begin before their replica names its limit

It sends ten requests to a replica whose first answer names one request a second; requests that the gateway reads after that answer wait for turns, and not all ten begin. The gateway now takes turns between accepting connections and relaying, so an answer can come before the last request is read; the test relied on the order.

The replica now answers once all ten have arrived. What is checked, the number of calls in the two seconds after, is as before.

--- a/berylstep/tests/replica_limits.rs
+++ b/berylstep/tests/replica_limits.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -335,9 +336,16 @@
 fn calls_that_move_streams_count_towards_the_limit() {
     let calls: Arc<Mutex<Vec<Instant>>> = Arc::default();
     let log = calls.clone();
+    let begun = Arc::new(AtomicUsize::new(0));
+    let arrived = begun.clone();
     let source = FakeReplica::start("i-1", move |request, _, stream| {
-        if request.target() == "/v1/kv-move" {
-            lock(&log).push(Instant::now());
+        match request.target() {
+            "/v1/kv-move" => lock(&log).push(Instant::now()),
+            _ => {
+                // The limit, once named, would hold the other requests back.
+                arrived.fetch_add(1, Ordering::SeqCst);
+                wait_until("all have arrived", || arrived.load(Ordering::SeqCst) >= MOVED_STREAMS);
+            }
         }
         serve_limited_stream(request, stream)
     });
@@ -361,7 +369,7 @@
             caller
         })
         .collect();
-    wait_until("all streams have begun", || source.received().len() == MOVED_STREAMS);
+    wait_until("all streams have begun", || begun.load(Ordering::SeqCst) == MOVED_STREAMS);
     store.put("servers", "i-2", Some(other.entry("plain", "ready")));
     std::thread::sleep(NOTICE_TIME);
     store.put("servers", "i-1", Some(source.entry("plain", "draining")));
