--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -233,8 +233,8 @@
         );
         let peers = Rc::new(PeerTable::new(settings.known_node(run.incarnation)));
         let window = Duration::from_secs(settings.usage_window_s);
-        let check_in_interval = Duration::from_millis(settings.replica_check_in_ms);
-        let mirror = Rc::new(StoreMirror::new(clock.clone(), check_in_interval));
+        let heartbeat_interval = Duration::from_millis(settings.replica_heartbeat_ms);
+        let mirror = Rc::new(StoreMirror::new(clock.clone(), heartbeat_interval));
         let limits = Rc::new(LimitWatch::new(clock.clone(), mirror.clone()));
         let turns = TurnDesk::new(TurnContext {
             clock: clock.clone(),
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -38,8 +38,8 @@
 /// younger.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(120);
 
-/// Number of check-in intervals without a sign of life after which the platform removes an entry.
-const SILENT_INTERVALS: u32 = 3;
+/// Number of missed heartbeats after which the store removes an entry.
+const MISSED_HEARTBEATS: u32 = 3;
 
 /// Changes in the list of replicas since a revision.
 #[derive(Clone, Debug, Default)]
@@ -119,8 +119,8 @@
     withheld: RefCell<HashMap<SharedName, StoredCopy>>,
     /// Time until which entries are withheld after a restore of the store.
     withheld_until: Cell<Duration>,
-    /// Time for which they are withheld: the platform removes an entry whose replica doesn't check
-    /// in, so those that remain belong to live replicas.
+    /// Time for which they are withheld. The store removes an entry whose replica sends no heartbeats,
+    /// so those that remain belong to live replicas.
     withholding_time: Duration,
     has_replicas: Cell<bool>,
     store_failed_at: Cell<Option<Duration>>,
@@ -136,8 +136,8 @@
 impl StoreMirror {
     /// Creates an empty copy.
     ///
-    /// Replicas check in with the store once per `check_in_interval`.
-    pub fn new(clock: RuntimeClock, check_in_interval: Duration) -> Self {
+    /// Replicas send a heartbeat to the store once per `heartbeat_interval`.
+    pub fn new(clock: RuntimeClock, heartbeat_interval: Duration) -> Self {
         Self {
             clock,
             desired: RefCell::default(),
@@ -150,7 +150,7 @@
             removed: RefCell::default(),
             withheld: RefCell::default(),
             withheld_until: Cell::default(),
-            withholding_time: check_in_interval * SILENT_INTERVALS + STORE_FAILURE_TIMEOUT,
+            withholding_time: heartbeat_interval * MISSED_HEARTBEATS + STORE_FAILURE_TIMEOUT,
             has_replicas: Cell::new(false),
             store_failed_at: Cell::new(None),
             store_responded_at: Cell::new(None),
@@ -200,7 +200,7 @@
     ///
     /// What is known stays in use until the list is read anew. A process known as leaving stays so, although
     /// the older copy may show it as ready. Entries of removed processes are withheld until they are
-    /// written again or have outlasted the check-in timeout.
+    /// written again or have outlasted the heartbeat timeout.
     pub fn enter_era(&self, era: u64) {
         let previous = self.position.get();
         if era <= previous.era {
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -97,9 +97,9 @@
     /// Length of a usage window, in seconds.
     #[serde(default = "default_usage_window")]
     pub usage_window_s: u64,
-    /// Interval at which replicas check in with the store, in milliseconds.
-    #[serde(default = "default_check_in")]
-    pub replica_check_in_ms: u64,
+    /// Interval of the heartbeats that replicas send to the store, in milliseconds.
+    #[serde(default = "default_heartbeat")]
+    pub replica_heartbeat_ms: u64,
     /// Upper bound for the lifetime of a directory response, in seconds.
     #[serde(default = "default_directory_ttl")]
     pub directory_ttl_max_s: f64,
@@ -204,8 +204,8 @@
     5
 }
 
-/// Default check-in interval of replicas, in milliseconds.
-fn default_check_in() -> u64 {
+/// Default heartbeat interval of replicas, in milliseconds.
+fn default_heartbeat() -> u64 {
     2000
 }
 
@@ -260,7 +260,7 @@
             (self.retry_extra >= 0.0, "retry_extra must be 0 or above"),
             (positive(self.retry_window_s), "retry_window_s must be above 0"),
             (self.usage_window_s > 0, "usage_window_s must be above 0"),
-            (self.replica_check_in_ms > 0, "replica_check_in_ms must be above 0"),
+            (self.replica_heartbeat_ms > 0, "replica_heartbeat_ms must be above 0"),
             (positive(self.directory_ttl_max_s), "directory_ttl_max_s must be above 0"),
             (
                 self.wanted_attainment > 0.0 && self.wanted_attainment < 1.0,
--- a/berylstep/tests/replica_mirror.rs
+++ b/berylstep/tests/replica_mirror.rs
@@ -8,11 +8,11 @@
 use berylstep_core::fleet::position::StorePosition;
 use serde_json::json;
 
-/// Interval at which replicas check in with the store.
-const CHECK_IN_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of the heartbeats that replicas send to the store.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after which the platform has removed the entries of replicas that don't check in.
-const CHECK_IN_TIMEOUT: Duration = Duration::from_millis(3 * 1000 + 2500);
+/// Time after which the platform has removed the entries of replicas that send no heartbeats.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(3 * 1000 + 2500);
 
 /// A change of the list as a node reads it. Numbers are revisions, except for starts of processes.
 enum ListStep {
@@ -34,7 +34,7 @@
     is_listed: bool,
 }
 
-const BEFORE_TIMEOUT: Duration = CHECK_IN_TIMEOUT.saturating_sub(Duration::from_millis(1));
+const BEFORE_TIMEOUT: Duration = HEARTBEAT_TIMEOUT.saturating_sub(Duration::from_millis(1));
 
 const CASES: &[RestoreCase] = &[
     RestoreCase {
@@ -88,7 +88,7 @@
         is_listed: false,
     },
     RestoreCase {
-        name: "listed again for less than the check-in timeout",
+        name: "listed again for less than the heartbeat timeout",
         steps: &[
             ListStep::Put(1, 10),
             ListStep::Remove(2),
@@ -98,12 +98,12 @@
         is_listed: false,
     },
     RestoreCase {
-        name: "listed again for the check-in timeout",
+        name: "listed again for the heartbeat timeout",
         steps: &[
             ListStep::Put(1, 10),
             ListStep::Remove(2),
             ListStep::Restore(1, 10),
-            ListStep::Wait(CHECK_IN_TIMEOUT),
+            ListStep::Wait(HEARTBEAT_TIMEOUT),
         ],
         is_listed: true,
     },
@@ -124,7 +124,7 @@
             ListStep::Remove(2),
             ListStep::Restore(1, 10),
             ListStep::ReadWithout(3),
-            ListStep::Wait(CHECK_IN_TIMEOUT),
+            ListStep::Wait(HEARTBEAT_TIMEOUT),
         ],
         is_listed: false,
     },
@@ -135,7 +135,7 @@
             ListStep::Remove(2),
             ListStep::Restore(1, 10),
             ListStep::Remove(2),
-            ListStep::Wait(CHECK_IN_TIMEOUT),
+            ListStep::Wait(HEARTBEAT_TIMEOUT),
         ],
         is_listed: false,
     },
@@ -158,7 +158,7 @@
     fn new() -> Self {
         let (clock, paused) = RuntimeClock::paused();
         paused.advance(Duration::from_secs(60));
-        let mirror = StoreMirror::new(clock, CHECK_IN_INTERVAL);
+        let mirror = StoreMirror::new(clock, HEARTBEAT_INTERVAL);
         mirror.apply_replica_snapshot(StorePosition::new(1, 1), Vec::new());
         Self { mirror, paused, era: 1 }
     }
