--- a/berylstep_standins/src/fleet/gateway.rs
+++ b/berylstep_standins/src/fleet/gateway.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use serde_json::{json, Value};
+use serde_json::{json, Map, Value};
 
 use super::message::{read_message, request_text, RawMessage};
 use super::store::FakeStore;
@@ -48,6 +48,8 @@
     pub seeds: Vec<u8>,
     /// Addresses of the caller, readiness, directory and metrics listeners, in this order.
     pub listen: [SocketAddr; 4],
+    /// Further settings, which replace those of the same name.
+    pub overrides: Map<String, Value>,
 }
 
 impl GatewayConfig {
@@ -63,6 +65,7 @@
             binds_upstreams: false,
             seeds: vec![2, 3],
             listen,
+            overrides: Map::new(),
         }
     }
 
@@ -73,7 +76,7 @@
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 0, self.number));
         let [caller_address, readiness_address, directory_address, metrics_address] = self.listen;
         let seeds = self.seeds.iter().map(|number| format!("127.0.0.{number}:1"));
-        let settings = json!({
+        let mut settings = json!({
             "node": format!("gateway-{}", self.number), "zone": "a", "region": "r",
             "ip_address": ip, "peer_ports": [self.peer_port, self.peer_port + 1],
             "first_start": self.first_start, "seeds": seeds.collect::<Vec<_>>(),
@@ -85,6 +88,9 @@
             "drain_ms": 2000, "stop_grace_s": 8, "retry_ratio": 0.2, "retry_extra": 56,
             "retry_window_s": 10, "usage_window_s": 1,
         });
+        for (name, value) in &self.overrides {
+            settings[name] = value.clone();
+        }
         let file = format!("fleet-{}-{}-{}.json", std::process::id(), self.peer_port, self.number);
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, settings.to_string())?;
@@ -129,6 +135,15 @@
     /// If it cannot be started or does not become ready within [`WAIT_TIMEOUT`].
     pub fn start(store: &FakeStore, number: u8, peer_port: u16) -> Self {
         let config = GatewayConfig::new(store.address, number, peer_port);
+        Self::start_with(&config)
+    }
+
+    /// Starts a gateway with these parameters and waits until it is ready.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started or does not become ready within [`WAIT_TIMEOUT`].
+    pub fn start_with(config: &GatewayConfig) -> Self {
         let gateway = config.spawn(Stdio::piped()).expect("the gateway starts");
         wait_until("the gateway is ready", || gateway.is_ready());
         gateway
