Give a stalled stream up only for a replica that has brought an event

Cause found by reading: a substitute had the stream with the first bytes of its response. One that began an event and fell silent itself kept it, and the connection to the first replica, which went on 400 ms later, was closed.

The search now reads the response of a substitute up to its first event, while the first replica is read as before; whichever brings an event first has the stream. Nothing depends on how long either is silent.

Test: the case "the other begins and falls silent" failed before (calm). The ten cases run in calm, at SIGTERM, and with silences of 1.2 and 1.9 s; the others held before too.

--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -360,8 +360,14 @@
             }
         };
         let searching = async {
-            let found = search.run().await;
-            found.map_or(StallOutcome::NoSubstitute, |next| StallOutcome::Replaced(Box::new(next)))
+            while let Some(mut next) = search.run().await {
+                // A replica that has begun its response may fall silent as well.
+                match search.read_first_event(&mut next).await {
+                    Ok(()) => return StallOutcome::Replaced(Box::new(next)),
+                    Err(err) => next.record_failure(search.handler, &err.to_string()),
+                }
+            }
+            StallOutcome::NoSubstitute
         };
         future::or(recovering, searching).await
     }
@@ -549,6 +555,23 @@
         self.handler.confirm_origin(&StreamOrigin { seen_ms, ..origin }).await.is_some()
     }
 
+    /// Reads a response up to its first event, which stays in its content, or to its end.
+    async fn read_first_event(&self, response: &mut StartedResponse) -> Result<(), BodyError> {
+        let mut content = std::mem::take(&mut response.content);
+        let (mut splitter, clock) = (EventSplitter::default(), &self.handler.clock);
+        let has_event = !splitter.accept(&content).is_empty();
+        let time_left = self.request.deadline.saturating_sub(clock.now());
+        let result = match has_event || response.is_complete() {
+            true => Ok(()),
+            false => {
+                let reading = read_event(response, splitter, &mut content);
+                clock.timeout(time_left, reading).await.unwrap_or(Err(BodyError::Truncated))
+            }
+        };
+        response.content = content;
+        result
+    }
+
     /// Sends the request to other replicas until one goes on. A search that is dropped counts the attempt in
     /// progress as one that ran.
     async fn run(&mut self) -> Option<StartedResponse> {
--- a/berylstep/tests/stalled_streams.rs
+++ b/berylstep/tests/stalled_streams.rs
@@ -1,14 +1,15 @@
 //! Tests of a gateway process with a replica that falls silent: a stream goes on wherever it can, and neither it
 //! nor a request without a response is given up before another replica has taken it over.
 
+use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use berylstep_standins::fleet::gateway::{write_request, FleetGateway};
+use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
 use berylstep_standins::fleet::message::{
-    begin_events, end_events, read_message, respond, write_event, RawMessage,
+    begin_events, end_events, read_message, request_text, respond, write_event, RawMessage,
 };
 use berylstep_standins::fleet::replica::FakeReplica;
 use berylstep_standins::fleet::store::FakeStore;
@@ -18,6 +19,15 @@
 /// Time for which the replica is silent; the gateway looks for another after 800 ms.
 const SILENCE: Duration = Duration::from_millis(1200);
 
+/// Cases that run at once, each with a gateway of its own.
+const PARALLEL_CASES: usize = 5;
+
+/// The longest silence of a sound replica.
+const LONG_SILENCE: Duration = Duration::from_millis(1900);
+
+/// Time for which the caller waits; the timeout of the route.
+const CALLER_TIMEOUT_MS: u64 = 3000;
+
 /// Time for which a replica holds a request that the caller no longer waits for.
 const LONG_WAIT: Duration = Duration::from_millis(1900);
 
@@ -58,12 +68,45 @@
     respond(stream, request, 503, "Berylstep-Not-Executed: full\r\n", "full")
 }
 
+fn reject_for_a_while(request: &RawMessage, stream: &mut TcpStream) -> bool {
+    respond(stream, request, 503, "Berylstep-Not-Executed: full\r\nRetry-After: 2\r\n", "full")
+}
+
+fn reject_late(request: &RawMessage, stream: &mut TcpStream) -> bool {
+    std::thread::sleep(Duration::from_millis(300));
+    reject(request, stream)
+}
+
+/// Begins an event and falls silent inside it.
+fn begin_and_stay_silent(request: &RawMessage, stream: &mut TcpStream) -> bool {
+    let begun = begin_events(stream, request) && stream.write_all(b"6\r\nid: 3\n\r\n").is_ok();
+    begun && stay_silent(request, stream)
+}
+
 fn fail(request: &RawMessage, stream: &mut TcpStream) -> bool {
     respond(stream, request, 500, "", "failure")
 }
 
 const CASES: &[StallCase] = &[
     StallCase { name: "the other is full", original: finish, other: reject, is_whole: true },
+    StallCase {
+        name: "the other is full for a while",
+        original: finish,
+        other: reject_for_a_while,
+        is_whole: true,
+    },
+    StallCase {
+        name: "the other rejects late",
+        original: finish,
+        other: reject_late,
+        is_whole: true,
+    },
+    StallCase {
+        name: "the other begins and falls silent",
+        original: finish,
+        other: begin_and_stay_silent,
+        is_whole: true,
+    },
     StallCase { name: "the other closes", original: finish, other: close, is_whole: true },
     StallCase { name: "the other fails", original: finish, other: fail, is_whole: true },
     StallCase { name: "the other queues", original: finish, other: stay_silent, is_whole: true },
@@ -72,28 +115,62 @@
     StallCase { name: "neither can", original: close, other: reject, is_whole: false },
 ];
 
+/// What else happens while the replica is silent.
+#[derive(Clone, Copy, Debug)]
+struct Surroundings {
+    name: &'static str,
+    silence: Duration,
+    /// Whether the gateway gets SIGTERM shortly before the silence.
+    stops: bool,
+}
+
+const SURROUNDINGS: &[Surroundings] = &[
+    Surroundings { name: "calm", silence: SILENCE, stops: false },
+    Surroundings { name: "a planned stop", silence: SILENCE, stops: true },
+    Surroundings { name: "a long silence", silence: LONG_SILENCE, stops: false },
+    Surroundings { name: "a long silence at a planned stop", silence: LONG_SILENCE, stops: true },
+];
+
 /// Runs the first request for a stream up to the silence, and continuations as the case says.
-fn serve(case: &StallCase, request: &RawMessage, stream: &mut TcpStream) -> bool {
+fn serve(
+    case: &StallCase,
+    silence: Duration,
+    request: &RawMessage,
+    stream: &mut TcpStream,
+) -> bool {
     if request.header("last-event-id").is_some() {
         return (case.other)(request, stream);
     }
     let is_begun = begin_events(stream, request)
         && (1..=EARLY_EVENTS).all(|number| write_event(stream, number));
-    std::thread::sleep(SILENCE);
+    std::thread::sleep(silence);
     is_begun && (case.original)(request, stream)
 }
 
 // Guards against streams that are cut because their sound replica was silent and no other had room.
 #[test]
 fn a_stalled_stream_is_given_up_only_for_a_replica_that_goes_on() {
-    let failed = CASES.iter().filter(|case| receives_whole_stream(case) != case.is_whole);
-    let failed: Vec<_> = failed.map(|case| case.name).collect();
-    assert!(failed.is_empty(), "{failed:?}");
+    for surroundings in SURROUNDINGS {
+        for group in CASES.chunks(PARALLEL_CASES) {
+            let threads = group.iter().map(|case| {
+                let run = move || receives_whole_stream(case, surroundings) == case.is_whole;
+                (case.name, std::thread::spawn(run))
+            });
+            let threads: Vec<_> = threads.collect();
+            let ended = threads.into_iter().map(|(name, thread)| (name, thread.join()));
+            let failed = ended.filter(|(_, held)| !matches!(held, Ok(true)));
+            let failed: Vec<_> = failed.map(|(name, _)| name).collect();
+            assert!(failed.is_empty(), "{}: {failed:?}", surroundings.name);
+        }
+    }
 }
 
-fn receives_whole_stream(case: &'static StallCase) -> bool {
-    let replicas = ["i-1", "i-2"]
-        .map(|id| FakeReplica::start(id, |request, _, stream| serve(case, request, stream)));
+fn receives_whole_stream(case: &'static StallCase, surroundings: &'static Surroundings) -> bool {
+    let replicas = ["i-1", "i-2"].map(|id| {
+        FakeReplica::start(id, |request, _, stream| {
+            serve(case, surroundings.silence, request, stream)
+        })
+    });
     let store = FakeStore::start();
     store.put("op", "config", Some(desired_state(1)));
     for replica in &replicas {
@@ -101,7 +178,15 @@
     }
     let gateway = FleetGateway::start(&store, 4, free_address().port());
     let mut stream = gateway.connect();
-    write_request(&mut stream, "resumable", KEY_HEADER);
+    let request = request_text("resumable", "id-1", CALLER_TIMEOUT_MS, KEY_HEADER);
+    stream.write_all(request.as_bytes()).expect("the gateway reads");
+    if surroundings.stops {
+        // The replica is silent once it has the request and has sent its first events.
+        wait_until("a replica has the request", || {
+            replicas.iter().any(|replica| !replica.received().is_empty())
+        });
+        gateway.process.terminate();
+    }
     let answer = read_message(&mut std::io::BufReader::new(stream));
     let whole: String =
         (1..=ALL_EVENTS).map(|number| format!("id: {number}\ndata: d{number}\n\n")).collect();
