Withdraw a request from a silent replica only for an answer

A request whose replica was silent for a second failed with 503 although that replica answered: it was withdrawn once another replica had not rejected it for 100 ms, and that one rejected it after 300 ms.

Both replicas now have the request until one has answered. If the silent one fails, the other goes on; if the other rejects or fails, the next is asked. The replica that loses gets its connection closed at once, as before.

Test: the case "the other rejects late" failed before, 503 in place of 200.

--- a/berylstep/src/gateway/silence.rs
+++ b/berylstep/src/gateway/silence.rs
@@ -1,7 +1,6 @@
-//! Attempts at replicas that stay silent: the request is withdrawn only once another replica has taken it.
+//! Attempts at replicas that stay silent: the request is withdrawn only once another replica has answered it.
 
 use std::pin::Pin;
-use std::time::Duration;
 
 use smol::future;
 
@@ -9,9 +8,6 @@
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::telemetry::RequestTrace;
 
-/// Time within which a replica without room rejects a request.
-const REJECTION_TIME: Duration = Duration::from_millis(100);
-
 /// First status of a failure of the replica.
 const FIRST_FAILURE: u16 = 500;
 
@@ -24,14 +20,19 @@
     Answered(AttemptOutcome),
     /// The other replica has rejected the request or failed, while the silent one still has it.
     Failed,
-    /// The other replica has the request.
-    Taken(ReplicaTarget, AttemptOutcome),
+    /// The other replica has the request, and this became of the attempt at the silent one.
+    Taken { other: ReplicaTarget, outcome: AttemptOutcome, withdrawn: AttemptOutcome },
+}
+
+/// Returns whether a replica has answered the request itself.
+fn is_answer(outcome: &AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::Responded(response) if response.head.status < FIRST_FAILURE)
 }
 
 impl RequestHandler {
-    /// Sends the request to `target`. If it stays silent, others are asked; it keeps the request until one of
-    /// them hasn't rejected it. Returns the replica that has the request, and the outcome there, which
-    /// isn't counted in `history` yet.
+    /// Sends the request to `target`. If it stays silent, others are asked one after the other; it keeps the
+    /// request until one of them has answered. Neither silence nor a queue tells which replica answers first.
+    /// Returns the replica that has the request, and the outcome there, which isn't counted in `history` yet.
     pub(super) async fn attempt_until_silent(
         &self,
         request: &RoutedRequest<'_>,
@@ -58,12 +59,16 @@
             match self.offer_elsewhere(request, &mut first, history, trace).await {
                 Some(OfferOutcome::Answered(outcome)) => {
                     drop(first);
-                    return (uncounted(history, target), outcome);
+                    uncount(history);
+                    return (target, outcome);
                 }
-                Some(OfferOutcome::Taken(other, outcome)) => {
-                    let withdrawn = AttemptOutcome::Lost("replica is silent");
+                Some(OfferOutcome::Taken { other, outcome, withdrawn }) => {
                     trace.record_attempt(request, &target, &withdrawn, self.clock.now());
-                    self.crashes.report_loss(request, &target);
+                    match withdrawn {
+                        AttemptOutcome::NotSent(_) => uncount(history),
+                        AttemptOutcome::NotExecuted(_) => history.ran -= 1,
+                        _ => self.crashes.report_loss(request, &target),
+                    }
                     log::info!(
                         "event=silent_replica_replaced id={} replica={} by={}",
                         request.id(),
@@ -77,7 +82,8 @@
             }
         }
         let outcome = first.await;
-        (uncounted(history, target), outcome)
+        uncount(history);
+        (target, outcome)
     }
 
     /// Offers the request to one more replica; `None` if there is none to ask.
@@ -98,28 +104,29 @@
         let mut second: PendingAttempt<'_> = Box::pin(self.attempt(request, &other, options));
         let answering = async { Err(first.as_mut().await) };
         let offering = async { Ok(second.as_mut().await) };
-        let raced = self.clock.timeout(REJECTION_TIME, future::or(answering, offering)).await;
-        let outcome = match raced {
-            Some(Err(outcome)) => {
+        let outcome = match future::or(answering, offering).await {
+            Ok(outcome) => outcome,
+            Err(outcome) if is_answer(&outcome) => {
                 // The other attempt is dropped, and may have run.
                 history.sent += 1;
                 history.ran += 1;
                 return Some(OfferOutcome::Answered(outcome));
             }
-            Some(Ok(outcome)) => outcome,
-            None => {
-                // Withdraws the request from the silent replica.
+            Err(withdrawn) => {
                 *first = Box::pin(future::pending());
                 let outcome = second.as_mut().await;
                 drop(second);
-                return Some(OfferOutcome::Taken(other, outcome));
+                return Some(OfferOutcome::Taken { other, outcome, withdrawn });
             }
         };
         drop(second);
+        if is_answer(&outcome) {
+            // Withdraws the request from the silent replica.
+            *first = Box::pin(future::pending());
+            let withdrawn = AttemptOutcome::Lost("replica is silent");
+            return Some(OfferOutcome::Taken { other, outcome, withdrawn });
+        }
         match &outcome {
-            AttemptOutcome::Responded(response) if response.head.status < FIRST_FAILURE => {
-                return Some(OfferOutcome::Taken(other, outcome));
-            }
             AttemptOutcome::NotSent(_) => {}
             AttemptOutcome::NotExecuted(_) => history.sent += 1,
             AttemptOutcome::Responded(_) => {
@@ -137,9 +144,8 @@
     }
 }
 
-/// Takes the attempt at `target` out of the counts, because its outcome will be counted.
-fn uncounted(history: &mut AttemptHistory, target: ReplicaTarget) -> ReplicaTarget {
+/// Takes an attempt out of the counts, because its outcome will be counted or it reached no replica.
+fn uncount(history: &mut AttemptHistory) {
     history.sent -= 1;
     history.ran -= 1;
-    target
 }
--- a/berylstep/tests/stalled_streams.rs
+++ b/berylstep/tests/stalled_streams.rs
@@ -204,6 +204,8 @@
 
 const SILENT_CASES: &[SilentCase] = &[
     SilentCase { name: "the other is full", other: reject },
+    SilentCase { name: "the other rejects late", other: reject_late },
+    SilentCase { name: "the other is full for a while", other: reject_for_a_while },
     SilentCase { name: "the other closes", other: close },
     SilentCase { name: "the other fails", other: fail },
     SilentCase { name: "the other answers", other: answer },
