--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod orders;
 pub mod origin_message;
 pub mod origins;
+pub mod pace;
 pub mod peers;
 pub mod pending;
 pub mod pulse;
@@ -67,6 +68,7 @@
 use crate::gateway::noted_versions::NoteReader;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::origins::{OriginContext, OriginDesk};
+use crate::gateway::pace::PaceWatch;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::pulse::PulseExchange;
 use crate::gateway::quarantine::CrashWatch;
@@ -198,6 +200,7 @@
     stop: Rc<GracefulStop>,
     mirror: Rc<StoreMirror>,
     limits: Rc<LimitWatch>,
+    pace: Rc<PaceWatch>,
     brittle: Rc<BrittleWatch>,
     runs: Rc<RunWatch>,
     slots: Rc<SlotDesk>,
@@ -273,7 +276,9 @@
             saved: Rc::new(SavedOrigins::new(clock.clone(), run.node.clone(), store.clone())),
             socket,
         });
+        let is_contended = settings.is_contended();
         Self {
+            pace: Rc::new(PaceWatch::new(clock.clone(), mirror.clone(), is_contended)),
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
             limits,
             brittle,
@@ -385,6 +390,7 @@
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
             limits: self.limits.clone(),
+            pace: self.pace.clone(),
             brittle: self.brittle.clone(),
             runs: self.runs.clone(),
             slots: self.slots.clone(),
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -273,6 +273,9 @@
     pub fn record_statement(&self, id: &str, statement: ReplicaStatement, sent_at: Duration) {
         self.limits.observe(id, statement.limit, sent_at);
         self.brittle.observe(id, statement.brittle, sent_at);
+        if let Some(load) = statement.load {
+            self.pace.observe(id, load, sent_at);
+        }
         if statement.leaving {
             self.mirror.record_replica_leaving(id);
         }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -22,6 +22,7 @@
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::origins::OriginDesk;
+use crate::gateway::pace::PaceWatch;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::{evidence_keys, CrashWatch, RequestContent};
 use crate::gateway::reach::ReachWatch;
@@ -61,6 +62,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Limits that replicas name.
     pub limits: Rc<LimitWatch>,
+    /// Paces of replicas.
+    pub pace: Rc<PaceWatch>,
     /// Replicas that are brittle.
     pub brittle: Rc<BrittleWatch>,
     /// Requests of this node at replicas.
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 
 use crate::gateway::peers::KnownNode;
+use crate::platform::CONTENTION_RULES;
 
 /// Errors that reject a settings file.
 #[derive(Debug, Display)]
@@ -68,6 +69,9 @@
     /// File descriptors that the process may open.
     #[serde(default = "default_descriptors")]
     pub file_descriptors: usize,
+    /// Names of the groups of rules that are in force; see [`GatewaySettings::is_contended`].
+    #[serde(default)]
+    pub rule_groups: Vec<SharedName>,
     /// Share of a CPU core that the node may use.
     #[serde(default = "default_core_share")]
     pub core_share: f64,
@@ -297,6 +301,11 @@
         fixed(self) == fixed(initial)
     }
 
+    /// Returns whether the deployment says that callers compete for too little room at times.
+    pub fn is_contended(&self) -> bool {
+        self.rule_groups.iter().any(|group| **group == *CONTENTION_RULES)
+    }
+
     /// Returns the address for datagrams and queries of other nodes.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip_address, self.peer_ports.0)
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -17,6 +17,7 @@
 
 use berylstep_core::fleet::brittle::BrittleStatement;
 use berylstep_core::fleet::limits::LimitStatement;
+use berylstep_core::fleet::pace::LoadStatement;
 use berylstep_http::{ClientResponse, ExchangeError};
 use displaydoc::Display;
 use http_types::{Method, Request, Url};
@@ -36,6 +37,9 @@
 /// Largest body of a response; the store sends at most 1 MB of rows, in base64.
 const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Group of rules that is in force where callers compete for too little room.
+pub const CONTENTION_RULES: &str = "pressure";
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum CallError {
@@ -95,6 +99,8 @@
     pub limit: LimitStatement,
     /// Rejections that it tolerates.
     pub brittle: BrittleStatement,
+    /// Its load, if it states that.
+    pub load: Option<LoadStatement>,
 }
 
 /// Status code and body of a response.
--- a/berylstep/src/platform/headers.rs
+++ b/berylstep/src/platform/headers.rs
@@ -7,6 +7,7 @@
 use berylstep_core::fleet::brittle::BrittleStatement;
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_core::fleet::limits::LimitStatement;
+use berylstep_core::fleet::pace::LoadStatement;
 use berylstep_http::{HeaderList, ResponseMessage};
 
 use super::ReplicaStatement;
@@ -24,6 +25,7 @@
 const SERVER_LEAVING: &str = "Server-Leaving";
 const SERVER_LIMIT: &str = "Server-Limit";
 const SERVER_BRITTLE: &str = "Server-Brittle";
+const REPLICA_LOAD: &str = "Berylstep-Replica-Load";
 const STORE_ERA: &str = "Store-Era";
 const RETRY_AFTER: &str = "Retry-After";
 const LAST_EVENT: &str = "Last-Event-Id";
@@ -266,6 +268,17 @@
     }
 }
 
+/// Reads the load that a response states: running and waiting requests, slots and, optionally, the time for
+/// which work goes on at present, in percent of the usual one. `None` if it is malformed.
+pub fn parse_load(value: &str) -> Option<LoadStatement> {
+    let mut fields = value.split(',').map(str::trim);
+    let mut count = || fields.next()?.parse().ok();
+    let (running, waiting, slots) = (count()?, count()?, count()?);
+    let percent = fields.next().and_then(|percent| percent.parse::<f64>().ok());
+    let pace = percent.filter(|percent| percent.is_finite() && *percent > 0.0);
+    Some(LoadStatement { running, waiting, slots, pace: pace.map(|percent| percent / 100.0) })
+}
+
 /// Returns the era of the store in which a response was given; 0 if it names none.
 pub fn read_store_era(response: &http_types::Response) -> u64 {
     let value = response.header(STORE_ERA).and_then(|values| values.as_str().trim().parse().ok());
@@ -283,6 +296,7 @@
             .and_then(|value| parse_pause(value, SystemTime::now())),
         limit: value(SERVER_LIMIT).map(parse_limit).unwrap_or_default(),
         brittle: value(SERVER_BRITTLE).map(parse_brittle).unwrap_or_default(),
+        load: value(REPLICA_LOAD).and_then(parse_load),
     }
 }
 
@@ -319,6 +333,7 @@
                     .and_then(|value| parse_pause(value, SystemTime::now())),
                 limit: headers.get(SERVER_LIMIT).map_or(unnamed, parse_limit),
                 brittle: headers.get(SERVER_BRITTLE).map_or(sound, parse_brittle),
+                load: headers.get(REPLICA_LOAD).filter(|_| is_own).and_then(parse_load),
             },
         }
     }
