--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod brittle;
 pub mod budget;
+pub mod byte_account;
 pub mod capacity;
 pub mod choice;
 pub mod clock;
