Bound the memory and the connections that clients take

Clients that nobody controls ended a gateway: bodies of legal size that stop short of their end, with or without a key, were held whole and without bound, complete ones up to three times, and the heap kept what it had grown to. The listeners for queries took any number of connections, and a peer's frame any length up to 1 MiB.

Each connection now draws what it holds from one account of the process, whose size follows from the memory of the VM. When it is full, connections without progress give way first, then the group that holds most; requests in progress never do. Route and key are checked before a body is kept. Large bodies have mappings of their own and are written to replicas without a copy. Listeners for queries close their oldest connection beyond a quota.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -6,11 +6,14 @@
 pub mod attempt;
 pub mod brittle;
 pub mod callers;
+pub mod client_metrics;
+pub mod connection_quota;
 pub mod demand;
 pub mod duties;
 pub mod endpoints;
 pub mod feeds;
 pub mod handover;
+pub mod holdings;
 pub mod limits;
 pub mod mirror;
 pub mod noted_versions;
@@ -24,6 +27,7 @@
 pub mod pulse;
 pub mod quarantine;
 pub mod reach;
+pub mod receive;
 pub mod request;
 pub mod response;
 pub mod runs;
@@ -59,10 +63,13 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::callers::CallerListener;
+use crate::gateway::client_metrics::ClientMetrics;
+use crate::gateway::connection_quota::ConnectionQuota;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::duties::{DutyContext, DutyKeeper};
 use crate::gateway::endpoints::EndpointServer;
 use crate::gateway::feeds::{FollowedTable, TableFollower};
+use crate::gateway::holdings::Holdings;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::noted_versions::NoteReader;
@@ -363,7 +370,8 @@
             peer_ahead: self.peer_ahead.clone(),
         });
         self.tasks.spawn(state_transfer.clone().query_peers()).detach();
-        self.tasks.spawn(state_transfer.listen(self.tasks.clone(), listener)).detach();
+        let quota = Rc::new(ConnectionQuota::new(self.settings.max_query_connections()));
+        self.tasks.spawn(state_transfer.listen(self.tasks.clone(), listener, quota)).detach();
     }
 
     fn serve_endpoints(&self, listeners: impl Iterator<Item = TcpListener>) {
@@ -379,7 +387,9 @@
             reach: self.reach.clone(),
         });
         for listener in listeners {
-            self.tasks.spawn(endpoints.clone().listen(self.tasks.clone(), listener)).detach();
+            let quota = Rc::new(ConnectionQuota::new(self.settings.max_query_connections()));
+            let listening = endpoints.clone().listen(self.tasks.clone(), listener, quota);
+            self.tasks.spawn(listening).detach();
         }
     }
 
@@ -413,15 +423,17 @@
         self.tasks.spawn(run_maintenance(handler.clone())).detach();
         self.tasks.spawn(self.crashes.clone().verify_losses()).detach();
         self.tasks.spawn(handler.clone().watch_reach()).detach();
-        let open = Rc::<Cell<usize>>::default();
+        let bounds = self.settings.account_bounds();
+        let metrics = ClientMetrics::new(self.metrics.instruments());
+        let metrics = metrics.expect("metric names and labels are valid");
+        let holdings = Rc::new(Holdings::new(self.clock.clone(), bounds, metrics));
         let listeners = [(Some(listener), RequestSource::Caller), (handovers, RequestSource::Peer)];
         for (listener, source) in listeners {
             let Some(listener) = listener else { continue };
             let callers = CallerListener {
                 handler: handler.clone(),
                 tasks: self.tasks.clone(),
-                descriptors: self.settings.file_descriptors,
-                open: open.clone(),
+                holdings: holdings.clone(),
                 source,
             };
             self.tasks.spawn(callers.run(listener)).detach();
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::byte_account::ConnectionPhase;
 use berylstep_core::fleet::choice::RequestSize;
 use berylstep_core::fleet::desired::RouteKind;
 use berylstep_core::fleet::limits::ProcessId;
 use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::replica::ReplicaRow;
-use berylstep_http::{BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage};
+use berylstep_http::{
+    BodyBuffer, BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage,
+};
 use futures_util::future::{select, Either};
 use smol::io::AsyncWriteExt;
 
@@ -31,6 +34,9 @@
 /// replica.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Largest body that is copied to be sent at once with its head.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
 /// Interim responses that are skipped before the response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
@@ -147,20 +153,16 @@
     pub head: ResponseMessage,
     /// Content that has not been relayed yet.
     pub content: Vec<u8>,
+    /// Complete body, if it was buffered.
+    pub body: Option<BodyBuffer>,
     target: ReplicaTarget,
     decoder: BodyDecoder,
     stream: MessageStream,
     reusable: bool,
-    buffered: bool,
     load: LoadGuard,
 }
 
 impl StartedResponse {
-    /// Returns whether [`Self::content`] holds the complete response.
-    pub fn is_buffered(&self) -> bool {
-        self.buffered
-    }
-
     /// Returns whether all content has been read.
     pub fn is_complete(&self) -> bool {
         self.decoder.is_complete()
@@ -306,12 +308,12 @@
         upstream: UpstreamStream,
         mut load: LoadGuard,
     ) -> AttemptOutcome {
-        let bytes = self.encode(request, target, options);
+        let (head, body) = self.encode(request, target, options);
         let sent_at = self.clock.now();
         let was_brittle = self.brittle.tolerated_by(&target.id).is_some();
         let UpstreamStream { mut stream, reused } = upstream;
         let method = &*request.message.method;
-        let received = send_and_receive(&mut stream, &bytes, request, reused).await;
+        let received = send_and_receive(&mut stream, [&*head, body], request, reused).await;
         let (head, headers, sent_whole) = match received {
             Ok(received) => received,
             Err(reason) => {
@@ -345,10 +347,10 @@
             return AttemptOutcome::Lost("replica failed without saying whether the request ran");
         }
         let streams = request.route.kind == RouteKind::Stream && head.status < 300;
-        let mut content = Vec::new();
+        let (mut content, mut body) = (Vec::new(), BodyBuffer::new(MAX_BUFFERED_BYTES));
         let read = match streams {
             true => stream.read_content(&mut decoder, &mut content).await,
-            false => buffer_body(&mut stream, &mut decoder, &mut content).await,
+            false => buffer_body(&mut stream, &mut decoder, &mut content, &mut body, request).await,
         };
         if let Err(err) = read {
             self.record_replica_failure(&target.id, &err.to_string());
@@ -358,11 +360,17 @@
         self.count_usage(request);
         self.usage.record_response(&target.id);
         load.finish_prefill();
-        let buffered = !streams && decoder.is_complete();
-        if buffered {
+        let body = match !streams && decoder.is_complete() && content.is_empty() {
+            true => Some(body),
+            false => {
+                content.splice(0..0, body.iter().copied());
+                None
+            }
+        };
+        if body.is_some() {
             load.finish();
         }
-        if buffered && self.is_cut_by_crash(target, &head).await {
+        if body.is_some() && self.is_cut_by_crash(target, &head).await {
             self.record_replica_failure(&target.id, "answer ended with a crash");
             return AttemptOutcome::Lost("answer broke off");
         }
@@ -372,8 +380,8 @@
             target: target.clone(),
             decoder,
             stream,
+            body,
             reusable: sent_whole,
-            buffered,
             load,
         }))
     }
@@ -439,14 +447,16 @@
         }
     }
 
-    fn encode(
+    /// Returns the bytes of a request: its head with a short body, and a long body, which isn't copied.
+    fn encode<'a>(
         &self,
-        request: &RoutedRequest<'_>,
+        request: &RoutedRequest<'a>,
         target: &ReplicaTarget,
         options: AttemptOptions<'_>,
-    ) -> Vec<u8> {
+    ) -> (Vec<u8>, &'a [u8]) {
         let message = request.message;
-        let mut bytes = Vec::with_capacity(1024 + request.body.len());
+        let copied = if request.body.len() <= MAX_COPIED_BYTES { request.body } else { &[] };
+        let mut bytes = Vec::with_capacity(1024 + copied.len());
         let line = format!("{} {} HTTP/1.1\r\n", message.method, message.target);
         bytes.extend_from_slice(line.as_bytes());
         let headers = UpstreamHeaders {
@@ -465,20 +475,23 @@
             write_header("Content-Length", length.as_bytes(), &mut bytes);
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(request.body);
-        bytes
+        bytes.extend_from_slice(copied);
+        (bytes, &request.body[copied.len()..])
     }
 }
 
-/// Sends `bytes` and receives the response head. The flag tells whether all bytes were sent.
+/// Sends `parts` and receives the response head. The flag tells whether all bytes were sent.
 async fn send_and_receive(
     stream: &mut MessageStream,
-    bytes: &[u8],
+    parts: [&[u8]; 2],
     request: &RoutedRequest<'_>,
     reused: bool,
 ) -> Result<(ResponseMessage, ResponseHeaders, bool), &'static str> {
     let mut writer = stream.stream.clone();
-    let writing = Box::pin(async move { writer.write_all(bytes).await });
+    let writing = Box::pin(async move {
+        writer.write_all(parts[0]).await?;
+        writer.write_all(parts[1]).await
+    });
     let reading = Box::pin(receive_head(stream, request, reused));
     match select(writing, reading).await {
         Either::Left((Ok(()), reading)) => {
@@ -541,14 +554,25 @@
     }
 }
 
-/// Reads a response until it is complete or exceeds the buffer.
+/// Reads a response into `body` until it is complete or exceeds the buffer; `content` is what no longer fits.
 async fn buffer_body(
     stream: &mut MessageStream,
     decoder: &mut BodyDecoder,
     content: &mut Vec<u8>,
+    body: &mut BodyBuffer,
+    request: &RoutedRequest<'_>,
 ) -> Result<(), BodyError> {
-    while !decoder.is_complete() && content.len() < MAX_BUFFERED_BYTES {
+    while !decoder.is_complete() {
+        // Without memory for more, the response is relayed as it arrives.
+        let held = request.body.len() + body.len();
+        if body.len() > MAX_COPIED_BYTES && !request.hold.hold(ConnectionPhase::Serving, held) {
+            break;
+        }
         stream.read_content(decoder, content).await?;
+        if body.append(content).is_err() {
+            break;
+        }
+        content.clear();
     }
     Ok(())
 }
--- a/berylstep/src/gateway/callers.rs
+++ b/berylstep/src/gateway/callers.rs
@@ -1,36 +1,37 @@
-//! Accepts callers' connections and receives their requests.
+//! Accepts callers' connections and serves their requests one after the other.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use berylstep_core::fleet::desired::CallerLimits;
-use berylstep_http::{socket, BodyDecoder, BodyError, HeadError, MessageStream, RequestMessage};
+use berylstep_core::fleet::byte_account::ConnectionPhase;
+use berylstep_http::{socket, MessageStream};
 use smol::future;
-use smol::io::AsyncWriteExt;
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
 
+use crate::gateway::holdings::{HoldGuard, Holdings};
+use crate::gateway::receive::{memory_reply, receive, ReceiveError, ReceivedMessage};
 use crate::gateway::request::{RequestHandler, RequestSource};
 use crate::gateway::response::{LocalReply, ResponseWriter};
 
-/// Timeout for receiving a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Time by which a connection outlives the configured idle timeout, because a request may already
-/// be in transit when the timeout expires.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
-
 /// Time without TCP acknowledgements after which a caller is considered gone.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Delay after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// File descriptors reserved for everything except callers' connections.
-const RESERVED_DESCRIPTORS: usize = 1200;
+/// Time for which a caller waits for a place when all are taken; callers give up a connection on which nothing
+/// is read after about as long.
+const PLACE_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Time for which the rest of a rejected request is read and dropped. A connection that is closed with unread
+/// bytes is reset, and the reply may be lost with it.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 
-const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Bytes that the system keeps unread or unsent for a caller. It would let both grow to megabytes, which count
+/// towards the memory of the VM; this is enough for 100 Mbit/s at 10 ms.
+const SOCKET_BUFFER_BYTES: usize = 128 * 1024;
 
 /// Accepts callers' connections.
 pub struct CallerListener {
@@ -38,43 +39,27 @@
     pub handler: Rc<RequestHandler>,
     /// Executor for the tasks of connections.
     pub tasks: Rc<LocalExecutor<'static>>,
-    /// File descriptors that the process may open.
-    pub descriptors: usize,
-    /// Number of open connections.
-    pub open: Rc<Cell<usize>>,
+    /// Account of what is held for callers.
+    pub holdings: Rc<Holdings>,
     /// Who connects here.
     pub source: RequestSource,
 }
 
-/// Counts an open connection until dropped.
-struct ConnectionGuard(Rc<Cell<usize>>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl CallerListener {
     /// Accepts connections until the process ends.
     pub async fn run(self, listener: TcpListener) {
-        let max_connections = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.open.get() < max_connections => {
-                    self.open.set(self.open.get() + 1);
-                    let open = ConnectionGuard(self.open.clone());
-                    let handler = self.handler.clone();
-                    let source = self.source;
-                    let serving = async move {
-                        serve_connection(&handler, stream, source).await;
-                        drop(open);
-                    };
-                    self.tasks.spawn(serving).detach();
-                }
-                Ok((_, from)) => {
-                    log::warn!("event=caller_turned_away caller={from} reason=connections");
-                }
+                Ok((stream, from)) => match self.holdings.open(from.ip(), PLACE_PATIENCE).await {
+                    Some(hold) => {
+                        let handler = self.handler.clone();
+                        let source = self.source;
+                        let serving =
+                            async move { serve_connection(&handler, stream, hold, source).await };
+                        self.tasks.spawn(serving).detach();
+                    }
+                    None => log::debug!("event=caller_turned_away caller={from}"),
+                },
                 Err(err) => {
                     log::warn!("event=accept_failed listener=callers error=\"{err}\"");
                     self.handler.clock.sleep(ACCEPT_RETRY_DELAY).await;
@@ -86,111 +71,89 @@
     }
 }
 
-/// A request with its complete body.
-struct ReceivedMessage {
-    message: RequestMessage,
-    body: Vec<u8>,
-    arrived: Duration,
-}
-
-/// Reasons for which a connection receives no further request.
-enum ReceiveError {
-    /// The connection is closed without a response.
-    Closed,
-    /// The reply is sent and the connection is closed.
+/// How the service of a connection ended.
+enum ConnectionEnd {
+    /// The caller left, or its last response was written.
+    Finished,
+    /// A request is rejected before it was read completely.
     Rejected(LocalReply),
 }
 
-impl From<HeadError> for ReceiveError {
-    fn from(err: HeadError) -> Self {
-        match err {
-            HeadError::TooLarge => Self::Rejected(LocalReply::rejected(431, "head too large")),
-            HeadError::Version => Self::Rejected(LocalReply::rejected(505, "not HTTP/1.1")),
-            HeadError::Malformed(reason) => Self::Rejected(LocalReply::rejected(400, reason)),
-            HeadError::Expectation => Self::Rejected(LocalReply::rejected(417, "expectation")),
-            HeadError::Truncated | HeadError::Io(_) => Self::Closed,
-        }
-    }
-}
-
-async fn serve_connection(handler: &RequestHandler, stream: TcpStream, source: RequestSource) {
+async fn serve_connection(
+    handler: &RequestHandler,
+    stream: TcpStream,
+    hold: HoldGuard,
+    source: RequestSource,
+) {
     if let Err(err) = socket::configure_with_timeout(&stream, DEAD_PEER_TIMEOUT) {
         log::debug!("event=caller_lost error=\"{err}\"");
         return;
     }
+    if let Err(err) = socket::bound_buffers(&stream, SOCKET_BUFFER_BYTES) {
+        log::debug!("event=buffers_not_bounded error=\"{err}\"");
+    }
+    let is_receiving = Cell::new(false);
     let mut caller = MessageStream::new(stream);
-    loop {
-        match receive(handler, &mut caller).await {
-            Ok(received) => {
-                let ReceivedMessage { message, body, arrived } = received;
-                if !handler.serve(&mut caller, &message, &body, arrived, source).await {
-                    return;
-                }
-            }
-            Err(ReceiveError::Closed) => return,
-            Err(ReceiveError::Rejected(reply)) => {
-                log::info!(
-                    "event=request_rejected status={} reason=\"{}\"",
-                    reply.status,
-                    reply.reason
-                );
-                let mut writer = ResponseWriter::new(caller.stream.clone(), "", false);
-                if let Err(err) = writer.write_reply(&reply).await {
-                    log::debug!("event=answer_not_written status={} error=\"{err}\"", reply.status);
+    let serving = async {
+        loop {
+            is_receiving.set(true);
+            let received = receive(handler, &mut caller, &hold).await;
+            is_receiving.set(false);
+            match received {
+                Ok(received) => {
+                    // Idle connections are many, so the state of a request has memory of its own.
+                    let serving = serve_request(handler, &mut caller, received, &hold, source);
+                    if !Box::pin(serving).await {
+                        return ConnectionEnd::Finished;
+                    }
                 }
-                return;
+                Err(ReceiveError::Closed) => return ConnectionEnd::Finished,
+                Err(ReceiveError::Rejected(reply)) => return ConnectionEnd::Rejected(reply),
             }
         }
+    };
+    let yielding = async {
+        hold.wait_closing().await;
+        match is_receiving.get() {
+            true => ConnectionEnd::Rejected(memory_reply()),
+            false => ConnectionEnd::Finished,
+        }
+    };
+    if let ConnectionEnd::Rejected(reply) = future::or(serving, yielding).await {
+        reject(handler, &mut caller, &reply).await;
     }
 }
 
-/// Receives the next request with its complete body.
-async fn receive(
+async fn serve_request(
     handler: &RequestHandler,
     caller: &mut MessageStream,
-) -> Result<ReceivedMessage, ReceiveError> {
-    let limits = handler.mirror.desired().map(|desired| desired.limits).unwrap_or_default();
-    if !caller.has_buffered_bytes() && !wait_for_bytes(handler, caller, &limits).await {
-        return Err(ReceiveError::Closed);
-    }
-    let arrived = handler.clock.now();
-    let reading = caller.read_head(limits.head_bytes);
-    let Some(head) = handler.clock.timeout(limits.head_timeout, reading).await else {
-        return Err(ReceiveError::Rejected(LocalReply::rejected(408, "head too slow")));
-    };
-    let bytes = head?.ok_or(ReceiveError::Closed)?;
-    let message = RequestMessage::parse(&bytes)?;
-    if message.expects_continue {
-        let mut writer = caller.stream.clone();
-        writer.write_all(CONTINUE_RESPONSE).await.map_err(|_| ReceiveError::Closed)?;
-    }
-    let decoder = BodyDecoder::request(message.framing);
-    let reading = caller.read_body(decoder, limits.body_bytes);
-    match handler.clock.timeout(BODY_TIMEOUT, reading).await {
-        Some(Ok(body)) => Ok(ReceivedMessage { message, body, arrived }),
-        Some(Err(BodyError::TooLarge(_))) => {
-            Err(ReceiveError::Rejected(LocalReply::rejected(413, "body too large")))
-        }
-        Some(Err(BodyError::Malformed)) => {
-            Err(ReceiveError::Rejected(LocalReply::rejected(400, "body is malformed")))
+    received: ReceivedMessage,
+    hold: &HoldGuard,
+    source: RequestSource,
+) -> bool {
+    let ReceivedMessage { message, body, arrived } = received;
+    if !hold.hold(ConnectionPhase::Serving, body.len()) {
+        let mut writer = ResponseWriter::new(caller.stream.clone(), &message.method, false);
+        if let Err(err) = writer.write_reply(&memory_reply()).await {
+            log::debug!("event=answer_not_written error=\"{err}\"");
         }
-        Some(Err(BodyError::Truncated | BodyError::Io(_))) => Err(ReceiveError::Closed),
-        None => Err(ReceiveError::Rejected(LocalReply::rejected(408, "body too slow"))),
+        return false;
     }
+    handler.serve(caller, &message, &body, arrived, hold, source).await
 }
 
-/// Waits for the first bytes of a request. Returns `false` if the connection must be closed.
-async fn wait_for_bytes(
-    handler: &RequestHandler,
-    caller: &mut MessageStream,
-    limits: &CallerLimits,
-) -> bool {
-    let idle = limits.idle_timeout + IDLE_MARGIN;
-    let arriving = async { matches!(caller.fill().await, Ok(true)) };
-    let closing = async {
-        let stopping = handler.stop.wait_idle_close();
-        handler.clock.timeout(idle, stopping).await;
-        false
+/// Replies to a request that was not read completely, and drops the rest of it.
+async fn reject(handler: &RequestHandler, caller: &mut MessageStream, reply: &LocalReply) {
+    log::info!("event=request_rejected status={} reason=\"{}\"", reply.status, reply.reason);
+    let mut writer = ResponseWriter::new(caller.stream.clone(), "", false);
+    let lingering = async {
+        if let Err(err) = writer.write_reply(reply).await {
+            log::debug!("event=answer_not_written status={} error=\"{err}\"", reply.status);
+            return;
+        }
+        if caller.stream.shutdown(std::net::Shutdown::Write).is_ok() {
+            caller.discard().await;
+        }
     };
-    future::or(arriving, closing).await
+    handler.clock.timeout(LINGER_TIME, lingering).await;
 }
--- a/berylstep/src/gateway/endpoints.rs
+++ b/berylstep/src/gateway/endpoints.rs
@@ -12,6 +12,7 @@
 use smol::LocalExecutor;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::connection_quota::ConnectionQuota;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::reach::ReachWatch;
@@ -67,12 +68,18 @@
 
 impl EndpointServer {
     /// Accepts connections until the process ends.
-    pub async fn listen(self: Rc<Self>, tasks: Rc<LocalExecutor<'static>>, listener: TcpListener) {
+    pub async fn listen(
+        self: Rc<Self>,
+        tasks: Rc<LocalExecutor<'static>>,
+        listener: TcpListener,
+        quota: Rc<ConnectionQuota>,
+    ) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let server = self.clone();
-                    tasks.spawn(async move { server.serve(stream).await }).detach();
+                    let serving = async move { server.serve(stream).await };
+                    tasks.spawn(quota.serve(serving)).detach();
                 }
                 Err(err) => {
                     log::warn!("event=accept_failed listener=endpoints error=\"{err}\"");
--- a/berylstep/src/gateway/handover.rs
+++ b/berylstep/src/gateway/handover.rs
@@ -72,7 +72,7 @@
     pub(super) async fn hand_over(
         &self,
         request: &RoutedRequest<'_>,
-        writer: &mut ResponseWriter,
+        writer: &mut ResponseWriter<'_>,
         trace: &RequestTrace,
     ) -> Option<ResponseDelivery> {
         if request.is_handed_over || !self.reach.is_cut_off(&request.service) {
@@ -120,7 +120,7 @@
 
     async fn reply_lost(
         &self,
-        writer: &mut ResponseWriter,
+        writer: &mut ResponseWriter<'_>,
         trace: &RequestTrace,
         reply: LocalReply,
     ) -> ResponseDelivery {
@@ -155,12 +155,11 @@
             return OfferOutcome::NotSent;
         };
         let mut stream = upstream.stream;
-        let bytes = self.encode_handover(request);
+        let head = self.encode_handover(request);
         let time_left = request.deadline.saturating_sub(self.clock.now()) + ANSWER_SLACK;
         let exchanging = async {
-            if stream.stream.write_all(&bytes).await.is_err() {
-                return None;
-            }
+            stream.stream.write_all(&head).await.ok()?;
+            stream.stream.write_all(request.body).await.ok()?;
             let bytes = stream.read_head(MAX_HEAD_BYTES).await.ok().flatten()?;
             ResponseMessage::parse(&bytes).ok()
         };
@@ -181,7 +180,7 @@
 
     fn encode_handover(&self, request: &RoutedRequest<'_>) -> Vec<u8> {
         let message = request.message;
-        let mut bytes = Vec::with_capacity(1024 + request.body.len());
+        let mut bytes = Vec::with_capacity(1024);
         let line = format!("{} {} HTTP/1.1\r\n", message.method, message.target);
         bytes.extend_from_slice(line.as_bytes());
         let time_left = request.deadline.saturating_sub(self.clock.now());
@@ -191,7 +190,6 @@
             write_header("Content-Length", length.as_bytes(), &mut bytes);
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(request.body);
         bytes
     }
 
@@ -200,7 +198,7 @@
         &self,
         request: &RoutedRequest<'_>,
         mut response: PeerResponse,
-        writer: &mut ResponseWriter,
+        writer: &mut ResponseWriter<'_>,
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         let is_chunked = response.head.framing == BodyFraming::Chunked;
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -7,7 +7,7 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::budget::SharedBudget;
-use berylstep_core::fleet::desired::{DesiredState, RouteEntry, RouteKind};
+use berylstep_core::fleet::desired::{DesiredState, OrganisationEntry, RouteEntry, RouteKind};
 use berylstep_core::fleet::engine::EngineSpeed;
 use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::quarantine::{EvidenceKey, QuarantineVerdict};
@@ -19,6 +19,7 @@
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::handover::PausedPeers;
+use crate::gateway::holdings::HoldGuard;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::origins::OriginDesk;
@@ -38,8 +39,8 @@
 use crate::gateway::usage::UsageLedger;
 use crate::platform::headers::CallerHeaders;
 
-/// Bytes of pipelined requests that are buffered while a request is served.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Bytes of pipelined requests that are buffered while a request is served; about one read.
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
 
 /// Mean `Retry-After` of a refused request, about the time until a replica has room again. Jitter
 /// keeps callers from retrying at the same time.
@@ -100,12 +101,29 @@
     pub budgets: RefCell<HashMap<SharedName, SharedBudget>>,
 }
 
+/// A request whose head names a route that its caller may use.
+pub(super) struct AuthorisedRequest {
+    desired: Arc<DesiredState>,
+    route: Arc<RouteEntry>,
+    headers: CallerHeaders,
+    holder: Option<OrganisationEntry>,
+}
+
+impl AuthorisedRequest {
+    /// Returns the organisation of the caller's key.
+    pub(super) fn organisation(self) -> Option<SharedName> {
+        self.holder.map(|holder| holder.name)
+    }
+}
+
 /// A request whose route and organisation are known.
 pub struct RoutedRequest<'a> {
     /// Request head as received.
     pub message: &'a RequestMessage,
     /// Complete request body.
     pub body: &'a [u8],
+    /// What is held for its connection.
+    pub hold: &'a HoldGuard,
     /// Caller's headers that the gateway interprets.
     pub headers: CallerHeaders,
     /// Route that matches the host and the path.
@@ -182,14 +200,16 @@
         message: &RequestMessage,
         body: &[u8],
         arrived: Duration,
+        hold: &HoldGuard,
         source: RequestSource,
     ) -> bool {
         let _open = self.stop.open_request();
         let keep_alive = message.keep_alive && !self.stop.is_stopping();
-        let mut writer = ResponseWriter::new(caller.stream.clone(), &message.method, keep_alive);
+        let mut writer = ResponseWriter::new(caller.stream.clone(), &message.method, keep_alive)
+            .holding(hold, body.len());
         let trace = RequestTrace::new(arrived);
         let serving = async {
-            let mut request = match self.resolve(message, body, arrived) {
+            let mut request = match self.resolve(message, body, arrived, hold) {
                 Ok(request) => request,
                 Err(reply) => {
                     trace.record_outcome(RequestOutcome::Rejected(reply.reason));
@@ -224,13 +244,11 @@
         delivery == ResponseDelivery::Complete && keep_alive
     }
 
-    /// Resolves the route, the service and the organisation of a request.
-    fn resolve<'a>(
+    /// Finds the route of a request and the organisation of its key, which its head tells.
+    pub(super) fn authorise(
         &self,
-        message: &'a RequestMessage,
-        body: &'a [u8],
-        arrived: Duration,
-    ) -> Result<RoutedRequest<'a>, LocalReply> {
+        message: &RequestMessage,
+    ) -> Result<AuthorisedRequest, LocalReply> {
         let Some(desired) = self.mirror.desired().filter(|_| self.mirror.is_complete()) else {
             return Err(LocalReply::refused("not ready", self.retry_after()));
         };
@@ -239,10 +257,22 @@
             return Err(LocalReply::rejected(404, "no such route"));
         };
         let headers = CallerHeaders::read(&message.headers);
-        let holder = headers.key.as_deref().and_then(|key| desired.organisation(key));
+        let holder = headers.key.as_deref().and_then(|key| desired.organisation(key)).cloned();
         if desired.requires_keys && !route.public && holder.is_none() {
             return Err(LocalReply::rejected(401, "unknown key"));
         }
+        Ok(AuthorisedRequest { desired, route, headers, holder })
+    }
+
+    /// Resolves the route, the service and the organisation of a request.
+    fn resolve<'a>(
+        &self,
+        message: &'a RequestMessage,
+        body: &'a [u8],
+        arrived: Duration,
+        hold: &'a HoldGuard,
+    ) -> Result<RoutedRequest<'a>, LocalReply> {
+        let AuthorisedRequest { desired, route, headers, holder } = self.authorise(message)?;
         let Some(service) = route.service(fastrand::f64()).cloned() else {
             return Err(LocalReply::refused("route has no service", self.retry_after()));
         };
@@ -254,8 +284,9 @@
         Ok(RoutedRequest {
             message,
             body,
-            organisation: holder.map(|organisation| organisation.name.clone()),
-            priority: route.rank(holder.and_then(|holder| holder.priority)),
+            hold,
+            priority: route.rank(holder.as_ref().and_then(|holder| holder.priority)),
+            organisation: holder.map(|organisation| organisation.name),
             evidence,
             is_handed_over: false,
             pin: VersionPin::Any,
@@ -282,7 +313,7 @@
     async fn forward(
         &self,
         request: &RoutedRequest<'_>,
-        writer: &mut ResponseWriter,
+        writer: &mut ResponseWriter<'_>,
         trace: &RequestTrace,
     ) -> ResponseDelivery {
         let verdict = self.check_request(request);
@@ -404,7 +435,7 @@
 
     pub(super) async fn send_reply(
         &self,
-        writer: &mut ResponseWriter,
+        writer: &mut ResponseWriter<'_>,
         reply: &LocalReply,
     ) -> ResponseDelivery {
         match writer.write_reply(reply).await {
@@ -422,16 +453,16 @@
         request: &RoutedRequest<'_>,
         response: StartedResponse,
         history: &mut AttemptHistory,
-        writer: &mut ResponseWriter,
+        writer: &mut ResponseWriter<'_>,
         trace: &RequestTrace,
     ) -> ResponseDelivery {
-        if response.is_buffered() {
+        if let Some(body) = &response.body {
             // A failing replica may not have run the request.
             if response.head.status < 500 {
                 self.crashes.record_started(&request.evidence);
             }
             trace.record_outcome(RequestOutcome::Answered(response.head.status));
-            let written = writer.write_whole(&response.head, &response.content).await;
+            let written = writer.write_whole(&response.head, body).await;
             response.release_connection(&self.upstreams);
             return if written.is_ok() {
                 ResponseDelivery::Complete
--- a/berylstep/src/gateway/response.rs
+++ b/berylstep/src/gateway/response.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use berylstep_http::ResponseMessage;
+use smol::future;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
+use crate::gateway::holdings::HoldGuard;
 use crate::platform::headers::write_header;
 
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
@@ -55,17 +57,24 @@
 
 /// Writes the response to one request.
 #[derive(Debug)]
-pub struct ResponseWriter {
+pub struct ResponseWriter<'a> {
     stream: TcpStream,
     method: String,
     keep_alive: bool,
     started: bool,
+    /// What is held for the connection, with the bytes of its request.
+    hold: Option<(&'a HoldGuard, usize)>,
 }
 
-impl ResponseWriter {
+impl<'a> ResponseWriter<'a> {
     /// Creates a writer for the response to a request with `method`.
     pub fn new(stream: TcpStream, method: &str, keep_alive: bool) -> Self {
-        Self { stream, method: method.to_owned(), keep_alive, started: false }
+        Self { stream, method: method.to_owned(), keep_alive, started: false, hold: None }
+    }
+
+    /// Counts what waits to be read by the caller towards `hold`, beside a request of `request_bytes`.
+    pub fn holding(self, hold: &'a HoldGuard, request_bytes: usize) -> Self {
+        Self { hold: Some((hold, request_bytes)), ..self }
     }
 
     /// Returns whether part of the response was written.
@@ -115,8 +124,12 @@
             _ => Some(body.len()),
         };
         self.end_head(length, &mut bytes);
-        bytes.extend_from_slice(body);
-        self.write(&bytes).await
+        if body.len() <= MAX_COPIED_BYTES {
+            bytes.extend_from_slice(body);
+            return self.write(&bytes).await;
+        }
+        self.write(&bytes).await?;
+        self.write(body).await
     }
 
     /// Writes the head and the first content of a replica's stream.
@@ -203,7 +216,27 @@
 
     async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.started = true;
-        self.stream.write_all(bytes).await
+        let Some((hold, request_bytes)) = self.hold else {
+            return self.stream.write_all(bytes).await;
+        };
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            // A caller that has read a part counts as reading; one that doesn't may have to give way.
+            let count = match future::poll_once(self.stream.write(rest)).await {
+                Some(written) => written?,
+                None => {
+                    hold.set_writing(request_bytes + rest.len());
+                    let written = self.stream.write(rest).await?;
+                    hold.set_serving(request_bytes);
+                    written
+                }
+            };
+            if count == 0 {
+                return Err(std::io::ErrorKind::WriteZero.into());
+            }
+            rest = &rest[count..];
+        }
+        Ok(())
     }
 }
 
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -7,12 +7,19 @@
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::budget::BudgetBounds;
+use berylstep_core::fleet::byte_account::AccountBounds;
 use displaydoc::Display;
 use serde::Deserialize;
 
 use crate::gateway::peers::KnownNode;
 use crate::platform::CONTENTION_RULES;
 
+/// Most file descriptors that are reserved for everything except callers' connections.
+const MAX_RESERVED_DESCRIPTORS: usize = 1200;
+
+/// Smallest memory of a VM; the process itself takes about a third of it.
+const MIN_MEMORY_MB: usize = 32;
+
 /// Errors that reject a settings file.
 #[derive(Debug, Display)]
 pub enum SettingsError {
@@ -72,6 +79,9 @@
     /// Names of the groups of rules that are in force; see [`GatewaySettings::is_contended`].
     #[serde(default)]
     pub rule_groups: Vec<SharedName>,
+    /// Memory of the VM, in megabytes.
+    #[serde(default = "default_memory")]
+    pub memory_mb: usize,
     /// Share of a CPU core that the node may use.
     #[serde(default = "default_core_share")]
     pub core_share: f64,
@@ -169,6 +179,11 @@
     1.0
 }
 
+/// Default memory of a VM, in megabytes; the smallest one that gateways are deployed on has 120.
+fn default_memory() -> usize {
+    120
+}
+
 /// Default drain time, in milliseconds.
 fn default_drain() -> u64 {
     2000
@@ -258,6 +273,7 @@
             (!self.zone.is_empty(), "zone must not be empty"),
             (self.peer_ports.0 > 0, "peer_ports must be above 0"),
             (self.file_descriptors > 0, "file_descriptors must be above 0"),
+            (self.memory_mb >= MIN_MEMORY_MB, "memory_mb must be 32 or above"),
             (positive(self.core_share), "core_share must be above 0"),
             (positive(self.stop_grace_s), "stop_grace_s must be above 0"),
             (self.retry_ratio >= 0.0, "retry_ratio must be 0 or above"),
@@ -301,6 +317,22 @@
         fixed(self) == fixed(initial)
     }
 
+    /// Returns the bounds on what is held for clients: part of the memory, and descriptors beside those that are
+    /// reserved for replicas, peers, the store and queries.
+    pub fn account_bounds(&self) -> AccountBounds {
+        let reserved = MAX_RESERVED_DESCRIPTORS.min(self.file_descriptors / 3 * 2);
+        AccountBounds {
+            bytes: (self.memory_mb << 20) / 5 * 2,
+            connections: (self.file_descriptors - reserved).max(1),
+            descriptors: (self.file_descriptors - reserved / 2).max(2),
+        }
+    }
+
+    /// Returns the number of connections that each listener for queries keeps open.
+    pub fn max_query_connections(&self) -> usize {
+        (self.file_descriptors / 32).clamp(16, 128)
+    }
+
     /// Returns whether the deployment says that callers compete for too little room at times.
     pub fn is_contended(&self) -> bool {
         self.rule_groups.iter().any(|group| **group == *CONTENTION_RULES)
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -19,6 +19,7 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::connection_quota::ConnectionQuota;
 use crate::gateway::mirror::{ReplicaChanges, StateSource, StoreMirror, StoredCopy};
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
@@ -36,6 +37,9 @@
 /// Timeout of a state query, for both the querying and the answering node.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Largest query; it holds a few numbers. Answers are larger and have no such bound.
+const MAX_QUERY_BYTES: usize = 4 * 1024;
+
 /// Delay before accepting again after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -139,13 +143,18 @@
     }
 
     /// Answers queries from peers, for as long as the node runs.
-    pub async fn listen(self: Rc<Self>, tasks: Rc<LocalExecutor<'static>>, listener: TcpListener) {
+    pub async fn listen(
+        self: Rc<Self>,
+        tasks: Rc<LocalExecutor<'static>>,
+        listener: TcpListener,
+        quota: Rc<ConnectionQuota>,
+    ) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let transfer = self.clone();
                     let answering = async move { transfer.answer_query_in_time(stream).await };
-                    tasks.spawn(answering).detach();
+                    tasks.spawn(quota.serve(answering)).detach();
                 }
                 Err(err) => {
                     log::warn!("event=accept_failed listener=peers error=\"{err}\"");
@@ -169,7 +178,8 @@
         &self,
         stream: TcpStream,
     ) -> Result<(), berylstep_wire::codec::CodecError> {
-        let mut framed = Framed::new(stream.compat(), FrameCodec::default());
+        let codec = FrameCodec::with_max_bytes(MAX_QUERY_BYTES);
+        let mut framed = Framed::new(stream.compat(), codec);
         let Some(frame) = framed.next().await.transpose()? else { return Ok(()) };
         let Some(Body::FleetQuery(query)) = frame.body else {
             log::warn!("event=handon_answer_failed error=\"unexpected message, not a query\"");
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -110,7 +110,7 @@
         request: &RoutedRequest<'_>,
         response: StartedResponse,
         history: &mut AttemptHistory,
-        writer: &mut ResponseWriter,
+        writer: &mut ResponseWriter<'_>,
         trace: &RequestTrace,
     ) -> RequestOutcome {
         let relay = StreamRelay {
@@ -140,7 +140,7 @@
 }
 
 impl StreamRelay<'_> {
-    async fn run(mut self, writer: &mut ResponseWriter) -> RequestOutcome {
+    async fn run(mut self, writer: &mut ResponseWriter<'_>) -> RequestOutcome {
         let status = self.response.head.status;
         let mut content = std::mem::take(&mut self.response.content);
         loop {
--- a/berylstep_http/src/message.rs
+++ b/berylstep_http/src/message.rs
@@ -232,17 +232,9 @@
     pub async fn read_head(&mut self, max_bytes: usize) -> Result<Option<Vec<u8>>, HeadError> {
         let mut searched = 0;
         loop {
-            if let Some(end) = find_head_end(&self.buffer, searched) {
-                if end > max_bytes {
-                    return Err(HeadError::TooLarge);
-                }
-                let rest = self.buffer.split_off(end);
-                return Ok(Some(std::mem::replace(&mut self.buffer, rest)));
+            if let Some(head) = self.take_head(max_bytes, &mut searched)? {
+                return Ok(Some(head));
             }
-            if self.buffer.len() > max_bytes {
-                return Err(HeadError::TooLarge);
-            }
-            searched = self.buffer.len().saturating_sub(HEAD_END.len() - 1);
             if !self.fill().await? {
                 return match self.buffer.is_empty() {
                     true => Ok(None),
@@ -252,6 +244,35 @@
         }
     }
 
+    /// Takes a head of at most `max_bytes` bytes out of the buffer, if it is complete. `searched` is 0 at the
+    /// first call for a head, and belongs to this method afterwards.
+    pub fn take_head(
+        &mut self,
+        max_bytes: usize,
+        searched: &mut usize,
+    ) -> Result<Option<Vec<u8>>, HeadError> {
+        if let Some(end) = find_head_end(&self.buffer, *searched) {
+            if end > max_bytes {
+                return Err(HeadError::TooLarge);
+            }
+            let rest = self.buffer.split_off(end);
+            return Ok(Some(std::mem::replace(&mut self.buffer, rest)));
+        }
+        if self.buffer.len() > max_bytes {
+            return Err(HeadError::TooLarge);
+        }
+        *searched = self.buffer.len().saturating_sub(HEAD_END.len() - 1);
+        Ok(None)
+    }
+
+    /// Reads and drops what the peer sends until it closes the connection.
+    pub async fn discard(&mut self) {
+        self.buffer = Vec::new();
+        while let Ok(true) = self.fill().await {
+            self.buffer.clear();
+        }
+    }
+
     /// Appends the next content of a body to `content`.
     ///
     /// Returns once content was appended or the body is complete.
--- a/berylstep_http/src/socket.rs
+++ b/berylstep_http/src/socket.rs
@@ -44,6 +44,15 @@
     socket.set_tcp_user_timeout(Some(timeout))
 }
 
+/// Bounds the bytes that the system keeps unread and unsent for a connection.
+///
+/// Fails if the system rejects an option.
+pub fn bound_buffers(stream: &TcpStream, bytes: usize) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes)
+}
+
 /// Makes the connection fail if bytes stay unacknowledged for `timeout`, and discards unsent bytes
 /// when the stream is dropped.
 pub fn set_delivery_timeout(stream: &TcpStream, timeout: Duration) -> std::io::Result<()> {
--- a/berylstep_wire/src/codec.rs
+++ b/berylstep_wire/src/codec.rs
@@ -30,13 +30,22 @@
 /// Codec for [`Frame`]s, each a 4-byte big-endian length and the encoded message.
 #[derive(Debug)]
 pub struct FrameCodec {
-    framing: LengthDelimitedCodec,
+    received: LengthDelimitedCodec,
+    sent: LengthDelimitedCodec,
 }
 
 impl Default for FrameCodec {
     fn default() -> Self {
-        let framing = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        Self { framing }
+        Self::with_max_bytes(MAX_FRAME_BYTES)
+    }
+}
+
+impl FrameCodec {
+    /// Creates a codec that accepts frames of at most `max_bytes` bytes, and sends those of
+    /// [`MAX_FRAME_BYTES`]. A longer frame fails before memory is reserved for it.
+    pub fn with_max_bytes(max_bytes: usize) -> Self {
+        let framing = |max| LengthDelimitedCodec::builder().max_frame_length(max).new_codec();
+        Self { received: framing(max_bytes), sent: framing(MAX_FRAME_BYTES) }
     }
 }
 
@@ -45,7 +54,7 @@
     type Error = CodecError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, CodecError> {
-        match self.framing.decode(src)? {
+        match self.received.decode(src)? {
             Some(payload) => Frame::decode(payload).map(Some).map_err(CodecError::Decode),
             None => Ok(None),
         }
@@ -57,6 +66,6 @@
 
     fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), CodecError> {
         let payload = Bytes::from(frame.encode_to_vec());
-        Ok(self.framing.encode(payload, dst)?)
+        Ok(self.sent.encode(payload, dst)?)
     }
 }
