Bound requests to cold replicas, and leave out evacuated zones

Cause: a replica that has just started crashes if all nodes send it more than a few requests a second, and the operator could not take a zone out of use.

Ruled out: shares per node, which a node that starts or is cut off gets wrong; a limit notice for coldness, since a response without Server-Limit would end it.

Change: ColdStartS and ColdPerS of a service, ColdRemainingMs of an entry. A node that is cut off from store and fleet, or was paused, treats all replicas of such a service as cold. Rows evacuate/ZONE are followed like the desired state and passed on in pulses and FleetCopy; their replicas are neither available nor ready.

Services without ColdPerS are served as before.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -6,9 +6,12 @@
 pub mod attempt;
 pub mod brittle;
 pub mod callers;
+pub mod cold;
+pub mod cold_metrics;
 pub mod demand;
 pub mod duties;
 pub mod endpoints;
+pub mod evacuation;
 pub mod feeds;
 pub mod handover;
 pub mod limits;
@@ -59,6 +62,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::callers::CallerListener;
+use crate::gateway::cold::{ColdContext, ColdWatch};
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::duties::{DutyContext, DutyKeeper};
 use crate::gateway::endpoints::EndpointServer;
@@ -200,6 +204,7 @@
     stop: Rc<GracefulStop>,
     mirror: Rc<StoreMirror>,
     limits: Rc<LimitWatch>,
+    cold: Rc<ColdWatch>,
     pace: Rc<PaceWatch>,
     brittle: Rc<BrittleWatch>,
     runs: Rc<RunWatch>,
@@ -239,6 +244,16 @@
         let heartbeat_interval = Duration::from_millis(settings.replica_heartbeat_ms);
         let mirror = Rc::new(StoreMirror::new(clock.clone(), heartbeat_interval));
         let limits = Rc::new(LimitWatch::new(clock.clone(), mirror.clone()));
+        let metrics = Rc::new(GatewayMetrics::default());
+        let cold = Rc::new(ColdWatch::new(ColdContext {
+            clock: clock.clone(),
+            node: run.node.clone(),
+            mirror: mirror.clone(),
+            peers: peers.clone(),
+            bounds: settings.cold_bounds(),
+            seeds: settings.seed_peers().len(),
+            metrics: metrics.clone(),
+        }));
         let turns = TurnDesk::new(TurnContext {
             clock: clock.clone(),
             node: run.node.clone(),
@@ -246,6 +261,7 @@
             mirror: mirror.clone(),
             peers: peers.clone(),
             limits: limits.clone(),
+            cold: cold.clone(),
             socket: socket.clone(),
         });
         let runs = Rc::new(RunWatch::new(clock.clone()));
@@ -281,6 +297,7 @@
             pace: Rc::new(PaceWatch::new(clock.clone(), mirror.clone(), is_contended)),
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
             limits,
+            cold,
             brittle,
             runs,
             slots: Rc::new(slots),
@@ -290,7 +307,7 @@
             crashes: Rc::new(CrashWatch::new(clock.clone(), mirror.clone())),
             mirror,
             peers,
-            metrics: Rc::default(),
+            metrics,
             live: Rc::new(LiveSettings::new(&settings)),
             levels: Rc::new(ServiceLevels::new(clock.clone())),
             usage: Rc::new(UsageLedger::new(clock.clone(), run, window)),
@@ -335,6 +352,7 @@
             mirror: self.mirror.clone(),
             crashes: self.crashes.clone(),
             limits: self.limits.clone(),
+            cold: self.cold.clone(),
             turns: self.turns.clone(),
             brittle: self.brittle.clone(),
             slots: self.slots.clone(),
@@ -390,6 +408,7 @@
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
             limits: self.limits.clone(),
+            cold: self.cold.clone(),
             pace: self.pace.clone(),
             brittle: self.brittle.clone(),
             runs: self.runs.clone(),
@@ -496,6 +515,7 @@
         handler.brittle.expire();
         handler.slots.expire();
         handler.origins.expire();
+        handler.cold.report();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.crashes.expire();
         handler.metrics.quarantined_prompts.set(handler.crashes.quarantined_groups());
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -52,6 +52,8 @@
     pub cache_source: Option<SocketAddr>,
     /// Slot that was claimed there, if it needs one.
     pub run: Option<Rc<RunGuard>>,
+    /// Time at which its turn was asked for, if it needed one.
+    pub turn_at: Option<Duration>,
 }
 
 impl ReplicaTarget {
@@ -64,6 +66,7 @@
             process: process_of(row),
             cache_source,
             run: None,
+            turn_at: None,
         }
     }
 
@@ -238,6 +241,10 @@
                 return AttemptOutcome::NotSent("cannot connect");
             }
         };
+        if let Err(reason) = self.check_cold_target(request, target) {
+            load.finish();
+            return AttemptOutcome::NotSent(reason);
+        }
         if self.limits.rate(&target.id).is_some() {
             self.metrics.record_limited_attempt(&request.service);
         }
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -8,7 +8,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::mirror::{StateSource, StoreMirror, StoredCopy};
 use crate::gateway::peers::PeerTable;
-use crate::platform::desired::{DESIRED_KEY, OPERATOR_TABLE};
+use crate::platform::desired::{evacuated_zone, DESIRED_KEY, OPERATOR_TABLE};
 use crate::platform::entries::REPLICA_TABLE;
 use crate::platform::store::{FeedResult, RowSnapshot, StoreRow};
 use crate::platform::{CallError, PlatformClient};
@@ -250,7 +250,13 @@
 
     fn apply_snapshot(&self, snapshot: RowSnapshot) {
         match self.table {
-            FollowedTable::Desired => snapshot.rows.into_iter().for_each(|row| self.apply_row(row)),
+            FollowedTable::Desired => {
+                let position = StorePosition::new(snapshot.era, snapshot.revision);
+                let listed = snapshot.rows.iter().filter(|row| row.value.is_some());
+                let zones = listed.filter_map(|row| Some(evacuated_zone(&row.key)?.into()));
+                self.mirror.replace_evacuated(zones.collect(), position, StateSource::Store);
+                snapshot.rows.into_iter().for_each(|row| self.apply_row(row));
+            }
             FollowedTable::Replicas => {
                 let entries = snapshot.rows.into_iter().filter_map(|row| {
                     let copy = StoredCopy { revision: row.revision, value: row.value? };
@@ -267,7 +273,12 @@
             (FollowedTable::Desired, Some(value)) if row.key == DESIRED_KEY => {
                 self.mirror.apply_desired(value, StateSource::Store);
             }
-            (FollowedTable::Desired, _) => {}
+            (FollowedTable::Desired, value) => {
+                if let Some(zone) = evacuated_zone(&row.key) {
+                    let position = StorePosition::new(self.mirror.era(), row.revision);
+                    self.mirror.change_evacuated(zone, value.is_some(), position);
+                }
+            }
             (FollowedTable::Replicas, value) => {
                 self.mirror.apply_replica_change(&row.key, row.revision, value);
             }
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -8,6 +8,7 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::desired::DesiredState;
+use berylstep_core::fleet::evacuation::EvacuationRecord;
 use berylstep_core::fleet::position::StorePosition;
 use berylstep_core::fleet::replica::{LeavingMark, ReplicaEntry, ReplicaState, ReplicaTable};
 use berylstep_wire::{LeavingReplica, ReplicaCopy, ReplicaRemoval};
@@ -15,7 +16,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::platform::desired::decode_desired;
-use crate::platform::entries::decode_entry;
+use crate::platform::entries::{decode_cold_entry, decode_entry};
 
 /// Time after a store failure for which a missing entry may return: the bound that the platform
 /// guarantees, plus the propagation delay.
@@ -122,6 +123,10 @@
     /// Time for which they are withheld. The store removes an entry whose replica sends no heartbeats,
     /// so those that remain belong to live replicas.
     withholding_time: Duration,
+    /// Evacuated zones; [`crate::gateway::evacuation`] changes them.
+    pub(super) evacuation: RefCell<EvacuationRecord>,
+    /// Whether a zone was evacuated while this node ran, of which others may have to be told.
+    pub(super) has_seen_evacuation: Cell<bool>,
     has_replicas: Cell<bool>,
     store_failed_at: Cell<Option<Duration>>,
     store_responded_at: Cell<Option<Duration>>,
@@ -151,6 +156,8 @@
             withheld: RefCell::default(),
             withheld_until: Cell::default(),
             withholding_time: heartbeat_interval * MISSED_HEARTBEATS + STORE_FAILURE_TIMEOUT,
+            evacuation: RefCell::default(),
+            has_seen_evacuation: Cell::new(false),
             has_replicas: Cell::new(false),
             store_failed_at: Cell::new(None),
             store_responded_at: Cell::new(None),
@@ -160,6 +167,10 @@
         }
     }
 
+    pub(super) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
     /// Returns the desired state in force; `None` before the first.
     pub fn desired(&self) -> Option<Arc<DesiredState>> {
         self.desired.borrow().clone()
@@ -454,21 +465,30 @@
     }
 
     fn put_replica(&self, id: &str, revision: u64, value: Vec<u8>) {
-        let decoded = decode_entry(id, &value);
+        let decoded = decode_cold_entry(id, &value);
         self.removed.borrow_mut().remove(id);
         self.copies.borrow_mut().insert(id.into(), StoredCopy { revision, value });
         match decoded {
-            Ok(entry) => {
+            Ok((entry, cold_remaining)) => {
                 let (state, service, zone) =
                     (entry.state, entry.service.clone(), entry.zone.clone());
                 let (spot, version) = (entry.spot, entry.version.clone());
                 let now = self.clock.now();
-                if self.replicas.borrow_mut().put(entry, revision, now) {
+                let mut replicas = self.replicas.borrow_mut();
+                let changed = replicas.put(entry, revision, now);
+                replicas.apply_cold_time(id, cold_remaining, revision, now);
+                if changed {
                     log::info!(
                         "event=replica_updated replica={id} state={state:?} service={service} \
                          zone={zone} version={version} spot={spot} revision={revision}"
                     );
                 }
+                if let Some(remaining) = cold_remaining.filter(|remaining| !remaining.is_zero()) {
+                    log::info!(
+                        "event=replica_cold replica={id} remaining_ms={} revision={revision}",
+                        remaining.as_millis()
+                    );
+                }
             }
             Err(err) => {
                 log::warn!(
--- a/berylstep/src/gateway/orders.rs
+++ b/berylstep/src/gateway/orders.rs
@@ -226,7 +226,9 @@
             let rows = replicas.ready(&service.name);
             rows.filter(|row| row.entry.zone == *zone && row.entry.spot == spot).count() as u32
         };
-        let present = zones.iter().map(|zone| ZoneReplicas {
+        // The zones that remain make up for one that is evacuated, in which nothing is ordered or released.
+        let zones = zones.iter().filter(|zone| !replicas.evacuated().contains(zone));
+        let present = zones.map(|zone| ZoneReplicas {
             zone: zone.clone(),
             dependable: count(zone, false),
             spot: count(zone, true),
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -464,13 +464,23 @@
             retained
         });
         self.gossip.borrow_mut().retain(|_, (_, at)| now.saturating_sub(*at) < FORGET_TIMEOUT);
+        self.peak.set(self.peak.get().max(self.heard_nodes(now)));
+    }
+
+    /// Returns the number of nodes that this node hears from, directly or in summaries, including this one.
+    pub fn heard_nodes(&self, now: Duration) -> usize {
         let mut summed = 0;
         self.for_summaries(now, |summary| summed += summary.nodes as usize);
         let direct = match self.is_representative(now) {
             true => self.counted(&self.rows.borrow(), now).count() + 1,
             false => 0,
         };
-        self.peak.set(self.peak.get().max(direct + summed));
+        direct + summed
+    }
+
+    /// Returns whether a node that this one hears from follows the store.
+    pub fn hears_store_follower(&self, now: Duration) -> bool {
+        live(&self.rows.borrow(), now).any(|row| row.pulse.follows_store)
     }
 
     /// Returns the sums of this node and all others, as sent to followers; `own` is this node's
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -12,8 +12,8 @@
 use berylstep_core::fleet::window::{NodeRun, WindowCounts};
 use berylstep_core::rendezvous;
 use berylstep_wire::{
-    FleetPulse, OriginQuery, ReplicaDelta, ReplicaWork, RunReport, RunRequest, RunUsage,
-    TurnRequest, WindowUsage,
+    ColdCandidate, FleetPulse, OriginQuery, ReplicaDelta, ReplicaWork, RunReport, RunRequest,
+    RunUsage, TurnRequest, WindowUsage,
 };
 use prost::Message;
 use smol::future;
@@ -21,6 +21,7 @@
 
 use crate::clock::RuntimeClock;
 use crate::gateway::brittle::BrittleWatch;
+use crate::gateway::cold::ColdWatch;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
@@ -74,7 +75,7 @@
     /// The state of this node, because the sender has just started.
     State,
     /// The decision on its request for a turn.
-    Turn(TurnRequest),
+    Turn(TurnRequest, Vec<ColdCandidate>),
     /// The origin of a stream.
     Origin(OriginQuery),
     /// The decision on its request for a slot.
@@ -99,6 +100,8 @@
     pub limits: Rc<LimitWatch>,
     /// Turns at replicas that have named a limit.
     pub turns: Rc<TurnDesk>,
+    /// Cold replicas.
+    pub cold: Rc<ColdWatch>,
     /// Replicas that are brittle.
     pub brittle: Rc<BrittleWatch>,
     /// Slots of brittle replicas.
@@ -146,6 +149,7 @@
         let now = self.clock.now();
         self.usage.observe_own_clock();
         self.peers.expire(now);
+        self.cold.record_tick();
         self.mirror.expire();
         self.update_peer_loads(now);
         self.slots.update().await;
@@ -231,7 +235,9 @@
             match self.socket.recv_from(&mut buffer).await {
                 Ok((count, from)) => match self.receive_datagram(&buffer[..count], from) {
                     Some(PulseReply::State) => self.answer_new_peer(from).await,
-                    Some(PulseReply::Turn(request)) => self.turns.answer(&request, from).await,
+                    Some(PulseReply::Turn(request, cold)) => {
+                        self.turns.answer(&request, &cold, from).await;
+                    }
                     Some(PulseReply::Origin(query)) => self.origins.answer(&query, from).await,
                     Some(PulseReply::Slot(holder, request)) => {
                         self.slots.answer(holder, &request, from).await;
@@ -286,7 +292,7 @@
             self.turns.receive(reply);
         }
         if let Some(request) = pulse.turn_request {
-            return Some(PulseReply::Turn(request));
+            return Some(PulseReply::Turn(request, pulse.cold_candidates));
         }
         let sender = || NodeRun { node: (&*pulse.node).into(), incarnation: pulse.incarnation };
         if let Some(reply) = &pulse.run_reply {
@@ -326,6 +332,7 @@
             self.mirror.apply_leaving_notice(notice);
         }
         self.crashes.apply(&pulse.suspicions, &pulse.clearances);
+        self.mirror.apply_evacuation(pulse.evacuation.as_ref());
         let delta = pulse.replica_delta.as_ref();
         if let Some(delta) = delta.filter(|_| pulse.store_era == self.mirror.era()) {
             self.apply_delta(delta, pulse.replica_revision);
@@ -429,6 +436,8 @@
             origin_reply: None,
             unreachable_services: self.reach.unreachable(),
             follows_store: self.mirror.is_following_store(),
+            cold_candidates: Vec::new(),
+            evacuation: self.mirror.evacuation_message(),
         }
     }
 
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -17,6 +17,7 @@
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::{AttemptOutcome, StartedResponse};
 use crate::gateway::brittle::BrittleWatch;
+use crate::gateway::cold::ColdWatch;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::handover::PausedPeers;
 use crate::gateway::limits::LimitWatch;
@@ -62,6 +63,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Limits that replicas name.
     pub limits: Rc<LimitWatch>,
+    /// Cold replicas.
+    pub cold: Rc<ColdWatch>,
     /// Paces of replicas.
     pub pace: Rc<PaceWatch>,
     /// Replicas that are brittle.
--- a/berylstep/src/gateway/selection.rs
+++ b/berylstep/src/gateway/selection.rs
@@ -42,7 +42,9 @@
         request: &RoutedRequest<'_>,
         history: &AttemptHistory,
     ) -> bool {
-        self.has_untried_replica(request, history, |row| self.limits.rate(&row.entry.id).is_none())
+        self.has_untried_replica(request, history, |row| {
+            self.limits.rate(&row.entry.id).is_none() && self.cold.turn_rate(row).is_none()
+        })
     }
 
     fn has_untried_replica(
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -7,6 +7,7 @@
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::budget::BudgetBounds;
+use berylstep_core::fleet::cold::ColdBounds;
 use displaydoc::Display;
 use serde::Deserialize;
 
@@ -98,6 +99,12 @@
     /// Whether the platform rejects duty calls with an older fencing token than it has seen.
     #[serde(default = "default_fencing")]
     pub receiver_checks_fencing: bool,
+    /// Factor on the requests per second that a cold replica tolerates, across all nodes.
+    #[serde(default = "default_cold_overage")]
+    pub cold_overage: f64,
+    /// Requests that a cold replica may get in any second in addition, across all nodes.
+    #[serde(default = "default_cold_slack")]
+    pub cold_slack: f64,
     /// Length of a usage window, in seconds.
     #[serde(default = "default_usage_window")]
     pub usage_window_s: u64,
@@ -199,6 +206,16 @@
     10.0
 }
 
+/// Default factor on the rate of a cold replica.
+fn default_cold_overage() -> f64 {
+    1.5
+}
+
+/// Default number of additional requests to a cold replica in a second.
+fn default_cold_slack() -> f64 {
+    5.0
+}
+
 /// Default usage window, in seconds.
 fn default_fencing() -> bool {
     true
@@ -263,6 +280,8 @@
             (self.retry_ratio >= 0.0, "retry_ratio must be 0 or above"),
             (self.retry_extra >= 0.0, "retry_extra must be 0 or above"),
             (positive(self.retry_window_s), "retry_window_s must be above 0"),
+            (positive(self.cold_overage), "cold_overage must be above 0"),
+            (self.cold_slack >= 0.0, "cold_slack must be 0 or above"),
             (self.usage_window_s > 0, "usage_window_s must be above 0"),
             (self.replica_heartbeat_ms > 0, "replica_heartbeat_ms must be above 0"),
             (positive(self.directory_ttl_max_s), "directory_ttl_max_s must be above 0"),
@@ -306,6 +325,11 @@
         self.rule_groups.iter().any(|group| **group == *CONTENTION_RULES)
     }
 
+    /// Returns the bounds on the requests to cold replicas.
+    pub fn cold_bounds(&self) -> ColdBounds {
+        ColdBounds { overage: self.cold_overage, slack: self.cold_slack }
+    }
+
     /// Returns the address for datagrams and queries of other nodes.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip_address, self.peer_ports.0)
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -101,6 +101,7 @@
         if !copy.desired.is_empty() {
             self.mirror.apply_desired(std::mem::take(&mut copy.desired), StateSource::Peer);
         }
+        self.mirror.apply_evacuation(copy.evacuation.as_ref());
         if copy.store_troubled {
             self.mirror.record_store_failure();
         }
@@ -202,6 +203,7 @@
             leaving: self.mirror.all_leaving(),
             withheld: self.mirror.withheld_entries(),
             store_troubled: self.mirror.has_store_failed_recently(),
+            evacuation: self.mirror.evacuation_message(),
         }
     }
 }
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -299,6 +299,11 @@
         self.retry_budget.with_label_values(&[service]).set(remaining.into());
     }
 
+    /// Returns the registry, for metrics that are kept elsewhere.
+    pub fn instruments(&self) -> &InstrumentSet {
+        &self.instruments
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.instruments.render()
--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -1,4 +1,4 @@
-//! Turns at replicas that have named a limit: this node asks the keeper of a service for them, and
+//! Turns at replicas that have named a limit or are cold: this node asks the keeper of a service for them, and
 //! hands them out where it is the keeper itself.
 
 use std::cell::RefCell;
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use berylstep_core::collections::SharedName;
+use berylstep_core::fleet::limits::ProcessId;
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_core::fleet::turns::{TurnAnswer, TurnAsk, TurnCandidate, TurnKeeper, TurnPauses};
 use berylstep_core::rendezvous;
-use berylstep_wire::{FleetPulse, TurnReply, TurnRequest};
+use berylstep_wire::{ColdCandidate, FleetPulse, TurnReply, TurnRequest};
 use prost::Message;
 use smol::net::UdpSocket;
 
 use crate::clock::RuntimeClock;
 use crate::gateway::attempt::ReplicaTarget;
+use crate::gateway::cold::ColdWatch;
 use crate::gateway::limits::{limit_message, process_of, read_limit, LimitWatch};
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
@@ -37,6 +39,33 @@
 /// Largest number of replicas in one request for a turn.
 const MAX_CANDIDATES: usize = 16;
 
+/// A replica that needs a turn, with what it takes at most from all nodes together; at least one is given.
+#[derive(Clone, Copy, Debug)]
+struct BoundedReplica {
+    process: ProcessId,
+    /// Limit that it has named, in requests per second.
+    limit: Option<f64>,
+    /// Requests per second because it is or was cold.
+    cold: Option<f64>,
+}
+
+impl BoundedReplica {
+    /// Returns the rate of its turns; the keeper hands out `share` of those of a cold replica.
+    fn rate(&self, share: f64) -> f64 {
+        let cold = self.cold.map_or(f64::INFINITY, |rate| rate * share);
+        self.limit.unwrap_or(f64::INFINITY).min(cold)
+    }
+}
+
+/// Asks for a turn at one of several replicas; see [`TurnAsk`].
+#[derive(Clone, Copy, Debug)]
+struct ReplicaAsk<'a> {
+    service: &'a str,
+    tier: u8,
+    patience: Duration,
+    candidates: &'a [BoundedReplica],
+}
+
 /// Asks for turns, and hands them out.
 #[derive(Debug)]
 pub struct TurnDesk {
@@ -46,6 +75,7 @@
     mirror: Rc<StoreMirror>,
     peers: Rc<PeerTable>,
     limits: Rc<LimitWatch>,
+    cold: Rc<ColdWatch>,
     socket: UdpSocket,
     keeper: RefCell<TurnKeeper>,
     /// Requests to other nodes that have not been answered.
@@ -69,6 +99,8 @@
     pub peers: Rc<PeerTable>,
     /// Limits of replicas.
     pub limits: Rc<LimitWatch>,
+    /// Cold replicas.
+    pub cold: Rc<ColdWatch>,
     /// Socket for messages between nodes.
     pub socket: UdpSocket,
 }
@@ -76,7 +108,7 @@
 impl TurnDesk {
     /// Creates a desk without turns in hand.
     pub fn new(context: TurnContext) -> Self {
-        let TurnContext { clock, node, incarnation, mirror, peers, limits, socket } = context;
+        let TurnContext { clock, node, incarnation, mirror, peers, limits, cold, socket } = context;
         Self {
             clock,
             node,
@@ -84,6 +116,7 @@
             mirror,
             peers,
             limits,
+            cold,
             socket,
             keeper: RefCell::default(),
             pending: PendingReplies::default(),
@@ -108,9 +141,9 @@
     }
 
     /// Asks for a turn at one of the replicas in `ask`.
-    async fn take(&self, ask: &TurnAsk<'_>) -> (TurnAnswer, TurnResult) {
+    async fn take(&self, ask: &ReplicaAsk<'_>) -> (TurnAnswer, TurnResult) {
         let Some(address) = self.keeper_address(ask.service) else {
-            let answer = self.keeper.borrow_mut().take(ask, self.clock.now());
+            let answer = self.decide(ask);
             return (answer, TurnResult::of(answer));
         };
         let pending = self.pending.register(1);
@@ -126,11 +159,39 @@
         }
     }
 
-    fn request_message(&self, request: u64, ask: &TurnAsk<'_>) -> FleetPulse {
-        let replicas = self.mirror.replicas.borrow();
-        let notices = ask.candidates.iter().filter_map(|candidate| {
-            let row = replicas.rows().find(|row| row.hash == candidate.replica)?;
-            self.limits.notice(process_of(row))
+    /// Decides on a request as the keeper. Where this node hears only a part of the fleet, it hands out that
+    /// part of the turns of cold replicas, because another node may hand out the rest.
+    fn decide(&self, ask: &ReplicaAsk<'_>) -> TurnAnswer {
+        let now = self.clock.now();
+        let mut keeper = self.keeper.borrow_mut();
+        let is_cold = |candidate: &&BoundedReplica| candidate.cold.is_some();
+        let share = match ask.candidates.iter().any(|candidate| is_cold(&candidate)) {
+            true => self.cold.turn_share(),
+            false => 1.0,
+        };
+        for candidate in ask.candidates.iter().filter(is_cold) {
+            let replica = candidate.process.replica;
+            keeper.mark_cold(ask.service, replica, self.cold.turn_lag(replica), now);
+        }
+        let candidates = ask.candidates.iter().map(|candidate| TurnCandidate {
+            replica: candidate.process.replica,
+            rate: candidate.rate(share),
+        });
+        let candidates: Vec<_> = candidates.collect();
+        let ReplicaAsk { service, tier, patience, .. } = *ask;
+        keeper.take(&TurnAsk { service, tier, patience, candidates: &candidates }, now)
+    }
+
+    fn request_message(&self, request: u64, ask: &ReplicaAsk<'_>) -> FleetPulse {
+        let candidates = ask.candidates.iter();
+        let notices = candidates.clone().filter(|candidate| candidate.limit.is_some());
+        let notices = notices.filter_map(|candidate| self.limits.notice(candidate.process));
+        let cold = candidates.filter_map(|candidate| {
+            Some(ColdCandidate {
+                replica: candidate.process.replica,
+                born: candidate.process.born,
+                per_second: candidate.cold?,
+            })
         });
         let turn_request = TurnRequest {
             request,
@@ -139,7 +200,11 @@
             patience_ms: milliseconds(ask.patience),
             candidates: notices.map(limit_message).collect(),
         };
-        FleetPulse { turn_request: Some(turn_request), ..self.envelope() }
+        FleetPulse {
+            turn_request: Some(turn_request),
+            cold_candidates: cold.collect(),
+            ..self.envelope()
+        }
     }
 
     fn envelope(&self) -> FleetPulse {
@@ -153,22 +218,17 @@
     }
 
     /// Decides on a request of another node, and sends the answer.
-    pub async fn answer(&self, request: &TurnRequest, from: SocketAddr) {
+    pub async fn answer(&self, request: &TurnRequest, cold: &[ColdCandidate], from: SocketAddr) {
         self.limits.apply(&request.candidates);
-        let candidates = request.candidates.iter().map(read_limit).filter_map(|notice| {
-            let rate =
-                self.limits.notice(notice.process).map_or(notice.rate, |known| known.rate)?;
-            Some(TurnCandidate { replica: notice.process.replica, rate })
-        });
-        let candidates: Vec<_> = candidates.collect();
-        let ask = TurnAsk {
+        let candidates = self.read_candidates(request, cold);
+        let ask = ReplicaAsk {
             service: &request.service,
             tier: u8::try_from(request.tier).unwrap_or(u8::MAX),
             patience: Duration::from_millis(request.patience_ms.into()),
             candidates: &candidates,
         };
         let answer = match self.keeper_address(&request.service) {
-            None => self.keeper.borrow_mut().take(&ask, self.clock.now()),
+            None => self.decide(&ask),
             Some(_) => TurnAnswer::Denied(HANDOVER_PAUSE),
         };
         let reply = match answer {
@@ -185,6 +245,45 @@
         self.send(from, FleetPulse { turn_reply: Some(reply), ..self.envelope() }).await;
     }
 
+    /// Returns the candidates that another node asks for. Of what that node and this one know of each, the
+    /// lower rate counts.
+    fn read_candidates(
+        &self,
+        request: &TurnRequest,
+        cold: &[ColdCandidate],
+    ) -> Vec<BoundedReplica> {
+        let limited = request.candidates.iter().map(read_limit);
+        let mut candidates: Vec<_> = limited
+            .map(|notice| BoundedReplica {
+                process: notice.process,
+                limit: notice.rate,
+                cold: None,
+            })
+            .collect();
+        let is_rate = |rate: f64| rate.is_finite() && rate > 0.0;
+        for message in cold.iter().filter(|message| is_rate(message.per_second)) {
+            let process = ProcessId { replica: message.replica, born: message.born };
+            let cold = Some(message.per_second);
+            match candidates.iter_mut().find(|candidate| candidate.process == process) {
+                Some(candidate) => candidate.cold = cold,
+                None => candidates.push(BoundedReplica { process, limit: None, cold }),
+            }
+        }
+        let replicas = self.mirror.replicas.borrow();
+        for candidate in &mut candidates {
+            if let Some(known) = self.limits.notice(candidate.process) {
+                candidate.limit = known.rate;
+            }
+            let row = replicas.rows().find(|row| row.hash == candidate.process.replica);
+            if let Some(own) = row.and_then(|row| self.cold.turn_rate(row)) {
+                candidate.cold = Some(candidate.cold.map_or(own, |rate| rate.min(own)));
+            }
+        }
+        candidates.retain(|candidate| candidate.limit.is_some() || candidate.cold.is_some());
+        candidates.truncate(MAX_CANDIDATES);
+        candidates
+    }
+
     /// Passes a keeper's answer on to the request that waits for it.
     pub fn receive(&self, reply: &TurnReply) {
         let answer = match reply.granted {
@@ -205,15 +304,22 @@
         self.pauses.borrow().is_paused(service, tier, self.clock.now())
     }
 
-    /// Returns the limit of a replica as a candidate for a turn; `None` if it has none.
-    fn candidate(&self, row: &ReplicaRow) -> Option<TurnCandidate> {
-        let rate = self.limits.notice(process_of(row))?.rate?;
-        Some(TurnCandidate { replica: row.hash, rate })
+    /// Returns a replica as a candidate for a turn; `None` if it needs none.
+    fn candidate(&self, row: &ReplicaRow) -> Option<BoundedReplica> {
+        let process = process_of(row);
+        let limit = self.limits.notice(process).and_then(|notice| notice.rate);
+        let cold = self.cold.turn_rate(row);
+        (limit.is_some() || cold.is_some()).then_some(BoundedReplica { process, limit, cold })
+    }
+
+    fn needs_turn(&self, id: &str) -> bool {
+        let replicas = self.mirror.replicas.borrow();
+        replicas.get(id).is_some_and(|row| self.candidate(row).is_some())
     }
 }
 
 impl RequestHandler {
-    /// Places a request, and gets a turn for it where the replica has named a limit. A limited
+    /// Places a request, and gets a turn for it where the replica has named a limit or is cold. Such a
     /// replica without a turn is left to other requests.
     pub(super) async fn claim_replica(
         &self,
@@ -221,7 +327,7 @@
         history: &mut AttemptHistory,
     ) -> Option<ReplicaTarget> {
         let target = self.place_request(request, history.pin, &history.tried)?;
-        if self.limits.rate(&target.id).is_none() {
+        if !self.turns.needs_turn(&target.id) {
             return Some(target);
         }
         let (candidates, limited) = self.limited_candidates(request, history, &target.id);
@@ -234,9 +340,10 @@
             Some(_) => Duration::ZERO,
             None => request.deadline.saturating_sub(self.clock.now()),
         };
+        let asked_at = self.clock.now();
         match self.take_turn(request, &candidates, patience).await {
             TurnAnswer::Granted(replica) => match self.granted_target(request, replica, &target) {
-                Some(target) => Some(target),
+                Some(target) => Some(ReplicaTarget { turn_at: Some(asked_at), ..target }),
                 None => self.place_request(request, history.pin, &excluded),
             },
             TurnAnswer::Denied(wait) => {
@@ -272,11 +379,11 @@
     async fn take_turn(
         &self,
         request: &RoutedRequest<'_>,
-        candidates: &[TurnCandidate],
+        candidates: &[BoundedReplica],
         patience: Duration,
     ) -> TurnAnswer {
         let ask =
-            TurnAsk { service: &request.service, tier: request.priority, patience, candidates };
+            ReplicaAsk { service: &request.service, tier: request.priority, patience, candidates };
         let (answer, result) = self.turns.take(&ask).await;
         self.metrics.record_turn(&request.service, result);
         answer
@@ -289,7 +396,7 @@
         request: &RoutedRequest<'_>,
         history: &AttemptHistory,
         preferred: &str,
-    ) -> (Vec<TurnCandidate>, Vec<SharedName>) {
+    ) -> (Vec<BoundedReplica>, Vec<SharedName>) {
         let now = self.clock.now();
         let replicas = self.mirror.replicas.borrow();
         let available = replicas.available(&request.service, now);
--- a/berylstep/src/platform/desired.rs
+++ b/berylstep/src/platform/desired.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::cold::ColdRule;
 use berylstep_core::fleet::desired::{
     CallerLimits, DesiredState, EngineSpec, OrganisationEntry, RouteEntry, RouteKind, RouteTarget,
     ScalingBounds, ServiceEntry,
@@ -15,6 +16,15 @@
 /// Key of the desired state within the table.
 pub const DESIRED_KEY: &str = "config";
 
+/// Prefix of the keys that ask to evacuate a zone; the name of the zone follows.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
+/// Returns the zone that a row of the operator asks to evacuate for as long as the row exists; `None` if it is
+/// about something else.
+pub fn evacuated_zone(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATION_PREFIX).filter(|zone| !zone.is_empty())
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct DesiredBody {
@@ -75,6 +85,13 @@
     engine: Option<EngineBody>,
     #[serde(default)]
     scaling: Option<ScalingBody>,
+    /// Time for which a replica is cold after its start, in seconds.
+    #[serde(default)]
+    cold_start_s: Option<f64>,
+    /// Requests per second that a cold replica takes from all nodes together; absent or 0 if replicas are
+    /// never cold.
+    #[serde(default)]
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -186,7 +203,10 @@
             event_tokens: engine.stride.max(1),
             moves: engine.moves,
         });
+        let cold_start = milliseconds(self.cold_start_s.unwrap_or_default() * 1000.0);
+        let cold_rate = self.cold_per_s.filter(|rate| rate.is_finite() && *rate > 0.0);
         ServiceEntry {
+            cold: cold_rate.map(|per_second| ColdRule { start: cold_start, per_second }),
             name: self.name.into(),
             connection_limit: self.connection_limit.unwrap_or(u32::MAX),
             engine,
--- a/berylstep/src/platform/entries.rs
+++ b/berylstep/src/platform/entries.rs
@@ -32,6 +32,10 @@
     /// Start of the replica's process; spelled in lower case by the platform.
     #[serde(rename = "born", default)]
     born: u64,
+    /// Time in milliseconds for which the replica stays cold; of any type, because an entry that misstates it
+    /// is still that of a replica.
+    #[serde(default)]
+    cold_remaining_ms: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -44,6 +48,15 @@
 /// Decodes the entry of the replica `id`; a missing or mistyped field is an error, as is an identifier that
 /// can't be sent in a header, or an address that requests can't be sent to.
 pub fn decode_entry(id: &str, content: &[u8]) -> Result<ReplicaEntry, serde_json::Error> {
+    decode_cold_entry(id, content).map(|(entry, _)| entry)
+}
+
+/// Decodes an entry like [`decode_entry`], with the time for which the replica stays cold; `None` if the entry
+/// says nothing of it.
+pub fn decode_cold_entry(
+    id: &str,
+    content: &[u8],
+) -> Result<(ReplicaEntry, Option<Duration>), serde_json::Error> {
     let body: EntryBody = serde_json::from_slice(content)?;
     if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err(Error::custom("identifier is empty or not printable"));
@@ -52,7 +65,9 @@
     if port == 0 || ip.is_unspecified() || ip.is_multicast() {
         return Err(Error::custom("address accepts no connections"));
     }
-    Ok(ReplicaEntry {
+    let cold = body.cold_remaining_ms.as_f64().filter(|ms| *ms >= 0.0);
+    let cold = cold.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+    let entry = ReplicaEntry {
         id: id.into(),
         service: body.service.into(),
         address: body.address,
@@ -66,5 +81,6 @@
         spot: body.spot,
         leaves_in: body.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok()),
         born: body.born,
-    })
+    };
+    Ok((entry, cold))
 }
--- a/berylstep_core/src/fleet/desired.rs
+++ b/berylstep_core/src/fleet/desired.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
+use crate::fleet::cold::ColdRule;
 
 /// Retry semantics of the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -132,6 +133,8 @@
     pub engine: Option<EngineSpec>,
     /// Scaling bounds; `None` if no upstreams may be ordered.
     pub scaling: Option<ScalingBounds>,
+    /// When its replicas are cold; `None` if they never are.
+    pub cold: Option<ColdRule>,
 }
 
 /// Organisation that a key belongs to.
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
+use crate::fleet::cold::ColdMark;
+use crate::fleet::evacuation::EvacuatedZones;
 use crate::fleet::origins::{PresentVersions, VersionHistory, VersionId, VersionNotes};
 use crate::rendezvous;
 
@@ -86,6 +88,8 @@
     pub own: ReplicaLoad,
     /// Load from all other nodes, by their latest reports.
     pub others: ReplicaLoad,
+    /// What is known of its coldness.
+    pub cold: ColdMark,
     avoided_until: Duration,
     failures: u32,
     full_until: Duration,
@@ -134,6 +138,7 @@
     departures: HashMap<SharedName, Departure>,
     leaving: HashMap<SharedName, LeavingMark>,
     versions: VersionHistory,
+    evacuated: EvacuatedZones,
 }
 
 /// A replica's own statement that it is shutting down. It outlasts entries that say otherwise, and
@@ -198,12 +203,16 @@
                 self.versions.record(&row.entry.service, row.version, now);
                 let restarted = row.entry.born != entry.born || row.entry.address != entry.address;
                 let changed = row.entry != entry || row.expires_at.is_some();
+                let returns = !row.is_ready() && entry.state == ReplicaState::Ready;
                 row.revision = revision;
                 row.expires_at = None;
                 if restarted {
                     (row.failures, row.avoided_until) = (0, Duration::ZERO);
                     (row.full_until, row.quiet_until) = (Duration::ZERO, Duration::ZERO);
                     row.since = now;
+                    row.cold = ColdMark::new(now);
+                } else if returns {
+                    row.cold.presume(now);
                 }
                 row.entry = entry;
                 row.version = version;
@@ -217,6 +226,7 @@
                     since: now,
                     own: ReplicaLoad::default(),
                     others: ReplicaLoad::default(),
+                    cold: ColdMark::new(now),
                     avoided_until: Duration::ZERO,
                     failures: 0,
                     full_until: Duration::ZERO,
@@ -300,9 +310,38 @@
         self.ready(service).filter(move |row| row.quiet_until(now).is_none())
     }
 
-    /// Returns the replicas of a service that accept new requests, in no particular order.
+    /// Returns the replicas of a service that accept new requests and are not in an evacuated zone, in no
+    /// particular order.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaRow> {
-        self.rows.values().filter(move |row| row.is_ready() && &*row.entry.service == service)
+        let rows = self.rows.values();
+        let rows = rows.filter(move |row| row.is_ready() && &*row.entry.service == service);
+        rows.filter(|row| !self.evacuated.contains(&row.entry.zone))
+    }
+
+    /// Returns the evacuated zones.
+    pub fn evacuated(&self) -> &EvacuatedZones {
+        &self.evacuated
+    }
+
+    /// Replaces the evacuated zones. The replicas of zones that are no longer evacuated count as cold unless
+    /// their entries say otherwise from now on.
+    pub fn set_evacuated(&mut self, zones: EvacuatedZones, now: Duration) {
+        let ended = std::mem::replace(&mut self.evacuated, zones).without(&self.evacuated);
+        let returning = self.rows.values_mut().filter(|row| ended.contains(&row.entry.zone));
+        returning.for_each(|row| row.cold.presume(now));
+    }
+
+    /// Applies the remaining cold time that the entry of `revision` states, after [`Self::put`].
+    pub fn apply_cold_time(
+        &mut self,
+        id: &str,
+        remaining: Option<Duration>,
+        revision: u64,
+        now: Duration,
+    ) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.cold.apply(remaining, revision, now);
+        }
     }
 
     /// Returns the versions of a service's software that are present or were within `period`.
@@ -369,6 +408,8 @@
         let avoidance = (INITIAL_AVOIDANCE * (1 << row.failures.min(4))).min(MAX_AVOIDANCE);
         row.failures += 1;
         row.avoided_until = now + avoidance;
+        // Its process may have ended, and its next one is cold before its entry says so.
+        row.cold.presume(now);
         Some(avoidance)
     }
 
@@ -387,7 +428,10 @@
         for id in draining {
             self.record_leaving(&id, now);
         }
-        self.rows.values_mut().for_each(|row| row.revision = 0);
+        for row in self.rows.values_mut() {
+            row.revision = 0;
+            row.cold.begin_era();
+        }
     }
 
     /// Records that a replica rejected a request and wants no other from this node for `pause`.
--- a/berylstep_core/src/fleet/turns.rs
+++ b/berylstep_core/src/fleet/turns.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, SharedName};
+use crate::fleet::cold::{COLD_SAVED, TAKEOVER_SHARE, TAKEOVER_TIME};
 
 /// Lowest rate at which a replica is asked, in requests per second. Only responses tell that a limit
 /// has ended.
@@ -25,6 +26,10 @@
 /// Demand that counts as none, in requests per second.
 const MIN_DEMAND: f64 = 0.01;
 
+/// Time after which a keeper that was not asked for a cold replica takes over anew. Another node may have been
+/// its keeper meanwhile.
+const COLD_IDLE: Duration = Duration::from_secs(1);
+
 /// Time after which a replica or a service that nobody has asked for is forgotten.
 const IDLE_RETENTION: Duration = Duration::from_secs(60);
 
@@ -73,11 +78,42 @@
     rate: f64,
     bound: f64,
     filled_at: Duration,
+    /// Time until which the replica counts as cold.
+    cold_until: Duration,
+    /// Time until which another keeper may still hand out turns of the cold replica.
+    takeover_until: Duration,
 }
 
 impl TurnBucket {
     fn empty(now: Duration) -> Self {
-        Self { turns: 0.0, rate: 0.0, bound: 1.0, filled_at: now }
+        Self {
+            turns: 0.0,
+            rate: 0.0,
+            bound: 1.0,
+            filled_at: now,
+            cold_until: Duration::ZERO,
+            takeover_until: Duration::ZERO,
+        }
+    }
+
+    /// Marks the replica as cold. The first time, and after a time in which nobody asked, it has no turns in
+    /// hand, but lacks `lag`.
+    fn mark_cold(&mut self, lag: f64, now: Duration) {
+        if self.cold_until <= now {
+            let takeover_until = now + TAKEOVER_TIME;
+            *self = Self { turns: -lag, takeover_until, ..Self::empty(now) };
+        }
+        self.cold_until = now + COLD_IDLE;
+    }
+
+    /// Adds the turns of the time since the last call, at the limit `rate` from now on.
+    fn refill(&mut self, rate: f64, now: Duration) {
+        let rate = match self.takeover_until > now {
+            true => rate * TAKEOVER_SHARE,
+            false => rate,
+        };
+        let saved = if self.cold_until > now { COLD_SAVED } else { MAX_SAVED };
+        self.fill(rate, saved_turns(rate, saved), now);
     }
 
     /// Adds the turns of the time since the last call, then changes the rate and the bound.
@@ -94,9 +130,9 @@
     }
 }
 
-/// Returns the number of turns that may be saved up at a rate.
-fn saved_turns(rate: f64) -> f64 {
-    (rate * MAX_SAVED.as_secs_f64()).max(1.0)
+/// Returns the number of turns that may be saved up at a rate in `time`.
+fn saved_turns(rate: f64, time: Duration) -> f64 {
+    (rate * time.as_secs_f64()).max(1.0)
 }
 
 /// What is known of one tier of a service.
@@ -148,7 +184,7 @@
         for candidate in ask.candidates {
             let rate = candidate.rate.max(MIN_RATE);
             let bucket = self.replicas.entry(candidate.replica);
-            bucket.or_insert(TurnBucket::empty(now)).fill(rate, saved_turns(rate), now);
+            bucket.or_insert(TurnBucket::empty(now)).refill(rate, now);
         }
         self.fill_tiers(now);
         self.tiers[tier].record_ask(now);
@@ -267,6 +303,15 @@
         service.or_insert_with(|| ServiceTurns::new(now)).take(ask, now)
     }
 
+    /// Marks a replica of `service` as cold, before each request for its turns. The turns of a cold replica are
+    /// hardly saved up, and a keeper begins with a part of them. `lag` from 0 to 1 is the part of a turn by
+    /// which it begins later; keepers that don't hear each other should differ in it.
+    pub fn mark_cold(&mut self, service: &str, replica: u32, lag: f64, now: Duration) {
+        let service = self.services.entry(service.into());
+        let replicas = &mut service.or_insert_with(|| ServiceTurns::new(now)).replicas;
+        replicas.entry(replica).or_insert(TurnBucket::empty(now)).mark_cold(lag, now);
+    }
+
     /// Drops what nobody has asked for in a while.
     pub fn expire(&mut self, now: Duration) {
         self.services.retain(|_, service| {
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -539,6 +539,35 @@
     /// Whether the sender asks for slots of brittle replicas, and hands them out.
     #[prost(bool, tag = "40")]
     pub keeps_slots: bool,
+    /// With `turn_request`: candidates that are cold, in the order of preference.
+    #[prost(message, repeated, tag = "41")]
+    pub cold_candidates: ::prost::alloc::vec::Vec<ColdCandidate>,
+    /// Zones that the operator has asked to evacuate; absent where none has been in a while.
+    #[prost(message, optional, tag = "42")]
+    pub evacuation: ::core::option::Option<EvacuationState>,
+}
+/// A cold replica at which a turn is asked for.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ColdCandidate {
+    /// Hash of the replica's identifier.
+    #[prost(fixed32, tag = "1")]
+    pub replica: u32,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Turns per second that all nodes together may get, as the sender knows.
+    #[prost(double, tag = "3")]
+    pub per_second: f64,
+}
+/// Evacuated zones as of a position in the history of the store.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EvacuationState {
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(string, repeated, tag = "3")]
+    pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Number of requests that a replica may turn away in a second before it falls over.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -919,6 +948,9 @@
     /// Entries that a restored store lists again although their processes were removed before.
     #[prost(message, repeated, tag = "10")]
     pub withheld: ::prost::alloc::vec::Vec<ReplicaCopy>,
+    /// Zones that the operator has asked to evacuate.
+    #[prost(message, optional, tag = "11")]
+    pub evacuation: ::core::option::Option<EvacuationState>,
 }
 /// An entry that was removed from the replica list.
 #[derive(Clone, PartialEq, ::prost::Message)]
