Learn the paces of replicas and exchange them between nodes

At 77 nodes and 140 replicas, a node has one response of each replica in about 25 s, so that no node can learn the paces alone.

Change: PaceLedger keeps, by replica process, decayed sums of clamped logarithms of measured times relative to the usual ones of the same route and of stated paces. Responses and gaps between events feed it where some replica states its pace. Each pulse carries the sender's sums, for at most 24 replicas; representatives add them up as they do with work. Sums replace each other, so that no observation counts twice when a message is repeated. Where no replica states its pace, nothing is recorded or sent and all paces are 1.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -336,6 +336,7 @@
             crashes: self.crashes.clone(),
             limits: self.limits.clone(),
             turns: self.turns.clone(),
+            pace: self.pace.clone(),
             brittle: self.brittle.clone(),
             slots: self.slots.clone(),
             origins: self.origins.clone(),
@@ -497,6 +498,7 @@
         handler.slots.expire();
         handler.origins.expire();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
+        handler.metrics.pace.slow_replicas.set(handler.pace.slow_replicas());
         handler.crashes.expire();
         handler.metrics.quarantined_prompts.set(handler.crashes.quarantined_groups());
     }
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -358,6 +358,7 @@
         self.count_usage(request);
         self.usage.record_response(&target.id);
         load.finish_prefill();
+        self.record_response_pace(request, target, options, head.status, sent_at);
         let buffered = !streams && decoder.is_complete();
         if buffered {
             load.finish();
--- a/berylstep/src/gateway/demand.rs
+++ b/berylstep/src/gateway/demand.rs
@@ -64,6 +64,13 @@
         )
     }
 
+    /// Returns the time to the first token that is expected of a request that does not wait for others.
+    pub fn expected_first_token(&self, service: &str, prompt: u64) -> Duration {
+        let engines = self.engines.borrow();
+        let expected = |estimator: &EngineEstimator| estimator.expected_first_token(prompt);
+        engines.get(service).map_or_else(|| expected(&EngineEstimator::default()), expected)
+    }
+
     /// Records the time to the first token of a request that did not wait for others.
     pub fn record_first_token(&self, service: &SharedName, prompt: u64, elapsed: Duration) {
         let mut engines = self.engines.borrow_mut();
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -20,13 +20,16 @@
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::pace::PaceSum;
 use berylstep_core::fleet::position::StorePosition;
 use berylstep_core::fleet::replica::ReplicaLoad;
 use berylstep_core::rendezvous;
-use berylstep_wire::{ClassDemand, FleetPulse, NodeEntry, ReplicaWork, RunUsage, ZoneSummary};
+use berylstep_wire::{
+    ClassDemand, FleetPulse, NodeEntry, ReplicaPace, ReplicaWork, RunUsage, ZoneSummary,
+};
 
 pub use node::KnownNode;
-use sums::SummaryBuilder;
+use sums::{PaceReports, SummaryBuilder};
 use view::{FleetView, ViewCache};
 
 /// Time without a pulse after which a peer no longer counts as live: four lost pulses.
@@ -124,6 +127,7 @@
     /// Totals of the fleet, as sent by a representative; used by a follower.
     fleet_total: RefCell<Option<SummaryRow>>,
     own_work: RefCell<Vec<ReplicaWork>>,
+    own_paces: RefCell<Vec<ReplicaPace>>,
     peak: Cell<usize>,
     view: ViewCache,
     /// Time at which this node, as a follower, last heard from a node that follows the store.
@@ -140,6 +144,7 @@
             follower_summaries: RefCell::default(),
             fleet_total: RefCell::default(),
             own_work: RefCell::default(),
+            own_paces: RefCell::default(),
             peak: Cell::new(1),
             view: ViewCache::default(),
             store_served_at: Cell::default(),
@@ -378,6 +383,24 @@
         sums
     }
 
+    /// Returns the observations of paces by the other nodes. To be called before [`Self::record_own_paces`], when a
+    /// follower's last report has had time to enter the total.
+    pub fn paces(&self, now: Duration) -> PaceReports {
+        let mut builder = SummaryBuilder::default();
+        self.sum_others(&mut builder, now);
+        let mut reports = builder.into_paces();
+        if !self.is_representative(now) {
+            // The total includes this node's last report.
+            for pace in self.own_paces.borrow().iter() {
+                let own = PaceSum { logs: pace.logs, weight: pace.weight };
+                if let Some(sum) = reports.sums.get_mut(&pace.replica) {
+                    sum.subtract(own);
+                }
+            }
+        }
+        reports
+    }
+
     /// Adds the reports of the other nodes to `builder`. At a follower they include its own.
     fn sum_others(&self, builder: &mut SummaryBuilder, now: Duration) {
         if self.is_representative(now) {
@@ -392,6 +415,11 @@
         *self.own_work.borrow_mut() = work;
     }
 
+    /// Records the observations of paces that this node last reported as its own.
+    pub fn record_own_paces(&self, paces: Vec<ReplicaPace>) {
+        *self.own_paces.borrow_mut() = paces;
+    }
+
     /// Records a pulse; returns `false` if it is not newer than the latest one of that node.
     pub fn record_pulse(&self, mut pulse: FleetPulse, from: SocketAddr, now: Duration) -> bool {
         let name = SharedName::from(&*pulse.node);
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -26,6 +26,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::origins::OriginDesk;
+use crate::gateway::pace::PaceWatch;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::CrashWatch;
 use crate::gateway::reach::ReachWatch;
@@ -99,6 +100,8 @@
     pub limits: Rc<LimitWatch>,
     /// Turns at replicas that have named a limit.
     pub turns: Rc<TurnDesk>,
+    /// Paces of replicas.
+    pub pace: Rc<PaceWatch>,
     /// Replicas that are brittle.
     pub brittle: Rc<BrittleWatch>,
     /// Slots of brittle replicas.
@@ -148,10 +151,12 @@
         self.peers.expire(now);
         self.mirror.expire();
         self.update_peer_loads(now);
+        self.pace.refresh(self.peers.paces(now));
         self.slots.update().await;
         self.origins.announce_after_change().await;
         let pulse = self.pulse(sequence, now);
         self.peers.record_own_work(pulse.work.clone());
+        self.peers.record_own_paces(pulse.paces.clone());
         let mut reached = HashSet::default();
         let delta = self.replica_delta(now);
         for group in self.peers.outbound(&pulse, delta, now) {
@@ -337,7 +342,12 @@
         {
             self.peer_ahead.notify();
         }
-        let is_newer = self.peers.record_pulse(pulse, from, self.clock.now());
+        let has_totals = pulse.fleet.is_some();
+        let now = self.clock.now();
+        let is_newer = self.peers.record_pulse(pulse, from, now);
+        if is_newer && has_totals && self.pace.is_uneven() {
+            self.pace.refresh(self.peers.paces(now));
+        }
         (is_newer && is_new).then_some(PulseReply::State)
     }
 
@@ -429,6 +439,8 @@
             origin_reply: None,
             unreachable_services: self.reach.unreachable(),
             follows_store: self.mirror.is_following_store(),
+            states_pace: self.pace.has_statements(),
+            paces: self.pace.reports(),
         }
     }
 
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 use smol::future;
 
 use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget, StartedResponse};
+use crate::gateway::pace::EventTiming;
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::response::ResponseWriter;
 use crate::gateway::telemetry::{
@@ -57,6 +58,8 @@
     began_version: Option<SharedName>,
     /// Process that wrote the latest events, once one has arrived.
     origin: Option<StreamOrigin>,
+    /// Times of events, which tell the replica's pace.
+    timing: EventTiming,
     /// Time at which the last complete event arrived, or the response that continues the stream.
     last_event_at: Duration,
     /// Time at which the latest search for another replica ended without one.
@@ -125,6 +128,7 @@
             first_event_at: self.clock.now(),
             began_version: None,
             origin: None,
+            timing: EventTiming::default(),
             last_event_at: self.clock.now(),
             searched_at: Duration::ZERO,
             moved: None,
@@ -151,6 +155,8 @@
             content.clear();
             if !whole.is_empty() {
                 self.last_event_at = self.handler.clock.now();
+                let (target, events) = (self.response.target(), self.splitter.events());
+                self.handler.record_event_pace(self.request, target, &mut self.timing, events);
                 self.record_started().await;
             }
             if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -1,5 +1,7 @@
 //! Metrics of a gateway, and the log line and metrics of each request.
 
+pub mod pace;
+
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use crate::gateway::quarantine::key_list;
 use crate::gateway::request::RoutedRequest;
 use crate::gateway::service_level::ServiceLevels;
+use crate::gateway::telemetry::pace::PaceMetrics;
 use crate::instruments::InstrumentSet;
 
 /// Upper bounds of latency buckets in seconds, which include the usual latency targets.
@@ -116,6 +119,8 @@
     /// Number of groups of prompt parts that are refused because they crash replicas.
     pub quarantined_prompts: IntGauge,
     retry_budget: IntGaugeVec,
+    /// Metrics of the paces of replicas.
+    pub pace: PaceMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -219,6 +224,7 @@
                 "Repeats that this node may still make now, by service.",
                 &["service"],
             )?,
+            pace: PaceMetrics::new(&set)?,
             instruments: set,
         })
     }
--- a/berylstep_core/src/fleet/engine.rs
+++ b/berylstep_core/src/fleet/engine.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Returns the expected time to the first token of a request that does not wait for others.
+    pub fn expected_first_token(&self, prompt: u64) -> Duration {
+        Duration::from_secs_f64(self.expected_time(prompt as f64))
+    }
+
     fn expected_time(&self, prompt: f64) -> f64 {
         let (base, slope) = self.coefficients();
         base.max(0.0) + prompt * slope
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -86,6 +86,8 @@
     pub own: ReplicaLoad,
     /// Load from all other nodes, by their latest reports.
     pub others: ReplicaLoad,
+    /// Expected pace, see [`crate::fleet::pace`]; 1 unless replicas state theirs.
+    pub pace: f64,
     avoided_until: Duration,
     failures: u32,
     full_until: Duration,
@@ -204,6 +206,7 @@
                     (row.failures, row.avoided_until) = (0, Duration::ZERO);
                     (row.full_until, row.quiet_until) = (Duration::ZERO, Duration::ZERO);
                     row.since = now;
+                    row.pace = 1.0;
                 }
                 row.entry = entry;
                 row.version = version;
@@ -217,6 +220,7 @@
                     since: now,
                     own: ReplicaLoad::default(),
                     others: ReplicaLoad::default(),
+                    pace: 1.0,
                     avoided_until: Duration::ZERO,
                     failures: 0,
                     full_until: Duration::ZERO,
@@ -355,6 +359,20 @@
         }
     }
 
+    /// Sets the pace of each replica.
+    pub fn set_paces(&mut self, pace: impl Fn(&ReplicaRow) -> f64) {
+        for row in self.rows.values_mut() {
+            row.pace = pace(row);
+        }
+    }
+
+    /// Sets the pace of one replica.
+    pub fn set_pace(&mut self, id: &str, pace: f64) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.pace = pace;
+        }
+    }
+
     /// Records a successful response; the replica is no longer avoided.
     pub fn record_success(&mut self, id: &str) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -539,6 +539,12 @@
     /// Whether the sender asks for slots of brittle replicas, and hands them out.
     #[prost(bool, tag = "40")]
     pub keeps_slots: bool,
+    /// Whether a replica has stated its pace to the sender lately.
+    #[prost(bool, tag = "44")]
+    pub states_pace: bool,
+    /// Replaces what the sender reported before; a replica that is not named has no recent observations.
+    #[prost(message, repeated, tag = "45")]
+    pub paces: ::prost::alloc::vec::Vec<ReplicaPace>,
 }
 /// Number of requests that a replica may turn away in a second before it falls over.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -798,6 +804,15 @@
     pub requests: ::prost::alloc::vec::Vec<u32>,
     #[prost(uint64, repeated, tag = "9")]
     pub work: ::prost::alloc::vec::Vec<u64>,
+    /// Sums of these nodes' observations of the replicas' paces, as in `ReplicaPace` and in the order of
+    /// `replicas`; both empty if there are none.
+    #[prost(sint32, repeated, tag = "10")]
+    pub pace_logs: ::prost::alloc::vec::Vec<i32>,
+    #[prost(uint32, repeated, tag = "11")]
+    pub pace_weights: ::prost::alloc::vec::Vec<u32>,
+    /// Whether a replica has stated its pace to one of these nodes lately.
+    #[prost(bool, tag = "12")]
+    pub states_pace: bool,
 }
 /// Entry of the list of nodes.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -853,6 +868,19 @@
     #[prost(uint64, tag = "3")]
     pub work: u64,
 }
+/// The sender's recent observations of the pace of one replica.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ReplicaPace {
+    /// Hash of the replica's identifier.
+    #[prost(fixed32, tag = "1")]
+    pub replica: u32,
+    /// Decayed sum of the logarithms, in 1/32.
+    #[prost(sint32, tag = "2")]
+    pub logs: i32,
+    /// Weight, in eighths of an observation.
+    #[prost(uint32, tag = "3")]
+    pub weight: u32,
+}
 /// Requests that started within one window, as counted by the sender so far.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct WindowUsage {
