Select replicas by expected completion where their paces differ

Plain requests and those without a session choose at random among replicas within a quarter of the least completion, and loads that differ by up to two requests count as equal. A session stays at its replica while that is within the bounded load of the group plus the prefill that is saved there. With all paces at 1 the code path is the one before. Dividing a service's replicas into groups counts each zone once instead of for each replica, because the time grew with the square of the number of replicas.

--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -38,6 +38,17 @@
 /// latency between zones.
 const CROSS_ZONE_WORK: u64 = 400;
 
+/// Largest factor by which a replica's expected completion may exceed the least to count as nearly equal. Random choice among
+/// such replicas prevents nodes with the same information from all sending to the same one.
+const NEAR_FACTOR: f64 = 1.25;
+
+/// Number of requests of the same size that a replica may have more than another and yet count as equally loaded. Reports of
+/// load are up to half a second old; where smaller differences count, all nodes send to the same replica meanwhile.
+const LOAD_TOLERANCE: u64 = 2;
+
+/// Share of a session's prompt that its replica is assumed to have cached.
+const CACHED_PROMPT_SHARE: f64 = 0.45;
+
 /// Size of a model request, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestSize {
@@ -180,8 +191,8 @@
 }
 
 /// Selects among the replicas that are wanted.
-fn place_among(
-    rows: &[&ReplicaRow],
+fn place_among<'a>(
+    rows: &[&'a ReplicaRow],
     query: &PlacementQuery<'_>,
     now: Duration,
     is_wanted: impl Fn(&ReplicaRow) -> bool,
@@ -189,8 +200,16 @@
     let is_allowed = |row: &&ReplicaRow| {
         query.pin.admits(row) && !query.excluded.contains(&row.entry.id) && is_wanted(row)
     };
+    let is_uneven = rows.iter().any(|row| row.pace != 1.0);
+    let least_of = |rows: &[&'a ReplicaRow]| {
+        let allowed = rows.iter().copied().filter(is_allowed);
+        match is_uneven {
+            true => soonest_replica(allowed, query, now),
+            false => least_loaded(allowed, query, now),
+        }
+    };
     let Some(size) = query.size else {
-        let replica = least_loaded(rows.iter().copied().filter(is_allowed), query, now)?;
+        let replica = least_of(rows)?;
         return Some(Placement { replica, warm: None });
     };
     let group = match size.is_short(query.speed) {
@@ -208,9 +227,13 @@
         SizeGroup::Short => SizeGroup::Long,
         SizeGroup::Long => SizeGroup::Short,
     };
-    let replica = session_replica(&own_group, query)
-        .or_else(|| session_replica(&members(other).collect::<Vec<_>>(), query))
-        .or_else(|| least_loaded(rows.iter().copied().filter(is_allowed), query, now))?;
+    let in_group = |group: &[&ReplicaRow]| match is_uneven {
+        true => paced_session_replica(group, query, size, now),
+        false => session_replica(group, query),
+    };
+    let replica = in_group(&own_group)
+        .or_else(|| in_group(&members(other).collect::<Vec<_>>()))
+        .or_else(|| least_of(rows))?;
     let warm = warm_replica(&own_group, query, now).filter(|warm| *warm != replica);
     Some(Placement { replica, warm })
 }
@@ -235,9 +258,19 @@
         count => ((count as f64 * share).round() as usize).clamp(1, count - 1),
     };
     let mut positions: Vec<(usize, &str, usize)> = Vec::with_capacity(rows.len());
+    let mut zones: Vec<(&str, usize)> = Vec::new();
     for (index, row) in rows.iter().enumerate() {
         let zone = &*row.entry.zone;
-        let in_zone = positions.iter().filter(|(_, other, _)| *other == zone).count();
+        let in_zone = match zones.iter_mut().find(|(other, _)| *other == zone) {
+            Some((_, count)) => {
+                *count += 1;
+                *count
+            }
+            None => {
+                zones.push((zone, 0));
+                0
+            }
+        };
         positions.push((in_zone, zone, index));
     }
     positions.sort_unstable();
@@ -276,6 +309,57 @@
     rows.min_by_key(cost).map(|row| row.entry.id.clone())
 }
 
+/// Returns the replica of a session where paces differ: the one with the highest rendezvous score among those whose expected
+/// completion is within the bound. A replica is within it if the request would be complete there not much later than
+/// elsewhere, given the load of the group and the prefill that the session saves at its own replica.
+fn paced_session_replica(
+    group: &[&ReplicaRow],
+    query: &PlacementQuery<'_>,
+    size: RequestSize,
+    now: Duration,
+) -> Option<SharedName> {
+    let Some(session) = query.session else {
+        return soonest_replica(group.iter().copied(), query, now);
+    };
+    let own = RequestSize::work(query.size, query.speed);
+    let total: f64 = group.iter().map(|row| row.work() as f64 * row.pace).sum();
+    let mean = total / group.len().max(1) as f64;
+    let fastest = group.iter().map(|row| row.pace).fold(f64::INFINITY, f64::min);
+    let saved = size.prompt as f64 * CACHED_PROMPT_SHARE;
+    let bound = mean * SESSION_LOAD_FACTOR + (own as f64 + saved) * fastest;
+    let within = group.iter().filter(|row| expected_completion(row, own) <= bound);
+    let first = within.max_by_key(|row| rendezvous::score(session, &row.entry.id));
+    match first {
+        Some(row) => Some(row.entry.id.clone()),
+        None => soonest_replica(group.iter().copied(), query, now),
+    }
+}
+
+/// Returns a replica at which the request is expected to be complete soonest, selected at random among nearly equal ones.
+fn soonest_replica<'a>(
+    rows: impl Iterator<Item = &'a ReplicaRow> + Clone,
+    query: &PlacementQuery<'_>,
+    now: Duration,
+) -> Option<SharedName> {
+    let own = RequestSize::work(query.size, query.speed);
+    let cost = |row: &ReplicaRow| {
+        let zone_work = if &*row.entry.zone == query.zone { 0 } else { CROSS_ZONE_WORK };
+        let queued = row.work().saturating_sub(own.saturating_mul(LOAD_TOLERANCE));
+        queued.saturating_add(own) as f64 * row.pace + zone_work as f64
+    };
+    let has_healthy = rows.clone().any(|row| row.is_healthy(now));
+    let candidates = rows.filter(|row| row.is_healthy(now) == has_healthy);
+    let least = candidates.clone().map(cost).min_by(f64::total_cmp)?;
+    let near = candidates.filter(|row| cost(row) <= least * NEAR_FACTOR);
+    near.min_by_key(|row| tie_order(row, query.draw)).map(|row| row.entry.id.clone())
+}
+
+/// Returns the work that a replica has to do until a request with this work is complete, in prompt tokens at the usual
+/// pace.
+fn expected_completion(row: &ReplicaRow, own: u64) -> f64 {
+    row.work().saturating_add(own) as f64 * row.pace
+}
+
 /// Returns the position of a replica in a random order that depends on `draw`.
 fn tie_order(row: &ReplicaRow, draw: u64) -> u64 {
     (u64::from(row.hash) ^ draw).wrapping_mul(0x9e37_79b9_7f4a_7c15)
