Leave slow replicas with sessions only while that saves time

Cause: the bounded load of a session's group allows for half the mean load above it, and that allowance let sessions stay at idle slow replicas beside idle fast ones. The bound also used the least pace of the group, which among many replicas is mostly an underestimate.

Change: the bound uses the harmonic mean of the paces. A replica that is slower than that by 1.3 keeps a session only if the request completes there no later than at the best replica, apart from the prefill it saves. The pace expected of a replica is at least 0.5. The load trials measure times with errors of up to a factor of 1.8, and compare the mean time of a request as well.

--- a/berylstep_core/src/fleet/choice.rs
+++ b/berylstep_core/src/fleet/choice.rs
@@ -10,6 +10,7 @@
 use crate::collections::SharedName;
 use crate::fleet::engine::EngineSpeed;
 use crate::fleet::origins::VersionPin;
+use crate::fleet::pace::SLOW_PACE;
 use crate::fleet::replica::{ReplicaRow, ReplicaTable, PLAIN_REQUEST_WORK};
 use crate::rendezvous;
 
@@ -310,8 +311,9 @@
 }
 
 /// Returns the replica of a session where paces differ: the one with the highest rendezvous score among those whose expected
-/// completion is within the bound. A replica is within it if the request would be complete there not much later than
-/// elsewhere, given the load of the group and the prefill that the session saves at its own replica.
+/// completion is within the bound. It allows for the load of the group, of which reports lag, and for the prefill that the session
+/// saves at its own replica. A slow replica gets the session only if the request is complete there no later than at the best one,
+/// except for that prefill.
 fn paced_session_replica(
     group: &[&ReplicaRow],
     query: &PlacementQuery<'_>,
@@ -324,10 +326,17 @@
     let own = RequestSize::work(query.size, query.speed);
     let total: f64 = group.iter().map(|row| row.work() as f64 * row.pace).sum();
     let mean = total / group.len().max(1) as f64;
-    let fastest = group.iter().map(|row| row.pace).fold(f64::INFINITY, f64::min);
+    // The harmonic mean is the pace of the group as a whole. The least pace of many is mostly one that is underestimated.
+    let rates: f64 = group.iter().map(|row| row.pace.recip()).sum();
+    let usual = group.len() as f64 / rates;
     let saved = size.prompt as f64 * CACHED_PROMPT_SHARE;
-    let bound = mean * SESSION_LOAD_FACTOR + (own as f64 + saved) * fastest;
-    let within = group.iter().filter(|row| expected_completion(row, own) <= bound);
+    let bound = mean * SESSION_LOAD_FACTOR + (own as f64 + saved) * usual;
+    let completions = group.iter().map(|row| expected_completion(row, own));
+    let slow_bound = completions.fold(f64::INFINITY, f64::min) + saved * usual;
+    let within = group.iter().filter(|row| {
+        let bound = if row.pace < SLOW_PACE * usual { bound } else { slow_bound.min(bound) };
+        expected_completion(row, own) <= bound
+    });
     let first = within.max_by_key(|row| rendezvous::score(session, &row.entry.id));
     match first {
         Some(row) => Some(row.entry.id.clone()),
--- a/berylstep_core/src/fleet/pace.rs
+++ b/berylstep_core/src/fleet/pace.rs
@@ -14,6 +14,9 @@
 /// not outweigh several others.
 const MAX_FACTOR: f64 = 6.0;
 
+/// Smallest pace that is expected of a replica. One that is taken for much faster than it is draws the requests of all nodes.
+const MIN_PACE: f64 = 0.5;
+
 /// Weight of the prior, a pace of 1, in observations.
 const PRIOR_WEIGHT: f64 = 0.75;
 
@@ -282,7 +285,7 @@
         });
         let centre = self.services.get(&process.replica).and_then(|name| self.centres.get(name));
         let relative = log - centre.copied().unwrap_or_default();
-        relative.clamp(-MAX_FACTOR.ln(), MAX_FACTOR.ln()).exp()
+        relative.exp().clamp(MIN_PACE, MAX_FACTOR)
     }
 
     /// Returns the logarithm of the pace learnt from the observations of all nodes.
--- a/berylstep_core/tests/fleet_placement.rs
+++ b/berylstep_core/tests/fleet_placement.rs
@@ -103,6 +103,8 @@
     /// Requests that took more than twice their usual time.
     late: usize,
     total: usize,
+    /// Sum of the times of the requests.
+    time: Duration,
     /// Largest number of requests at a replica at once.
     peak: usize,
 }
@@ -122,8 +124,14 @@
         let mut ledgers: Vec<PaceLedger> = (0..self.nodes).map(|_| PaceLedger::default()).collect();
         let mut own: Vec<RunningWork> = vec![vec![VecDeque::new(); replicas]; self.nodes];
         let mut arrivals: VecDeque<(Duration, usize, usize, Duration)> = VecDeque::new();
-        let mut result =
-            TrialResult { counts: vec![0; replicas], slow: 0, late: 0, total: 0, peak: 0 };
+        let mut result = TrialResult {
+            counts: vec![0; replicas],
+            slow: 0,
+            late: 0,
+            total: 0,
+            time: Duration::ZERO,
+            peak: 0,
+        };
         let (step, end) = (Duration::from_millis(1), NOW + self.duration);
         let (mut now, mut next_report, mut due) = (NOW, NOW, 0.0);
         let mut reports: Option<(Duration, NodeReports)> = None;
@@ -144,7 +152,10 @@
                 let (_, node, index, elapsed) = arrivals.pop_front().unwrap();
                 let process = ProcessId { replica: hashes[index], born: 0 };
                 let kind = if self.size.is_some() { WorkKind::Model } else { WorkKind::Plain };
-                let sample = PaceSample { kind, baseline: 1, ratio: elapsed.as_secs_f64() };
+                // Prompts, outputs and load make single times uncertain by up to a factor of 1.8.
+                let error = ((rng.f64() - 0.5) * 1.2).exp();
+                let ratio = elapsed.as_secs_f64() * error;
+                let sample = PaceSample { kind, baseline: 1, ratio };
                 ledgers[node].observe_elapsed(process, sample, now);
                 let statement =
                     LoadStatement { pace: Some(pace(index, now)), ..LoadStatement::default() };
@@ -182,6 +193,7 @@
                 arrivals.insert(position, (now + elapsed, node, index, elapsed));
                 let is_slow = pace(index, now) > 1.0;
                 result.late += usize::from(elapsed >= 2 * self.time);
+                result.time += elapsed;
                 result.counts[index] += 1;
                 result.slow += usize::from(is_slow);
                 result.total += 1;
@@ -271,8 +283,16 @@
     };
     let (before, after) = (trial.run(4, false, pace), trial.run(4, true, pace));
     println!(
-        "slow: {} of {} without paces, {} with; late {} and {}; peak {} and {}",
-        before.slow, before.total, after.slow, before.late, after.late, before.peak, after.peak
+        "slow: {} of {} without paces, {} with; late {} and {}; peak {} and {}; time {:?} and {:?}",
+        before.slow,
+        before.total,
+        after.slow,
+        before.late,
+        after.late,
+        before.peak,
+        after.peak,
+        before.time / before.total as u32,
+        after.time / after.total as u32
     );
     assert!(after.slow * 10 <= before.slow * 7, "{} of {}", after.slow, before.slow);
     assert!(after.peak <= before.peak, "peak {} before {}", after.peak, before.peak);
@@ -294,10 +314,19 @@
     let pace = |index: usize, _| if index % 3 == 0 { 1.7 } else { 0.7 };
     let (before, after) = (trial.run(140, false, pace), trial.run(140, true, pace));
     println!(
-        "slow: {} of {} without paces, {} with; late {} and {}; peak {} and {}",
-        before.slow, before.total, after.slow, before.late, after.late, before.peak, after.peak
+        "slow: {} of {} without paces, {} with; late {} and {}; peak {} and {}; time {:?} and {:?}",
+        before.slow,
+        before.total,
+        after.slow,
+        before.late,
+        after.late,
+        before.peak,
+        after.peak,
+        before.time / before.total as u32,
+        after.time / after.total as u32
     );
-    assert!(after.slow * 4 <= before.slow * 3, "{} of {}", after.slow, before.slow);
+    assert!(after.slow * 5 <= before.slow * 3, "{} of {}", after.slow, before.slow);
+    assert!(after.time * 10 <= before.time * 9, "{:?} of {:?}", after.time, before.time);
     assert!(after.peak <= 12, "a replica got {} requests for 12 slots", after.peak);
     let most = after.counts.iter().max().unwrap();
     assert!(*most * 140 <= after.total * 5, "one replica got {most} of {}", after.total);
