--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -361,6 +361,7 @@
             limits: self.limits.clone(),
             cold: self.cold.clone(),
             turns: self.turns.clone(),
+            pace: self.pace.clone(),
             brittle: self.brittle.clone(),
             slots: self.slots.clone(),
             origins: self.origins.clone(),
@@ -529,6 +530,7 @@
         handler.origins.expire();
         handler.cold.report();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
+        handler.metrics.pace.slow_replicas.set(handler.pace.slow_replicas());
         handler.crashes.expire();
         handler.metrics.quarantined_prompts.set(handler.crashes.quarantined_groups());
     }
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -367,6 +367,7 @@
         self.count_usage(request);
         self.usage.record_response(&target.id);
         load.finish_prefill();
+        self.record_response_pace(request, target, options, head.status, sent_at);
         let body = match !streams && decoder.is_complete() && content.is_empty() {
             true => Some(body),
             false => {
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -27,6 +27,7 @@
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::origins::OriginDesk;
+use crate::gateway::pace::PaceWatch;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::CrashWatch;
 use crate::gateway::reach::ReachWatch;
@@ -102,6 +103,8 @@
     pub turns: Rc<TurnDesk>,
     /// Cold replicas.
     pub cold: Rc<ColdWatch>,
+    /// Paces of replicas.
+    pub pace: Rc<PaceWatch>,
     /// Replicas that are brittle.
     pub brittle: Rc<BrittleWatch>,
     /// Slots of brittle replicas.
@@ -152,10 +155,12 @@
         self.cold.record_tick();
         self.mirror.expire();
         self.update_peer_loads(now);
+        self.pace.refresh(self.peers.paces(now));
         self.slots.update().await;
         self.origins.announce_after_change().await;
         let pulse = self.pulse(sequence, now);
         self.peers.record_own_work(pulse.work.clone());
+        self.peers.record_own_paces(pulse.paces.clone());
         let mut reached = HashSet::default();
         let delta = self.replica_delta(now);
         for group in self.peers.outbound(&pulse, delta, now) {
@@ -344,7 +349,12 @@
         {
             self.peer_ahead.notify();
         }
-        let is_newer = self.peers.record_pulse(pulse, from, self.clock.now());
+        let has_totals = pulse.fleet.is_some();
+        let now = self.clock.now();
+        let is_newer = self.peers.record_pulse(pulse, from, now);
+        if is_newer && has_totals && self.pace.is_uneven() {
+            self.pace.refresh(self.peers.paces(now));
+        }
         (is_newer && is_new).then_some(PulseReply::State)
     }
 
@@ -438,6 +448,8 @@
             follows_store: self.mirror.is_following_store(),
             cold_candidates: Vec::new(),
             evacuation: self.mirror.evacuation_message(),
+            states_pace: self.pace.has_statements(),
+            paces: self.pace.reports(),
         }
     }
 
--- a/berylstep_core/src/fleet/replica.rs
+++ b/berylstep_core/src/fleet/replica.rs
@@ -90,6 +90,8 @@
     pub others: ReplicaLoad,
     /// What is known of its coldness.
     pub cold: ColdMark,
+    /// Expected pace, see [`crate::fleet::pace`]; 1 unless replicas state theirs.
+    pub pace: f64,
     avoided_until: Duration,
     failures: u32,
     full_until: Duration,
@@ -211,6 +213,7 @@
                     (row.full_until, row.quiet_until) = (Duration::ZERO, Duration::ZERO);
                     row.since = now;
                     row.cold = ColdMark::new(now);
+                    row.pace = 1.0;
                 } else if returns {
                     row.cold.presume(now);
                 }
@@ -227,6 +230,7 @@
                     own: ReplicaLoad::default(),
                     others: ReplicaLoad::default(),
                     cold: ColdMark::new(now),
+                    pace: 1.0,
                     avoided_until: Duration::ZERO,
                     failures: 0,
                     full_until: Duration::ZERO,
@@ -394,6 +398,20 @@
         }
     }
 
+    /// Sets the pace of each replica.
+    pub fn set_paces(&mut self, pace: impl Fn(&ReplicaRow) -> f64) {
+        for row in self.rows.values_mut() {
+            row.pace = pace(row);
+        }
+    }
+
+    /// Sets the pace of one replica.
+    pub fn set_pace(&mut self, id: &str, pace: f64) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.pace = pace;
+        }
+    }
+
     /// Records a successful response; the replica is no longer avoided.
     pub fn record_success(&mut self, id: &str) {
         if let Some(row) = self.rows.get_mut(id) {
