--- a/berylstep_core/src/fleet/admission.rs
+++ b/berylstep_core/src/fleet/admission.rs
@@ -24,9 +24,15 @@
 /// and for the error of the estimate.
 const PATIENCE_SHARE: f64 = 2.0 / 3.0;
 
-/// Part of its patience that is left to a request which its organisation sends beyond its usual load, or
-/// which was sent again before the time that its refusal named.
-const YIELDING_SHARE: f64 = 0.25;
+/// Part of the patience by which the draws of requests spread. The expected wait varies by about a tenth around
+/// the bound, and only a wider spread keeps repeats from meeting a moment at which it is lower.
+const PATIENCE_SPREAD: f64 = 0.25;
+
+/// Part of its patience and of its objective that a request may wait which its organisation sends beyond its
+/// usual load, or which was sent again before the time that its refusal named. It is so short that others of
+/// the tier still meet their objective.
+const YIELDING_PATIENCE: f64 = 0.25;
+const YIELDING_OBJECTIVE: f64 = 0.5;
 
 /// Requests in progress at which held requests are no longer slowed down, relative to the slots. A short
 /// queue keeps the replicas busy between two reports of the nodes.
@@ -46,8 +52,11 @@
 const SHORTEST_WAIT: Duration = Duration::from_millis(5);
 const LONGEST_WAIT: Duration = Duration::from_millis(50);
 
-/// Part of the slots that more urgent tiers may fill while a lower one is served too rarely.
-const URGENT_SLOT_SHARE: f64 = 0.9;
+/// Part of the slots, and of the completions, that more urgent tiers may take while a lower one is served too
+/// rarely. By the slots alone, whose use by tier is a guess from few requests at one node, urgent requests
+/// were refused during a burst of the lowest tier.
+const URGENT_SLOTS: f64 = 0.9;
+const URGENT_COMPLETIONS: f64 = 0.8;
 
 /// Room of a service as a node knows it, over all nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -104,6 +113,9 @@
     /// Hash of its caller's key, its identifier and its content, the same if it is sent again; 0 without an
     /// identifier.
     pub identity: u64,
+    /// Number from 0 to 1 that is drawn from its caller, its content and the time to some seconds. All nodes
+    /// draw the same, so that a request which is sent again at once is decided in the same way.
+    pub draw: f64,
 }
 
 impl AdmissionAsk {
@@ -230,7 +242,7 @@
         let is_counted = standing != TicketStanding::Early;
         let arrival = self.tally.record_arrival(&ask, is_counted, now);
         let standing = match (standing, arrival.is_unusual) {
-            (TicketStanding::Usual, true) => TicketStanding::Unusual,
+            (TicketStanding::Usual | TicketStanding::Returned, true) => TicketStanding::Unusual,
             (standing, _) => standing,
         };
         self.issued += 1;
@@ -301,10 +313,10 @@
         self.waiting.len()
     }
 
-    /// Returns the part of the requests in progress that ends per second, as seen at this node; 0 if too few
-    /// have ended.
-    pub fn end_rate(&mut self, now: Duration) -> f64 {
-        self.tally.end_rate(now)
+    /// Returns the requests that end per second at replicas with `slots` and `requests` in progress, by those
+    /// of this node; 0 if too few of them have ended.
+    pub fn completion_rate(&mut self, slots: u32, requests: u32, now: Duration) -> f64 {
+        self.tally.completion_rate(slots, requests, now)
     }
 
     /// Drops what is no longer needed.
@@ -389,7 +401,9 @@
     /// Returns whether the tier and more urgent ones fill the slots while a lower tier is served too rarely.
     fn takes_floor(&self, mix: &TierMix, tier: u8, room: &ServiceRoom, now: Duration) -> bool {
         let ahead = f64::from(room.requests) * mix.ahead;
-        ahead > f64::from(room.slots) * URGENT_SLOT_SHARE && self.tally.starves_lower(tier, now)
+        ahead > f64::from(room.slots) * URGENT_SLOTS
+            && mix.taken > URGENT_COMPLETIONS
+            && self.tally.starves_lower(tier, now)
     }
 
     fn refuse(
@@ -423,10 +437,14 @@
 fn patience(ticket: &AdmissionTicket, now: Duration) -> Duration {
     let left = ticket.ask.deadline.saturating_sub(now);
     let usual = left.mul_f64(PATIENCE_SHARE).min(ticket.ask.gap_limit);
+    let usual = usual.mul_f64(1.0 - PATIENCE_SPREAD * ticket.ask.draw.clamp(0.0, 1.0));
     match ticket.standing {
         TicketStanding::Returned => left,
         TicketStanding::Usual => usual,
-        TicketStanding::Unusual | TicketStanding::Early => usual.mul_f64(YIELDING_SHARE),
+        TicketStanding::Unusual | TicketStanding::Early => {
+            let objective = ticket.ask.objective.saturating_sub(ticket.ask.arrived);
+            usual.mul_f64(YIELDING_PATIENCE).min(objective.mul_f64(YIELDING_OBJECTIVE))
+        }
     }
 }
 
--- a/berylstep_core/src/fleet/admission/tally.rs
+++ b/berylstep_core/src/fleet/admission/tally.rs
@@ -18,15 +18,26 @@
 /// Time for which a node must have counted before it knows the usual load.
 const LEARNING_TIME: Duration = Duration::from_secs(20);
 
-/// Multiple of its usual load up to which an organisation's requests are like those of others.
-const USUAL_FACTOR: f64 = 2.5;
+/// Time over which the present load of an organisation is averaged.
+const PRESENT_TIME: Duration = Duration::from_secs(3);
 
-/// Requests beyond that in a short time which chance explains.
-const USUAL_SLACK: f64 = 4.0;
+/// Multiple of its usual load from which on an organisation has to yield. Bursts of all callers reach nearly
+/// twice the load.
+const UNUSUAL_FACTOR: f64 = 2.5;
+
+/// Requests in [`PRESENT_TIME`] that are never unusual, since chance explains them.
+const USUAL_SLACK: f64 = 8.0;
+
+/// Weight of an unusual request in the usual load, which a lasting rise thus changes within minutes.
+const UNUSUAL_WEIGHT: f64 = 0.2;
+
+/// Multiple of its usual load up to which the requests of such an organisation are like those of others.
+const USUAL_ALLOWANCE: f64 = 1.2;
 
 /// Least served part of a tier or an organisation, relative to that of all requests. Callers need a quarter;
-/// the rest covers requests that fail later.
-const GROUP_FLOOR: f64 = 0.35;
+/// the rest covers requests that fail later. At 0.35, the refused requests of an organisation at 7.5 times its
+/// load that were sent again, and so counted twice, brought it enough to delay the others.
+const GROUP_FLOOR: f64 = 0.28;
 
 /// Least served part of large requests, relative to that of their tier. Callers need a half.
 const LARGE_FLOOR: f64 = 0.7;
@@ -133,6 +144,7 @@
 struct OrganisationTally {
     all: ServedPart,
     usual: DecayedCount,
+    present: DecayedCount,
     allowance: f64,
     refilled_at: Duration,
 }
@@ -153,6 +165,8 @@
     pub ahead: f64,
     /// Part of the completions that are of this tier or a less urgent one.
     pub drained: f64,
+    /// Part of the completions that are of this tier or a more urgent one.
+    pub taken: f64,
 }
 
 /// Counts of a node for one service.
@@ -165,15 +179,18 @@
     /// Load of all organisations over [`USUAL_TIME`].
     usual: DecayedCount,
     ended: DecayedCount,
-    /// Time that requests were in progress, summed over them, in seconds.
-    request_seconds: DecayedCount,
+    /// Time that requests had a slot, summed over them, in seconds.
+    slot_seconds: DecayedCount,
+    /// Requests that were admitted and have not ended.
     running: u32,
+    /// Part of the requests in progress that have a slot.
+    slot_part: f64,
 }
 
 impl LoadTally {
     /// Creates empty counts at `now`.
     pub fn new(now: Duration) -> Self {
-        Self { started_at: now, ..Self::default() }
+        Self { started_at: now, slot_part: 1.0, ..Self::default() }
     }
 
     /// Records a request that asks for admission. One that isn't counted leaves no trace in served parts.
@@ -210,16 +227,22 @@
         let tally = self.organisations.entry(organisation).or_default();
         // An organisation below the average is never unusual, so that new ones have a place.
         let usual = tally.usual.at(USUAL_TIME, now).max(mean) / seconds.max(1.0);
+        tally.present.add(1.0, PRESENT_TIME, now);
+        let usual_now = usual * PRESENT_TIME.as_secs_f64();
+        let bound = (usual_now * UNUSUAL_FACTOR).max(USUAL_SLACK);
+        let is_rising = tally.present.at(PRESENT_TIME, now) > bound;
         let elapsed = now.saturating_sub(tally.refilled_at).as_secs_f64();
-        let bound = (usual * USUAL_FACTOR).max(USUAL_SLACK);
-        tally.allowance = (tally.allowance + usual * USUAL_FACTOR * elapsed).min(bound);
+        let allowed = usual * USUAL_ALLOWANCE;
+        tally.allowance = (tally.allowance + allowed * elapsed).min(allowed.max(1.0));
         tally.refilled_at = now;
-        let is_unusual = tally.allowance < 1.0;
-        if !is_unusual {
+        let is_allowed = tally.allowance >= 1.0;
+        if is_allowed {
             tally.allowance -= 1.0;
         }
-        tally.usual.add(1.0, USUAL_TIME, now);
-        self.usual.add(1.0, USUAL_TIME, now);
+        let is_unusual = is_rising && !is_allowed;
+        let weight = if is_unusual { UNUSUAL_WEIGHT } else { 1.0 };
+        tally.usual.add(weight, USUAL_TIME, now);
+        self.usual.add(weight, USUAL_TIME, now);
         if is_counted {
             tally.all.record_ask(now);
         }
@@ -267,18 +290,23 @@
     }
 
     fn pass_time(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.request_seconds.at).as_secs_f64();
-        let seconds = elapsed.min(END_TIME.as_secs_f64()) * f64::from(self.running);
-        self.request_seconds.add(seconds, END_TIME, now);
+        let elapsed = now.saturating_sub(self.slot_seconds.at).min(END_TIME);
+        let seconds = elapsed.as_secs_f64() * f64::from(self.running) * self.slot_part;
+        self.slot_seconds.add(seconds, END_TIME, now);
     }
 
-    /// Returns the part of the requests in progress that ends per second; 0 if too few have ended.
-    pub fn end_rate(&mut self, now: Duration) -> f64 {
+    /// Returns the requests that end per second over all nodes; 0 if too few of this node have ended. It is
+    /// taken from the time that requests have a slot, which doesn't depend on the length of the queue: rates
+    /// of the last seconds would be too low when a burst follows a time of little load, and too high by the
+    /// queue's growth if they were taken from the whole time that requests are in progress.
+    pub fn completion_rate(&mut self, slots: u32, requests: u32, now: Duration) -> f64 {
         self.pass_time(now);
+        let running = f64::from(requests.min(slots));
+        self.slot_part = if requests > 0 { running / f64::from(requests) } else { 1.0 };
         let ended = self.ended.at(END_TIME, now);
-        let seconds = self.request_seconds.at(END_TIME, now);
+        let seconds = self.slot_seconds.at(END_TIME, now);
         match ended >= MIN_ENDS && seconds > 0.0 {
-            true => ended / seconds,
+            true => running * ended / seconds,
             false => 0.0,
         }
     }
@@ -305,7 +333,9 @@
         let ended_here: f64 = self.tiers.range(tier..).map(|(_, tally)| ended(tally)).sum();
         let ended_all: f64 = self.tiers.values().map(ended).sum();
         let drained = (ended_here + DRAIN_WEIGHT) / (ended_all + DRAIN_WEIGHT);
-        TierMix { ahead: 1.0 - behind, drained: drained.max(MIN_DRAINED) }
+        let ended_up_to: f64 = self.tiers.range(..=tier).map(|(_, tally)| ended(tally)).sum();
+        let taken = ended_up_to / ended_all.max(f64::MIN_POSITIVE);
+        TierMix { ahead: 1.0 - behind, drained: drained.max(MIN_DRAINED), taken }
     }
 
     /// Returns whether the tier, organisation or size of a request that has asked is served too rarely.
