--- a/berylstep_core/src/fleet/admission.rs
+++ b/berylstep_core/src/fleet/admission.rs
@@ -6,14 +6,15 @@
 //! for a response that is of use, unless their tier, organisation or size has been served too rarely.
 
 mod promises;
+mod room;
 mod tally;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::collections::HashMap;
-pub use promises::PROMISED_SHARE;
 use promises::{PromiseBook, PromiseQuery, ReturnKind};
+pub use room::ServiceRoom;
 use tally::{LoadTally, TierMix};
 
 /// Part of its objective for which a request is held at most. A refusal after that costs its caller more
@@ -21,7 +22,8 @@
 const HOLD_SHARE: u32 = 8;
 
 /// Part of the time that a request has left which it may spend waiting for a slot; the rest is for its run
-/// and for the error of the estimate.
+/// and for the error of the estimate. The most urgent of several tiers may wait for its objective only: late
+/// responses are worth little there, and a queue of that length would make all of them late.
 const PATIENCE_SHARE: f64 = 2.0 / 3.0;
 
 /// Part of the patience by which the draws of requests spread. The expected wait varies by about a tenth around
@@ -34,17 +36,6 @@
 const YIELDING_PATIENCE: f64 = 0.25;
 const YIELDING_OBJECTIVE: f64 = 0.5;
 
-/// Requests in progress at which held requests are no longer slowed down, relative to the slots. A short
-/// queue keeps the replicas busy between two reports of the nodes.
-const TARGET_OCCUPANCY: f64 = 1.1;
-
-/// Time within which the requests in progress are brought to the target. Four times the usual age of the
-/// reports of other nodes, so that their delay doesn't make the admitted load oscillate.
-const CONTROL_HORIZON: Duration = Duration::from_secs(1);
-
-/// Least pace of admissions, relative to the completions; keeps the pace from stopping at a high load.
-const MIN_PACE: f64 = 0.1;
-
 /// Time whose admissions may be saved up or spent in advance.
 const CREDIT_TIME: Duration = Duration::from_millis(250);
 
@@ -58,41 +49,6 @@
 const URGENT_SLOTS: f64 = 0.9;
 const URGENT_COMPLETIONS: f64 = 0.8;
 
-/// Room of a service as a node knows it, over all nodes.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ServiceRoom {
-    /// Slots of the replicas that accept requests.
-    pub slots: u32,
-    /// Requests in progress at these replicas.
-    pub requests: u32,
-    /// Requests that end per second, over all nodes; 0 if unknown.
-    pub ended_per_second: f64,
-    /// Part of the room that this node may take, from 0 to 1. The parts of all nodes sum up to about 1.
-    pub share: f64,
-    /// Whether the counts include those of the other nodes. Without them, the room is this node's safe share
-    /// of the whole, and nothing is refused.
-    pub knows_others: bool,
-}
-
-impl ServiceRoom {
-    /// Returns whether enough is known to hold requests or to refuse them.
-    fn is_known(&self) -> bool {
-        self.slots > 0 && self.ended_per_second > 0.0 && self.share > 0.0
-    }
-
-    /// Returns whether more requests are in progress than there are slots.
-    fn is_short(&self) -> bool {
-        self.is_known() && self.requests > self.slots
-    }
-
-    /// Returns the admissions per second of this node that bring the requests in progress to the target.
-    fn pace(&self) -> f64 {
-        let missing = f64::from(self.slots) * TARGET_OCCUPANCY - f64::from(self.requests);
-        let pace = self.ended_per_second + missing / CONTROL_HORIZON.as_secs_f64();
-        pace.max(self.ended_per_second * MIN_PACE) * self.share
-    }
-}
-
 /// A request that asks for admission. All times are those of the node's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionAsk {
@@ -379,8 +335,8 @@
         }
         let ask = &ticket.ask;
         let mix = self.tally.mix(ask.tier, now);
-        let wait = expected_wait(&mix, room);
-        let patience = patience(ticket, now);
+        let wait = room.expected_wait(&mix);
+        let patience = self.patience(ticket, now);
         let reason = match ticket.standing {
             _ if wait > patience => match ticket.standing {
                 TicketStanding::Returned | TicketStanding::Usual => RefusalReason::TooLate,
@@ -398,6 +354,26 @@
         (!is_below_floor && !goes_before_lower).then_some(reason)
     }
 
+    /// Returns the time for which a request may wait at a replica and still be of use.
+    fn patience(&self, ticket: &AdmissionTicket, now: Duration) -> Duration {
+        let ask = &ticket.ask;
+        let left = ask.deadline.saturating_sub(now);
+        let objective = ask.objective.saturating_sub(ask.arrived);
+        let bound = match self.tally.leads_others(ask.tier, now) {
+            true => left.min(objective),
+            false => left.mul_f64(PATIENCE_SHARE),
+        };
+        let spread = 1.0 - PATIENCE_SPREAD * ask.draw.clamp(0.0, 1.0);
+        let usual = bound.min(ask.gap_limit).mul_f64(spread);
+        match ticket.standing {
+            TicketStanding::Returned => left,
+            TicketStanding::Usual => usual,
+            TicketStanding::Unusual | TicketStanding::Early => {
+                usual.mul_f64(YIELDING_PATIENCE).min(objective.mul_f64(YIELDING_OBJECTIVE))
+            }
+        }
+    }
+
     /// Returns whether the tier and more urgent ones fill the slots while a lower tier is served too rarely.
     fn takes_floor(&self, mix: &TierMix, tier: u8, room: &ServiceRoom, now: Duration) -> bool {
         let ahead = f64::from(room.requests) * mix.ahead;
@@ -415,7 +391,7 @@
         now: Duration,
     ) -> AdmissionVerdict {
         let mix = self.tally.mix(ticket.ask.tier, now);
-        let wait = expected_wait(&mix, room).saturating_sub(patience(ticket, now));
+        let wait = room.expected_wait(&mix).saturating_sub(self.patience(ticket, now));
         let query = PromiseQuery {
             tier: ticket.ask.tier,
             identity: ticket.ask.identity,
@@ -432,27 +408,3 @@
         AdmissionVerdict::Refused { reason, retry_after }
     }
 }
-
-/// Returns the time for which a request may wait at a replica and still be of use.
-fn patience(ticket: &AdmissionTicket, now: Duration) -> Duration {
-    let left = ticket.ask.deadline.saturating_sub(now);
-    let usual = left.mul_f64(PATIENCE_SHARE).min(ticket.ask.gap_limit);
-    let usual = usual.mul_f64(1.0 - PATIENCE_SPREAD * ticket.ask.draw.clamp(0.0, 1.0));
-    match ticket.standing {
-        TicketStanding::Returned => left,
-        TicketStanding::Usual => usual,
-        TicketStanding::Unusual | TicketStanding::Early => {
-            let objective = ticket.ask.objective.saturating_sub(ticket.ask.arrived);
-            usual.mul_f64(YIELDING_PATIENCE).min(objective.mul_f64(YIELDING_OBJECTIVE))
-        }
-    }
-}
-
-/// Returns the time that a request is expected to wait for a slot: until the requests that replicas serve
-/// before it have ended, while more urgent ones go on arriving.
-fn expected_wait(mix: &TierMix, room: &ServiceRoom) -> Duration {
-    let ahead = f64::from(room.requests) * mix.ahead;
-    let queued = (ahead - f64::from(room.slots)).max(0.0);
-    let seconds = queued / (room.ended_per_second * mix.drained);
-    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
-}
--- a/berylstep_core/src/fleet/admission/promises.rs
+++ b/berylstep_core/src/fleet/admission/promises.rs
@@ -6,7 +6,7 @@
 use crate::collections::HashMap;
 
 /// Part of the completions that is promised to requests which come back; the rest is for new ones.
-pub const PROMISED_SHARE: f64 = 0.5;
+const PROMISED_SHARE: f64 = 0.5;
 
 /// Part of the time that a caller has left for which it honours `Retry-After`.
 const WAITED_SHARE: f64 = 1.0 / 3.0;
--- a/berylstep_core/src/fleet/admission/tally.rs
+++ b/berylstep_core/src/fleet/admission/tally.rs
@@ -318,6 +318,13 @@
         urgent.all(|(_, tally)| tally.running == 0 && tally.all.asked.at(FLOOR_TIME, now) < 0.5)
     }
 
+    /// Returns whether a tier is the most urgent of several that have asked lately.
+    pub fn leads_others(&self, tier: u8, now: Duration) -> bool {
+        let asked = |tally: &TierTally| tally.all.asked.at(FLOOR_TIME, now) >= MIN_COMPARED;
+        let mut lower = self.tiers.range(tier..).filter(|(other, _)| **other > tier);
+        self.is_most_urgent(tier) && lower.any(|(_, tally)| asked(tally))
+    }
+
     /// Returns the place of a tier among the requests in progress. The mix at this node stands for that at
     /// all nodes.
     pub fn mix(&self, tier: u8, now: Duration) -> TierMix {
