Decide on admission before a request gets its first replica

Where the settings name the rule group of contention and the service is a model, a node now asks its admission controller first. Requests wait here, or are refused with the time after which they may come back. Streams that go on and requests from other nodes are neither held nor refused. Decisions are counted by tier; a line a second and reason says what was refused and why.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -3,6 +3,7 @@
 //!
 //! All tasks run on one thread and share state through `Rc` handles.
 
+pub mod admission;
 pub mod attempt;
 pub mod brittle;
 pub mod callers;
@@ -57,6 +58,7 @@
 use smol::LocalExecutor;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::admission::{AdmissionContext, AdmissionDesk};
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::callers::CallerListener;
 use crate::gateway::demand::DemandLedger;
@@ -409,6 +411,12 @@
             levels: self.levels.clone(),
             demand: self.demand.clone(),
             budgets: RefCell::default(),
+            admission: AdmissionDesk::new(AdmissionContext {
+                clock: self.clock.clone(),
+                mirror: self.mirror.clone(),
+                peers: self.peers.clone(),
+                demand: self.demand.clone(),
+            }),
         });
         self.tasks.spawn(run_maintenance(handler.clone())).detach();
         self.tasks.spawn(self.crashes.clone().verify_losses()).detach();
@@ -496,6 +504,7 @@
         handler.brittle.expire();
         handler.slots.expire();
         handler.origins.expire();
+        handler.admission.report();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.crashes.expire();
         handler.metrics.quarantined_prompts.set(handler.crashes.quarantined_groups());
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use smol::future;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::admission::AdmissionDesk;
 use crate::gateway::attempt::{AttemptOutcome, StartedResponse};
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::demand::DemandLedger;
@@ -98,6 +99,8 @@
     pub demand: Rc<DemandLedger>,
     /// Retry budget of each service.
     pub budgets: RefCell<HashMap<SharedName, SharedBudget>>,
+    /// Admission while callers compete for room.
+    pub admission: AdmissionDesk,
 }
 
 /// A request whose route and organisation are known.
@@ -303,6 +306,13 @@
             trace.record_outcome(reply_outcome(&reply));
             return self.send_reply(writer, &reply).await;
         }
+        let _admission = match self.admit_request(request, trace).await {
+            Ok(guard) => guard,
+            Err(reply) => {
+                trace.record_outcome(reply_outcome(&reply));
+                return self.send_reply(writer, &reply).await;
+            }
+        };
         let mut next = self.select_replica(request, &mut history).await;
         loop {
             let Some(target) = next else {
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -9,6 +9,7 @@
 use berylstep_http::BodyFraming;
 use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
+use crate::gateway::admission::metrics::AdmissionMetrics;
 use crate::gateway::attempt::{AttemptOutcome, ReplicaTarget};
 use crate::gateway::quarantine::key_list;
 use crate::gateway::request::RoutedRequest;
@@ -115,6 +116,8 @@
     pub limited_replicas: IntGauge,
     /// Number of groups of prompt parts that are refused because they crash replicas.
     pub quarantined_prompts: IntGauge,
+    /// Decisions on admission.
+    pub admission: AdmissionMetrics,
     retry_budget: IntGaugeVec,
 }
 
@@ -214,6 +217,7 @@
                 "berylstep_gateway_quarantined_prompts",
                 "Groups of prompt parts that are refused because they crash replicas.",
             )?,
+            admission: AdmissionMetrics::new(&set)?,
             retry_budget: set.gauges(
                 "berylstep_gateway_retry_budget_left",
                 "Repeats that this node may still make now, by service.",
@@ -548,6 +552,11 @@
         }
     }
 
+    /// Returns the outcome of the request, if it is recorded.
+    pub fn outcome(&self) -> Option<RequestOutcome> {
+        self.outcome.get()
+    }
+
     /// Updates the metrics and service levels, and logs the request.
     pub fn finish(
         &self,
