--- a/berylstep/src/gateway/admission.rs
+++ b/berylstep/src/gateway/admission.rs
@@ -32,6 +32,9 @@
 /// some seconds, and its sum over all nodes takes a while.
 const SHARE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for which the room is kept; requests that wait ask often, and its sum over all replicas takes a while.
+const ROOM_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Part of the room that is divided by demand; the rest is divided evenly, so that a node whose callers have
 /// just come has a part.
 const DEMAND_SHARE: f64 = 0.5;
@@ -68,12 +71,13 @@
 struct ServiceAdmission {
     controller: AdmissionController,
     share: RoomShare,
-    read_at: Duration,
+    shared_at: Duration,
+    room: ServiceRoom,
+    room_at: Option<Duration>,
     /// Refusals since the last log line, by reason.
     refused: HashMap<RefusalReason, u32>,
     /// Requests that began to wait since the last log line.
     waited: u32,
-    room: ServiceRoom,
 }
 
 /// Part of a service's room that this node may take.
@@ -124,10 +128,11 @@
         let admission = services.entry(service.clone()).or_insert_with(|| ServiceAdmission {
             controller: AdmissionController::new(fastrand::f64(), now),
             share: self.share(service, now),
-            read_at: now,
+            shared_at: now,
+            room: ServiceRoom::default(),
+            room_at: None,
             refused: HashMap::default(),
             waited: 0,
-            room: ServiceRoom::default(),
         });
         change(admission, now)
     }
@@ -151,11 +156,14 @@
     /// Decides on a request that has entered.
     fn decide(&self, service: &SharedName, number: TicketNumber) -> AdmissionVerdict {
         self.with_service(service, |admission, now| {
-            if now.saturating_sub(admission.read_at) >= SHARE_INTERVAL {
+            if now.saturating_sub(admission.shared_at) >= SHARE_INTERVAL {
                 admission.share = self.share(service, now);
-                admission.read_at = now;
+                admission.shared_at = now;
+            }
+            if admission.room_at.is_none_or(|at| now.saturating_sub(at) >= ROOM_INTERVAL) {
+                admission.room = self.room(service, admission, now);
+                admission.room_at = Some(now);
             }
-            admission.room = self.room(service, admission, now);
             let verdict = admission.controller.decide(number, &admission.room, now);
             if let AdmissionVerdict::Refused { reason, .. } = verdict {
                 *admission.refused.entry(reason).or_default() += 1;
@@ -247,10 +255,9 @@
         let record = |decision| {
             self.metrics.admission.record_decision(&request.service, request.priority, decision);
         };
-        // Streams that go on have been admitted when they began; requests that another node handed over
-        // have been delayed already.
-        let goes_on = request.headers.takes_up_stream() || request.pin != VersionPin::Any;
-        if goes_on || request.is_handed_over {
+        // Streams that go on were admitted when they began, and requests that another node handed over are
+        // late already. Only a stream whose beginning is known has a version, whatever its caller says.
+        if request.pin != VersionPin::Any || request.is_handed_over {
             guard.admit();
             record(CountedDecision::Admitted);
             return Ok(Some(guard));
--- a/berylstep/tests/admission.rs
+++ b/berylstep/tests/admission.rs
@@ -94,6 +94,8 @@
 #[derive(Debug)]
 struct SentRequest {
     id: String,
+    /// Whether its caller says that it takes up a stream, on a route without streams.
+    claims_stream: bool,
     status: u16,
     retry_after: Option<f64>,
     took: Duration,
@@ -145,7 +147,9 @@
     let began = Instant::now();
     let mut stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-    let headers = format!("{KEY_HEADER}Berylstep-Token-Counts: 100,10\r\n");
+    // No caller passes for one that takes up a stream.
+    let claim = if number % 2 == 1 { "Last-Event-Id: 1\r\n" } else { "" };
+    let headers = format!("{KEY_HEADER}Berylstep-Token-Counts: 100,10\r\n{claim}");
     let text = request_text(route, &id, TIMEOUT_MS, &headers);
     stream.write_all(text.as_bytes()).unwrap();
     let answer = read_message(&mut stream);
@@ -154,6 +158,7 @@
         status: answer.as_ref().map_or(0, RawMessage::status),
         retry_after: retry_after.and_then(|value| value.parse().ok()),
         took: began.elapsed(),
+        claims_stream: !claim.is_empty(),
         id,
     }
 }
@@ -182,6 +187,8 @@
     assert!(slowest < Duration::from_millis(HIGH_TARGET_MS), "{slowest:?}");
     let (refused, others): (Vec<_>, Vec<_>) = low.iter().partition(|request| request.status == 503);
     assert!(refused.len() >= LOW_REQUESTS / 8, "{} refused", refused.len());
+    let claiming = refused.iter().filter(|request| request.claims_stream).count();
+    assert!(claiming >= refused.len() / 4, "{claiming} of {}", refused.len());
     let served = others.iter().filter(|request| request.status == 200).count();
     // The replica completes two fifths of the requests, of which the high tier takes a few.
     assert!(served >= LOW_REQUESTS / 3, "{served} served, {} refused", refused.len());
--- a/berylstep_core/tests/fleet_admission.rs
+++ b/berylstep_core/tests/fleet_admission.rs
@@ -280,6 +280,61 @@
     AdmissionAsk { objective: now + 3 * SECOND, deadline: now + 12 * SECOND, ..ask(2, 0, now) }
 }
 
+/// Guards against requests whose callers have left and that still count as waiting or in progress.
+#[test]
+fn requests_that_leave_make_way_for_others() {
+    let now = CALM;
+    let full = room(100, 110, 20.0);
+    let mut controller = AdmissionController::new(0.0, now);
+    let urgent = controller.arrive(ask(0, 0, now), now);
+    controller.decide(urgent, &full, now);
+    let first = controller.arrive(held_ask(now), now);
+    let second = controller.arrive(held_ask(now), now);
+    for ticket in [first, second] {
+        let verdict = controller.decide(ticket, &full, now);
+        assert!(matches!(verdict, AdmissionVerdict::Waits(_)), "{verdict:?}");
+    }
+    assert_eq!(controller.waiting(), 2);
+    controller.leave(first, AdmissionEnd::Failed, now);
+    assert_eq!(controller.waiting(), 1);
+    // One admission is possible by then: that of the request that is still here.
+    let later = now + Duration::from_millis(110);
+    assert_eq!(controller.decide(second, &full, later), AdmissionVerdict::Admitted);
+    assert_eq!(controller.waiting(), 0);
+}
+
+/// Guards against requests that came back as told and are refused once more, and against earlier ones that
+/// gain from it.
+#[test]
+fn a_request_that_comes_back_as_told_goes_before_new_ones_of_its_tier() {
+    let now = CALM;
+    let full = room(100, 400, 50.0);
+    let mut controller = AdmissionController::new(0.0, now);
+    for _ in 0..50 {
+        let ticket = controller.arrive(ask(1, 0, now), now);
+        controller.decide(ticket, &room(100, 50, 50.0), now);
+    }
+    let mut decide = |identity: u64, now: Duration| {
+        let ask = AdmissionAsk { identity, ..ask(1, 0, now) };
+        let ticket = controller.arrive(ask, now);
+        controller.decide(ticket, &full, now)
+    };
+    let AdmissionVerdict::Refused { retry_after, .. } = decide(7, now) else {
+        panic!("the first is refused");
+    };
+    let early = decide(7, now + retry_after / 2);
+    let AdmissionVerdict::Refused { reason, retry_after: rest } = early else {
+        panic!("it came too early: {early:?}");
+    };
+    assert_eq!(reason, RefusalReason::SentAgainEarly);
+    assert!(rest <= retry_after / 2 + Duration::from_millis(50), "{rest:?} of {retry_after:?}");
+    let back = now + retry_after;
+    assert!(matches!(decide(8, back), AdmissionVerdict::Refused { .. }), "a new one");
+    assert_eq!(decide(7, back), AdmissionVerdict::Admitted);
+    let again = decide(7, back);
+    assert!(matches!(again, AdmissionVerdict::Refused { .. }), "a promise holds once: {again:?}");
+}
+
 /// Guards against a node that refuses or holds requests for long after it has lost contact with the others.
 #[test]
 fn a_node_without_information_refuses_nothing() {
