--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -3,6 +3,7 @@
 //!
 //! All tasks run on one thread and share state through `Rc` handles.
 
+pub mod admission;
 pub mod attempt;
 pub mod brittle;
 pub mod callers;
@@ -64,6 +65,7 @@
 use smol::LocalExecutor;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::admission::{AdmissionContext, AdmissionDesk};
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::callers::CallerListener;
 use crate::gateway::client_metrics::ClientMetrics;
@@ -439,6 +441,12 @@
             levels: self.levels.clone(),
             demand: self.demand.clone(),
             budgets: RefCell::default(),
+            admission: AdmissionDesk::new(AdmissionContext {
+                clock: self.clock.clone(),
+                mirror: self.mirror.clone(),
+                peers: self.peers.clone(),
+                demand: self.demand.clone(),
+            }),
         });
         self.tasks.spawn(run_maintenance(handler.clone())).detach();
         self.tasks.spawn(self.crashes.clone().verify_losses()).detach();
@@ -529,6 +537,7 @@
         handler.slots.expire();
         handler.origins.expire();
         handler.cold.report();
+        handler.admission.report();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.metrics.pace.slow_replicas.set(handler.pace.slow_replicas());
         handler.crashes.expire();
