Add the settings hedge_ratio and hedge_quantile

Cause: operators decide whether, and how often, requests may be hedged.

Change: hedge_ratio (0 to 1, default 0, which is off) and hedge_quantile (0.5 to below 1, default 0.95) are checked at the start and taken over by a reload.

Result: berylstep/tests/gateway_settings.rs covers the defaults and values out of range.

--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -7,6 +7,7 @@
 
 use berylstep_core::collections::SharedName;
 use berylstep_core::fleet::budget::BudgetBounds;
+use berylstep_core::fleet::hedging::HedgeBounds;
 use displaydoc::Display;
 use serde::Deserialize;
 
@@ -95,6 +96,12 @@
     /// Window of the retry budget, in seconds.
     #[serde(default = "default_retry_window")]
     pub retry_window_s: f64,
+    /// Hedged requests allowed per request; 0 switches hedging off.
+    #[serde(default)]
+    pub hedge_ratio: f64,
+    /// Quantile of the time to the response after which a request is hedged.
+    #[serde(default = "default_hedge_quantile")]
+    pub hedge_quantile: f64,
     /// Whether the platform rejects duty calls with an older fencing token than it has seen.
     #[serde(default = "default_fencing")]
     pub receiver_checks_fencing: bool,
@@ -117,6 +124,8 @@
 pub struct ReloadableSettings {
     /// Bounds of the retry budget.
     pub retry: BudgetBounds,
+    /// Bounds of hedging.
+    pub hedge: HedgeBounds,
     /// Time for which a leaving replica continues to serve.
     pub drain: Duration,
     /// Upper bound for the lifetime of a directory response.
@@ -199,6 +208,11 @@
     10.0
 }
 
+/// Default quantile after which a request is hedged.
+fn default_hedge_quantile() -> f64 {
+    0.95
+}
+
 /// Default usage window, in seconds.
 fn default_fencing() -> bool {
     true
@@ -263,6 +277,14 @@
             (self.retry_ratio >= 0.0, "retry_ratio must be 0 or above"),
             (self.retry_extra >= 0.0, "retry_extra must be 0 or above"),
             (positive(self.retry_window_s), "retry_window_s must be above 0"),
+            (
+                (0.0..=1.0).contains(&self.hedge_ratio),
+                "hedge_ratio must be 0 or above, and at most 1",
+            ),
+            (
+                self.hedge_quantile >= 0.5 && self.hedge_quantile < 1.0,
+                "hedge_quantile must be 0.5 or above, and below 1",
+            ),
             (self.usage_window_s > 0, "usage_window_s must be above 0"),
             (self.replica_heartbeat_ms > 0, "replica_heartbeat_ms must be above 0"),
             (positive(self.directory_ttl_max_s), "directory_ttl_max_s must be above 0"),
@@ -282,6 +304,7 @@
                 extra: self.retry_extra,
                 window: Duration::from_secs_f64(self.retry_window_s),
             },
+            hedge: HedgeBounds { ratio: self.hedge_ratio, quantile: self.hedge_quantile },
             drain: Duration::from_millis(self.drain_ms),
             directory_ttl_max: Duration::from_secs_f64(self.directory_ttl_max_s),
             wanted_attainment: self.wanted_attainment,
@@ -294,6 +317,7 @@
         let fixed = |settings: &Self| {
             let mut fixed = settings.clone();
             (fixed.retry_ratio, fixed.retry_extra, fixed.retry_window_s) = (0.0, 0.0, 0.0);
+            (fixed.hedge_ratio, fixed.hedge_quantile) = (0.0, 0.0);
             (fixed.drain_ms, fixed.directory_ttl_max_s, fixed.wanted_attainment) = (0, 0.0, 0.0);
             (fixed.first_start, fixed.seeds) = (false, Vec::new());
             fixed
--- a/berylstep/tests/gateway_settings.rs
+++ b/berylstep/tests/gateway_settings.rs
@@ -22,6 +22,7 @@
     assert_eq!(settings.cloud_address, None);
     assert!(settings.seed_peers().is_empty() && !settings.first_start);
     assert!(settings.stop_grace().as_secs() > 0 && settings.usage_window_s > 0);
+    assert_eq!((settings.hedge_ratio, settings.hedge_quantile), (0.0, 0.95));
 }
 
 struct InvalidCase {
@@ -37,6 +38,10 @@
         InvalidCase { field: "peer_ports", value: json!([0, 0]), message: "peer_ports must be" },
         InvalidCase { field: "stop_grace_s", value: json!(0), message: "stop_grace_s must be" },
         InvalidCase { field: "retry_ratio", value: json!(-1), message: "retry_ratio must be" },
+        InvalidCase { field: "hedge_ratio", value: json!(-0.1), message: "hedge_ratio must be" },
+        InvalidCase { field: "hedge_ratio", value: json!(1.5), message: "hedge_ratio must be" },
+        InvalidCase { field: "hedge_quantile", value: json!(0.4), message: "hedge_quantile must" },
+        InvalidCase { field: "hedge_quantile", value: json!(1), message: "hedge_quantile must" },
         InvalidCase { field: "usage_window_s", value: json!(0), message: "usage_window_s must be" },
         InvalidCase { field: "store_address", value: json!("here"), message: "not valid" },
         InvalidCase { field: "ip_address", value: Value::Null, message: "not valid" },
