Send a second attempt where the first is slower than usual

Cause: a request waits 2.5 times its objective before it is offered to a second replica.

Change: where hedge_ratio is above 0 and the deployment is contended or uneven, attempt_until_silent begins after the learnt delay, once per request and only if retryable, within the budget, the retry budget, the slots in use and the deadline, and only at a sound replica without a limit. The first response is used; the other attempt is dropped, which closes its connection. An error response of the first is kept until the second has answered. Attempts that were dropped count as ones that may have run, so that a refusal stays true. A guard counts and logs each hedge with both replicas, also if its caller leaves.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -11,6 +11,8 @@
 pub mod endpoints;
 pub mod feeds;
 pub mod handover;
+pub mod hedge_metrics;
+pub mod hedging;
 pub mod limits;
 pub mod mirror;
 pub mod noted_versions;
@@ -63,6 +65,7 @@
 use crate::gateway::duties::{DutyContext, DutyKeeper};
 use crate::gateway::endpoints::EndpointServer;
 use crate::gateway::feeds::{FollowedTable, TableFollower};
+use crate::gateway::hedging::HedgeWatch;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::noted_versions::NoteReader;
@@ -384,6 +387,7 @@
     }
 
     fn serve_callers(&self, listener: TcpListener, handovers: Option<TcpListener>) {
+        let hedging = HedgeWatch::new(self.clock.clone(), self.live.clone(), self.pace.clone());
         let handler = Rc::new(RequestHandler {
             started_at: self.clock.now(),
             settings: self.settings.clone(),
@@ -391,6 +395,7 @@
             mirror: self.mirror.clone(),
             limits: self.limits.clone(),
             pace: self.pace.clone(),
+            hedging: Rc::new(hedging),
             brittle: self.brittle.clone(),
             runs: self.runs.clone(),
             slots: self.slots.clone(),
@@ -492,6 +497,7 @@
         handler.upstreams.close_expired();
         handler.export_retry_budgets();
         handler.limits.expire();
+        handler.hedging.expire();
         handler.turns.expire();
         handler.brittle.expire();
         handler.slots.expire();
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -19,6 +19,7 @@
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::demand::DemandLedger;
 use crate::gateway::handover::PausedPeers;
+use crate::gateway::hedging::HedgeWatch;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::origins::OriginDesk;
@@ -64,6 +65,8 @@
     pub limits: Rc<LimitWatch>,
     /// Paces of replicas.
     pub pace: Rc<PaceWatch>,
+    /// Response times and budgets of hedged requests.
+    pub hedging: Rc<HedgeWatch>,
     /// Replicas that are brittle.
     pub brittle: Rc<BrittleWatch>,
     /// Requests of this node at replicas.
@@ -168,6 +171,8 @@
     pub sent: u32,
     /// Attempts that the replica may have executed.
     pub ran: u32,
+    /// Whether a second attempt was sent while the first had no response.
+    pub is_hedged: bool,
     /// Whether it reviews the quarantine of its prompt, for which it may run once.
     pub is_review: bool,
     /// Time until a turn or a slot at its replicas is expected, if none has any now.
@@ -295,6 +300,7 @@
         self.with_budget(&request.service, |budget, handler| {
             budget.record_request(&handler.live.get().retry, handler.clock.now());
         });
+        self.count_for_hedging(request);
         let is_review = verdict == QuarantineVerdict::Review;
         let pin = request.pin;
         let mut history = AttemptHistory { is_review, pin, ..AttemptHistory::default() };
--- a/berylstep/src/gateway/silence.rs
+++ b/berylstep/src/gateway/silence.rs
@@ -1,10 +1,12 @@
 //! Attempts at replicas that stay silent: the request is withdrawn only once another replica has answered it.
 
 use std::pin::Pin;
+use std::time::Duration;
 
 use smol::future;
 
-use crate::gateway::attempt::{AttemptOptions, AttemptOutcome, ReplicaTarget};
+use crate::gateway::attempt::{AttemptOutcome, ReplicaTarget};
+use crate::gateway::hedging::FirstOutcome;
 use crate::gateway::request::{AttemptHistory, RequestHandler, RoutedRequest};
 use crate::gateway::telemetry::RequestTrace;
 
@@ -12,7 +14,28 @@
 const FIRST_FAILURE: u16 = 500;
 
 /// An attempt in progress.
-type PendingAttempt<'a> = Pin<Box<dyn future::Future<Output = AttemptOutcome> + 'a>>;
+pub(super) type PendingAttempt<'a> = Pin<Box<dyn future::Future<Output = AttemptOutcome> + 'a>>;
+
+/// The first of several attempts that may be in progress at the same time.
+pub(super) struct FirstAttempt<'a> {
+    /// Replica that it was sent to.
+    pub(super) target: &'a ReplicaTarget,
+    /// Attempt in progress.
+    pub(super) attempt: PendingAttempt<'a>,
+    /// Time at which it began.
+    pub(super) sent_at: Duration,
+    /// Pace of the replica that was expected then.
+    pub(super) pace: f64,
+    /// Whether its replica has been recorded as silent.
+    pub(super) is_silent: bool,
+}
+
+impl FirstAttempt<'_> {
+    /// Withdraws the request from the replica by closing the connection.
+    pub(super) fn cancel(&mut self) {
+        self.attempt = Box::pin(future::pending());
+    }
+}
 
 /// Result of offering the request of a silent replica to another one.
 enum OfferOutcome {
@@ -25,7 +48,7 @@
 }
 
 /// Returns whether a replica has answered the request itself.
-fn is_answer(outcome: &AttemptOutcome) -> bool {
+pub(super) fn is_answer(outcome: &AttemptOutcome) -> bool {
     matches!(outcome, AttemptOutcome::Responded(response) if response.head.status < FIRST_FAILURE)
 }
 
@@ -40,23 +63,31 @@
         history: &mut AttemptHistory,
         trace: &RequestTrace,
     ) -> (ReplicaTarget, AttemptOutcome) {
-        let options = AttemptOptions { last_event: None, moved_run: None };
-        let sent_at = self.clock.now();
-        let mut first: PendingAttempt<'_> = Box::pin(self.attempt(request, &target, options));
-        let Some(timeout) = self.response_timeout(request, history) else {
-            let outcome = first.await;
-            return (target, outcome);
+        let mut first = FirstAttempt {
+            target: &target,
+            attempt: Box::pin(self.attempt_timed(request, &target)),
+            sent_at: self.clock.now(),
+            pace: self.expected_pace(&target.id),
+            is_silent: false,
         };
-        if let Some(outcome) = self.clock.timeout(timeout, first.as_mut()).await {
+        let Some(timeout) = self.response_timeout(request, history) else {
+            let outcome = first.attempt.as_mut().await;
             drop(first);
             return (target, outcome);
+        };
+        let silent_at = first.sent_at + timeout;
+        match self.await_first(request, &mut first, silent_at, history, trace).await {
+            FirstOutcome::Ended(outcome) => {
+                drop(first);
+                return (target, outcome);
+            }
+            FirstOutcome::Taken(other, outcome) => return (other, outcome),
+            FirstOutcome::Silent => self.record_silence(request, &mut first),
         }
-        self.reach.record_loss(&request.service, &target.id, sent_at);
-        self.record_replica_failure(&target.id, "no response in time");
         history.sent += 1;
         history.ran += 1;
         while self.may_retry(request, history) {
-            match self.offer_elsewhere(request, &mut first, history, trace).await {
+            match self.offer_elsewhere(request, &mut first.attempt, history, trace).await {
                 Some(OfferOutcome::Answered(outcome)) => {
                     drop(first);
                     uncount(history);
@@ -81,11 +112,20 @@
                 None => break,
             }
         }
-        let outcome = first.await;
+        let outcome = first.attempt.as_mut().await;
+        drop(first);
         uncount(history);
         (target, outcome)
     }
 
+    /// Records that the replica of a first attempt is silent, at most once.
+    pub(super) fn record_silence(&self, request: &RoutedRequest<'_>, first: &mut FirstAttempt<'_>) {
+        if !std::mem::replace(&mut first.is_silent, true) {
+            self.reach.record_loss(&request.service, &first.target.id, first.sent_at);
+            self.record_replica_failure(&first.target.id, "no response in time");
+        }
+    }
+
     /// Offers the request to one more replica; `None` if there is none to ask.
     async fn offer_elsewhere<'a>(
         &'a self,
@@ -100,8 +140,7 @@
             Ok(selected) => selected?,
             Err(outcome) => return Some(OfferOutcome::Answered(outcome)),
         };
-        let options = AttemptOptions { last_event: None, moved_run: None };
-        let mut second: PendingAttempt<'_> = Box::pin(self.attempt(request, &other, options));
+        let mut second: PendingAttempt<'_> = Box::pin(self.attempt_timed(request, &other));
         let answering = async { Err(first.as_mut().await) };
         let offering = async { Ok(second.as_mut().await) };
         let outcome = match future::or(answering, offering).await {
@@ -145,7 +184,7 @@
 }
 
 /// Takes an attempt out of the counts, because its outcome will be counted or it reached no replica.
-fn uncount(history: &mut AttemptHistory) {
+pub(super) fn uncount(history: &mut AttemptHistory) {
     history.sent -= 1;
     history.ran -= 1;
 }
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -10,6 +10,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::gateway::attempt::{AttemptOutcome, ReplicaTarget};
+use crate::gateway::hedge_metrics::HedgeMetrics;
 use crate::gateway::quarantine::key_list;
 use crate::gateway::request::RoutedRequest;
 use crate::gateway::service_level::ServiceLevels;
@@ -116,6 +117,8 @@
     /// Number of groups of prompt parts that are refused because they crash replicas.
     pub quarantined_prompts: IntGauge,
     retry_budget: IntGaugeVec,
+    /// Counters of hedged requests.
+    pub hedges: HedgeMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -219,6 +222,7 @@
                 "Repeats that this node may still make now, by service.",
                 &["service"],
             )?,
+            hedges: HedgeMetrics::register(&set)?,
             instruments: set,
         })
     }
@@ -527,6 +531,11 @@
         );
     }
 
+    /// Counts an attempt whose outcome is not used.
+    pub fn count_attempt(&self) {
+        self.attempts.set(self.attempts.get() + 1);
+    }
+
     /// Records a replica's response to a stream; the last one is logged.
     pub fn record_stream(&self, metrics: &GatewayMetrics, service: &str, report: StreamReport) {
         let labels = [service, report.framing_label(), report.end.label()];
