Let the tests of hedges see third attempts and streams that can't be resumed

Cause: with two replicas no attempt beyond the route's attempts was possible, and the replicas of the route of streams that are not resumable counted as failed, so both tests passed with their rules taken out.

Change: streams that break off have a third replica; the replicas of that route send events.

--- a/berylstep/tests/hedged_requests.rs
+++ b/berylstep/tests/hedged_requests.rs
@@ -102,12 +102,13 @@
     first: Script,
     second: Script,
     route: &'static str,
+    replicas: usize,
     status: u16,
     is_whole: bool,
 }
 
 const fn safe(name: &'static str, first: Script, second: Script, status: u16) -> OutcomeCase {
-    OutcomeCase { name, first, second, route: "safe", status, is_whole: true }
+    OutcomeCase { name, first, second, route: "safe", replicas: 2, status, is_whole: true }
 }
 
 use Moment::{AtOnce, OtherArrived, OtherEnded};
@@ -200,6 +201,7 @@
         first: HOLD_ON,
         second: Script(AtOnce, Deed::BreakOff),
         route: "resumable",
+        replicas: 3,
         status: 200,
         is_whole: false,
     },
@@ -208,6 +210,7 @@
         first: Script(OtherArrived, Deed::BreakOff),
         second: HOLD_ON,
         route: "resumable",
+        replicas: 3,
         status: 200,
         is_whole: false,
     },
@@ -221,8 +224,11 @@
         OUTCOME_CASES,
         |case| case.name,
         |case| {
-            let setup =
-                FleetSetup { route: case.route, ..FleetSetup::new(case.first, case.second) };
+            let setup = FleetSetup {
+                route: case.route,
+                replicas: case.replicas,
+                ..FleetSetup::new(case.first, case.second)
+            };
             let fleet = HedgeFleet::start(&setup);
             let (answer, is_whole) = fleet.send("slow-1", 1200).expect("a response");
             assert_eq!(
--- a/berylstep/tests/support/hedge_fleet.rs
+++ b/berylstep/tests/support/hedge_fleet.rs
@@ -115,7 +115,9 @@
     }
 
     fn answer(&self, request: &RawMessage, stream: &mut TcpStream) -> bool {
-        if request.target().starts_with("/resumable/") {
+        let is_stream =
+            ["/plain/", "/resumable/"].iter().any(|route| request.target().starts_with(route));
+        if is_stream {
             return begin_events(stream, request) && write_event(stream, 1) && end_events(stream);
         }
         respond(stream, request, 200, self.statement, "answer")
@@ -154,7 +156,7 @@
         });
         let store = FakeStore::start();
         store.put("op", "config", Some(desired_state(1)));
-        for id in ["i-1", "i-2"] {
+        for id in &["i-1", "i-2", "i-3"][..setup.replicas] {
             let state = state.clone();
             let replica =
                 FakeReplica::start(id, move |request, _, stream| state.serve(request, stream));
@@ -223,6 +225,8 @@
 pub struct FleetSetup {
     pub route: &'static str,
     pub scripts: [Script; 2],
+    /// Number of replicas, up to 3.
+    pub replicas: usize,
     pub slots: u32,
     pub statement: &'static str,
     pub usual: Duration,
@@ -235,6 +239,7 @@
         Self {
             route: "safe",
             scripts: [first, second],
+            replicas: 2,
             slots: 8,
             statement: "",
             usual: Duration::ZERO,
