Test further attempts after a hedge, its log line and a reload

Cause: no test covered that a request is hedged once, that the path for silent replicas goes on after a hedge, what the log says, and that hedge_ratio is reloadable.

Change: the play has a script for third attempts, and the log of the gateway goes to a file.

Result: berylstep/tests/hedged_requests.rs passes at a load average of 15.

--- a/berylstep/tests/hedged_requests.rs
+++ b/berylstep/tests/hedged_requests.rs
@@ -8,7 +8,10 @@
 use berylstep_standins::fleet::gateway::wait_until;
 use berylstep_standins::fleet::message::read_partial_message;
 
-use crate::hedge_fleet::{wait_for, Deed, FleetSetup, HedgeFleet, Moment, Script, LATE};
+use serde_json::json;
+
+use crate::hedge_fleet::Moment::{AtOnce, Late, OtherArrived, OtherEnded};
+use crate::hedge_fleet::{wait_for, Deed, FleetSetup, HedgeFleet, Script, LATE};
 
 #[path = "support/hedge_fleet.rs"]
 mod hedge_fleet;
@@ -19,9 +22,9 @@
 /// Cases that run at once, each with a gateway of its own.
 const PARALLEL_CASES: usize = 4;
 
-const SLOW: Script = Script(Moment::Late, Deed::Answer);
-const QUICK: Script = Script(Moment::AtOnce, Deed::Answer);
-const HOLD_ON: Script = Script(Moment::AtOnce, Deed::Hold);
+const SLOW: Script = Script(Late, Deed::Answer);
+const QUICK: Script = Script(AtOnce, Deed::Answer);
+const HOLD_ON: Script = Script(AtOnce, Deed::Hold);
 
 /// A request whose first replica is slow, and whether it is hedged.
 struct SwitchCase {
@@ -103,16 +106,24 @@
     second: Script,
     route: &'static str,
     replicas: usize,
+    attempts: usize,
     status: u16,
     is_whole: bool,
 }
 
 const fn safe(name: &'static str, first: Script, second: Script, status: u16) -> OutcomeCase {
-    OutcomeCase { name, first, second, route: "safe", replicas: 2, status, is_whole: true }
+    OutcomeCase {
+        name,
+        first,
+        second,
+        route: "safe",
+        replicas: 2,
+        attempts: 2,
+        status,
+        is_whole: true,
+    }
 }
 
-use Moment::{AtOnce, OtherArrived, OtherEnded};
-
 const OUTCOME_CASES: &[OutcomeCase] = &[
     safe("the second answers", HOLD_ON, QUICK, 200),
     safe("the first answers", Script(OtherArrived, Deed::Answer), HOLD_ON, 200),
@@ -196,12 +207,32 @@
     ),
     safe("both close", Script(OtherArrived, Deed::Close), Script(OtherEnded, Deed::Close), 502),
     safe("neither answers before the deadline", HOLD_ON, HOLD_ON, 504),
+    OutcomeCase {
+        replicas: 3,
+        ..safe(
+            "the second is full, the first answers before others are asked",
+            SLOW,
+            Script(AtOnce, Deed::Reject),
+            200,
+        )
+    },
+    OutcomeCase {
+        replicas: 3,
+        attempts: 3,
+        ..safe(
+            "the second is full, the first stays silent, a third answers",
+            HOLD_ON,
+            Script(AtOnce, Deed::Reject),
+            200,
+        )
+    },
     OutcomeCase {
         name: "the second wins and breaks off after its first event",
         first: HOLD_ON,
         second: Script(AtOnce, Deed::BreakOff),
         route: "resumable",
         replicas: 3,
+        attempts: 2,
         status: 200,
         is_whole: false,
     },
@@ -211,6 +242,7 @@
         second: HOLD_ON,
         route: "resumable",
         replicas: 3,
+        attempts: 2,
         status: 200,
         is_whole: false,
     },
@@ -241,7 +273,7 @@
             assert_eq!(refuses, case.status == 503, "whether it says that it did not run");
             assert_eq!(
                 (fleet.arrived(), fleet.metric("sent", "")),
-                (2, 1.0),
+                (case.attempts, 1.0),
                 "attempts and hedges"
             );
         },
@@ -255,6 +287,8 @@
     second: Script,
     /// Whether the caller leaves while both attempts are in progress.
     leaves: bool,
+    /// Result in the log.
+    result: &'static str,
     /// Attempts that are cancelled.
     cancelled: &'static [&'static str],
     won: f64,
@@ -266,6 +300,7 @@
         first: HOLD_ON,
         second: QUICK,
         leaves: false,
+        result: "won",
         cancelled: &["first"],
         won: 1.0,
     },
@@ -274,6 +309,7 @@
         first: Script(OtherArrived, Deed::Answer),
         second: HOLD_ON,
         leaves: false,
+        result: "lost",
         cancelled: &["second"],
         won: 0.0,
     },
@@ -282,6 +318,7 @@
         first: HOLD_ON,
         second: HOLD_ON,
         leaves: true,
+        result: "abandoned",
         cancelled: &["first", "second"],
         won: 0.0,
     },
@@ -313,6 +350,12 @@
                 assert_eq!(fleet.metric("cancelled", attempt), 1.0, "{attempt}");
             }
             assert_eq!((fleet.metric("won", ""), fleet.arrived()), (case.won, 2));
+            let lines = fleet.log_lines(&["event=request_hedged id=slow-1 ", case.result]);
+            let names_both = |line: &String| {
+                let places = [["first=i-1", "second=i-2"], ["first=i-2", "second=i-1"]];
+                places.iter().any(|parts| parts.iter().all(|part| line.contains(part)))
+            };
+            assert!(lines.len() == 1 && lines.iter().all(names_both), "{lines:?}");
         },
     );
 }
@@ -351,6 +394,20 @@
     );
 }
 
+// Guards against a change of the setting that only takes effect at the next start.
+#[test]
+fn a_reload_switches_hedging_on_and_off() {
+    let setup = FleetSetup { hedge_ratio: None, scripts: [SLOW; 3], ..FleetSetup::new(SLOW, SLOW) };
+    let mut fleet = HedgeFleet::start(&setup);
+    for (number, (ratio, hedges)) in [(0.0, 0.0), (0.3, 1.0), (0.0, 0.0)].into_iter().enumerate() {
+        fleet.reload("hedge_ratio", json!(ratio));
+        fleet.learn();
+        let answer = fleet.send(&format!("slow-{number}"), 2000);
+        assert!(answer.is_some_and(|(answer, _)| answer.status() == 200));
+        assert_eq!(fleet.metric("sent", ""), hedges, "ratio {ratio}");
+    }
+}
+
 /// Runs some cases at a time, and names those that failed.
 fn run_in_groups<C: Sync>(cases: &'static [C], name: fn(&C) -> &'static str, run: fn(&C)) {
     let mut failed = Vec::new();
--- a/berylstep/tests/support/hedge_fleet.rs
+++ b/berylstep/tests/support/hedge_fleet.rs
@@ -1,7 +1,9 @@
 //! A gateway with two scripted replicas, for tests of hedged requests.
 
+use std::fs::File;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
@@ -14,6 +16,7 @@
 use berylstep_standins::fleet::store::FakeStore;
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
 use berylstep_standins::process::free_address;
+use rustix::process::Signal;
 use serde_json::{json, Value};
 
 /// Requests from which a gateway learns the time to the response.
@@ -56,7 +59,7 @@
 
 /// What the replicas of a case have in common.
 pub struct PlayState {
-    scripts: [Script; 2],
+    scripts: [Script; 3],
     /// Header lines of the responses from which the gateway learns.
     statement: &'static str,
     /// Time that a usual response takes.
@@ -75,7 +78,7 @@
             return self.answer(request, stream);
         }
         let index = self.arrived.fetch_add(1, Ordering::SeqCst);
-        let Script(moment, deed) = self.scripts[index % 2];
+        let Script(moment, deed) = self.scripts[index.min(2)];
         match moment {
             Moment::AtOnce => {}
             Moment::Late => std::thread::sleep(LATE),
@@ -140,6 +143,7 @@
     route: &'static str,
     /// Metrics when the gateway had learnt the time to the response.
     learning: String,
+    log: PathBuf,
     _store: FakeStore,
 }
 
@@ -168,18 +172,47 @@
         for (name, value) in setup.settings() {
             config.overrides.insert(name.to_owned(), value);
         }
-        let gateway = FleetGateway::start_with(&config);
-        let learning = String::new();
-        let mut fleet = Self { state, gateway, route: setup.route, learning, _store: store };
+        let name = format!("hedges-{}-{}.log", std::process::id(), config.peer_port);
+        let log = std::env::temp_dir().join(name);
+        let file = File::create(&log).expect("a log file");
+        let gateway = config.spawn(file.into()).expect("the gateway starts");
+        wait_until("the gateway is ready", || gateway.is_ready());
+        let (route, learning) = (setup.route, String::new());
+        let mut fleet = Self { state, gateway, route, learning, log, _store: store };
+        fleet.learn();
+        fleet
+    }
+
+    /// Sends requests from which the gateway learns the time to the response, if hedging is switched on.
+    pub fn learn(&mut self) {
         for number in 0..WARM_REQUESTS {
             // A node that doesn't know the slots of brittle replicas yet refuses some requests.
             wait_until("a warm request is answered", || {
-                let answer = fleet.send(&format!("warm-{number}"), 2000);
+                let answer = self.send(&format!("warm-{number}"), 2000);
                 answer.is_some_and(|(answer, _)| answer.status() == 200)
             });
         }
-        fleet.learning = fleet.metrics();
-        fleet
+        self.learning = self.metrics();
+    }
+
+    /// Changes a setting of the gateway while it runs.
+    pub fn reload(&self, name: &str, value: Value) {
+        let text = std::fs::read_to_string(&self.gateway.settings).expect("settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
+        settings[name] = value;
+        let before = self.log_lines(&["event=settings_reloaded"]).len();
+        std::fs::write(&self.gateway.settings, settings.to_string()).expect("settings are written");
+        self.gateway.process.signal(Signal::HUP);
+        wait_until("the settings are read", || {
+            self.log_lines(&["event=settings_reloaded"]).len() > before
+        });
+    }
+
+    /// Returns the lines of the log that contain all of `parts`.
+    pub fn log_lines(&self, parts: &[&str]) -> Vec<String> {
+        let text = std::fs::read_to_string(&self.log).expect("the log is readable");
+        let lines = text.lines().filter(|line| parts.iter().all(|part| line.contains(part)));
+        lines.map(str::to_owned).collect()
     }
 
     pub fn begin(&self, id: &str, timeout_ms: u64) -> TcpStream {
@@ -220,11 +253,20 @@
     }
 }
 
+impl Drop for HedgeFleet {
+    fn drop(&mut self) {
+        if let Err(err) = std::fs::remove_file(&self.log) {
+            eprintln!("cannot remove {}: {err}", self.log.display());
+        }
+    }
+}
+
 /// How a fleet is set up.
 #[derive(Clone, Copy)]
 pub struct FleetSetup {
     pub route: &'static str,
-    pub scripts: [Script; 2],
+    /// What is done with the attempts, in the order of their arrival; the last one stands for all further ones.
+    pub scripts: [Script; 3],
     /// Number of replicas, up to 3.
     pub replicas: usize,
     pub slots: u32,
@@ -238,7 +280,7 @@
     pub const fn new(first: Script, second: Script) -> Self {
         Self {
             route: "safe",
-            scripts: [first, second],
+            scripts: [first, second, Script(Moment::AtOnce, Deed::Answer)],
             replicas: 2,
             slots: 8,
             statement: "",
