Count the slots in use only when a hedge is due

Cause: the slots of all replicas of the service were summed up for each request.

Change: they are only summed up once the delay of a request has passed.

Result: berylstep/tests/hedged_requests.rs passes.

--- a/berylstep/src/gateway/hedging.rs
+++ b/berylstep/src/gateway/hedging.rs
@@ -184,7 +184,8 @@
         first: &FirstAttempt<'_>,
     ) -> Option<Duration> {
         let bounds = self.hedging.bounds()?;
-        let ask = self.hedge_ask(request, first);
+        // Room only matters once the delay has passed.
+        let ask = self.hedge_ask(request, first, false);
         let verdict = self.hedging.ledger.borrow().decide(&ask, &bounds, self.clock.now());
         match verdict {
             HedgeVerdict::After(delay) => Some(delay),
@@ -199,22 +200,27 @@
         &self,
         request: &'a RoutedRequest<'_>,
         first: &FirstAttempt<'_>,
+        is_room_short: bool,
     ) -> HedgeAsk<'a> {
-        let now = self.clock.now();
-        let replicas = self.mirror.replicas.borrow();
-        let (requests, slots) =
-            replicas.available(&request.service, now).fold((0, 0), |(requests, slots), row| {
-                (requests + u64::from(row.requests()), slots + u64::from(row.entry.slots))
-            });
         HedgeAsk {
             service: &request.service,
             kind: hedge_kind(request),
             pace: first.pace,
-            time_left: request.deadline.saturating_sub(now),
-            is_room_short: is_room_short(requests, slots),
+            time_left: request.deadline.saturating_sub(self.clock.now()),
+            is_room_short,
         }
     }
 
+    /// Returns whether room is short at the replicas of a service.
+    fn is_room_short(&self, service: &str) -> bool {
+        let replicas = self.mirror.replicas.borrow();
+        let available = replicas.available(service, self.clock.now());
+        let (requests, slots) = available.fold((0, 0), |(requests, slots), row| {
+            (requests + u64::from(row.requests()), slots + u64::from(row.entry.slots))
+        });
+        is_room_short(requests, slots)
+    }
+
     /// Takes a hedge out of the budget, and selects the replica for it.
     async fn claim_hedge(
         &self,
@@ -229,7 +235,7 @@
             return Err(HedgeDenial::Retries);
         }
         let bounds = self.hedging.bounds().ok_or(HedgeDenial::Off)?;
-        let ask = self.hedge_ask(request, first);
+        let ask = self.hedge_ask(request, first, self.is_room_short(&request.service));
         self.hedging.ledger.borrow_mut().claim(&ask, &bounds, self.clock.now())?;
         let selected = self.select_replica(request, history).await;
         selected.ok_or_else(|| {
