--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -17,6 +17,8 @@
 pub mod evacuation;
 pub mod feeds;
 pub mod handover;
+pub mod hedge_metrics;
+pub mod hedging;
 pub mod holdings;
 pub mod limits;
 pub mod mirror;
@@ -75,6 +77,7 @@
 use crate::gateway::duties::{DutyContext, DutyKeeper};
 use crate::gateway::endpoints::EndpointServer;
 use crate::gateway::feeds::{FollowedTable, TableFollower};
+use crate::gateway::hedging::HedgeWatch;
 use crate::gateway::holdings::Holdings;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
@@ -415,6 +418,7 @@
     }
 
     fn serve_callers(&self, listener: TcpListener, handovers: Option<TcpListener>) {
+        let hedging = HedgeWatch::new(self.clock.clone(), self.live.clone(), self.pace.clone());
         let handler = Rc::new(RequestHandler {
             started_at: self.clock.now(),
             settings: self.settings.clone(),
@@ -423,6 +427,7 @@
             limits: self.limits.clone(),
             cold: self.cold.clone(),
             pace: self.pace.clone(),
+            hedging: Rc::new(hedging),
             brittle: self.brittle.clone(),
             runs: self.runs.clone(),
             slots: self.slots.clone(),
@@ -532,6 +537,7 @@
         handler.upstreams.close_expired();
         handler.export_retry_budgets();
         handler.limits.expire();
+        handler.hedging.expire();
         handler.turns.expire();
         handler.brittle.expire();
         handler.slots.expire();
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::admission::metrics::AdmissionMetrics;
 use crate::gateway::attempt::{AttemptOutcome, ReplicaTarget};
+use crate::gateway::hedge_metrics::HedgeMetrics;
 use crate::gateway::quarantine::key_list;
 use crate::gateway::request::RoutedRequest;
 use crate::gateway::service_level::ServiceLevels;
@@ -124,6 +125,8 @@
     retry_budget: IntGaugeVec,
     /// Metrics of the paces of replicas.
     pub pace: PaceMetrics,
+    /// Counters of hedged requests.
+    pub hedges: HedgeMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -229,6 +232,7 @@
                 &["service"],
             )?,
             pace: PaceMetrics::new(&set)?,
+            hedges: HedgeMetrics::register(&set)?,
             instruments: set,
         })
     }
@@ -542,6 +546,11 @@
         );
     }
 
+    /// Counts an attempt whose outcome is not used.
+    pub fn count_attempt(&self) {
+        self.attempts.set(self.attempts.get() + 1);
+    }
+
     /// Records a replica's response to a stream; the last one is logged.
     pub fn record_stream(&self, metrics: &GatewayMetrics, service: &str, report: StreamReport) {
         let labels = [service, report.framing_label(), report.end.label()];
