--- a/berylstep/src/gateway/cold.rs
+++ b/berylstep/src/gateway/cold.rs
@@ -26,6 +26,9 @@
 /// Time after a pause in which a node hears from its peers and from the store again.
 const RECOVERY_TIME: Duration = Duration::from_millis(600);
 
+/// Time for which what this node knows of its fleet is not computed again, since it is asked for each replica.
+const SIGHT_RETENTION: Duration = Duration::from_millis(10);
+
 /// Tells which replicas are cold, and how much of their turns this node may hand out.
 #[derive(Debug)]
 pub struct ColdWatch {
@@ -34,6 +37,8 @@
     ticked_at: Cell<Duration>,
     recovers_until: Cell<Duration>,
     cold_replicas: Cell<i64>,
+    /// What this node knows of its fleet, with the time of its computation.
+    latest_sight: Cell<Option<(Duration, FleetSight)>>,
     metrics: ColdMetrics,
 }
 
@@ -68,6 +73,7 @@
             ticked_at: Cell::new(now),
             recovers_until: Cell::new(Duration::ZERO),
             cold_replicas: Cell::new(0),
+            latest_sight: Cell::new(None),
         }
     }
 
@@ -83,6 +89,18 @@
 
     /// Returns what this node knows of its fleet.
     fn sight(&self) -> FleetSight {
+        let now = self.context.clock.now();
+        match self.latest_sight.get() {
+            Some((at, sight)) if now.saturating_sub(at) < SIGHT_RETENTION => sight,
+            _ => {
+                let sight = self.compute_sight();
+                self.latest_sight.set(Some((now, sight)));
+                sight
+            }
+        }
+    }
+
+    fn compute_sight(&self) -> FleetSight {
         let ColdContext { clock, mirror, peers, seeds, .. } = &self.context;
         let now = clock.now();
         let peak = peers.peak_nodes();
@@ -105,10 +123,15 @@
         self.sight().turn_share()
     }
 
+    /// Returns whether nodes that this one doesn't hear from probably hand out more turns than it does.
+    pub fn is_small_part(&self) -> bool {
+        self.sight().is_small_part()
+    }
+
     /// Returns the part of a turn by which this node begins later to hand out the turns of a replica. It differs
     /// between nodes where many may do so without hearing each other.
     pub fn turn_lag(&self, replica: u32) -> f64 {
-        match self.sight().is_small_part() {
+        match self.is_small_part() {
             true => {
                 rendezvous::score(&self.context.node, &replica.to_string()) as f64 / u64::MAX as f64
             }
--- a/berylstep/src/gateway/turns.rs
+++ b/berylstep/src/gateway/turns.rs
@@ -179,7 +179,14 @@
         });
         let candidates: Vec<_> = candidates.collect();
         let ReplicaAsk { service, tier, patience, .. } = *ask;
-        keeper.take(&TurnAsk { service, tier, patience, candidates: &candidates }, now)
+        let ask = TurnAsk { service, tier, patience, candidates: &candidates };
+        match keeper.take(&ask, now) {
+            // A caller that comes back soon probably finds a node that has more turns.
+            TurnAnswer::Denied(wait) if share < 1.0 && self.cold.is_small_part() => {
+                TurnAnswer::Denied(wait.min(HANDOVER_PAUSE))
+            }
+            answer => answer,
+        }
     }
 
     fn request_message(&self, request: u64, ask: &ReplicaAsk<'_>) -> FleetPulse {
--- a/berylstep/tests/platform_adapter.rs
+++ b/berylstep/tests/platform_adapter.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use berylstep::platform::desired::decode_desired;
-use berylstep::platform::entries::decode_entry;
+use berylstep::platform::desired::{decode_desired, evacuated_zone};
+use berylstep::platform::entries::{decode_cold_entry, decode_entry};
 use berylstep::platform::headers::{
     write_request_headers, CallerHeaders, MovedRun, ResponseHeaders, ResponseOwner, UpstreamHeaders,
 };
@@ -111,6 +111,45 @@
     }
 }
 
+/// Guards against cold replicas that are taken for warm ones, and against replicas and configurations that are
+/// rejected because of a field about coldness.
+#[test]
+fn reads_what_is_said_about_cold_replicas() {
+    let services = [
+        (r#""ColdStartS":3.0,"ColdPerS":14.0"#, Some((3000, 14.0))),
+        (r#""ColdPerS":14"#, Some((0, 14.0))),
+        (r#""ColdStartS":3.0,"ColdPerS":0"#, None),
+        (r#""ColdStartS":3.0,"ColdPerS":-1"#, None),
+        (r#""ColdStartS":null,"ColdPerS":null"#, None),
+        (r#""ColdStartS":3.0"#, None),
+    ];
+    for (fields, expected) in services {
+        let state = format!(r#"{{"Version":1,"Services":[{{"Name":"s",{fields}}}]}}"#);
+        let desired = decode_desired(state.as_bytes()).unwrap();
+        let rule = desired.service("s").unwrap().cold;
+        let found = rule.map(|rule| (rule.start.as_millis(), rule.per_second));
+        assert_eq!(found, expected, "{fields}");
+    }
+    let entries = [
+        (r#","ColdRemainingMs":1500.5"#, Some(1500)),
+        (r#","ColdRemainingMs":0"#, Some(0)),
+        ("", None),
+        (r#","ColdRemainingMs":-1"#, None),
+        (r#","ColdRemainingMs":"soon""#, None),
+        (r#","ColdRemainingMs":null"#, None),
+    ];
+    for (field, expected) in entries {
+        let entry = format!(
+            r#"{{"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":64,"State":"ready"{field}}}"#
+        );
+        let (_, cold) = decode_cold_entry("r", entry.as_bytes()).unwrap();
+        assert_eq!(cold.map(|cold| cold.as_millis()), expected, "{field}");
+    }
+    let keys =
+        [("evacuate/b", Some("b")), ("evacuate/", None), ("config", None), ("evacuated/b", None)];
+    keys.iter().for_each(|(key, zone)| assert_eq!(evacuated_zone(key), *zone, "{key}"));
+}
+
 fn request(headers: &str) -> RequestMessage {
     let head = format!("POST /c/x HTTP/1.1\r\nHost: a.example\r\n{headers}\r\n");
     RequestMessage::parse(head.as_bytes()).unwrap()
