Test a paused gateway that nothing tells of a change, and orders in evacuated zones

Cause: without the rule for paused nodes the test of a paused gateway passed, because its peers told it of the change in time; orders had no test.

Change: the paused gateway also stands alone without the store; the planner is watched while a zone is evacuated.

--- a/berylstep/tests/cold_replicas.rs
+++ b/berylstep/tests/cold_replicas.rs
@@ -244,15 +244,38 @@
     assert!(sent.iter().all(|counts| counts.refused + counts.others == 0), "{sent:?}");
 }
 
+#[derive(Clone, Copy, Debug)]
+struct PauseCase {
+    name: &'static str,
+    gateways: u8,
+    /// Whether the store is away when the gateway goes on, so that nothing tells it of the change.
+    store_is_away: bool,
+}
+
 /// Guards against a gateway that stood still while a replica became cold, and sends all that has come in
 /// meanwhile (FAILBACK).
 #[test]
 fn a_gateway_that_was_paused_does_not_send_what_has_piled_up_to_a_cold_replica() {
+    let cases = [
+        PauseCase { name: "others tell it", gateways: GATEWAYS, store_is_away: false },
+        PauseCase { name: "nothing tells it", gateways: 1, store_is_away: true },
+    ];
+    let checks = cases.map(|case| std::thread::spawn(move || check_pause(case)));
+    checks.into_iter().for_each(|check| check.join().unwrap());
+}
+
+fn check_pause(case: PauseCase) {
     const PILED_UP: usize = 60;
     let store = cold_store();
-    let replicas = [CountingReplica::start("i-1")];
-    put(&store, &replicas[0], 1, Some(0));
-    let gateways = start_gateways(&store);
+    let replica = CountingReplica::start("i-1");
+    put(&store, &replica, 1, Some(0));
+    let peer_port = free_address().port();
+    let gateways = (2..2 + case.gateways).map(|number| {
+        let mut config = GatewayConfig::new(store.address, number, peer_port);
+        config.seeds = (2..2 + case.gateways).collect();
+        FleetGateway::start_with(&config)
+    });
+    let gateways: Vec<_> = gateways.collect();
     let all: Vec<_> = gateways.iter().collect();
     send_until(&all, Instant::now() + Duration::from_millis(500));
     gateways[0].process.freeze();
@@ -262,15 +285,18 @@
         caller.write_all(request.as_bytes()).expect("the connection is open");
     }
     std::thread::sleep(Duration::from_millis(1500));
+    if case.store_is_away {
+        store.set_mode(StoreMode::Down);
+    }
     let begin = Instant::now();
-    put(&store, &replicas[0], 2, Some(4000));
+    put(&store, &replica, 2, Some(4000));
     std::thread::sleep(NOTICE_TIME);
     gateways[0].process.thaw();
     let answers = callers.iter_mut().filter_map(read_message);
     let statuses: Vec<_> = answers.map(|answer| answer.status()).collect();
-    let peak = replicas[0].peak(begin, Instant::now());
-    assert!(peak <= ALLOWED, "{peak} in a second: {statuses:?}");
-    assert_eq!(statuses.len(), PILED_UP);
+    let peak = replica.peak(begin, Instant::now());
+    assert!(peak <= ALLOWED, "{}: {peak} in a second: {statuses:?}", case.name);
+    assert_eq!(statuses.len(), PILED_UP, "{}", case.name);
     assert!(statuses.iter().all(|status| matches!(status, 200 | 503)), "{statuses:?}");
 }
 
--- a/berylstep/tests/evacuation.rs
+++ b/berylstep/tests/evacuation.rs
@@ -124,23 +124,35 @@
     }
 }
 
+struct RowStep {
+    name: &'static str,
+    /// Rows that the operator writes or removes, by zone.
+    rows: &'static [(&'static str, bool)],
+    /// Zones that get requests afterwards.
+    used: &'static [&'static str],
+}
+
 /// Guards against gateways that go on sending to an evacuated zone, or don't return to it after the end, also
 /// where they don't follow the store, two zones are evacuated, or a row is withdrawn at once (EVAC).
 #[test]
 fn an_evacuated_zone_gets_nothing_new_until_its_row_is_removed() {
     let fleet = ZoneFleet::start(&json!({}));
-    let steps: [(&str, &[(&str, bool)], &[&str]); 6] = [
-        ("a row of another kind", &[("", true)], &["a", "b"]),
-        ("one zone", &[("b", true)], &["a"]),
-        ("all zones", &[("a", true), ("b", true)], &[]),
-        ("one zone returns", &[("a", false)], &["a"]),
-        ("the other returns", &[("b", false)], &["a", "b"]),
-        ("withdrawn at once", &[("a", true), ("a", false)], &["a", "b"]),
+    let steps = [
+        RowStep { name: "no zone named", rows: &[("", true)], used: &["a", "b"] },
+        RowStep { name: "one zone", rows: &[("b", true)], used: &["a"] },
+        RowStep { name: "all zones", rows: &[("a", true), ("b", true)], used: &[] },
+        RowStep { name: "one zone returns", rows: &[("a", false)], used: &["a"] },
+        RowStep { name: "the other returns", rows: &[("b", false)], used: &["a", "b"] },
+        RowStep {
+            name: "withdrawn at once",
+            rows: &[("a", true), ("a", false)],
+            used: &["a", "b"],
+        },
     ];
-    for (step, rows, expected) in steps {
-        rows.iter().for_each(|(zone, is_evacuated)| fleet.set_evacuated(zone, *is_evacuated));
+    for step in steps {
+        step.rows.iter().for_each(|(zone, is_evacuated)| fleet.set_evacuated(zone, *is_evacuated));
         std::thread::sleep(NOTICE_TIME);
-        fleet.check_zones(expected, step);
+        fleet.check_zones(step.used, step.name);
     }
 }
 
@@ -228,3 +240,29 @@
     assert!(answer.body.contains(&format!("data: d{EVENTS}\n")), "{}", answer.body);
     assert_eq!(replica.received().len(), received, "the stream was taken up anew");
 }
+
+/// Guards against replicas that are ordered in an evacuated zone because it seems to have none, or released there
+/// (EVAC).
+#[test]
+fn nothing_is_ordered_in_an_evacuated_zone() {
+    // Time from the start of a fleet, or from a change, within which orders that it calls for are placed.
+    const ORDER_TIME: Duration = Duration::from_secs(5);
+    let scaling =
+        json!({"Minimum": 2, "Maximum": 4, "BootS": 0.5, "ZonePrices": {"a": 1.0, "b": 1.0}});
+    let fleet = ZoneFleet::start(&json!({"Scaling": scaling}));
+    let orders = |since: Instant, zone: &str| {
+        let calls = fleet.store.duty_calls("/scaling").into_iter();
+        let calls = calls.filter(|call| call.at >= since);
+        let bodies = calls.map(|call| serde_json::from_str::<Value>(&call.body).unwrap());
+        bodies.filter(|body| body["Zone"] == zone).count()
+    };
+    std::thread::sleep(ORDER_TIME);
+    fleet.set_evacuated("b", true);
+    std::thread::sleep(NOTICE_TIME);
+    let evacuated = Instant::now();
+    std::thread::sleep(ORDER_TIME);
+    assert_eq!(orders(evacuated, "b"), 0, "{:?}", fleet.store.duty_calls("/scaling"));
+    // The entry of a replica that is lost in the other zone shows that orders are placed at all.
+    fleet.store.put("servers", "i-1", None);
+    wait_until("the other zone gets a replica", || orders(evacuated, "a") > 0);
+}
