--- a/berylstep_core/src/fleet/admission.rs
+++ b/berylstep_core/src/fleet/admission.rs
@@ -236,7 +236,7 @@
         let wait = match self.is_held(&ticket, room, now) {
             false => None,
             true => {
-                if let Some(reason) = self.refusal(&ticket, room, now) {
+                if let Some(reason) = self.refusal(number, &ticket, room, now) {
                     return self.refuse(number, &ticket, reason, room, now);
                 }
                 self.waiting.insert(ticket.order(number));
@@ -314,7 +314,7 @@
             TicketStanding::Usual => self.tally.is_most_urgent(tier),
             TicketStanding::Unusual | TicketStanding::Early => false,
         };
-        let rank = self.waiting.range(..ticket.order(number)).count();
+        let rank = self.held_before(number, ticket);
         let missing = (rank + 1) as f64 - self.credit;
         if goes_first || missing <= 0.0 {
             return None;
@@ -323,9 +323,15 @@
         Some(Duration::from_secs_f64(seconds).max(SHORTEST_WAIT))
     }
 
+    /// Returns the number of requests that wait here and go before this one.
+    fn held_before(&self, number: TicketNumber, ticket: &AdmissionTicket) -> usize {
+        self.waiting.range(..ticket.order(number)).count()
+    }
+
     /// Returns why a request that may be held is refused, if it is.
     fn refusal(
         &self,
+        number: TicketNumber,
         ticket: &AdmissionTicket,
         room: &ServiceRoom,
         now: Duration,
@@ -335,7 +341,7 @@
         }
         let ask = &ticket.ask;
         let mix = self.tally.mix(ask.tier, now);
-        let wait = room.expected_wait(&mix);
+        let wait = room.expected_wait(&mix, self.held_before(number, ticket));
         let patience = self.patience(ticket, now);
         let reason = match ticket.standing {
             _ if wait > patience => match ticket.standing {
@@ -391,7 +397,8 @@
         now: Duration,
     ) -> AdmissionVerdict {
         let mix = self.tally.mix(ticket.ask.tier, now);
-        let wait = room.expected_wait(&mix).saturating_sub(self.patience(ticket, now));
+        let wait = room.expected_wait(&mix, self.held_before(number, ticket));
+        let wait = wait.saturating_sub(self.patience(ticket, now));
         let query = PromiseQuery {
             tier: ticket.ask.tier,
             identity: ticket.ask.identity,
--- a/berylstep_core/src/fleet/admission/room.rs
+++ b/berylstep_core/src/fleet/admission/room.rs
@@ -50,9 +50,10 @@
     }
 
     /// Returns the time that a request is expected to wait for a slot: until the requests that replicas serve
-    /// before it have ended, while more urgent ones go on arriving.
-    pub(super) fn expected_wait(&self, mix: &TierMix) -> Duration {
-        let ahead = f64::from(self.requests) * mix.ahead;
+    /// before it have ended, while more urgent ones go on arriving. `held` requests
+    /// that this node holds go before it; other nodes hold about as many for their shares.
+    pub(super) fn expected_wait(&self, mix: &TierMix, held: usize) -> Duration {
+        let ahead = f64::from(self.requests) * mix.ahead + held as f64 / self.share;
         let queued = (ahead - f64::from(self.slots)).max(0.0);
         let seconds = queued / (self.ended_per_second * mix.drained);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
--- a/berylstep_core/src/fleet/admission/tally.rs
+++ b/berylstep_core/src/fleet/admission/tally.rs
@@ -176,8 +176,9 @@
     tiers: BTreeMap<u8, TierTally>,
     organisations: HashMap<u64, OrganisationTally>,
     all: ServedPart,
-    /// Load of all organisations over [`USUAL_TIME`].
+    /// Load of all organisations over [`USUAL_TIME`] and [`PRESENT_TIME`].
     usual: DecayedCount,
+    present: DecayedCount,
     ended: DecayedCount,
     /// Time that requests had a slot, summed over them, in seconds.
     slot_seconds: DecayedCount,
@@ -226,13 +227,23 @@
         let mean = self.usual.at(USUAL_TIME, now) / count;
         let tally = self.organisations.entry(organisation).or_default();
         // An organisation below the average is never unusual, so that new ones have a place.
-        let usual = tally.usual.at(USUAL_TIME, now).max(mean) / seconds.max(1.0);
+        let usual = tally.usual.at(USUAL_TIME, now).max(mean);
+        let others_usual = self.usual.at(USUAL_TIME, now) - tally.usual.at(USUAL_TIME, now);
+        self.present.add(1.0, PRESENT_TIME, now);
         tally.present.add(1.0, PRESENT_TIME, now);
-        let usual_now = usual * PRESENT_TIME.as_secs_f64();
-        let bound = (usual_now * UNUSUAL_FACTOR).max(USUAL_SLACK);
-        let is_rising = tally.present.at(PRESENT_TIME, now) > bound;
+        let present = tally.present.at(PRESENT_TIME, now);
+        let others_present = self.present.at(PRESENT_TIME, now) - present;
+        // Where the load of all organisations rises, as after a quiet time, none of them is unusual; nor is one
+        // that is alone.
+        let per_present = PRESENT_TIME.as_secs_f64() / seconds.max(1.0);
+        let common = match others_present > 0.5 {
+            true => others_present / (others_usual * per_present).max(f64::MIN_POSITIVE),
+            false => f64::INFINITY,
+        };
+        let usual_now = usual * per_present * common.max(1.0);
+        let is_rising = present > (usual_now * UNUSUAL_FACTOR).max(USUAL_SLACK);
         let elapsed = now.saturating_sub(tally.refilled_at).as_secs_f64();
-        let allowed = usual * USUAL_ALLOWANCE;
+        let allowed = usual_now / PRESENT_TIME.as_secs_f64() * USUAL_ALLOWANCE;
         tally.allowance = (tally.allowance + allowed * elapsed).min(allowed.max(1.0));
         tally.refilled_at = now;
         let is_allowed = tally.allowance >= 1.0;
--- a/berylstep_core/tests/admission_load/load.rs
+++ b/berylstep_core/tests/admission_load/load.rs
@@ -104,6 +104,8 @@
     pub lost: Option<(Range<Duration>, f64)>,
     /// Whether nodes decide on admission; without it, all requests go to the replicas.
     pub admits: bool,
+    /// Time from which requests are counted.
+    pub counted_from: Duration,
     pub seed: u64,
 }
 
@@ -154,6 +156,7 @@
             informed: true,
             lost: None,
             admits: true,
+            counted_from: Duration::ZERO,
             seed: 7,
         }
     }
@@ -250,7 +253,7 @@
                     deadline: now + source.deadline,
                     tries: 0,
                 };
-                self.report.sources[index].asked += 1;
+                self.report.sources[index].asked += u32::from(now >= self.load.counted_from);
                 self.arrive(caller, now);
             }
         }
@@ -395,7 +398,8 @@
                 debug_assert_eq!(*tier, source.tier);
                 own[request.node] -= 1;
                 controllers[request.node].leave(request.ticket, end, now);
-                if end == AdmissionEnd::Served {
+                let is_counted = request.caller.began >= load.counted_from;
+                if end == AdmissionEnd::Served && is_counted {
                     let first = request.first_event.unwrap_or(now) - request.caller.began;
                     report.sources[request.caller.source].record_served(first);
                 }
--- a/berylstep_core/tests/fleet_admission.rs
+++ b/berylstep_core/tests/fleet_admission.rs
@@ -141,6 +141,7 @@
 fn a_burst_in_the_lowest_tier_leaves_the_highest_its_objective() {
     let mut load = FleetLoad::usual();
     load.sources[2].surge = Some(Surge { factor: 6.0, from: CALM, to: CALM + 12 * SECOND });
+    load.counted_from = CALM;
     let report = load.run(CALM + 15 * SECOND);
     let chat = report.of(0);
     assert!(chat.part_in_time() >= 0.99, "{}", report.summary());
@@ -157,8 +158,10 @@
 fn a_burst_in_the_highest_tier_leaves_the_lowest_its_floor() {
     let mut load = FleetLoad::usual();
     load.sources[0].surge = Some(Surge { factor: 6.0, from: CALM, to: CALM + 25 * SECOND });
-    let report = load.run(CALM + 30 * SECOND);
+    load.counted_from = CALM;
+    let report = load.run(CALM + 25 * SECOND);
     assert!(report.of(2).part_served() >= 0.25 * report.part_served(), "{}", report.summary());
+    assert!(report.of(1).part_served() >= 0.25 * report.part_served(), "{}", report.summary());
     assert!(report.of(0).refusals > 0, "the load must exceed the capacity: {}", report.summary());
     let (chat, review) = (report.of(0), report.of(2));
     assert!(
@@ -179,6 +182,7 @@
         load.sources = (1..=5)
             .map(|organisation| LoadSource { organisation, per_second: 50.0, ..REVIEW })
             .collect();
+        load.counted_from = CALM;
         load.sources[0].surge = Some(Surge { factor: 7.5, from: CALM, to: CALM + 15 * SECOND });
         let report = load.run(CALM + 18 * SECOND);
         let surging = report.of(0);
@@ -280,6 +284,105 @@
     AdmissionAsk { objective: now + 3 * SECOND, deadline: now + 12 * SECOND, ..ask(2, 0, now) }
 }
 
+/// Guards against organisations that all yield because they all send more than before, as after a quiet
+/// night, and against one that yields although no other needs the room.
+#[test]
+fn a_rise_of_all_organisations_makes_none_of_them_yield() {
+    for organisations in [1, 4] {
+        let full = room(100, 150, 50.0);
+        let mut controller = AdmissionController::new(0.0, Duration::ZERO);
+        for number in 0..4000 {
+            let now = 600 * SECOND + Duration::from_millis(5) * number;
+            let ask = ask(1, 1 + u64::from(number % organisations), now);
+            let ticket = controller.arrive(ask, now);
+            let verdict = controller.decide(ticket, &full, now);
+            assert_eq!(verdict, AdmissionVerdict::Admitted, "{organisations}, {number}");
+            controller.leave(ticket, AdmissionEnd::Served, now);
+        }
+    }
+}
+
+struct FloorCase {
+    what: &'static str,
+    /// Request that may wait for long.
+    patient: AdmissionAsk,
+    /// Request that always comes too late.
+    late: AdmissionAsk,
+    /// Least admitted part of the late ones, relative to that of all.
+    floor: f64,
+    /// Largest admitted part of the late ones.
+    most: f64,
+}
+
+/// Guards against a tier, an organisation or a size that is refused throughout, and against a tier that is
+/// refused more often than a lower one (TIER).
+#[test]
+fn tiers_organisations_and_sizes_that_are_refused_too_often_are_admitted() {
+    let minute = 60 * SECOND;
+    let base = AdmissionAsk { gap_limit: minute, ..ask(1, 1, CALM) };
+    let patient = AdmissionAsk { objective: CALM + minute, deadline: CALM + minute, ..base };
+    let late = AdmissionAsk { objective: CALM + SECOND, deadline: CALM + SECOND, ..base };
+    let cases = [
+        FloorCase {
+            what: "a lower tier",
+            patient,
+            late: AdmissionAsk { tier: 2, ..late },
+            floor: 0.25,
+            most: 0.5,
+        },
+        FloorCase {
+            what: "an organisation",
+            patient,
+            late: AdmissionAsk { organisation: 2, ..late },
+            floor: 0.25,
+            most: 0.5,
+        },
+        FloorCase {
+            what: "large requests",
+            patient,
+            late: AdmissionAsk { work: 9000, ..late },
+            floor: 0.5,
+            most: 0.9,
+        },
+        FloorCase {
+            what: "a higher tier than one that is admitted",
+            patient: AdmissionAsk { tier: 2, ..patient },
+            late,
+            // The first requests come before tiers are compared.
+            floor: 0.95,
+            most: 1.0,
+        },
+    ];
+    for case in cases {
+        let room = room(100, 600, 50.0);
+        let mut controller = AdmissionController::new(0.0, Duration::ZERO);
+        let mut admitted = [0.0; 2];
+        let rounds = 200;
+        for round in 0..rounds {
+            let at = Duration::from_millis(100) * round;
+            // Of three requests, one is late, as of a tier's requests three tenths are large.
+            for (index, ask) in [(0, case.patient), (0, case.patient), (1, case.late)] {
+                let now = CALM + at;
+                let (objective, deadline) = (ask.objective + at, ask.deadline + at);
+                let ask = AdmissionAsk { arrived: now, objective, deadline, ..ask };
+                let ticket = controller.arrive(ask, now);
+                match controller.decide(ticket, &room, now) {
+                    AdmissionVerdict::Admitted | AdmissionVerdict::Waits(_) => {
+                        controller.admit(ticket, now);
+                        admitted[index] += 1.0;
+                        controller.leave(ticket, AdmissionEnd::Served, now + SECOND / 20);
+                    }
+                    AdmissionVerdict::Refused { .. } => {}
+                }
+            }
+        }
+        let rounds = f64::from(rounds);
+        let (all, late) = ((admitted[0] + admitted[1]) / (3.0 * rounds), admitted[1] / rounds);
+        assert!(late >= case.floor * all, "{}: {late:.2} of {all:.2}", case.what);
+        assert!(late <= case.most, "{}: {late:.2} of {all:.2}", case.what);
+    }
+}
+
 /// Guards against requests whose callers have left and that still count as waiting or in progress.
 #[test]
 fn requests_that_leave_make_way_for_others() {
