--- a/berylstep_core/tests/fleet_admission.rs
+++ b/berylstep_core/tests/fleet_admission.rs
@@ -108,12 +108,13 @@
     let mut load = FleetLoad::usual().scaled(8);
     load.nodes = 90;
     load.age = Duration::from_millis(250);
-    load.sources[1].surge = Some(Surge { factor: 2.5, from: CALM, to: CALM + 10 * SECOND });
-    load.sources[2].surge = Some(Surge { factor: 3.0, from: CALM, to: CALM + 10 * SECOND });
-    let report = load.run(CALM + 10 * SECOND);
+    load.sources[1].surge = Some(Surge { factor: 2.5, from: CALM, to: CALM + 20 * SECOND });
+    load.sources[2].surge = Some(Surge { factor: 3.0, from: CALM, to: CALM + 20 * SECOND });
+    let report = load.run(CALM + 35 * SECOND);
     // Requests that arrive while the information is old, and the most that the refusals leave in the queue.
     let arriving = load.capacity() * 3.0 * load.age.as_secs_f64();
-    let queued = load.capacity() * 8.0;
+    let patience = REVIEW.deadline.as_secs_f64() * 2.0 / 3.0;
+    let queued = f64::from(load.slots) / REVIEW.run.as_secs_f64() * patience;
     let bound = f64::from(load.slots) + queued + arriving;
     assert!(f64::from(report.most_requests) <= bound, "{bound} {}", report.summary());
     assert!(report.of(0).part_in_time() >= 0.99, "{}", report.summary());
