--- a/berylstep_core/src/fleet/admission/tally.rs
+++ b/berylstep_core/src/fleet/admission/tally.rs
@@ -28,8 +28,13 @@
 /// Requests in [`PRESENT_TIME`] that are never unusual, since chance explains them.
 const USUAL_SLACK: f64 = 8.0;
 
-/// Weight of an unusual request in the usual load, which a lasting rise thus changes within minutes.
-const UNUSUAL_WEIGHT: f64 = 0.2;
+/// Multiple below which it no longer has to. In between, refused requests that come back after the rise would
+/// be taken for usual ones, and queue before those of others.
+const UNUSUAL_END_FACTOR: f64 = 1.5;
+
+/// Weight of an unusual request in the usual load, which a lasting rise thus changes within many minutes. With
+/// 0.2, the allowance of a rising organisation grew by a quarter within 15 s.
+const UNUSUAL_WEIGHT: f64 = 0.05;
 
 /// Multiple of its usual load up to which the requests of such an organisation are like those of others.
 const USUAL_ALLOWANCE: f64 = 1.2;
@@ -145,6 +150,8 @@
     all: ServedPart,
     usual: DecayedCount,
     present: DecayedCount,
+    /// Whether it sends many times its usual load.
+    is_rising: bool,
     allowance: f64,
     refilled_at: Duration,
 }
@@ -176,8 +183,9 @@
     tiers: BTreeMap<u8, TierTally>,
     organisations: HashMap<u64, OrganisationTally>,
     all: ServedPart,
-    /// Load of all organisations over [`USUAL_TIME`].
+    /// Load of all organisations over [`USUAL_TIME`] and [`PRESENT_TIME`].
     usual: DecayedCount,
+    present: DecayedCount,
     ended: DecayedCount,
     /// Time that requests had a slot, summed over them, in seconds.
     slot_seconds: DecayedCount,
@@ -226,20 +234,31 @@
         let mean = self.usual.at(USUAL_TIME, now) / count;
         let tally = self.organisations.entry(organisation).or_default();
         // An organisation below the average is never unusual, so that new ones have a place.
-        let usual = tally.usual.at(USUAL_TIME, now).max(mean) / seconds.max(1.0);
+        let usual = tally.usual.at(USUAL_TIME, now).max(mean);
+        let others_usual = self.usual.at(USUAL_TIME, now) - tally.usual.at(USUAL_TIME, now);
+        self.present.add(1.0, PRESENT_TIME, now);
         tally.present.add(1.0, PRESENT_TIME, now);
-        let usual_now = usual * PRESENT_TIME.as_secs_f64();
-        let bound = (usual_now * UNUSUAL_FACTOR).max(USUAL_SLACK);
-        let is_rising = tally.present.at(PRESENT_TIME, now) > bound;
+        let present = tally.present.at(PRESENT_TIME, now);
+        let others_present = self.present.at(PRESENT_TIME, now) - present;
+        // Where the load of all organisations rises, as after a quiet time, none of them is unusual; nor is one
+        // that is alone.
+        let per_present = PRESENT_TIME.as_secs_f64() / seconds.max(1.0);
+        let common = match others_present > 0.5 {
+            true => others_present / (others_usual * per_present).max(f64::MIN_POSITIVE),
+            false => f64::INFINITY,
+        };
+        let usual_now = usual * per_present * common.max(1.0);
+        let factor = if tally.is_rising { UNUSUAL_END_FACTOR } else { UNUSUAL_FACTOR };
+        tally.is_rising = present > (usual_now * factor).max(USUAL_SLACK);
         let elapsed = now.saturating_sub(tally.refilled_at).as_secs_f64();
-        let allowed = usual * USUAL_ALLOWANCE;
+        let allowed = usual_now / PRESENT_TIME.as_secs_f64() * USUAL_ALLOWANCE;
         tally.allowance = (tally.allowance + allowed * elapsed).min(allowed.max(1.0));
         tally.refilled_at = now;
         let is_allowed = tally.allowance >= 1.0;
         if is_allowed {
             tally.allowance -= 1.0;
         }
-        let is_unusual = is_rising && !is_allowed;
+        let is_unusual = tally.is_rising && !is_allowed;
         let weight = if is_unusual { UNUSUAL_WEIGHT } else { 1.0 };
         tally.usual.add(weight, USUAL_TIME, now);
         self.usual.add(weight, USUAL_TIME, now);
