Keep hedging where many attempts were cancelled

Where more attempts were cancelled than the quantile leaves, the estimator has no value, and hedges stopped until newer responses displaced them.

Change: the longest known time, cancelled attempts included, stands for the quantile then. It is longer than the delay after which these attempts were hedged, so the delay can't fall by itself.

--- a/berylstep_core/src/fleet/hedging.rs
+++ b/berylstep_core/src/fleet/hedging.rs
@@ -309,8 +309,9 @@
         self.buckets.iter().map(|bucket| bucket.responded + bucket.cancelled).sum()
     }
 
-    /// Returns the time by which this share of the attempts has a response; `None` if too few are known, or if
-    /// so many were cancelled that it is longer than any known response.
+    /// Returns the time by which this share of the attempts has a response; `None` if too few are known. If so
+    /// many were cancelled that it can't be told, it is the longest known time, cancelled attempts included: it is
+    /// too short then, but longer than the delay after which these attempts were hedged.
     fn quantile(&self, share: f64) -> Option<Duration> {
         let responded: f64 = self.buckets.iter().map(|bucket| bucket.responded).sum();
         if responded < MIN_WEIGHT {
@@ -318,16 +319,22 @@
         }
         let mut at_risk = self.weight();
         let mut waiting = 1.0;
+        let mut longest = None;
         for (index, bucket) in self.buckets.iter().enumerate() {
+            if bucket.responded + bucket.cancelled <= 0.0 {
+                continue;
+            }
+            let time = FIRST_BUCKET.mul_f64(BUCKET_RATIO.powi(index as i32));
             if bucket.responded > 0.0 {
                 waiting *= (1.0 - bucket.responded / at_risk).max(0.0);
             }
             if 1.0 - waiting >= share {
-                return Some(FIRST_BUCKET.mul_f64(BUCKET_RATIO.powi(index as i32)));
+                return Some(time);
             }
             at_risk -= bucket.responded + bucket.cancelled;
+            longest = Some(time);
         }
-        None
+        longest
     }
 }
 
