--- a/berylstep/src/gateway/pace.rs
+++ b/berylstep/src/gateway/pace.rs
@@ -29,6 +29,10 @@
 /// Number of gaps between events that make up one observation.
 const TIMED_GAPS: u64 = 6;
 
+/// Added to each measured time. Without it, a delay of a millisecond on the way would make a replica that responds within
+/// one appear slow.
+const PATH_TIME: Duration = Duration::from_millis(5);
+
 /// Part of the time of a request that was measured; comparable only with the same part of others.
 #[derive(Clone, Copy, Debug, Hash)]
 enum MeasuredPart {
@@ -205,7 +209,7 @@
             return;
         }
         let baseline = baseline(request, MeasuredPart::Response);
-        let ratio = elapsed.as_secs_f64() / expected.as_secs_f64();
+        let ratio = (elapsed + PATH_TIME).as_secs_f64() / expected.as_secs_f64();
         let sample = PaceSample { kind, baseline, ratio };
         self.pace.observe_elapsed(&target.id, target.process, sample);
     }
@@ -227,7 +231,7 @@
             None => WorkKind::Plain,
         };
         let baseline = baseline(request, MeasuredPart::EventGap);
-        let sample = PaceSample { kind, baseline, ratio: gap.as_secs_f64() };
+        let sample = PaceSample { kind, baseline, ratio: (gap + PATH_TIME).as_secs_f64() };
         self.pace.observe_elapsed(&target.id, target.process, sample);
     }
 
--- a/berylstep/tests/uneven_replicas.rs
+++ b/berylstep/tests/uneven_replicas.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use berylstep_standins::fleet::gateway::FleetGateway;
-use berylstep_standins::fleet::message::{respond, RawMessage};
+use berylstep_standins::fleet::message::{
+    begin_events_with, end_events, respond, write_event, RawMessage,
+};
 use berylstep_standins::fleet::replica::FakeReplica;
 use berylstep_standins::fleet::store::FakeStore;
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
@@ -103,3 +105,52 @@
         assert_eq!(is_avoided, case.is_known, "{}: {counts:?}", case.name);
     }
 }
+
+/// Events of a stream, and their usual gap and that at the slow replica.
+const EVENTS: u32 = 20;
+const USUAL_GAP: Duration = Duration::from_millis(4);
+const SLOW_GAP: Duration = Duration::from_millis(24);
+
+/// A replica that is slow between events only, and states that it isn't.
+#[test]
+fn a_replica_whose_events_are_slow_is_known_from_their_gaps() {
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired_state(1)));
+    let replicas = [0, 1, 2, 3, 4, 5].map(|number| {
+        let gap = if number == SLOW { SLOW_GAP } else { USUAL_GAP };
+        FakeReplica::start(&format!("r{number}"), move |request, _, stream| {
+            let statement = "Berylstep-Replica-Load: 1,0,8,100\r\n";
+            let mut is_written = begin_events_with(stream, request, statement);
+            for event in 1..=EVENTS {
+                is_written &= write_event(stream, event);
+                std::thread::sleep(gap);
+            }
+            is_written && end_events(stream)
+        })
+    });
+    for replica in &replicas {
+        store.put("servers", &replica.id, Some(replica.entry("plain", "ready")));
+    }
+    let port = free_address().port();
+    let gateways = [2, 3].map(|number| FleetGateway::start(&store, number, port));
+    let headers = format!("{KEY_HEADER}Berylstep-Token-Counts: 100,20\r\n");
+    let end = Instant::now() + LOAD_TIME;
+    let mut peak = 0;
+    std::thread::scope(|scope| {
+        for _ in 0..3 {
+            scope.spawn(|| {
+                while Instant::now() < end {
+                    let answer = gateways[0].send("plain", &headers).expect("an answer");
+                    assert_eq!(answer.status(), 200);
+                }
+            });
+        }
+        while Instant::now() < end {
+            peak = peak.max(slow_replicas(&gateways[1]).unwrap_or_default());
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let counts = replicas.each_ref().map(|replica| replica.received().len());
+    println!("gaps: {counts:?}, slow replicas known elsewhere {peak}");
+    assert!(peak > 0, "{counts:?}");
+}
