--- a/berylstep_http/src/body_buffer.rs
+++ b/berylstep/src/body_buffer.rs
@@ -2,10 +2,9 @@
 
 use std::ops::Deref;
 
+use berylstep_http::BodyError;
 use memmap2::MmapMut;
 
-use crate::decoder::BodyError;
-
 /// Largest body on the heap. Larger ones have a mapping of their own, whose pages take memory once they are
 /// written and are returned to the system with the body; the heap keeps what it has grown to.
 const MAX_HEAP_BYTES: usize = 64 * 1024;
--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -11,12 +11,11 @@
 use berylstep_core::fleet::limits::ProcessId;
 use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::replica::ReplicaRow;
-use berylstep_http::{
-    BodyBuffer, BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage,
-};
+use berylstep_http::{BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage};
 use futures_util::future::{select, Either};
 use smol::io::AsyncWriteExt;
 
+use crate::body_buffer::BodyBuffer;
 use crate::gateway::limits::process_of;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::request::{RequestHandler, RoutedRequest};
--- a/berylstep/src/gateway/receive.rs
+++ b/berylstep/src/gateway/receive.rs
@@ -6,11 +6,12 @@
 use berylstep_core::fleet::byte_account::{ConnectionPhase, SMALL_BYTES};
 use berylstep_core::fleet::desired::CallerLimits;
 use berylstep_http::{
-    BodyBuffer, BodyDecoder, BodyError, BodyFraming, HeadError, MessageStream, RequestMessage,
+    BodyDecoder, BodyError, BodyFraming, HeadError, MessageStream, RequestMessage,
 };
 use smol::future;
 use smol::io::AsyncWriteExt;
 
+use crate::body_buffer::BodyBuffer;
 use crate::gateway::holdings::HoldGuard;
 use crate::gateway::request::RequestHandler;
 use crate::gateway::response::LocalReply;
--- a/berylstep/src/lib.rs
+++ b/berylstep/src/lib.rs
@@ -1,6 +1,7 @@
 //! The berylstep process: command line, settings, network and storage around the decisions of
 //! `berylstep_core`.
 
+pub mod body_buffer;
 pub mod burn;
 pub mod claim;
 pub mod cli;
--- a/berylstep_http/tests/body_buffer.rs
+++ b/berylstep/tests/body_buffer.rs
@@ -1,6 +1,7 @@
 //! Tests of the buffer of a message body.
 
-use berylstep_http::{BodyBuffer, BodyError};
+use berylstep::body_buffer::BodyBuffer;
+use berylstep_http::BodyError;
 
 const MAX_BYTES: usize = 1 << 20;
 
--- a/berylstep_http/src/lib.rs
+++ b/berylstep_http/src/lib.rs
@@ -5,7 +5,6 @@
 //! stream that ends exactly at the end of the message and fails if the peer closes it earlier.
 
 pub mod body;
-pub mod body_buffer;
 pub mod client;
 pub mod decoder;
 pub mod framed;
@@ -16,7 +15,6 @@
 mod turn;
 
 pub use body::{channel_body, task_body, BodySender};
-pub use body_buffer::BodyBuffer;
 pub use client::{ClientConnection, ClientResponse, ExchangeError, SendTerms};
 pub use decoder::{BodyDecoder, BodyError};
 pub use head::{BodyFraming, HeadError};
