Tell how far a node is behind the desired state, and how transfers end

Change: gateways remember since when other nodes announce a version that they don't hold (berylstep_core::fleet::announced). Metrics tell the announced version, the lag, queries of peers by result and time, answers that failed by reason, and desired states that were rejected; the log tells the lag once a second, time and bytes of transfers, versions that were ignored, connections that gave way to newer ones, and the version that each request was handled by. The status report has the lag too.

No logic of the transfer is changed.

--- a/berylstep/src/cli/fleet.rs
+++ b/berylstep/src/cli/fleet.rs
@@ -93,6 +93,12 @@
         status.follows_store,
         status.duty_fencing > 0
     );
+    if let Some(lag) = status.desired_lag_ms {
+        println!(
+            "behind desired state {}, announced {lag} ms ago by another node",
+            status.announced_version
+        );
+    }
     match status.store_age_ms {
         Some(age) => println!("the store answered it {age} ms ago"),
         None => println!("the store has not answered it"),
--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod endpoints;
 pub mod evacuation;
 pub mod feeds;
+pub mod freshness;
 pub mod handover;
 pub mod hedge_metrics;
 pub mod hedging;
@@ -48,6 +49,7 @@
 pub mod stop;
 pub mod stream;
 pub mod telemetry;
+pub mod transfer_metrics;
 pub mod turns;
 pub mod upstreams;
 pub mod usage;
@@ -77,6 +79,7 @@
 use crate::gateway::duties::{DutyContext, DutyKeeper};
 use crate::gateway::endpoints::EndpointServer;
 use crate::gateway::feeds::{FollowedTable, TableFollower};
+use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::hedging::HedgeWatch;
 use crate::gateway::holdings::Holdings;
 use crate::gateway::limits::LimitWatch;
@@ -233,6 +236,7 @@
     demand: Rc<DemandLedger>,
     duty_fencing: Rc<Cell<u64>>,
     peer_ahead: Rc<ChangeNotifier>,
+    freshness: Rc<FreshnessWatch>,
     store: Rc<PlatformClient>,
 }
 
@@ -305,6 +309,14 @@
             socket,
         });
         let is_contended = settings.is_contended();
+        let freshness = Rc::new(FreshnessWatch {
+            clock: clock.clone(),
+            mirror: mirror.clone(),
+            peers: peers.clone(),
+            metrics: metrics.clone(),
+            announced: RefCell::default(),
+            last_result: Cell::new("none"),
+        });
         Self {
             pace: Rc::new(PaceWatch::new(clock.clone(), mirror.clone(), is_contended)),
             stop: Rc::new(GracefulStop::new(clock.clone(), settings.stop_grace())),
@@ -326,6 +338,7 @@
             demand: Rc::new(DemandLedger::new(clock.clone())),
             duty_fencing: Rc::default(),
             peer_ahead: Rc::default(),
+            freshness,
             store,
             settings,
             clock,
@@ -376,6 +389,7 @@
             duty_fencing: self.duty_fencing.clone(),
             demand: self.demand.clone(),
             peer_ahead: self.peer_ahead.clone(),
+            freshness: self.freshness.clone(),
             sequence: Cell::new(0),
             sent_revisions: RefCell::default(),
             socket,
@@ -392,6 +406,8 @@
             peers: self.peers.clone(),
             mirror: self.mirror.clone(),
             peer_ahead: self.peer_ahead.clone(),
+            freshness: self.freshness.clone(),
+            metrics: self.metrics.clone(),
         });
         self.tasks.spawn(state_transfer.clone().query_peers()).detach();
         let quota = Rc::new(ConnectionQuota::new(self.settings.max_query_connections()));
@@ -403,6 +419,7 @@
             settings: self.settings.clone(),
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
+            freshness: self.freshness.clone(),
             peers: self.peers.clone(),
             stop: self.stop.clone(),
             metrics: self.metrics.clone(),
@@ -424,6 +441,7 @@
             settings: self.settings.clone(),
             clock: self.clock.clone(),
             mirror: self.mirror.clone(),
+            freshness: self.freshness.clone(),
             limits: self.limits.clone(),
             cold: self.cold.clone(),
             pace: self.pace.clone(),
@@ -544,6 +562,7 @@
         handler.origins.expire();
         handler.cold.report();
         handler.admission.report();
+        handler.freshness.report();
         handler.metrics.limited_replicas.set(handler.limits.limited_replicas());
         handler.metrics.pace.slow_replicas.set(handler.pace.slow_replicas());
         handler.crashes.expire();
--- a/berylstep/src/gateway/connection_quota.rs
+++ b/berylstep/src/gateway/connection_quota.rs
@@ -29,7 +29,11 @@
         let id = self.next_id.replace(self.next_id.get() + 1);
         let mut open = self.open.borrow_mut();
         while open.len() >= self.max_connections {
-            let Some((_, oldest)) = open.pop_front() else { break };
+            let Some((oldest_id, oldest)) = open.pop_front() else { break };
+            log::info!(
+                "event=connection_closed reason=quota connection={oldest_id} open={}",
+                open.len() + 1
+            );
             if oldest.try_send(()).is_err() {
                 log::debug!("event=connection_closed_already");
             }
--- a/berylstep/src/gateway/endpoints.rs
+++ b/berylstep/src/gateway/endpoints.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::RuntimeClock;
 use crate::gateway::connection_quota::ConnectionQuota;
+use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::reach::ReachWatch;
@@ -54,6 +55,8 @@
     pub clock: RuntimeClock,
     /// Local copy of the platform's store.
     pub mirror: Rc<StoreMirror>,
+    /// Whether this node is behind the desired state of its peers.
+    pub freshness: Rc<FreshnessWatch>,
     /// Other nodes of the fleet.
     pub peers: Rc<PeerTable>,
     /// Graceful stop and the number of open requests.
@@ -189,6 +192,7 @@
         let store_age = self.mirror.store_age().map_or(-1, |age| age.as_millis() as i64);
         self.metrics.store_age.set(store_age);
         self.metrics.desired_version.set(self.mirror.desired_version() as i64);
+        self.freshness.report_metrics();
         let ready = self.mirror.replicas.borrow().rows().filter(|row| row.is_ready()).count();
         self.metrics.ready_replicas.set(ready as i64);
         let mut response = Response::new(StatusCode::Ok);
--- /dev/null
+++ b/berylstep/src/gateway/freshness.rs
@@ -0,0 +1,67 @@
+//! Compares the desired state in force with the versions that other nodes announce.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use berylstep_core::fleet::announced::{AnnouncedVersions, VersionLag};
+
+use crate::clock::RuntimeClock;
+use crate::gateway::mirror::StoreMirror;
+use crate::gateway::peers::PeerTable;
+use crate::gateway::telemetry::GatewayMetrics;
+
+/// Knows whether this node is behind the desired state of its peers, and since when.
+pub struct FreshnessWatch {
+    /// Source of monotonic time.
+    pub clock: RuntimeClock,
+    /// Local copy of the store.
+    pub mirror: Rc<StoreMirror>,
+    /// Table of the other nodes.
+    pub peers: Rc<PeerTable>,
+    /// Metrics of this gateway.
+    pub metrics: Rc<GatewayMetrics>,
+    /// Versions that peers announce.
+    pub announced: RefCell<AnnouncedVersions>,
+    /// Result of the latest query of a peer, for the log.
+    pub last_result: Cell<&'static str>,
+}
+
+impl FreshnessWatch {
+    /// Takes note of what peers announce now.
+    pub fn update(&self) {
+        let now = self.clock.now();
+        let (held, announced) = (self.mirror.desired_version(), self.peers.newest_desired(now));
+        self.announced.borrow_mut().observe(held, announced, now);
+    }
+
+    /// Returns how far this node is behind its peers; `None` if it isn't.
+    pub fn lag(&self) -> Option<VersionLag> {
+        self.update();
+        self.announced.borrow().lag(self.clock.now())
+    }
+
+    /// Updates the metrics.
+    pub fn report_metrics(&self) {
+        let lag = self.lag();
+        let held = self.mirror.desired_version();
+        let metrics = &self.metrics.transfers;
+        metrics.announced_version.set(lag.map_or(held, |lag| lag.version) as i64);
+        metrics.lag.set(lag.map_or(0, |lag| lag.age.as_millis() as i64));
+        metrics.rejected.inc_by(self.mirror.rejected_versions() - metrics.rejected.get());
+    }
+
+    /// Logs how far this node is behind, if it is.
+    pub fn report(&self) {
+        if let Some(lag) = self.lag() {
+            log::warn!(
+                "event=desired_state_behind version={} announced={} age_ms={} follows_store={} \
+                 last_query={}",
+                self.mirror.desired_version(),
+                lag.version,
+                lag.age.as_millis(),
+                self.mirror.is_following_store(),
+                self.last_result.get()
+            );
+        }
+    }
+}
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -131,6 +131,8 @@
     store_failed_at: Cell<Option<Duration>>,
     store_responded_at: Cell<Option<Duration>>,
     following: Cell<u32>,
+    /// Number of desired states that could not be decoded.
+    rejected: Cell<u64>,
     /// Replicas that have said that they are shutting down, with the time at which this node
     /// learnt of it.
     leaving_notices: RefCell<Vec<(Duration, LeavingReplica)>>,
@@ -162,6 +164,7 @@
             store_failed_at: Cell::new(None),
             store_responded_at: Cell::new(None),
             following: Cell::new(0),
+            rejected: Cell::new(0),
             leaving_notices: RefCell::default(),
             changed: ChangeNotifier::default(),
         }
@@ -284,11 +287,17 @@
         self.store_failed_at.set(Some(self.clock.now()));
     }
 
+    /// Returns the number of desired states that could not be decoded.
+    pub fn rejected_versions(&self) -> u64 {
+        self.rejected.get()
+    }
+
     /// Applies an encoded desired state, unless it is malformed or not newer than the one in force.
     pub fn apply_desired(&self, value: Vec<u8>, source: StateSource) {
         let desired = match decode_desired(&value) {
             Ok(desired) => desired,
             Err(err) => {
+                self.rejected.set(self.rejected.get() + 1);
                 log::error!(
                     "event=desired_state_rejected source={source:?} bytes={} error=\"{err}\" \
                      outcome=kept_version_{}",
@@ -300,12 +309,18 @@
         };
         let previous = self.desired_version();
         if desired.version <= previous {
+            log::debug!(
+                "event=desired_state_ignored version={} in_force={previous} source={source:?}",
+                desired.version
+            );
             return;
         }
         log::info!(
-            "event=desired_state_applied version={} previous={previous} source={source:?} routes={}",
+            "event=desired_state_applied version={} previous={previous} source={source:?} routes={} \
+             bytes={}",
             desired.version,
-            desired.route_count()
+            desired.route_count(),
+            value.len()
         );
         *self.desired.borrow_mut() = Some(Arc::new(desired));
         *self.desired_bytes.borrow_mut() = value;
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -350,6 +350,12 @@
         direct.max(summarised)
     }
 
+    /// Returns the newest version of the desired state that a live peer announces; 0 if there is none.
+    pub fn newest_desired(&self, now: Duration) -> u64 {
+        let rows = self.rows.borrow();
+        live(&rows, now).map(|row| row.pulse.desired_version).max().unwrap_or_default()
+    }
+
     /// Returns the name and address of the peer furthest ahead of the desired-state version
     /// `desired` or the position `replicas` of the list of replicas.
     pub fn most_advanced(
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -23,6 +23,7 @@
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::cold::ColdWatch;
 use crate::gateway::demand::DemandLedger;
+use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::limits::LimitWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
@@ -123,6 +124,8 @@
     pub demand: Rc<DemandLedger>,
     /// Notified when a peer has newer state than this node.
     pub peer_ahead: Rc<ChangeNotifier>,
+    /// Whether this node is behind the desired state of its peers.
+    pub freshness: Rc<FreshnessWatch>,
     /// Number of pulses sent.
     pub sequence: Cell<u64>,
     /// Replica revisions of recent pulses, with their times, oldest first.
@@ -352,6 +355,7 @@
         let has_totals = pulse.fleet.is_some();
         let now = self.clock.now();
         let is_newer = self.peers.record_pulse(pulse, from, now);
+        self.freshness.update();
         if is_newer && has_totals && self.pace.is_uneven() {
             self.pace.refresh(self.peers.paces(now));
         }
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -20,6 +20,7 @@
 use crate::gateway::brittle::BrittleWatch;
 use crate::gateway::cold::ColdWatch;
 use crate::gateway::demand::DemandLedger;
+use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::handover::PausedPeers;
 use crate::gateway::hedging::HedgeWatch;
 use crate::gateway::holdings::HoldGuard;
@@ -64,6 +65,8 @@
     pub started_at: Duration,
     /// Local copy of the platform's store.
     pub mirror: Rc<StoreMirror>,
+    /// Whether this node is behind the desired state of its peers.
+    pub freshness: Rc<FreshnessWatch>,
     /// Limits that replicas name.
     pub limits: Rc<LimitWatch>,
     /// Cold replicas.
@@ -218,7 +221,7 @@
         let keep_alive = message.keep_alive && !self.stop.is_stopping();
         let mut writer = ResponseWriter::new(caller.stream.clone(), &message.method, keep_alive)
             .holding(hold, body.len());
-        let trace = RequestTrace::new(arrived);
+        let trace = RequestTrace::new(arrived, self.mirror.desired_version());
         let serving = async {
             let mut request = match self.resolve(message, body, arrived, hold) {
                 Ok(request) => request,
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -3,12 +3,13 @@
 //! A node that cannot read the store, because its calls fail or its connection has gone silent,
 //! sees in pulses that a peer has newer state and queries that peer.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use berylstep_core::fleet::position::StorePosition;
-use berylstep_wire::codec::FrameCodec;
+use berylstep_wire::codec::{CodecError, FrameCodec};
 use berylstep_wire::frame::Body;
 use berylstep_wire::{FleetCopy, FleetQuery, Frame};
 use futures_util::{SinkExt, StreamExt};
@@ -20,9 +21,12 @@
 
 use crate::clock::RuntimeClock;
 use crate::gateway::connection_quota::ConnectionQuota;
+use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::mirror::{ReplicaChanges, StateSource, StoreMirror, StoredCopy};
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
+use crate::gateway::telemetry::GatewayMetrics;
+use crate::gateway::transfer_metrics::TransferResult;
 
 /// Interval at which this node's state is compared with that of its peers.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -53,6 +57,10 @@
     pub mirror: Rc<StoreMirror>,
     /// Notified when a peer has newer state than this node.
     pub peer_ahead: Rc<ChangeNotifier>,
+    /// Whether this node is behind the desired state of its peers.
+    pub freshness: Rc<FreshnessWatch>,
+    /// Metrics of this gateway.
+    pub metrics: Rc<GatewayMetrics>,
 }
 
 impl StateTransfer {
@@ -87,18 +95,37 @@
             replica_revision: self.mirror.replica_revision(),
             store_era: self.mirror.era(),
         };
-        match self.clock.timeout(QUERY_TIMEOUT, query_peer(address, query)).await {
-            Some(Ok(Some(copy))) => self.apply_copy(copy, peer),
-            Some(Ok(None)) => log::warn!("event=handon_empty peer={peer}"),
-            Some(Err(err)) => log::warn!("event=handon_failed peer={peer} error=\"{err}\""),
-            None => log::warn!("event=handon_failed peer={peer} error=timeout"),
+        let began = self.clock.now();
+        let received = Cell::new(0);
+        let querying = query_peer(address, query, &received);
+        let answer = self.clock.timeout(QUERY_TIMEOUT, querying).await;
+        let elapsed = self.clock.now().saturating_sub(began);
+        let result = match &answer {
+            Some(Ok(Some(_))) => TransferResult::Received,
+            Some(Ok(None)) => TransferResult::Empty,
+            Some(Err(_)) => TransferResult::Failed,
+            None => TransferResult::TimedOut,
+        };
+        self.metrics.transfers.record_query(result, elapsed);
+        self.freshness.last_result.set(result.label());
+        let (ms, bytes) = (elapsed.as_millis(), received.get());
+        match answer {
+            Some(Ok(Some(copy))) => self.apply_copy(copy, peer, elapsed),
+            Some(Ok(None)) => log::warn!("event=handon_empty peer={peer} ms={ms}"),
+            Some(Err(err)) => {
+                log::warn!("event=handon_failed peer={peer} ms={ms} error=\"{err}\"");
+            }
+            None => {
+                log::warn!("event=handon_failed peer={peer} ms={ms} bytes={bytes} error=timeout");
+            }
         }
     }
 
-    fn apply_copy(&self, mut copy: FleetCopy, peer: &str) {
+    fn apply_copy(&self, mut copy: FleetCopy, peer: &str, elapsed: Duration) {
         log::info!(
-            "event=handon_received peer={peer} desired={} replicas={} replica_revision={}",
-            !copy.desired.is_empty(),
+            "event=handon_received peer={peer} ms={} desired_bytes={} replicas={} replica_revision={}",
+            elapsed.as_millis(),
+            copy.desired.len(),
             copy.replicas.len(),
             copy.replica_revision
         );
@@ -170,15 +197,21 @@
     async fn answer_query_in_time(&self, stream: TcpStream) {
         match self.clock.timeout(QUERY_TIMEOUT, self.answer_query(stream)).await {
             Some(Ok(())) => {}
-            Some(Err(err)) => log::warn!("event=handon_answer_failed error=\"{err}\""),
-            None => log::warn!("event=handon_answer_failed error=timeout"),
+            Some(Err(err)) => {
+                self.metrics.transfers.record_answer_failed(match &err {
+                    CodecError::Io(_) => "io",
+                    CodecError::Decode(_) => "decode",
+                });
+                log::warn!("event=handon_answer_failed error=\"{err}\"");
+            }
+            None => {
+                self.metrics.transfers.record_answer_failed("timeout");
+                log::warn!("event=handon_answer_failed error=timeout");
+            }
         }
     }
 
-    async fn answer_query(
-        &self,
-        stream: TcpStream,
-    ) -> Result<(), berylstep_wire::codec::CodecError> {
+    async fn answer_query(&self, stream: TcpStream) -> Result<(), CodecError> {
         let codec = FrameCodec::with_max_bytes(MAX_QUERY_BYTES);
         let mut framed = Framed::new(stream.compat(), codec);
         let Some(frame) = framed.next().await.transpose()? else { return Ok(()) };
@@ -218,14 +251,21 @@
     }
 }
 
+/// Queries a peer. `received` tells the bytes of an incomplete answer.
 async fn query_peer(
     address: SocketAddr,
     query: FleetQuery,
-) -> Result<Option<FleetCopy>, berylstep_wire::codec::CodecError> {
+    received: &Cell<usize>,
+) -> Result<Option<FleetCopy>, CodecError> {
     let stream = TcpStream::connect(address).await?;
     let mut framed = Framed::new(stream.compat(), FrameCodec::default());
     framed.send(Frame { body: Some(Body::FleetQuery(query)) }).await?;
-    let response = framed.next().await.transpose()?;
+    let response = future::poll_fn(|context| {
+        let polled = framed.poll_next_unpin(context);
+        received.set(framed.read_buffer().len());
+        polled
+    });
+    let response = response.await.transpose()?;
     Ok(response.and_then(|frame| match frame.body {
         Some(Body::FleetCopy(copy)) => Some(copy),
         _ => None,
--- a/berylstep/src/gateway/status.rs
+++ b/berylstep/src/gateway/status.rs
@@ -22,6 +22,13 @@
     pub open_requests: u32,
     /// Version of the desired state in force, or 0 before the first.
     pub desired_version: u64,
+    /// Newest version of the desired state that this node holds or a live peer announces.
+    #[serde(default)]
+    pub announced_version: u64,
+    /// Milliseconds for which a newer desired state has been announced than this node holds, or `None` if
+    /// none is.
+    #[serde(default)]
+    pub desired_lag_ms: Option<u64>,
     /// Newest revision of the replica table.
     pub replica_revision: u64,
     /// Whether this node reads the store itself rather than relying on its peers.
@@ -99,12 +106,16 @@
         let mut nodes: Vec<NodeStatus> =
             self.peers.nodes(now).into_iter().map(NodeStatus::from).collect();
         nodes.sort_by(|left, right| left.node.cmp(&right.node));
+        let lag = self.freshness.lag();
+        let desired_version = self.mirror.desired_version();
         FleetStatus {
             node: self.settings.node.clone(),
             ready: self.is_ready(),
             stopping: self.stop.is_stopping(),
             open_requests: self.stop.open_requests(),
-            desired_version: self.mirror.desired_version(),
+            desired_version,
+            announced_version: lag.map_or(desired_version, |lag| lag.version),
+            desired_lag_ms: lag.map(|lag| lag.age.as_millis() as u64),
             replica_revision: self.mirror.replica_revision(),
             follows_store: self.mirror.is_following_store(),
             store_age_ms: self.mirror.store_age().map(|age| age.as_millis() as u64),
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -18,6 +18,7 @@
 use crate::gateway::request::RoutedRequest;
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::telemetry::pace::PaceMetrics;
+use crate::gateway::transfer_metrics::TransferMetrics;
 use crate::instruments::InstrumentSet;
 
 /// Upper bounds of latency buckets in seconds, which include the usual latency targets.
@@ -127,6 +128,8 @@
     pub pace: PaceMetrics,
     /// Counters of hedged requests.
     pub hedges: HedgeMetrics,
+    /// Metrics of the transfer of state between nodes.
+    pub transfers: TransferMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -233,6 +236,7 @@
             )?,
             pace: PaceMetrics::new(&set)?,
             hedges: HedgeMetrics::register(&set)?,
+            transfers: TransferMetrics::register(&set)?,
             instruments: set,
         })
     }
@@ -464,6 +468,7 @@
 #[derive(Debug)]
 pub struct RequestTrace {
     arrived: Duration,
+    desired_version: u64,
     outcome: Cell<Option<RequestOutcome>>,
     first_content: Cell<Option<Duration>>,
     attempts: Cell<u32>,
@@ -484,10 +489,12 @@
 }
 
 impl RequestTrace {
-    /// Creates the trace of a request whose first byte arrived at `arrived`.
-    pub fn new(arrived: Duration) -> Self {
+    /// Creates the trace of a request whose first byte arrived at `arrived`, and that is handled by this version
+    /// of the desired state.
+    pub fn new(arrived: Duration, desired_version: u64) -> Self {
         Self {
             arrived,
+            desired_version,
             outcome: Cell::new(None),
             first_content: Cell::new(None),
             attempts: Cell::new(0),
@@ -591,9 +598,10 @@
         let Some(labels) = self.labels.borrow().clone() else {
             metrics.requests.with_label_values(&["-", "-", outcome.label()]).inc();
             log::info!(
-                "event=request_ended id={id} outcome={} detail=\"{}\" total_ms={}",
+                "event=request_ended id={id} outcome={} detail=\"{}\" desired={} total_ms={}",
                 outcome.label(),
                 outcome.detail(),
+                self.desired_version,
                 elapsed.as_millis()
             );
             return;
@@ -620,12 +628,13 @@
         log::log!(
             outcome.log_level(),
             "event=request_ended id={id} outcome={} detail=\"{}\" route={} service={service} \
-             organisation={} priority={priority} replica={} attempts={} prompt={} output={} \
+             organisation={} priority={priority} desired={} replica={} attempts={} prompt={} output={} \
              first_ms={} total_ms={}{}",
             outcome.label(),
             outcome.detail(),
             labels.route,
             labels.organisation.as_deref().unwrap_or("-"),
+            self.desired_version,
             labels.replica.as_deref().unwrap_or("-"),
             self.attempts.get(),
             labels.prompt,
--- /dev/null
+++ b/berylstep/tests/large_documents.rs
@@ -0,0 +1,140 @@
+//! Desired states and lists of replicas that outgrow one message, or take longer than one query, reach the nodes
+//! that can't read the store.
+
+use std::time::{Duration, Instant};
+
+use berylstep_standins::fleet::gateway::{FleetGateway, GatewayConfig};
+use berylstep_standins::fleet::message::respond;
+use berylstep_standins::fleet::replica::{entry, FakeReplica};
+use berylstep_standins::fleet::store::{FakeStore, StoreMode};
+use berylstep_standins::fleet::{desired_state, KEY_HEADER};
+use berylstep_standins::process::free_address;
+use serde_json::{json, Value};
+
+/// Time within which a confirmed change is in force everywhere.
+const IN_FORCE_TIME: Duration = Duration::from_secs(11);
+
+/// Interval at which a node is asked whether a change is in force.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Key that only the changed desired state has.
+const ADDED_KEY_HEADER: &str = "X-Api-Key: added-key\r\n";
+
+/// Returns a desired state of about `bytes` bytes, whose routes have different hosts.
+fn large_state(version: u64, bytes: usize) -> Value {
+    let mut state = desired_state(version);
+    let mut added = state["Routes"][0].clone();
+    let size = added.to_string().len();
+    let routes = state["Routes"].as_array_mut().unwrap();
+    for number in 0..bytes / size {
+        added["Name"] = json!(format!("added-{number}"));
+        added["Host"] = json!(format!("h{number}.example"));
+        routes.push(added.clone());
+    }
+    state
+}
+
+fn add_key(state: &mut Value) {
+    state["Tenants"][0]["Keys"] = json!(["key-of-org", "added-key"]);
+}
+
+/// A node that reads the store and one that its own store turns away.
+struct SplitFleet {
+    store: FakeStore,
+    other: FleetGateway,
+    isolated: FleetGateway,
+}
+
+impl SplitFleet {
+    fn start(replica: &FakeReplica) -> Self {
+        let (own, store) = (FakeStore::start(), FakeStore::start());
+        for store in [&own, &store] {
+            store.put("op", "config", Some(desired_state(1)));
+            store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+        }
+        let port = free_address().port();
+        let config = |store: &FakeStore, number| GatewayConfig::new(store.address, number, port);
+        let other = FleetGateway::start_with(&config(&store, 3));
+        own.set_mode(StoreMode::Down);
+        let isolated = FleetGateway::start_with(&config(&own, 2));
+        Self { store, other, isolated }
+    }
+}
+
+/// Returns whether `holds` within [`IN_FORCE_TIME`].
+fn holds_in_time(mut holds: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + IN_FORCE_TIME;
+    while Instant::now() < deadline {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    false
+}
+
+struct DocumentCase {
+    name: &'static str,
+    bytes: usize,
+}
+
+// Guards against a desired state that no follower can be told because one message doesn't hold it.
+#[test]
+fn a_desired_state_larger_than_a_message_reaches_a_node_that_the_store_turns_away() {
+    let cases = [
+        DocumentCase { name: "a small change", bytes: 20_000 },
+        DocumentCase { name: "4,251 routes", bytes: 1_200_000 },
+        DocumentCase { name: "30,000 organisations", bytes: 2_700_000 },
+    ];
+    let replica =
+        FakeReplica::start("i-1", |request, _, stream| respond(stream, request, 200, "", "answer"));
+    let fleet = SplitFleet::start(&replica);
+    for (case, version) in cases.iter().zip(2..) {
+        let key = format!("X-Api-Key: key-{version}\r\n");
+        let mut state = large_state(version, case.bytes);
+        state["Tenants"][0]["Keys"] = json!([format!("key-{version}")]);
+        fleet.store.put("op", "config", Some(state));
+        for (node, place) in [(&fleet.other, "reads the store"), (&fleet.isolated, "isolated")] {
+            let is_served = || node.send("safe", &key).unwrap().status() == 200;
+            assert!(holds_in_time(is_served), "{}: not in force: {place}", case.name);
+            let withdrawn = node.send("safe", KEY_HEADER).unwrap().status();
+            assert_eq!(withdrawn, 401, "{}: a withdrawn key: {place}", case.name);
+        }
+    }
+}
+
+// Guards against changes that wait for a list of replicas which one message doesn't hold.
+#[test]
+fn a_list_of_replicas_larger_than_a_message_reaches_a_node_that_the_store_turns_away() {
+    const REPLICAS: usize = 10_000;
+    let replica =
+        FakeReplica::start("i-1", |request, _, stream| respond(stream, request, 200, "", "answer"));
+    let fleet = SplitFleet::start(&replica);
+    let listed = entry(free_address(), "unsafe", "ready");
+    // All entries become known at once, as after a common start of replicas.
+    fleet.store.set_mode(StoreMode::Down);
+    for number in 0..REPLICAS {
+        fleet.store.put("servers", &format!("j-{number}"), Some(listed.clone()));
+    }
+    let mut state = desired_state(2);
+    add_key(&mut state);
+    fleet.store.put("op", "config", Some(state));
+    fleet.store.set_mode(StoreMode::Up);
+    for (node, place) in [(&fleet.other, "reads the store"), (&fleet.isolated, "isolated")] {
+        let has_list = || {
+            let metrics = node.metrics();
+            let count = metrics.lines().find_map(|line| {
+                line.strip_prefix("berylstep_gateway_ready_replicas ")?.parse::<usize>().ok()
+            });
+            count == Some(REPLICAS + 1)
+        };
+        assert!(holds_in_time(has_list), "the list is not known: {place}");
+        let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
+        assert!(holds_in_time(is_served), "the desired state is not in force: {place}");
+    }
+    // A change of the long list, and a removal.
+    fleet.store.put("servers", "i-1", None);
+    fleet.store.put("servers", "j-0", None);
+    let is_gone = || fleet.isolated.send("safe", KEY_HEADER).unwrap().status() == 503;
+    assert!(holds_in_time(is_gone), "a removed replica still gets requests");
+}
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -2,6 +2,7 @@
 //! them.
 
 pub mod admission;
+pub mod announced;
 pub mod brittle;
 pub mod budget;
 pub mod byte_account;
--- a/berylstep_standins/src/fleet/gateway.rs
+++ b/berylstep_standins/src/fleet/gateway.rs
@@ -154,6 +154,11 @@
         get(self.readiness_address, "/v1/readiness").is_some_and(|answer| answer.status() == 200)
     }
 
+    /// Returns its metrics in the Prometheus text format; empty if it does not answer.
+    pub fn metrics(&self) -> String {
+        get(self.metrics_address, "/metrics").map(|answer| answer.body).unwrap_or_default()
+    }
+
     /// Returns the gateway addresses listed by its directory.
     pub fn addresses(&self) -> Vec<String> {
         listed_addresses(self.directory_address)
