--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -11,6 +11,11 @@
 use berylstep_standins::process::free_address;
 use serde_json::{json, Value};
 
+#[path = "support/slow_peer.rs"]
+mod slow_peer;
+
+use slow_peer::SlowPeer;
+
 /// Time within which a confirmed change is in force everywhere.
 const IN_FORCE_TIME: Duration = Duration::from_secs(11);
 
@@ -138,3 +143,21 @@
     let is_gone = || fleet.isolated.send("safe", KEY_HEADER).unwrap().status() == 503;
     assert!(holds_in_time(is_gone), "a removed replica still gets requests");
 }
+
+// Guards against a copy that starts again from nothing each time a slow link needs longer for it than a query may.
+#[test]
+fn a_desired_state_that_a_slow_link_needs_a_second_for_arrives() {
+    let replica =
+        FakeReplica::start("i-1", |request, _, stream| respond(stream, request, 200, "", "answer"));
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired_state(1)));
+    store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+    let port = free_address().port();
+    let node = FleetGateway::start(&store, 2, port);
+    store.set_mode(StoreMode::Down);
+    let mut state = large_state(2, 1_000_000);
+    add_key(&mut state);
+    let _peer = SlowPeer::start(port, 2, state.to_string().into_bytes());
+    let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
+    assert!(holds_in_time(is_served), "not in force");
+}
