Let a transfer between nodes take as long as it makes progress

Cause: a query for the state of a peer had 800 ms in all, at both ends. A link of 10 Mbit/s carries one megabyte in that time when it carries nothing else; what had arrived was thrown away, and the next query began anew.

Change: connecting, and each further part of a message, has 800 ms; a message has 10 s in all, so that a peer that sends byte by byte holds no task for ever. state_transfer::link keeps these rules for both ends.

--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -3,21 +3,18 @@
 //! A node that cannot read the store, because its calls fail or its connection has gone silent,
 //! sees in pulses that a peer has newer state and queries that peer.
 
-use std::cell::Cell;
+pub mod link;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use berylstep_core::fleet::position::StorePosition;
-use berylstep_wire::codec::{CodecError, FrameCodec};
 use berylstep_wire::frame::Body;
-use berylstep_wire::{FleetCopy, FleetQuery, Frame};
-use futures_util::{SinkExt, StreamExt};
+use berylstep_wire::{FleetCopy, FleetQuery};
 use smol::future;
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
-use tokio_util::codec::Framed;
-use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::clock::RuntimeClock;
 use crate::gateway::connection_quota::ConnectionQuota;
@@ -27,6 +24,7 @@
 use crate::gateway::peers::PeerTable;
 use crate::gateway::telemetry::GatewayMetrics;
 use crate::gateway::transfer_metrics::TransferResult;
+use link::{LinkError, PeerLink};
 
 /// Interval at which this node's state is compared with that of its peers.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -38,12 +36,6 @@
 /// its way from the store.
 const POLLS_BEHIND: u32 = 2;
 
-/// Timeout of a state query, for both the querying and the answering node.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Largest query; it holds a few numbers. Answers are larger and have no such bound.
-const MAX_QUERY_BYTES: usize = 4 * 1024;
-
 /// Delay before accepting again after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -96,31 +88,37 @@
             store_era: self.mirror.era(),
         };
         let began = self.clock.now();
-        let received = Cell::new(0);
-        let querying = query_peer(address, query, &received);
-        let answer = self.clock.timeout(QUERY_TIMEOUT, querying).await;
+        let answer = self.query_peer(address, query).await;
         let elapsed = self.clock.now().saturating_sub(began);
         let result = match &answer {
-            Some(Ok(Some(_))) => TransferResult::Received,
-            Some(Ok(None)) => TransferResult::Empty,
-            Some(Err(_)) => TransferResult::Failed,
-            None => TransferResult::TimedOut,
+            Ok(Some(_)) => TransferResult::Received,
+            Ok(None) => TransferResult::Empty,
+            Err(LinkError::Codec(_)) => TransferResult::Failed,
+            Err(LinkError::Stalled(_) | LinkError::TooSlow(_)) => TransferResult::TimedOut,
         };
         self.metrics.transfers.record_query(result, elapsed);
         self.freshness.last_result.set(result.label());
-        let (ms, bytes) = (elapsed.as_millis(), received.get());
+        let ms = elapsed.as_millis();
         match answer {
-            Some(Ok(Some(copy))) => self.apply_copy(copy, peer, elapsed),
-            Some(Ok(None)) => log::warn!("event=handon_empty peer={peer} ms={ms}"),
-            Some(Err(err)) => {
-                log::warn!("event=handon_failed peer={peer} ms={ms} error=\"{err}\"");
-            }
-            None => {
-                log::warn!("event=handon_failed peer={peer} ms={ms} bytes={bytes} error=timeout");
-            }
+            Ok(Some(copy)) => self.apply_copy(copy, peer, elapsed),
+            Ok(None) => log::warn!("event=handon_empty peer={peer} ms={ms}"),
+            Err(err) => log::warn!("event=handon_failed peer={peer} ms={ms} error=\"{err}\""),
         }
     }
 
+    async fn query_peer(
+        &self,
+        address: SocketAddr,
+        query: FleetQuery,
+    ) -> Result<Option<FleetCopy>, LinkError> {
+        let mut link = PeerLink::connect(self.clock.clone(), address).await?;
+        link.send(Body::FleetQuery(query)).await?;
+        Ok(link.receive().await?.and_then(|body| match body {
+            Body::FleetCopy(copy) => Some(copy),
+            _ => None,
+        }))
+    }
+
     fn apply_copy(&self, mut copy: FleetCopy, peer: &str, elapsed: Duration) {
         log::info!(
             "event=handon_received peer={peer} ms={} desired_bytes={} replicas={} replica_revision={}",
@@ -181,7 +179,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let transfer = self.clone();
-                    let answering = async move { transfer.answer_query_in_time(stream).await };
+                    let answering = async move { transfer.answer_peer(stream).await };
                     tasks.spawn(quota.serve(answering)).detach();
                 }
                 Err(err) => {
@@ -194,32 +192,25 @@
         }
     }
 
-    async fn answer_query_in_time(&self, stream: TcpStream) {
-        match self.clock.timeout(QUERY_TIMEOUT, self.answer_query(stream)).await {
-            Some(Ok(())) => {}
-            Some(Err(err)) => {
-                self.metrics.transfers.record_answer_failed(match &err {
-                    CodecError::Io(_) => "io",
-                    CodecError::Decode(_) => "decode",
-                });
-                log::warn!("event=handon_answer_failed error=\"{err}\"");
-            }
-            None => {
-                self.metrics.transfers.record_answer_failed("timeout");
-                log::warn!("event=handon_answer_failed error=timeout");
-            }
+    async fn answer_peer(&self, stream: TcpStream) {
+        let link = PeerLink::accepted(self.clock.clone(), stream);
+        if let Err(err) = self.answer_query(link).await {
+            self.metrics.transfers.record_answer_failed(err.label());
+            log::warn!("event=handon_answer_failed error=\"{err}\"");
         }
     }
 
-    async fn answer_query(&self, stream: TcpStream) -> Result<(), CodecError> {
-        let codec = FrameCodec::with_max_bytes(MAX_QUERY_BYTES);
-        let mut framed = Framed::new(stream.compat(), codec);
-        let Some(frame) = framed.next().await.transpose()? else { return Ok(()) };
-        let Some(Body::FleetQuery(query)) = frame.body else {
-            log::warn!("event=handon_answer_failed error=\"unexpected message, not a query\"");
-            return Ok(());
-        };
-        framed.send(Frame { body: Some(Body::FleetCopy(self.newer_state(&query))) }).await
+    async fn answer_query(&self, mut link: PeerLink) -> Result<(), LinkError> {
+        match link.receive().await? {
+            None => Ok(()),
+            Some(Body::FleetQuery(query)) => {
+                link.send(Body::FleetCopy(self.newer_state(&query))).await
+            }
+            Some(_) => {
+                log::warn!("event=handon_answer_failed error=\"unexpected message, not a query\"");
+                Ok(())
+            }
+        }
     }
 
     fn newer_state(&self, query: &FleetQuery) -> FleetCopy {
@@ -250,24 +241,3 @@
         }
     }
 }
-
-/// Queries a peer. `received` tells the bytes of an incomplete answer.
-async fn query_peer(
-    address: SocketAddr,
-    query: FleetQuery,
-    received: &Cell<usize>,
-) -> Result<Option<FleetCopy>, CodecError> {
-    let stream = TcpStream::connect(address).await?;
-    let mut framed = Framed::new(stream.compat(), FrameCodec::default());
-    framed.send(Frame { body: Some(Body::FleetQuery(query)) }).await?;
-    let response = future::poll_fn(|context| {
-        let polled = framed.poll_next_unpin(context);
-        received.set(framed.read_buffer().len());
-        polled
-    });
-    let response = response.await.transpose()?;
-    Ok(response.and_then(|frame| match frame.body {
-        Some(Body::FleetCopy(copy)) => Some(copy),
-        _ => None,
-    }))
-}
--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -29,11 +29,15 @@
 fn large_state(version: u64, bytes: usize) -> Value {
     let mut state = desired_state(version);
     let mut added = state["Routes"][0].clone();
-    let size = added.to_string().len();
     let routes = state["Routes"].as_array_mut().unwrap();
-    for number in 0..bytes / size {
+    let mut size = 0;
+    for number in 0.. {
         added["Name"] = json!(format!("added-{number}"));
         added["Host"] = json!(format!("h{number}.example"));
+        size += added.to_string().len() + 1;
+        if size > bytes {
+            break;
+        }
         routes.push(added.clone());
     }
     state
@@ -155,7 +159,7 @@
     let port = free_address().port();
     let node = FleetGateway::start(&store, 2, port);
     store.set_mode(StoreMode::Down);
-    let mut state = large_state(2, 1_000_000);
+    let mut state = large_state(2, 1_040_000);
     add_key(&mut state);
     let _peer = SlowPeer::start(port, 2, state.to_string().into_bytes());
     let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
