Hand a large desired state on in pieces

Cause: the desired state went from node to node in one message. One that outgrows a frame (1 MiB) has no way to a follower, which asked the same peer for it again every 250 ms; below that, each change of a large document was handed on whole, and all followers of a zone took it from one peer.

An answer to a state query lists them; a node asks only for those that its own version lacks, 64 KiB at a time, keeps what has arrived when a query breaks off or a newer version comes, and goes on with any node that announces the version. A node answers as many of these queries at once as its link is wide (`link_mbps`) and names other holders to the rest; wide and fast sources are preferred. Of nodes that are equally far, a random one is asked for the state. Decisions are in fleet::document and fleet::document_fetch. A version that can't be decoded is not asked for again.

Nodes of the build before get one message as before; where the desired state doesn't fit, they get the list of replicas without it.

Ruled out: whole documents in larger frames (1.2 MB take a second of a narrow link for each change, and a wide zone fetches from one node); changes kept by version (needs a history at each node, and helps no node that starts).

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod cold_metrics;
 pub mod connection_quota;
 pub mod demand;
+pub mod desired_copy;
 pub mod duties;
 pub mod endpoints;
 pub mod evacuation;
@@ -98,6 +99,8 @@
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings, SettingsError};
 use crate::gateway::slots::{SlotContext, SlotDesk};
+use crate::gateway::state_transfer::fetcher::DocumentFetcher;
+use crate::gateway::state_transfer::server::{PieceSlots, StateServer};
 use crate::gateway::state_transfer::StateTransfer;
 use crate::gateway::stop::GracefulStop;
 use crate::gateway::telemetry::GatewayMetrics;
@@ -401,17 +404,33 @@
     }
 
     fn serve_state_transfer(&self, listener: TcpListener) {
+        let fetcher = Rc::new(DocumentFetcher::new(
+            self.clock.clone(),
+            self.peers.clone(),
+            self.mirror.clone(),
+            self.metrics.clone(),
+        ));
         let state_transfer = Rc::new(StateTransfer {
             clock: self.clock.clone(),
             peers: self.peers.clone(),
             mirror: self.mirror.clone(),
             peer_ahead: self.peer_ahead.clone(),
+            fetcher: fetcher.clone(),
             freshness: self.freshness.clone(),
             metrics: self.metrics.clone(),
         });
-        self.tasks.spawn(state_transfer.clone().query_peers()).detach();
+        self.tasks.spawn(state_transfer.query_peers()).detach();
+        self.tasks.spawn(fetcher.run()).detach();
+        let server = Rc::new(StateServer {
+            clock: self.clock.clone(),
+            tasks: self.tasks.clone(),
+            peers: self.peers.clone(),
+            mirror: self.mirror.clone(),
+            metrics: self.metrics.clone(),
+            slots: Rc::new(PieceSlots::new(self.settings.piece_slots())),
+        });
         let quota = Rc::new(ConnectionQuota::new(self.settings.max_query_connections()));
-        self.tasks.spawn(state_transfer.listen(self.tasks.clone(), listener, quota)).detach();
+        self.tasks.spawn(server.listen(listener, quota)).detach();
     }
 
     fn serve_endpoints(&self, listeners: impl Iterator<Item = TcpListener>) {
--- a/berylstep/src/gateway/freshness.rs
+++ b/berylstep/src/gateway/freshness.rs
@@ -47,7 +47,7 @@
         let metrics = &self.metrics.transfers;
         metrics.announced_version.set(lag.map_or(held, |lag| lag.version) as i64);
         metrics.lag.set(lag.map_or(0, |lag| lag.age.as_millis() as i64));
-        metrics.rejected.inc_by(self.mirror.rejected_versions() - metrics.rejected.get());
+        metrics.rejected.inc_by(self.mirror.desired.rejected() - metrics.rejected.get());
     }
 
     /// Logs how far this node is behind, if it is.
--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -8,14 +8,15 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::desired::DesiredState;
+use berylstep_core::fleet::document::PiecedDocument;
 use berylstep_core::fleet::evacuation::EvacuationRecord;
 use berylstep_core::fleet::position::StorePosition;
 use berylstep_core::fleet::replica::{LeavingMark, ReplicaEntry, ReplicaState, ReplicaTable};
 use berylstep_wire::{LeavingReplica, ReplicaCopy, ReplicaRemoval};
 
 use crate::clock::RuntimeClock;
+use crate::gateway::desired_copy::{DesiredCopy, DesiredOutcome};
 use crate::gateway::notifier::ChangeNotifier;
-use crate::platform::desired::decode_desired;
 use crate::platform::entries::{decode_cold_entry, decode_entry};
 
 /// Time after a store failure for which a missing entry may return: the bound that the platform
@@ -104,8 +105,8 @@
 #[derive(Debug)]
 pub struct StoreMirror {
     clock: RuntimeClock,
-    desired: RefCell<Option<Arc<DesiredState>>>,
-    desired_bytes: RefCell<Vec<u8>>,
+    /// Copy of the desired state, for other nodes.
+    pub desired: DesiredCopy,
     /// Replicas with their health and load, as used for routing.
     pub replicas: RefCell<ReplicaTable>,
     copies: RefCell<HashMap<SharedName, StoredCopy>>,
@@ -131,8 +132,6 @@
     store_failed_at: Cell<Option<Duration>>,
     store_responded_at: Cell<Option<Duration>>,
     following: Cell<u32>,
-    /// Number of desired states that could not be decoded.
-    rejected: Cell<u64>,
     /// Replicas that have said that they are shutting down, with the time at which this node
     /// learnt of it.
     leaving_notices: RefCell<Vec<(Duration, LeavingReplica)>>,
@@ -147,8 +146,7 @@
     pub fn new(clock: RuntimeClock, heartbeat_interval: Duration) -> Self {
         Self {
             clock,
-            desired: RefCell::default(),
-            desired_bytes: RefCell::default(),
+            desired: DesiredCopy::default(),
             replicas: RefCell::default(),
             copies: RefCell::default(),
             removals: RefCell::default(),
@@ -164,7 +162,6 @@
             store_failed_at: Cell::new(None),
             store_responded_at: Cell::new(None),
             following: Cell::new(0),
-            rejected: Cell::new(0),
             leaving_notices: RefCell::default(),
             changed: ChangeNotifier::default(),
         }
@@ -176,23 +173,18 @@
 
     /// Returns the desired state in force; `None` before the first.
     pub fn desired(&self) -> Option<Arc<DesiredState>> {
-        self.desired.borrow().clone()
+        self.desired.state()
     }
 
     /// Returns the version of the desired state in force; 0 before the first.
     pub fn desired_version(&self) -> u64 {
-        self.desired.borrow().as_ref().map_or(0, |desired| desired.version)
-    }
-
-    /// Returns the desired state in its stored encoding; empty before the first.
-    pub fn desired_bytes(&self) -> Vec<u8> {
-        self.desired_bytes.borrow().clone()
+        self.desired.version()
     }
 
     /// Returns whether both the desired state and the replicas are known, so that requests can be
     /// routed.
     pub fn is_complete(&self) -> bool {
-        self.has_replicas.get() && self.desired.borrow().is_some()
+        self.has_replicas.get() && self.desired_version() > 0
     }
 
     /// Returns the newest known revision of the list of replicas.
@@ -287,44 +279,24 @@
         self.store_failed_at.set(Some(self.clock.now()));
     }
 
-    /// Returns the number of desired states that could not be decoded.
-    pub fn rejected_versions(&self) -> u64 {
-        self.rejected.get()
+    /// Applies an encoded desired state, unless it is malformed or not newer than the one in force.
+    pub fn apply_desired(&self, value: Vec<u8>, source: StateSource) -> DesiredOutcome {
+        let outcome = self.desired.apply_content(value, source);
+        self.notify_of(outcome);
+        outcome
     }
 
-    /// Applies an encoded desired state, unless it is malformed or not newer than the one in force.
-    pub fn apply_desired(&self, value: Vec<u8>, source: StateSource) {
-        let desired = match decode_desired(&value) {
-            Ok(desired) => desired,
-            Err(err) => {
-                self.rejected.set(self.rejected.get() + 1);
-                log::error!(
-                    "event=desired_state_rejected source={source:?} bytes={} error=\"{err}\" \
-                     outcome=kept_version_{}",
-                    value.len(),
-                    self.desired_version()
-                );
-                return;
-            }
-        };
-        let previous = self.desired_version();
-        if desired.version <= previous {
-            log::debug!(
-                "event=desired_state_ignored version={} in_force={previous} source={source:?}",
-                desired.version
-            );
-            return;
+    /// Applies a desired state that was assembled from pieces, like [`Self::apply_desired`].
+    pub fn apply_document(&self, document: PiecedDocument) -> DesiredOutcome {
+        let outcome = self.desired.apply_pieces(document);
+        self.notify_of(outcome);
+        outcome
+    }
+
+    fn notify_of(&self, outcome: DesiredOutcome) {
+        if outcome == DesiredOutcome::Applied {
+            self.changed.notify();
         }
-        log::info!(
-            "event=desired_state_applied version={} previous={previous} source={source:?} routes={} \
-             bytes={}",
-            desired.version,
-            desired.route_count(),
-            value.len()
-        );
-        *self.desired.borrow_mut() = Some(Arc::new(desired));
-        *self.desired_bytes.borrow_mut() = value;
-        self.changed.notify();
     }
 
     /// Applies a change of one entry; the value `None` removes it.
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -356,6 +356,15 @@
         live(&rows, now).map(|row| row.pulse.desired_version).max().unwrap_or_default()
     }
 
+    /// Returns the addresses of the live peers that announce the version `desired` of the desired state or a newer
+    /// one and answer queries for its pieces, and how many queries each answers at once.
+    pub fn document_holders(&self, desired: u64, now: Duration) -> Vec<(SocketAddr, u32)> {
+        let rows = self.rows.borrow();
+        let holders = live(&rows, now)
+            .filter(|row| row.pulse.desired_version >= desired && row.pulse.piece_slots > 0);
+        holders.map(|row| (row.address, row.pulse.piece_slots)).collect()
+    }
+
     /// Returns the name and address of the peer furthest ahead of the desired-state version
     /// `desired` or the position `replicas` of the list of replicas.
     pub fn most_advanced(
@@ -369,7 +378,9 @@
         let rows = self.rows.borrow();
         let ahead = live(&rows, now)
             .filter(|row| row.pulse.desired_version > desired || position(row) > replicas);
-        let furthest = ahead.max_by_key(|row| (row.pulse.desired_version, position(row)))?;
+        // Nodes that are behind at the same time ask different ones of those that are equally far.
+        let furthest = ahead
+            .max_by_key(|row| (row.pulse.desired_version, position(row), fastrand::u32(..)))?;
         Some(((&*furthest.pulse.node).into(), furthest.address))
     }
 
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -454,6 +454,7 @@
             evacuation: self.mirror.evacuation_message(),
             states_pace: self.pace.has_statements(),
             paces: self.pace.reports(),
+            piece_slots: self.settings.piece_slots(),
         }
     }
 
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -22,6 +22,13 @@
 /// Smallest memory of a VM; the process itself takes about a third of it.
 const MIN_MEMORY_MB: usize = 32;
 
+/// Bandwidth of a narrow link, in megabits per second.
+const NARROW_LINK_MBPS: f64 = 10.0;
+
+/// Bounds on the queries for pieces that a node answers at once.
+const MIN_PIECE_SLOTS: u32 = 2;
+const MAX_PIECE_SLOTS: u32 = 32;
+
 /// Errors that reject a settings file.
 #[derive(Debug, Display)]
 pub enum SettingsError {
@@ -87,6 +94,9 @@
     /// Share of a CPU core that the node may use.
     #[serde(default = "default_core_share")]
     pub core_share: f64,
+    /// Bandwidth of the VM's link, in megabits per second.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
     /// Address of the platform's table store.
     pub store_address: SocketAddr,
     /// Address of the platform's interface for usage and orders, if the deployment has one.
@@ -200,6 +210,11 @@
     120
 }
 
+/// Default bandwidth of a VM's link, in megabits per second.
+fn default_link() -> f64 {
+    100.0
+}
+
 /// Default drain time, in milliseconds.
 fn default_drain() -> u64 {
     2000
@@ -306,6 +321,7 @@
             (self.file_descriptors > 0, "file_descriptors must be above 0"),
             (self.memory_mb >= MIN_MEMORY_MB, "memory_mb must be 32 or above"),
             (positive(self.core_share), "core_share must be above 0"),
+            (positive(self.link_mbps), "link_mbps must be above 0"),
             (positive(self.stop_grace_s), "stop_grace_s must be above 0"),
             (self.retry_ratio >= 0.0, "retry_ratio must be 0 or above"),
             (self.retry_extra >= 0.0, "retry_extra must be 0 or above"),
@@ -376,6 +392,12 @@
         (self.file_descriptors / 32).clamp(16, 128)
     }
 
+    /// Returns the number of queries for pieces of the desired state that the node answers at once: as many as
+    /// narrow links fit into its own, within bounds.
+    pub fn piece_slots(&self) -> u32 {
+        ((self.link_mbps / NARROW_LINK_MBPS) as u32).clamp(MIN_PIECE_SLOTS, MAX_PIECE_SLOTS)
+    }
+
     /// Returns whether the deployment says that callers compete for too little room at times.
     pub fn is_contended(&self) -> bool {
         self.rule_groups.iter().any(|group| **group == *CONTENTION_RULES)
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -1,9 +1,13 @@
 //! Transfers the desired state and the list of replicas between nodes.
 //!
 //! A node that cannot read the store, because its calls fail or its connection has gone silent,
-//! sees in pulses that a peer has newer state and queries that peer.
+//! sees in pulses that a peer has newer state and queries that peer. A small desired state is in the answer; of a
+//! large one the answer lists the pieces, which [`fetcher`] gets from all nodes that have them.
 
+pub mod fetcher;
 pub mod link;
+pub mod messages;
+pub mod server;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,19 +16,18 @@
 use berylstep_core::fleet::position::StorePosition;
 use berylstep_wire::frame::Body;
 use berylstep_wire::{FleetCopy, FleetQuery};
-use smol::future;
-use smol::net::{TcpListener, TcpStream};
-use smol::LocalExecutor;
 
 use crate::clock::RuntimeClock;
-use crate::gateway::connection_quota::ConnectionQuota;
+use crate::gateway::desired_copy::DesiredOutcome;
 use crate::gateway::freshness::FreshnessWatch;
-use crate::gateway::mirror::{ReplicaChanges, StateSource, StoreMirror, StoredCopy};
+use crate::gateway::mirror::{StateSource, StoreMirror, StoredCopy};
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::telemetry::GatewayMetrics;
 use crate::gateway::transfer_metrics::TransferResult;
+use fetcher::DocumentFetcher;
 use link::{LinkError, PeerLink};
+use messages::read_manifest;
 
 /// Interval at which this node's state is compared with that of its peers.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -36,10 +39,7 @@
 /// its way from the store.
 const POLLS_BEHIND: u32 = 2;
 
-/// Delay before accepting again after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Queries peers for newer state and answers their queries.
+/// Queries peers for newer state.
 pub struct StateTransfer {
     /// Source of monotonic time.
     pub clock: RuntimeClock,
@@ -49,6 +49,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Notified when a peer has newer state than this node.
     pub peer_ahead: Rc<ChangeNotifier>,
+    /// Fetches large desired states.
+    pub fetcher: Rc<DocumentFetcher>,
     /// Whether this node is behind the desired state of its peers.
     pub freshness: Rc<FreshnessWatch>,
     /// Metrics of this gateway.
@@ -69,7 +71,7 @@
                 false => self.clock.sleep(interval).await,
             }
             let now = self.clock.now();
-            let (desired, replicas) = (self.mirror.desired_version(), self.mirror.position());
+            let (desired, replicas) = (self.fetcher.known_version(), self.mirror.position());
             let Some((peer, address)) = self.peers.most_advanced(desired, replicas, now) else {
                 polls_behind = 0;
                 continue;
@@ -83,9 +85,11 @@
 
     async fn query(&self, peer: &str, address: SocketAddr) {
         let query = FleetQuery {
-            desired_version: self.mirror.desired_version(),
+            desired_version: self.fetcher.known_version(),
             replica_revision: self.mirror.replica_revision(),
             store_era: self.mirror.era(),
+            accepts_parts: true,
+            replicas_after: String::new(),
         };
         let began = self.clock.now();
         let answer = self.query_peer(address, query).await;
@@ -93,14 +97,14 @@
         let result = match &answer {
             Ok(Some(_)) => TransferResult::Received,
             Ok(None) => TransferResult::Empty,
-            Err(LinkError::Codec(_)) => TransferResult::Failed,
+            Err(LinkError::Codec(_) | LinkError::Interrupted) => TransferResult::Failed,
             Err(LinkError::Stalled(_) | LinkError::TooSlow(_)) => TransferResult::TimedOut,
         };
         self.metrics.transfers.record_query(result, elapsed);
         self.freshness.last_result.set(result.label());
         let ms = elapsed.as_millis();
         match answer {
-            Ok(Some(copy)) => self.apply_copy(copy, peer, elapsed),
+            Ok(Some(copy)) => self.apply_copy(copy, peer, address, elapsed),
             Ok(None) => log::warn!("event=handon_empty peer={peer} ms={ms}"),
             Err(err) => log::warn!("event=handon_failed peer={peer} ms={ms} error=\"{err}\""),
         }
@@ -119,7 +123,7 @@
         }))
     }
 
-    fn apply_copy(&self, mut copy: FleetCopy, peer: &str, elapsed: Duration) {
+    fn apply_copy(&self, mut copy: FleetCopy, peer: &str, address: SocketAddr, elapsed: Duration) {
         log::info!(
             "event=handon_received peer={peer} ms={} desired_bytes={} replicas={} replica_revision={}",
             elapsed.as_millis(),
@@ -127,9 +131,7 @@
             copy.replicas.len(),
             copy.replica_revision
         );
-        if !copy.desired.is_empty() {
-            self.mirror.apply_desired(std::mem::take(&mut copy.desired), StateSource::Peer);
-        }
+        self.apply_desired(&mut copy, address);
         self.mirror.apply_evacuation(copy.evacuation.as_ref());
         if copy.store_troubled {
             self.mirror.record_store_failure();
@@ -144,6 +146,26 @@
         leaving.iter().for_each(|notice| self.mirror.apply_leaving_notice(notice));
     }
 
+    fn apply_desired(&self, copy: &mut FleetCopy, address: SocketAddr) {
+        let version = copy.desired_version;
+        if let Some(message) = copy.manifest.take() {
+            match read_manifest(version, &message) {
+                Some(manifest) => self.fetcher.begin(manifest, address),
+                None => {
+                    log::error!("event=manifest_rejected peer={address} version={version}");
+                    self.fetcher.record_unusable(version);
+                }
+            }
+        }
+        if copy.desired.is_empty() {
+            return;
+        }
+        let content = std::mem::take(&mut copy.desired);
+        if self.mirror.apply_desired(content, StateSource::Peer) == DesiredOutcome::Rejected {
+            self.fetcher.record_unusable(version);
+        }
+    }
+
     fn apply_replicas(&self, copy: FleetCopy, peer: &str) {
         if !copy.has_replicas || copy.store_era < self.mirror.era() {
             return;
@@ -167,77 +189,4 @@
         }
         self.mirror.advance_replica_revision(copy.replica_revision);
     }
-
-    /// Answers queries from peers, for as long as the node runs.
-    pub async fn listen(
-        self: Rc<Self>,
-        tasks: Rc<LocalExecutor<'static>>,
-        listener: TcpListener,
-        quota: Rc<ConnectionQuota>,
-    ) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let transfer = self.clone();
-                    let answering = async move { transfer.answer_peer(stream).await };
-                    tasks.spawn(quota.serve(answering)).detach();
-                }
-                Err(err) => {
-                    log::warn!("event=accept_failed listener=peers error=\"{err}\"");
-                    self.clock.sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-            // A burst of connections must not hold up requests in progress.
-            future::yield_now().await;
-        }
-    }
-
-    async fn answer_peer(&self, stream: TcpStream) {
-        let link = PeerLink::accepted(self.clock.clone(), stream);
-        if let Err(err) = self.answer_query(link).await {
-            self.metrics.transfers.record_answer_failed(err.label());
-            log::warn!("event=handon_answer_failed error=\"{err}\"");
-        }
-    }
-
-    async fn answer_query(&self, mut link: PeerLink) -> Result<(), LinkError> {
-        match link.receive().await? {
-            None => Ok(()),
-            Some(Body::FleetQuery(query)) => {
-                link.send(Body::FleetCopy(self.newer_state(&query))).await
-            }
-            Some(_) => {
-                log::warn!("event=handon_answer_failed error=\"unexpected message, not a query\"");
-                Ok(())
-            }
-        }
-    }
-
-    fn newer_state(&self, query: &FleetQuery) -> FleetCopy {
-        let is_newer = self.mirror.desired_version() > query.desired_version;
-        let desired = if is_newer { self.mirror.desired_bytes() } else { Vec::new() };
-        let known = StorePosition::new(query.store_era, query.replica_revision);
-        // A node that has only heard of a new era has nothing of it to hand on yet.
-        let has_replicas = self.mirror.position() > known && self.mirror.replica_revision() > 0;
-        let since = if query.store_era == self.mirror.era() { query.replica_revision } else { 0 };
-        let changes = match has_replicas {
-            true => self.mirror.replica_changes(since),
-            false => ReplicaChanges::default(),
-        };
-        let complete = changes.complete;
-        let (replicas, removed) = changes.into_messages();
-        FleetCopy {
-            desired,
-            has_replicas,
-            replica_revision: self.mirror.replica_revision(),
-            replicas,
-            complete,
-            removed,
-            store_era: self.mirror.era(),
-            leaving: self.mirror.all_leaving(),
-            withheld: self.mirror.withheld_entries(),
-            store_troubled: self.mirror.has_store_failed_recently(),
-            evacuation: self.mirror.evacuation_message(),
-        }
-    }
 }
--- a/berylstep/src/gateway/state_transfer/link.rs
+++ b/berylstep/src/gateway/state_transfer/link.rs
@@ -37,6 +37,8 @@
     Stalled(usize),
     /// message is too slow, {0} bytes so far
     TooSlow(usize),
+    /// peer ended the answer early
+    Interrupted,
 }
 
 impl std::error::Error for LinkError {}
@@ -57,7 +59,7 @@
     /// Returns the name of the cause in metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::Codec(CodecError::Io(_)) => "io",
+            Self::Codec(CodecError::Io(_)) | Self::Interrupted => "io",
             Self::Codec(CodecError::Decode(_)) => "decode",
             Self::Stalled(_) | Self::TooSlow(_) => "timeout",
         }
--- a/berylstep/src/gateway/transfer_metrics.rs
+++ b/berylstep/src/gateway/transfer_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use berylstep_core::fleet::document_fetch::QueryEnd;
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
 use crate::instruments::InstrumentSet;
@@ -40,6 +41,11 @@
     queries: IntCounterVec,
     seconds: HistogramVec,
     answers_failed: IntCounterVec,
+    piece_queries: IntCounterVec,
+    /// Bytes of pieces that were received and needed.
+    pub piece_bytes_received: IntCounter,
+    /// Bytes of pieces that were sent.
+    pub piece_bytes_sent: IntCounter,
     /// Desired states that could not be decoded.
     pub rejected: IntCounter,
     /// Newest version of the desired state that a live peer announces.
@@ -72,6 +78,19 @@
                 "Queries of peers that were not answered, by reason.",
                 &["reason"],
             )?,
+            piece_queries: set.counters(
+                "berylstep_gateway_piece_queries_total",
+                "Queries for pieces of a desired state, by result.",
+                &["result"],
+            )?,
+            piece_bytes_received: set.counter(
+                "berylstep_gateway_piece_bytes_received_total",
+                "Bytes of pieces of a desired state that were received and needed.",
+            )?,
+            piece_bytes_sent: set.counter(
+                "berylstep_gateway_piece_bytes_sent_total",
+                "Bytes of pieces of a desired state that were sent.",
+            )?,
             rejected: set.counter(
                 "berylstep_gateway_desired_rejected_total",
                 "Desired states that could not be decoded.",
@@ -93,6 +112,16 @@
         self.seconds.with_label_values(&[result.label()]).observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a query for pieces.
+    pub fn record_piece_query(&self, end: QueryEnd) {
+        let result = match end {
+            QueryEnd::Answered => "answered",
+            QueryEnd::Busy => "busy",
+            QueryEnd::Failed => "failed",
+        };
+        self.piece_queries.with_label_values(&[result]).inc();
+    }
+
     /// Counts a query of a peer that was not answered.
     pub fn record_answer_failed(&self, reason: &str) {
         self.answers_failed.with_label_values(&[reason]).inc();
--- a/berylstep/src/peer.rs
+++ b/berylstep/src/peer.rs
@@ -186,7 +186,11 @@
         Body::Challenge(_) | Body::Hello(_) => {
             log::warn!("unexpected handshake message on an open link: peer={from}");
         }
-        Body::FleetQuery(_) | Body::FleetCopy(_) => {
+        Body::FleetQuery(_)
+        | Body::FleetCopy(_)
+        | Body::PieceQuery(_)
+        | Body::PieceCopy(_)
+        | Body::PieceEnd(_) => {
             log::warn!("unexpected gateway message on a peer link: peer={from}");
         }
         Body::BurnRequest(request) => burn::reply(node, from, &request),
--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -9,6 +9,7 @@
 use berylstep_standins::fleet::store::{FakeStore, StoreMode};
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
 use berylstep_standins::process::free_address;
+use berylstep_wire::FleetQuery;
 use serde_json::{json, Value};
 
 #[path = "support/slow_peer.rs"]
@@ -165,3 +166,32 @@
     let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
     assert!(holds_in_time(is_served), "not in force");
 }
+
+struct EarlierQueryCase {
+    name: &'static str,
+    bytes: usize,
+    /// Whether the answer has the desired state.
+    has_desired: bool,
+}
+
+// Guards against nodes of the build before that are told in pieces, which they don't know, or not at all.
+#[test]
+fn a_node_of_the_build_before_is_told_in_one_message_what_fits_into_it() {
+    let cases = [
+        EarlierQueryCase { name: "fits", bytes: 300_000, has_desired: true },
+        EarlierQueryCase { name: "too large", bytes: 1_200_000, has_desired: false },
+    ];
+    let replica =
+        FakeReplica::start("i-1", |request, _, stream| respond(stream, request, 200, "", "answer"));
+    for case in cases {
+        let store = FakeStore::start();
+        store.put("op", "config", Some(large_state(2, case.bytes)));
+        store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+        let port = free_address().port();
+        let _node = FleetGateway::start(&store, 2, port);
+        let copy = slow_peer::query(port, FleetQuery::default());
+        assert_eq!(!copy.desired.is_empty(), case.has_desired, "{}", case.name);
+        assert!(copy.manifest.is_none() && !copy.has_more, "{}", case.name);
+        assert_eq!(copy.replicas.len(), 1, "{}: the list of replicas is left out", case.name);
+    }
+}
--- a/berylstep/tests/support/slow_peer.rs
+++ b/berylstep/tests/support/slow_peer.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use berylstep_wire::frame::Body;
-use berylstep_wire::{FleetCopy, FleetPulse, Frame};
+use berylstep_wire::{FleetCopy, FleetPulse, FleetQuery, Frame};
 use prost::Message;
 
 /// Interval between pulses, and between packets.
@@ -78,22 +78,44 @@
 
 /// Reads one query and sends the whole state at the speed of the link.
 fn answer(mut stream: TcpStream, desired: Vec<u8>) {
-    let mut length = [0; 4];
-    if stream.read_exact(&mut length).is_err() {
-        return;
-    }
-    let mut query = vec![0; u32::from_be_bytes(length) as usize];
-    if stream.read_exact(&mut query).is_err() {
+    if read_frame(&mut stream).is_none() {
         return;
     }
     let copy = FleetCopy { desired, ..FleetCopy::default() };
-    let payload = Frame { body: Some(Body::FleetCopy(copy)) }.encode_to_vec();
-    let mut bytes = (payload.len() as u32).to_be_bytes().to_vec();
-    bytes.extend(payload);
-    for packet in bytes.chunks(PACKET_BYTES) {
+    for packet in frame_bytes(Body::FleetCopy(copy)).chunks(PACKET_BYTES) {
         if stream.write_all(packet).is_err() {
             return;
         }
         std::thread::sleep(PACKET_INTERVAL);
     }
 }
+
+/// Sends a query to the gateway under test and returns its answer.
+///
+/// # Panics
+///
+/// If the gateway doesn't answer with a copy of its state.
+pub fn query(peer_port: u16, query: FleetQuery) -> FleetCopy {
+    let gateway = SocketAddr::from((GATEWAY_IP, peer_port));
+    let mut stream = TcpStream::connect(gateway).expect("the gateway accepts connections");
+    stream.write_all(&frame_bytes(Body::FleetQuery(query))).expect("the gateway reads");
+    match read_frame(&mut stream) {
+        Some(Body::FleetCopy(copy)) => copy,
+        answer => panic!("the gateway answers {answer:?}"),
+    }
+}
+
+fn frame_bytes(body: Body) -> Vec<u8> {
+    let payload = Frame { body: Some(body) }.encode_to_vec();
+    let mut bytes = (payload.len() as u32).to_be_bytes().to_vec();
+    bytes.extend(payload);
+    bytes
+}
+
+fn read_frame(stream: &mut TcpStream) -> Option<Body> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).ok()?;
+    let mut payload = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut payload).ok()?;
+    Frame::decode(&*payload).ok()?.body
+}
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -13,6 +13,8 @@
 pub mod crashes;
 pub mod departure;
 pub mod desired;
+pub mod document;
+pub mod document_fetch;
 pub mod engine;
 pub mod evacuation;
 pub mod events;
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22, 23, 24"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22, 23, 24, 25, 26, 27"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -56,6 +56,12 @@
         FleetQuery(super::FleetQuery),
         #[prost(message, tag = "24")]
         FleetCopy(super::FleetCopy),
+        #[prost(message, tag = "25")]
+        PieceQuery(super::PieceQuery),
+        #[prost(message, tag = "26")]
+        PieceCopy(super::PieceCopy),
+        #[prost(message, tag = "27")]
+        PieceEnd(super::PieceEnd),
     }
 }
 /// First frame on a link, sent by the accepting side.
@@ -551,6 +557,9 @@
     /// Replaces what the sender reported before; a replica that is not named has no recent observations.
     #[prost(message, repeated, tag = "45")]
     pub paces: ::prost::alloc::vec::Vec<ReplicaPace>,
+    /// Number of queries for pieces that the sender answers at once; 0 if it answers none.
+    #[prost(uint32, tag = "46")]
+    pub piece_slots: u32,
 }
 /// A cold replica at which a turn is asked for.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -937,7 +946,7 @@
     pub short_work_per_second: u64,
 }
 /// Asks a fleet node for store contents newer than the given versions.
-#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FleetQuery {
     #[prost(uint64, tag = "1")]
     pub desired_version: u64,
@@ -946,11 +955,18 @@
     /// Era of the store to which `replica_revision` belongs.
     #[prost(uint64, tag = "3")]
     pub store_era: u64,
+    /// Whether the sender takes a large desired state in pieces, and the list of replicas in pages. Otherwise
+    /// the answer is one message that holds all.
+    #[prost(bool, tag = "4")]
+    pub accepts_parts: bool,
+    /// Identifier after which the next page of the whole list begins; empty for changes or for the first page.
+    #[prost(string, tag = "5")]
+    pub replicas_after: ::prost::alloc::string::String,
 }
 /// Answers a `FleetQuery`; parts that are no newer than the given versions are absent.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FleetCopy {
-    /// Desired state as stored; empty if absent.
+    /// Desired state as stored; empty if absent, or if `manifest` describes it.
     #[prost(bytes = "vec", tag = "1")]
     pub desired: ::prost::alloc::vec::Vec<u8>,
     #[prost(bool, tag = "2")]
@@ -979,6 +995,67 @@
     /// Zones that the operator has asked to evacuate.
     #[prost(message, optional, tag = "11")]
     pub evacuation: ::core::option::Option<EvacuationState>,
+    /// Version of `desired` or of `manifest`; 0 if both are absent.
+    #[prost(uint64, tag = "12")]
+    pub desired_version: u64,
+    /// Pieces of a large desired state, to be asked for with `PieceQuery`.
+    #[prost(message, optional, tag = "13")]
+    pub manifest: ::core::option::Option<DocumentManifest>,
+    /// Where `complete`: identifier after which this page of the list begins; empty for the first page.
+    #[prost(string, tag = "14")]
+    pub replicas_after: ::prost::alloc::string::String,
+    /// Whether more entries or changes follow after these.
+    #[prost(bool, tag = "15")]
+    pub has_more: bool,
+}
+/// Pieces of a desired state, in order.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct DocumentManifest {
+    /// Digests of the pieces' contents, 16 bytes each, one after the other.
+    #[prost(bytes = "vec", tag = "1")]
+    pub digests: ::prost::alloc::vec::Vec<u8>,
+    /// Sizes of the pieces in bytes, in the same order.
+    #[prost(uint32, repeated, tag = "2")]
+    pub sizes: ::prost::alloc::vec::Vec<u32>,
+}
+/// Asks for pieces of a desired state. Each is answered with a `PieceCopy`, those that the receiver doesn't have
+/// are left out, and a `PieceEnd` follows.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PieceQuery {
+    /// Version that the pieces belong to.
+    #[prost(uint64, tag = "1")]
+    pub desired_version: u64,
+    /// Digests of the pieces, 16 bytes each, one after the other.
+    #[prost(bytes = "vec", tag = "2")]
+    pub digests: ::prost::alloc::vec::Vec<u8>,
+}
+/// Content of one piece.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PieceCopy {
+    #[prost(bytes = "vec", tag = "1")]
+    pub content: ::prost::alloc::vec::Vec<u8>,
+}
+/// Ends the answer to a `PieceQuery`.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PieceEnd {
+    /// Whether the sender answers as many other queries as it can, and has sent nothing.
+    #[prost(bool, tag = "1")]
+    pub busy: bool,
+    /// Other nodes that announce the version or a newer one.
+    #[prost(message, repeated, tag = "2")]
+    pub holders: ::prost::alloc::vec::Vec<PieceHolder>,
+}
+/// A node that answers queries for pieces.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PieceHolder {
+    /// IPv4 or IPv6 address in network byte order, and port, for traffic between nodes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub ip: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// Number of queries that it answers at once.
+    #[prost(uint32, tag = "3")]
+    pub slots: u32,
 }
 /// An entry that was removed from the replica list.
 #[derive(Clone, PartialEq, ::prost::Message)]
