Compress pieces of a desired state, and fetch them in the own zone

Change: pieces are compressed with DEFLATE, once for all nodes that ask; a piece that unpacks to more than a piece may have is rejected. Nodes of the own zone are asked first, others after a second or where no local one announces the version. A query asks for 128 KiB.

Ruled out: smaller pieces (one route each costs 6 in 100 of the document for the list of digests, with each change).

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -99,6 +99,7 @@
 use crate::gateway::service_level::ServiceLevels;
 use crate::gateway::settings::{GatewaySettings, LiveSettings, SettingsError};
 use crate::gateway::slots::{SlotContext, SlotDesk};
+use crate::gateway::state_transfer::compression::PackedPieces;
 use crate::gateway::state_transfer::fetcher::DocumentFetcher;
 use crate::gateway::state_transfer::server::{PieceSlots, StateServer};
 use crate::gateway::state_transfer::StateTransfer;
@@ -428,6 +429,7 @@
             mirror: self.mirror.clone(),
             metrics: self.metrics.clone(),
             slots: Rc::new(PieceSlots::new(self.settings.piece_slots())),
+            packed: PackedPieces::default(),
         });
         let quota = Rc::new(ConnectionQuota::new(self.settings.max_query_connections()));
         self.tasks.spawn(server.listen(listener, quota)).detach();
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// A peer that has a desired state and hands it on in pieces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DocumentHolder {
+    /// Address for queries.
+    pub address: SocketAddr,
+    /// Number of queries that it answers at once.
+    pub slots: u32,
+    /// Whether it is in this node's availability zone.
+    pub is_local: bool,
+}
+
 /// A summary and the time of its arrival.
 #[derive(Debug)]
 struct SummaryRow {
@@ -356,13 +367,18 @@
         live(&rows, now).map(|row| row.pulse.desired_version).max().unwrap_or_default()
     }
 
-    /// Returns the addresses of the live peers that announce the version `desired` of the desired state or a newer
-    /// one and answer queries for its pieces, and how many queries each answers at once.
-    pub fn document_holders(&self, desired: u64, now: Duration) -> Vec<(SocketAddr, u32)> {
+    /// Returns the live peers that announce the version `desired` of the desired state or a newer one and answer
+    /// queries for its pieces.
+    pub fn document_holders(&self, desired: u64, now: Duration) -> Vec<DocumentHolder> {
         let rows = self.rows.borrow();
         let holders = live(&rows, now)
             .filter(|row| row.pulse.desired_version >= desired && row.pulse.piece_slots > 0);
-        holders.map(|row| (row.address, row.pulse.piece_slots)).collect()
+        let holder = |row: &PeerRow| DocumentHolder {
+            address: row.address,
+            slots: row.pulse.piece_slots,
+            is_local: *row.pulse.zone == *self.own.zone,
+        };
+        holders.map(holder).collect()
     }
 
     /// Returns the name and address of the peer furthest ahead of the desired-state version
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -4,6 +4,7 @@
 //! sees in pulses that a peer has newer state and queries that peer. A small desired state is in the answer; of a
 //! large one the answer lists the pieces, which [`fetcher`] gets from all nodes that have them.
 
+pub mod compression;
 pub mod fetcher;
 pub mod link;
 pub mod messages;
@@ -97,8 +98,8 @@
         let result = match &answer {
             Ok(Some(_)) => TransferResult::Received,
             Ok(None) => TransferResult::Empty,
-            Err(LinkError::Codec(_) | LinkError::Interrupted) => TransferResult::Failed,
             Err(LinkError::Stalled(_) | LinkError::TooSlow(_)) => TransferResult::TimedOut,
+            Err(_) => TransferResult::Failed,
         };
         self.metrics.transfers.record_query(result, elapsed);
         self.freshness.last_result.set(result.label());
--- a/berylstep/src/gateway/state_transfer/fetcher.rs
+++ b/berylstep/src/gateway/state_transfer/fetcher.rs
@@ -10,6 +10,7 @@
 use berylstep_wire::frame::Body;
 use berylstep_wire::{PieceEnd, PieceQuery};
 
+use super::compression::unpack;
 use super::link::{LinkError, PeerLink};
 use super::messages::{digest_bytes, read_holder};
 use crate::clock::RuntimeClock;
@@ -25,6 +26,9 @@
 /// Pause where no known node has the missing pieces; other nodes may announce the version meanwhile.
 const NO_SOURCE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Time for which only nodes of the own availability zone are asked, if one of them announces the version.
+const LOCAL_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Fetches one document at a time, always the newest that is known.
 pub struct DocumentFetcher {
     clock: RuntimeClock,
@@ -132,8 +136,13 @@
         current.take_if(|fetch| fetch.version() <= self.mirror.desired_version());
         let fetch = current.as_mut()?;
         let now = self.clock.now();
-        for (address, width) in self.peers.document_holders(fetch.version(), now) {
-            fetch.add_source(address, width);
+        let holders = self.peers.document_holders(fetch.version(), now);
+        let has_local = holders.iter().any(|holder| holder.is_local);
+        let is_late = now.saturating_sub(fetch.began_at()) > LOCAL_PATIENCE;
+        for holder in holders {
+            if holder.is_local || !has_local || is_late {
+                fetch.add_source(holder.address, holder.slots);
+            }
         }
         Some(fetch.next_step(now, fastrand::f64(), fastrand::f64()))
     }
@@ -181,7 +190,7 @@
         link.send(Body::PieceQuery(PieceQuery { desired_version: version, digests })).await?;
         loop {
             match link.receive().await? {
-                Some(Body::PieceCopy(piece)) => self.add_piece(&piece.content),
+                Some(Body::PieceCopy(piece)) => self.add_piece(&unpack(piece)?),
                 Some(Body::PieceEnd(end)) => {
                     self.add_sources(&end);
                     return Ok(end);
--- a/berylstep/src/gateway/state_transfer/link.rs
+++ b/berylstep/src/gateway/state_transfer/link.rs
@@ -39,6 +39,8 @@
     TooSlow(usize),
     /// peer ended the answer early
     Interrupted,
+    /// piece is larger than a piece may be
+    Oversized,
 }
 
 impl std::error::Error for LinkError {}
@@ -60,7 +62,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::Codec(CodecError::Io(_)) | Self::Interrupted => "io",
-            Self::Codec(CodecError::Decode(_)) => "decode",
+            Self::Codec(CodecError::Decode(_)) | Self::Oversized => "decode",
             Self::Stalled(_) | Self::TooSlow(_) => "timeout",
         }
     }
--- a/berylstep/src/gateway/state_transfer/messages.rs
+++ b/berylstep/src/gateway/state_transfer/messages.rs
@@ -5,6 +5,8 @@
 use berylstep_core::fleet::document::{DocumentManifest, PieceDigest, PieceEntry, DIGEST_BYTES};
 use berylstep_wire::PieceHolder;
 
+use crate::gateway::peers::DocumentHolder;
+
 /// Largest document that a node assembles, in bytes; the store takes less.
 const MAX_DOCUMENT_BYTES: usize = 64 << 20;
 
@@ -44,12 +46,12 @@
 }
 
 /// Returns the message that names a node which answers queries for pieces.
-pub fn holder_message(address: SocketAddr, slots: u32) -> PieceHolder {
-    let ip = match address.ip() {
+pub fn holder_message(holder: &DocumentHolder) -> PieceHolder {
+    let ip = match holder.address.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
     };
-    PieceHolder { ip, port: address.port().into(), slots }
+    PieceHolder { ip, port: holder.address.port().into(), slots: holder.slots }
 }
 
 /// Reads the address and the number of queries that a node answers at once; `None` if the address is malformed.
--- a/berylstep/src/gateway/state_transfer/server.rs
+++ b/berylstep/src/gateway/state_transfer/server.rs
@@ -8,12 +8,13 @@
 use berylstep_core::fleet::position::StorePosition;
 use berylstep_wire::codec::MAX_FRAME_BYTES;
 use berylstep_wire::frame::Body;
-use berylstep_wire::{FleetCopy, FleetQuery, PieceCopy, PieceEnd, PieceQuery};
+use berylstep_wire::{FleetCopy, FleetQuery, PieceEnd, PieceQuery};
 use prost::Message;
 use smol::future;
 use smol::net::{TcpListener, TcpStream};
 use smol::LocalExecutor;
 
+use super::compression::PackedPieces;
 use super::link::{LinkError, PeerLink};
 use super::messages::{holder_message, manifest_message, read_digests};
 use crate::clock::RuntimeClock;
@@ -80,6 +81,8 @@
     pub metrics: Rc<GatewayMetrics>,
     /// Queries for pieces that are answered at once.
     pub slots: Rc<PieceSlots>,
+    /// Pieces as they are sent.
+    pub packed: PackedPieces,
 }
 
 impl StateServer {
@@ -145,9 +148,9 @@
         if let Some(document) = self.mirror.desired.pieces() {
             for digest in digests.into_iter().take(MAX_QUERY_PIECES) {
                 let Some(content) = document.piece(digest) else { continue };
-                let content = content.to_vec();
-                self.metrics.transfers.piece_bytes_sent.inc_by(content.len() as u64);
-                link.send(Body::PieceCopy(PieceCopy { content })).await?;
+                let piece = self.packed.pack(&document, digest, content);
+                self.metrics.transfers.piece_bytes_sent.inc_by(piece.encoded_len() as u64);
+                link.send(Body::PieceCopy(piece)).await?;
             }
         }
         link.send(Body::PieceEnd(self.piece_end(false, query))).await
@@ -155,10 +158,10 @@
 
     fn piece_end(&self, busy: bool, query: &PieceQuery) -> PieceEnd {
         let mut holders = self.peers.document_holders(query.desired_version, self.clock.now());
+        holders.retain(|holder| holder.is_local);
         fastrand::shuffle(&mut holders);
         holders.truncate(MAX_NAMED_HOLDERS);
-        let holders = holders.into_iter().map(|(address, slots)| holder_message(address, slots));
-        PieceEnd { busy, holders: holders.collect() }
+        PieceEnd { busy, holders: holders.iter().map(holder_message).collect() }
     }
 
     fn newer_state(&self, query: &FleetQuery) -> FleetCopy {
--- a/berylstep_core/src/fleet/document.rs
+++ b/berylstep_core/src/fleet/document.rs
@@ -12,10 +12,12 @@
 
 use crate::collections::{HashMap, HashSet};
 
-/// Smallest, mean and largest size of a piece, in bytes.
+/// Smallest and mean size of a piece, in bytes.
 const MIN_PIECE_BYTES: usize = 2 * 1024;
 const MEAN_PIECE_BYTES: usize = 8 * 1024;
-const MAX_PIECE_BYTES: usize = 32 * 1024;
+
+/// Largest size of a piece, in bytes.
+pub const MAX_PIECE_BYTES: usize = 32 * 1024;
 
 /// Length of a digest, in bytes.
 pub const DIGEST_BYTES: usize = 16;
--- a/berylstep_core/src/fleet/document_fetch.rs
+++ b/berylstep_core/src/fleet/document_fetch.rs
@@ -13,7 +13,7 @@
 use crate::collections::HashMap;
 
 /// Largest number of bytes that one query asks for.
-const MAX_QUERY_BYTES: usize = 64 * 1024;
+const MAX_QUERY_BYTES: usize = 128 * 1024;
 
 /// Largest number of pieces that one query asks for.
 pub const MAX_QUERY_PIECES: usize = 64;
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -1032,8 +1032,12 @@
 /// Content of one piece.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PieceCopy {
+    /// As it is; empty if `deflated` has it.
     #[prost(bytes = "vec", tag = "1")]
     pub content: ::prost::alloc::vec::Vec<u8>,
+    /// Compressed (DEFLATE).
+    #[prost(bytes = "vec", tag = "2")]
+    pub deflated: ::prost::alloc::vec::Vec<u8>,
 }
 /// Ends the answer to a `PieceQuery`.
 #[derive(Clone, PartialEq, ::prost::Message)]
