Do not pass changes that a list in several pages has not told yet

Cause: the store tells a long list in several pages, and later ones may be newer than the first. Each entry advanced the position of the mirror, so that after the last page a node claimed to know all changes up to the newest entry. The store's feed repeated the others to this node, but a node that asked it for changes meanwhile was told to be complete, and never learnt of them: a draining replica stayed in use there until its entry changed again.

Evidence: found while the list between nodes was put into pages; lists of more than 500 replicas or 1 MB are concerned, which no deployment in force has (282 in 90 VMs on ptfl).

Change: a list advances the position to its own, and no further.

Measured: replica_mirror::a_list_with_newer_entries_does_not_pass_its_own_position failed before (position 7 in place of 5) and passes.

--- a/berylstep/src/gateway/mirror.rs
+++ b/berylstep/src/gateway/mirror.rs
@@ -304,8 +304,12 @@
         if revision > self.replica_revision() {
             self.changed.notify();
         }
-        self.withheld.borrow_mut().remove(id);
         self.advance_replica_revision(revision);
+        self.change_entry(id, revision, value);
+    }
+
+    fn change_entry(&self, id: &str, revision: u64, value: Option<Vec<u8>>) {
+        self.withheld.borrow_mut().remove(id);
         let known = self.copies.borrow().get(id).map_or(0, |copy| copy.revision);
         if revision < known {
             return;
@@ -316,7 +320,8 @@
         }
     }
 
-    /// Replaces the list by all entries as of `position`.
+    /// Replaces the list by all entries as of `position`. Some may be newer, where the list was read in several pages;
+    /// other changes since `position` are still to come, so that it isn't passed.
     ///
     /// A list older than the known one is ignored, because it may name replicas removed since.
     pub fn apply_replica_snapshot(
@@ -339,7 +344,10 @@
             }
         }
         for (id, copy) in entries {
-            self.apply_replica_change(&id, copy.revision, Some(copy.value));
+            self.change_entry(&id, copy.revision, Some(copy.value));
+        }
+        if revision > self.replica_revision() {
+            self.changed.notify();
         }
         self.advance_replica_revision(revision);
         self.removals_since.set(revision);
--- a/berylstep/tests/replica_mirror.rs
+++ b/berylstep/tests/replica_mirror.rs
@@ -218,3 +218,21 @@
     peer.apply(&ListStep::Wait(Duration::from_millis(1)));
     assert!(peer.is_listed());
 }
+
+// Guards against a list in several pages whose newest entry stands for all changes up to its revision: nodes that are
+// told the list then never learn of the others.
+#[test]
+fn a_list_with_newer_entries_does_not_pass_its_own_position() {
+    let (clock, _) = RuntimeClock::paused();
+    let mirror = StoreMirror::new(clock, HEARTBEAT_INTERVAL);
+    let copy = |revision, born| StoredCopy { revision, value: entry(born) };
+    // The first page is as of revision 5; "i-2" has changed before the second one was read, and so has "i-1".
+    let list = vec![("i-1".to_owned(), copy(3, 1)), ("i-2".to_owned(), copy(7, 1))];
+    mirror.apply_replica_snapshot(StorePosition::new(1, 5), list);
+    assert_eq!(mirror.position(), StorePosition::new(1, 5));
+    mirror.apply_replica_change("i-1", 6, None);
+    let told = mirror.replica_changes(5);
+    let entries: Vec<_> = told.entries.iter().map(|(id, copy)| (&**id, copy.revision)).collect();
+    assert_eq!(entries, [("i-2", 7)]);
+    assert_eq!(told.removed, [("i-1".into(), 6)]);
+}
