Hand the list of replicas on in pages

Cause: the list of replicas, or what has changed in it, went from node to node in the same message as the desired state and had the same bound: with 3,000 to 10,000 replicas it outgrows a frame, and no node that depends on its peers learns of any change from then on.

Change: an answer holds about 128 KiB of entries. Changes are told in the order of their revisions and go on with the next query, which follows at once; a whole list is told in the order of its identifiers, and takes effect once its pages are complete, as of the oldest (fleet::list_pages). Pages may come from different nodes. Entries of a restored store that are withheld have the same bound. Nodes of the build before get one message; where it is too large, the desired state is left out first.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -416,6 +416,7 @@
             peers: self.peers.clone(),
             mirror: self.mirror.clone(),
             peer_ahead: self.peer_ahead.clone(),
+            pages: RefCell::default(),
             fetcher: fetcher.clone(),
             freshness: self.freshness.clone(),
             metrics: self.metrics.clone(),
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -10,10 +10,12 @@
 pub mod messages;
 pub mod server;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylstep_core::fleet::list_pages::{CompleteList, ListAssembly, ListPage};
 use berylstep_core::fleet::position::StorePosition;
 use berylstep_wire::frame::Body;
 use berylstep_wire::{FleetCopy, FleetQuery};
@@ -40,6 +42,15 @@
 /// its way from the store.
 const POLLS_BEHIND: u32 = 2;
 
+/// How much of its newer state a peer has told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyExtent {
+    /// All that it tells now.
+    Whole,
+    /// A part, after which the next one can be asked for.
+    Partial,
+}
+
 /// Queries peers for newer state.
 pub struct StateTransfer {
     /// Source of monotonic time.
@@ -50,6 +61,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Notified when a peer has newer state than this node.
     pub peer_ahead: Rc<ChangeNotifier>,
+    /// Pages of the list of replicas that have arrived.
+    pub pages: RefCell<ListAssembly<StoredCopy>>,
     /// Fetches large desired states.
     pub fetcher: Rc<DocumentFetcher>,
     /// Whether this node is behind the desired state of its peers.
@@ -79,18 +92,19 @@
             };
             polls_behind += 1;
             if is_new || polls_behind >= POLLS_BEHIND || !follows {
-                self.query(&peer, address).await;
+                // What doesn't fit into one answer is asked for at once.
+                while self.query(&peer, address).await == CopyExtent::Partial {}
             }
         }
     }
 
-    async fn query(&self, peer: &str, address: SocketAddr) {
+    async fn query(&self, peer: &str, address: SocketAddr) -> CopyExtent {
         let query = FleetQuery {
             desired_version: self.fetcher.known_version(),
             replica_revision: self.mirror.replica_revision(),
             store_era: self.mirror.era(),
             accepts_parts: true,
-            replicas_after: String::new(),
+            replicas_after: self.pages.borrow().next_after().to_owned(),
         };
         let began = self.clock.now();
         let answer = self.query_peer(address, query).await;
@@ -105,10 +119,23 @@
         self.freshness.last_result.set(result.label());
         let ms = elapsed.as_millis();
         match answer {
-            Ok(Some(copy)) => self.apply_copy(copy, peer, address, elapsed),
+            Ok(Some(copy)) => {
+                let has_more = copy.has_more;
+                let reached = self.reached();
+                self.apply_copy(copy, peer, address, elapsed);
+                if has_more && self.reached() != reached {
+                    return CopyExtent::Partial;
+                }
+            }
             Ok(None) => log::warn!("event=handon_empty peer={peer} ms={ms}"),
             Err(err) => log::warn!("event=handon_failed peer={peer} ms={ms} error=\"{err}\""),
         }
+        CopyExtent::Whole
+    }
+
+    /// Returns what is known of the list of replicas, and the end of the pages that have arrived.
+    fn reached(&self) -> (StorePosition, String) {
+        (self.mirror.position(), self.pages.borrow().next_after().to_owned())
     }
 
     async fn query_peer(
@@ -175,9 +202,19 @@
             (replica.id, StoredCopy { revision: replica.revision, value: replica.value })
         });
         if copy.complete {
-            let position = StorePosition::new(copy.store_era, copy.replica_revision);
-            return self.mirror.apply_replica_snapshot(position, entries.collect());
+            let page = ListPage {
+                after: copy.replicas_after,
+                entries: entries.collect(),
+                position: StorePosition::new(copy.store_era, copy.replica_revision),
+                has_more: copy.has_more,
+            };
+            let list = self.pages.borrow_mut().add(page);
+            if let Some(CompleteList { entries, position }) = list {
+                self.mirror.apply_replica_snapshot(position, entries);
+            }
+            return;
         }
+        self.pages.borrow_mut().clear();
         if copy.store_era != self.mirror.era() {
             log::info!("event=handon_ignored peer={peer} era={}", copy.store_era);
             return;
--- a/berylstep/src/gateway/state_transfer/server.rs
+++ b/berylstep/src/gateway/state_transfer/server.rs
@@ -19,13 +19,16 @@
 use super::messages::{holder_message, manifest_message, read_digests};
 use crate::clock::RuntimeClock;
 use crate::gateway::connection_quota::ConnectionQuota;
-use crate::gateway::mirror::{ReplicaChanges, StoreMirror};
+use crate::gateway::mirror::{ReplicaPage, StoreMirror};
 use crate::gateway::peers::PeerTable;
 use crate::gateway::telemetry::GatewayMetrics;
 
 /// Largest desired state that is sent in the answer to a state query; a larger one is sent in pieces.
 const MAX_INLINE_BYTES: usize = 64 * 1024;
 
+/// Size of the entries in one answer, from which on the rest is left for the next one.
+const MAX_PAGE_BYTES: usize = 128 * 1024;
+
 /// Bytes of a frame around the encoded copy.
 const FRAME_OVERHEAD_BYTES: usize = 16;
 
@@ -177,28 +180,33 @@
         // A node that has only heard of a new era has nothing of it to hand on yet.
         let has_replicas = self.mirror.position() > known && self.mirror.replica_revision() > 0;
         let since = if query.store_era == self.mirror.era() { query.replica_revision } else { 0 };
-        let changes = match has_replicas {
-            true => self.mirror.replica_changes(since),
-            false => ReplicaChanges::default(),
+        let max_bytes = if query.accepts_parts { MAX_PAGE_BYTES } else { usize::MAX };
+        let page = match has_replicas {
+            true => self.mirror.replica_page(since, &query.replicas_after, max_bytes),
+            false => ReplicaPage::default(),
         };
-        let complete = changes.complete;
-        let (replicas, removed) = changes.into_messages();
+        let complete = page.changes.complete;
+        let (replicas, removed) = page.changes.into_messages();
         let copy = FleetCopy {
             desired,
             desired_version: if is_newer { self.mirror.desired_version() } else { 0 },
             manifest,
             has_replicas,
-            replica_revision: self.mirror.replica_revision(),
+            replica_revision: if has_replicas {
+                page.revision
+            } else {
+                self.mirror.replica_revision()
+            },
             replicas,
             complete,
             removed,
             store_era: self.mirror.era(),
             leaving: self.mirror.all_leaving(),
-            withheld: self.mirror.withheld_entries(),
+            withheld: self.mirror.withheld_entries(max_bytes),
             store_troubled: self.mirror.has_store_failed_recently(),
             evacuation: self.mirror.evacuation_message(),
-            replicas_after: String::new(),
-            has_more: false,
+            replicas_after: query.replicas_after.clone(),
+            has_more: page.has_more,
         };
         match query.accepts_parts {
             true => copy,
@@ -219,5 +227,10 @@
         copy.desired = Vec::new();
         copy.desired_version = 0;
     }
+    if copy.encoded_len() > MAX_FRAME_BYTES - FRAME_OVERHEAD_BYTES {
+        log::warn!("event=handon_incomplete left_out=replicas entries={}", copy.replicas.len());
+        copy.has_replicas = false;
+        (copy.replicas, copy.removed, copy.withheld) = Default::default();
+    }
     copy
 }
--- a/berylstep/tests/replica_mirror.rs
+++ b/berylstep/tests/replica_mirror.rs
@@ -212,7 +212,7 @@
     }
     let mut peer = MirrorTrial::new();
     peer.mirror.apply_replica_snapshot(StorePosition::new(2, 1), Vec::new());
-    peer.mirror.withhold_entries(reader.mirror.withheld_entries());
+    peer.mirror.withhold_entries(reader.mirror.withheld_entries(usize::MAX));
     peer.apply(&ListStep::Wait(BEFORE_TIMEOUT));
     assert!(!peer.is_listed());
     peer.apply(&ListStep::Wait(Duration::from_millis(1)));
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -20,6 +20,7 @@
 pub mod events;
 pub mod hedging;
 pub mod limits;
+pub mod list_pages;
 pub mod losses;
 pub mod origins;
 pub mod pace;
