Read from the store what takes a narrow link seconds

Cause: a read of the store had 2 s in all, a feed 1 s beyond its wait, and a response 4 MiB. A desired state of 2.5 MB takes a link of 10 Mbit/s longer than a read may, and one of 3 MiB is larger than a response may be in base64. The node of a zone that follows the store then never has it, nor does any node that depends on it; the next one in order tries the same.

Change: the head of a response to a read has the time that the whole call had; its body has 1 s without progress, 30 s in all and 24 MiB, which is a row of the platform's largest object in base64, twice over. Calls that change something keep their time in all, since leases go by it.

--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -20,7 +20,7 @@
 use berylstep_core::fleet::pace::LoadStatement;
 use berylstep_http::{ClientResponse, ExchangeError};
 use displaydoc::Display;
-use http_types::{Method, Request, Url};
+use http_types::{Method, Request, Response, Url};
 use smol::io::AsyncReadExt;
 
 use crate::clock::RuntimeClock;
@@ -34,8 +34,17 @@
 /// node must detect that a connection has gone silent.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Largest body of a response; the store sends at most 1 MB of rows, in base64.
-const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+/// Largest body of a response: a row of the largest object that the platform stores, in base64, twice over.
+const MAX_BODY_BYTES: usize = 24 * 1024 * 1024;
+
+/// Longest time without progress while a body is read.
+const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest time for a body, so that a receiver which sends byte by byte doesn't hold a task for ever.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Bytes of a body that are read at once.
+const READ_BYTES: usize = 16 * 1024;
 
 /// Group of rules that is in force where callers compete for too little room.
 pub const CONTENTION_RULES: &str = "pressure";
@@ -151,34 +160,34 @@
     /// Sends a request and waits for its response for at most `timeout`. Status codes that promise
     /// that the call had no effect are returned as errors.
     async fn call(&self, request: Request, timeout: Duration) -> Result<CallResponse, CallError> {
-        let (status, body, _) = self.store_call(request, timeout).await?;
+        let called = self.clock.timeout(timeout, self.read_call(request, timeout)).await;
+        let (status, body, _) = called.unwrap_or_else(|| Err(timed_out()))?;
         Ok((status, body))
     }
 
-    /// Sends a request like [`Self::call`], and returns the era of the response too.
-    async fn store_call(
+    /// Sends a request that only reads, and returns the era of the response too. Waits for the head of the response
+    /// for at most `timeout`; a large body may take longer, as long as it makes progress.
+    async fn read_call(
         &self,
         request: Request,
         timeout: Duration,
     ) -> Result<StoreResponse, CallError> {
-        let exchanged = self.clock.timeout(timeout, self.exchange(request)).await;
-        match exchanged {
-            Some(Ok((TOO_MANY_REQUESTS, ..))) => Err(CallError::Refused(TOO_MANY_REQUESTS)),
-            Some(Ok((UNAVAILABLE, ..))) => Err(CallError::Refused(UNAVAILABLE)),
-            Some(answer) => answer,
-            None => Err(CallError::AnswerLost("timeout".to_owned())),
+        match self.exchange(request, timeout).await? {
+            (status @ (TOO_MANY_REQUESTS | UNAVAILABLE), ..) => Err(CallError::Refused(status)),
+            answer => Ok(answer),
         }
     }
 
-    async fn exchange(&self, request: Request) -> Result<StoreResponse, CallError> {
+    async fn exchange(
+        &self,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<StoreResponse, CallError> {
         let exchanged = self.connections.exchange(self.address, request, ConnectionChoice::Any);
-        let ClientResponse { mut response, reuse } = exchanged.await?;
-        let mut body = Vec::new();
-        let reading = (&mut response).take(MAX_BODY_BYTES + 1).read_to_end(&mut body).await;
-        reading.map_err(|err| CallError::AnswerLost(err.to_string()))?;
-        if body.len() as u64 > MAX_BODY_BYTES {
-            return Err(CallError::AnswerLost("body without end".to_owned()));
-        }
+        let exchanged = self.clock.timeout(timeout, exchanged).await;
+        let ClientResponse { mut response, reuse } = exchanged.ok_or_else(timed_out)??;
+        let body = self.clock.timeout(BODY_TIMEOUT, self.read_body(&mut response)).await;
+        let body = body.unwrap_or_else(|| Err(timed_out()))?;
         let status = response.status().into();
         self.statement.set(headers::read_statement(&response));
         let era = headers::read_store_era(&response);
@@ -186,6 +195,24 @@
         self.connections.release(self.address, reuse);
         Ok((status, body, era))
     }
+
+    async fn read_body(&self, response: &mut Response) -> Result<Vec<u8>, CallError> {
+        let mut body = Vec::new();
+        let mut buffer = vec![0; READ_BYTES];
+        while body.len() <= MAX_BODY_BYTES {
+            let read = self.clock.timeout(BODY_STALL_TIMEOUT, response.read(&mut buffer)).await;
+            match read.ok_or_else(timed_out)? {
+                Ok(0) => return Ok(body),
+                Ok(count) => body.extend_from_slice(&buffer[..count]),
+                Err(err) => return Err(CallError::AnswerLost(err.to_string())),
+            }
+        }
+        Err(CallError::AnswerLost("body without end".to_owned()))
+    }
+}
+
+fn timed_out() -> CallError {
+    CallError::AnswerLost("timeout".to_owned())
 }
 
 /// Converts an unexpected status code into an error.
--- a/berylstep/src/platform/store.rs
+++ b/berylstep/src/platform/store.rs
@@ -143,7 +143,7 @@
         loop {
             let query = [("Table", table), ("part", ""), ("From", &*from)];
             let request = self.request(Method::Get, "/v1/rows-get", &query)?;
-            let (status, body, era) = self.store_call(request, CALL_TIMEOUT).await?;
+            let (status, body, era) = self.read_call(request, CALL_TIMEOUT).await?;
             if status != OK {
                 return Err(rejected(status, &body));
             }
@@ -178,7 +178,7 @@
         let (after, wait_ms) = (after.to_string(), wait.as_millis().to_string());
         let query = [("Table", table), ("AfterRevision", &*after), ("WaitMs", &*wait_ms)];
         let request = self.request(Method::Get, "/v1/rows-feed", &query)?;
-        let (status, body, era) = self.store_call(request, wait + FEED_SLACK).await?;
+        let (status, body, era) = self.read_call(request, wait + FEED_SLACK).await?;
         match status {
             OK => {
                 let body: RowsBody = decode(&body)?;
--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -167,6 +167,39 @@
     assert!(holds_in_time(is_served), "not in force");
 }
 
+struct StoreCase {
+    name: &'static str,
+    bytes: usize,
+    mode: StoreMode,
+}
+
+/// Bytes of a packet interval at 10 Mbit/s.
+const NARROW_LINK: StoreMode = StoreMode::Narrow(12_500);
+
+// Guards against a desired state that the node which follows the store can't read: nobody in its zone has it then.
+#[test]
+fn a_node_reads_from_the_store_what_its_link_needs_seconds_for() {
+    let cases = [
+        StoreCase { name: "4,251 routes, narrow link", bytes: 1_200_000, mode: NARROW_LINK },
+        StoreCase { name: "larger than 4 MiB as text", bytes: 3_500_000, mode: StoreMode::Up },
+        StoreCase { name: "5 MB, narrow link", bytes: 5_000_000, mode: NARROW_LINK },
+    ];
+    let replica =
+        FakeReplica::start("i-1", |request, _, stream| respond(stream, request, 200, "", "answer"));
+    for case in cases {
+        let store = FakeStore::start();
+        store.put("op", "config", Some(desired_state(1)));
+        store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+        let node = FleetGateway::start(&store, 2, free_address().port());
+        store.set_mode(case.mode);
+        let mut state = large_state(2, case.bytes);
+        add_key(&mut state);
+        store.put("op", "config", Some(state));
+        let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
+        assert!(holds_in_time(is_served), "{}: not in force", case.name);
+    }
+}
+
 struct EarlierQueryCase {
     name: &'static str,
     bytes: usize,
