Read the store where peers announce a version and do not deliver it

Cause: a follower left the store alone as long as some node said that it follows it, however long it knew of a newer version that it could not get: its representatives' port for queries may be blocked, or their links full, while their datagrams arrive.

Change: a node that has been behind for a second, and has got no part of what it misses for a second, reads the table itself, spread over half a second and then ever more rarely, up to 8 s (announced::CatchUpPlan). At 1,000 nodes that are left behind at once these are 2,000 reads a second for half a second. It holds for the desired state and the list of replicas.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -319,6 +319,8 @@
             peers: peers.clone(),
             metrics: metrics.clone(),
             announced: RefCell::default(),
+            positions: RefCell::default(),
+            delivered_at: Default::default(),
             last_result: Cell::new("none"),
         });
         Self {
@@ -357,6 +359,7 @@
                 store: self.store.clone(),
                 mirror: self.mirror.clone(),
                 peers: self.peers.clone(),
+                freshness: self.freshness.clone(),
                 first_start: self.settings.first_start,
                 table,
             };
@@ -409,7 +412,7 @@
             self.clock.clone(),
             self.peers.clone(),
             self.mirror.clone(),
-            self.metrics.clone(),
+            self.freshness.clone(),
         ));
         let state_transfer = Rc::new(StateTransfer {
             clock: self.clock.clone(),
--- a/berylstep/src/gateway/feeds.rs
+++ b/berylstep/src/gateway/feeds.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylstep_core::fleet::announced::CatchUpPlan;
 use berylstep_core::fleet::position::StorePosition;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::mirror::{StateSource, StoreMirror, StoredCopy};
 use crate::gateway::peers::PeerTable;
 use crate::platform::desired::{evacuated_zone, DESIRED_KEY, OPERATOR_TABLE};
@@ -71,6 +73,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Table of the other nodes, which may follow the store in place of this one.
     pub peers: Rc<PeerTable>,
+    /// Whether this node is behind its peers.
+    pub freshness: Rc<FreshnessWatch>,
     /// Whether the fleet starts for the first time, with no callers yet.
     pub first_start: bool,
     /// Table to follow.
@@ -102,6 +106,7 @@
     /// Reads the table and then its changes, and starts over after an error.
     pub async fn run(self) {
         let mut progress = FollowProgress::default();
+        let mut catch_up = CatchUpPlan::default();
         let started_at = self.clock.now();
         loop {
             let now = self.clock.now();
@@ -112,7 +117,10 @@
             if self.mirror.is_complete() && !self.peers.must_follow_store(now) {
                 self.set_following(&mut progress, false);
                 progress.has_snapshot = false;
-                self.clock.sleep(IDLE_POLL_INTERVAL).await;
+                match self.freshness.is_read_due(self.table, &mut catch_up) {
+                    true => self.catch_up(&mut progress).await,
+                    false => self.clock.sleep(IDLE_POLL_INTERVAL).await,
+                }
                 continue;
             }
             let Err(err) = self.advance(&mut progress).await else {
@@ -133,6 +141,22 @@
         }
     }
 
+    /// Reads the table once, since peers don't deliver what they announce.
+    async fn catch_up(&self, progress: &mut FollowProgress) {
+        self.follow_era(progress);
+        match self.read_snapshot(progress).await {
+            Ok(()) => log::info!(
+                "event=store_read table={:?} revision={} reason=peers_do_not_deliver",
+                self.table,
+                progress.newest
+            ),
+            Err(err) => {
+                self.mirror.record_store_failure();
+                log::warn!("event=store_read_failed table={:?} error=\"{err}\"", self.table);
+            }
+        }
+    }
+
     /// Returns whether a node that started `elapsed` ago leaves it to its peers to tell the state, so
     /// that a fleet which starts at once doesn't read the store as often as it has nodes.
     fn awaits_peers(&self, elapsed: Duration) -> bool {
--- a/berylstep/src/gateway/freshness.rs
+++ b/berylstep/src/gateway/freshness.rs
@@ -1,16 +1,19 @@
-//! Compares the desired state in force with the versions that other nodes announce.
+//! Compares the local copy of the store with the versions that other nodes announce.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
-use berylstep_core::fleet::announced::{AnnouncedVersions, VersionLag};
+use berylstep_core::fleet::announced::{AnnouncedVersions, CatchUpPlan, VersionLag};
+use berylstep_core::fleet::position::StorePosition;
 
 use crate::clock::RuntimeClock;
+use crate::gateway::feeds::FollowedTable;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::telemetry::GatewayMetrics;
 
-/// Knows whether this node is behind the desired state of its peers, and since when.
+/// Knows whether this node is behind its peers, and since when.
 pub struct FreshnessWatch {
     /// Source of monotonic time.
     pub clock: RuntimeClock,
@@ -20,8 +23,12 @@
     pub peers: Rc<PeerTable>,
     /// Metrics of this gateway.
     pub metrics: Rc<GatewayMetrics>,
-    /// Versions that peers announce.
-    pub announced: RefCell<AnnouncedVersions>,
+    /// Versions of the desired state that peers announce.
+    pub announced: RefCell<AnnouncedVersions<u64>>,
+    /// Positions of the list of replicas that peers announce.
+    pub positions: RefCell<AnnouncedVersions<StorePosition>>,
+    /// Times at which a peer last delivered a piece of a desired state and a part of the list of replicas.
+    pub delivered_at: [Cell<Duration>; 2],
     /// Result of the latest query of a peer, for the log.
     pub last_result: Cell<&'static str>,
 }
@@ -32,10 +39,29 @@
         let now = self.clock.now();
         let (held, announced) = (self.mirror.desired_version(), self.peers.newest_desired(now));
         self.announced.borrow_mut().observe(held, announced, now);
+        let (held, announced) = (self.mirror.position(), self.peers.newest_position(now));
+        self.positions.borrow_mut().observe(held, announced, now);
+    }
+
+    /// Records that a peer has delivered a part of what is missing of a table.
+    pub fn record_delivery(&self, table: FollowedTable) {
+        self.delivered_at[table as usize].set(self.clock.now());
+    }
+
+    /// Returns whether this node is to read a table itself, since peers announce something newer and don't deliver it.
+    pub fn is_read_due(&self, table: FollowedTable, plan: &mut CatchUpPlan) -> bool {
+        self.update();
+        let now = self.clock.now();
+        let age = match table {
+            FollowedTable::Desired => self.announced.borrow().lag(now).map(|lag| lag.age),
+            FollowedTable::Replicas => self.positions.borrow().lag(now).map(|lag| lag.age),
+        };
+        let idle = now.saturating_sub(self.delivered_at[table as usize].get());
+        plan.is_read_due(age, idle, now, fastrand::f64())
     }
 
     /// Returns how far this node is behind its peers; `None` if it isn't.
-    pub fn lag(&self) -> Option<VersionLag> {
+    pub fn lag(&self) -> Option<VersionLag<u64>> {
         self.update();
         self.announced.borrow().lag(self.clock.now())
     }
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -367,6 +367,14 @@
         live(&rows, now).map(|row| row.pulse.desired_version).max().unwrap_or_default()
     }
 
+    /// Returns the newest position of the list of replicas that a live peer announces.
+    pub fn newest_position(&self, now: Duration) -> StorePosition {
+        let rows = self.rows.borrow();
+        let positions = live(&rows, now)
+            .map(|row| StorePosition::new(row.pulse.store_era, row.pulse.replica_revision));
+        positions.max().unwrap_or_default()
+    }
+
     /// Returns the live peers that announce the version `desired` of the desired state or a newer one and answer
     /// queries for its pieces.
     pub fn document_holders(&self, desired: u64, now: Duration) -> Vec<DocumentHolder> {
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::RuntimeClock;
 use crate::gateway::desired_copy::DesiredOutcome;
+use crate::gateway::feeds::FollowedTable;
 use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::mirror::{StateSource, StoreMirror, StoredCopy};
 use crate::gateway::notifier::ChangeNotifier;
@@ -121,6 +122,9 @@
         match answer {
             Ok(Some(copy)) => {
                 let has_more = copy.has_more;
+                if copy.has_replicas {
+                    self.freshness.record_delivery(FollowedTable::Replicas);
+                }
                 let reached = self.reached();
                 self.apply_copy(copy, peer, address, elapsed);
                 if has_more && self.reached() != reached {
--- a/berylstep/src/gateway/state_transfer/fetcher.rs
+++ b/berylstep/src/gateway/state_transfer/fetcher.rs
@@ -15,10 +15,11 @@
 use super::messages::{digest_bytes, read_holder};
 use crate::clock::RuntimeClock;
 use crate::gateway::desired_copy::DesiredOutcome;
+use crate::gateway::feeds::FollowedTable;
+use crate::gateway::freshness::FreshnessWatch;
 use crate::gateway::mirror::StoreMirror;
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::peers::PeerTable;
-use crate::gateway::telemetry::GatewayMetrics;
 
 /// Longest wait for a document to fetch; a new one ends it.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
@@ -34,14 +35,12 @@
     clock: RuntimeClock,
     peers: Rc<PeerTable>,
     mirror: Rc<StoreMirror>,
-    metrics: Rc<GatewayMetrics>,
+    freshness: Rc<FreshnessWatch>,
     current: RefCell<Option<DocumentFetch>>,
     /// Whether no known node has the missing pieces of the current document.
     is_stuck: Cell<bool>,
     /// Newest version that arrived and can't be decoded here.
     unusable: Cell<u64>,
-    /// Time at which the latest piece arrived.
-    progressed_at: Cell<Duration>,
     changed: ChangeNotifier,
 }
 
@@ -51,17 +50,16 @@
         clock: RuntimeClock,
         peers: Rc<PeerTable>,
         mirror: Rc<StoreMirror>,
-        metrics: Rc<GatewayMetrics>,
+        freshness: Rc<FreshnessWatch>,
     ) -> Self {
         Self {
             clock,
             peers,
             mirror,
-            metrics,
+            freshness,
             current: RefCell::default(),
             is_stuck: Cell::new(false),
             unusable: Cell::new(0),
-            progressed_at: Cell::default(),
             changed: ChangeNotifier::default(),
         }
     }
@@ -74,11 +72,6 @@
         self.mirror.desired_version().max(self.unusable.get()).max(fetched)
     }
 
-    /// Returns the time since the latest piece arrived.
-    pub fn idle_time(&self) -> Duration {
-        self.clock.now().saturating_sub(self.progressed_at.get())
-    }
-
     /// Records that a version arrived and can't be decoded here.
     pub fn record_unusable(&self, version: u64) {
         self.unusable.set(self.unusable.get().max(version));
@@ -173,7 +166,7 @@
             }
         };
         let now = self.clock.now();
-        self.metrics.transfers.record_piece_query(end);
+        self.freshness.metrics.transfers.record_piece_query(end);
         if let Some(fetch) = self.current.borrow_mut().as_mut() {
             fetch.record_end(source, pieces, end, began, now, fastrand::f64());
         }
@@ -203,8 +196,8 @@
     fn add_piece(&self, content: &[u8]) {
         let Some(fetch) = &mut *self.current.borrow_mut() else { return };
         if fetch.add_piece(content) == PieceReceipt::Added {
-            self.progressed_at.set(self.clock.now());
-            self.metrics.transfers.piece_bytes_received.inc_by(content.len() as u64);
+            self.freshness.record_delivery(FollowedTable::Desired);
+            self.freshness.metrics.transfers.piece_bytes_received.inc_by(content.len() as u64);
         }
     }
 
--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -15,7 +15,7 @@
 #[path = "support/slow_peer.rs"]
 mod slow_peer;
 
-use slow_peer::SlowPeer;
+use slow_peer::{PeerAnswer, SlowPeer};
 
 /// Time within which a confirmed change is in force everywhere.
 const IN_FORCE_TIME: Duration = Duration::from_secs(11);
@@ -162,7 +162,8 @@
     store.set_mode(StoreMode::Down);
     let mut state = large_state(2, 1_040_000);
     add_key(&mut state);
-    let _peer = SlowPeer::start(port, 2, state.to_string().into_bytes());
+    let desired = PeerAnswer::Desired(state.to_string().into_bytes());
+    let _peer = SlowPeer::start(3, port, 2, desired);
     let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
     assert!(holds_in_time(is_served), "not in force");
 }
@@ -200,6 +201,31 @@
     }
 }
 
+// Guards against a node that waits for peers which announce a change and never deliver it, beside a store that would.
+#[test]
+fn a_node_reads_the_store_where_no_peer_delivers() {
+    let replica =
+        FakeReplica::start("i-1", |request, _, stream| respond(stream, request, 200, "", "answer"));
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired_state(1)));
+    store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+    let port = free_address().port();
+    let mut config = GatewayConfig::new(store.address, 2, port);
+    config.first_start = false;
+    let node = FleetGateway::start_with(&config);
+    // As many as a zone has representatives, so that the node leaves it to them to follow the store.
+    let _peers = [3, 4, 5].map(|number| SlowPeer::start(number, port, 2, PeerAnswer::Silence));
+    let follows = || node.metrics().contains("berylstep_gateway_live_peers 3");
+    assert!(holds_in_time(follows), "the peers are not known");
+    // The feed that the node may still have open ends.
+    std::thread::sleep(Duration::from_secs(5));
+    let mut state = desired_state(2);
+    add_key(&mut state);
+    store.put("op", "config", Some(state));
+    let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
+    assert!(holds_in_time(is_served), "not in force");
+}
+
 struct EarlierQueryCase {
     name: &'static str,
     bytes: usize,
--- a/berylstep/tests/support/slow_peer.rs
+++ b/berylstep/tests/support/slow_peer.rs
@@ -1,5 +1,5 @@
-//! A node of the build before pieces, behind a link of 10 Mbit/s: it announces a desired state in its pulses and
-//! hands it on in one message.
+//! A node of the build before pieces: it announces a desired state in its pulses, and hands it on in one message over a
+//! link of 10 Mbit/s, or doesn't.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -15,23 +15,34 @@
 const PULSE_INTERVAL: Duration = Duration::from_millis(100);
 const PACKET_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time for which a silent peer keeps a connection open.
+const SILENCE: Duration = Duration::from_secs(20);
+
 /// Bytes in a packet interval at 10 Mbit/s.
 const PACKET_BYTES: usize = 12_500;
 
-/// Loopback addresses of the peer and of the gateway under test.
-const PEER_IP: [u8; 4] = [127, 0, 0, 3];
+/// Loopback address of the gateway under test.
 const GATEWAY_IP: [u8; 4] = [127, 0, 0, 2];
 
-/// Announces and hands on one desired state until it is dropped.
+/// What a peer answers to queries.
+#[derive(Clone)]
+pub enum PeerAnswer {
+    /// The desired state, at the speed of the link.
+    Desired(Vec<u8>),
+    /// Nothing; the connection stays open.
+    Silence,
+}
+
+/// Announces one desired state until it is dropped.
 pub struct SlowPeer {
     stops: Arc<AtomicBool>,
 }
 
 impl SlowPeer {
-    /// Starts the peer; all nodes use the port `peer_port`.
-    pub fn start(peer_port: u16, desired_version: u64, desired: Vec<u8>) -> Self {
+    /// Starts the peer with the number `number`, the last byte of its address; all nodes use the port `peer_port`.
+    pub fn start(number: u8, peer_port: u16, desired_version: u64, answer: PeerAnswer) -> Self {
         let stops = Arc::new(AtomicBool::new(false));
-        let address = SocketAddr::from((PEER_IP, peer_port));
+        let address = SocketAddr::from(([127, 0, 0, number], peer_port));
         let socket = UdpSocket::bind(address).expect("the peer address is free");
         let listener = TcpListener::bind(address).expect("the peer address is free");
         let is_stopped = stops.clone();
@@ -41,15 +52,15 @@
                 if is_stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let pulse = pulse(sequence, desired_version).encode_to_vec();
+                let pulse = pulse(number, sequence, desired_version).encode_to_vec();
                 let _ = socket.send_to(&pulse, gateway);
                 std::thread::sleep(PULSE_INTERVAL);
             }
         });
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let desired = desired.clone();
-                std::thread::spawn(move || answer(stream, desired));
+                let answer = answer.clone();
+                std::thread::spawn(move || send_answer(stream, answer));
             }
         });
         Self { stops }
@@ -62,25 +73,30 @@
     }
 }
 
-fn pulse(sequence: u64, desired_version: u64) -> FleetPulse {
+fn pulse(number: u8, sequence: u64, desired_version: u64) -> FleetPulse {
     FleetPulse {
-        node: "slow-peer".to_owned(),
+        node: format!("slow-peer-{number}"),
         incarnation: 1,
         sequence,
         zone: "a".to_owned(),
-        caller_address: "127.0.0.3:1".to_owned(),
-        core_permille: 500,
+        caller_address: format!("127.0.0.{number}:1"),
+        // More than the gateway under test has, so that the peers are the representatives.
+        core_permille: 2000,
         desired_version,
         follows_store: true,
         ..FleetPulse::default()
     }
 }
 
-/// Reads one query and sends the whole state at the speed of the link.
-fn answer(mut stream: TcpStream, desired: Vec<u8>) {
+/// Reads one query and answers it.
+fn send_answer(mut stream: TcpStream, answer: PeerAnswer) {
     if read_frame(&mut stream).is_none() {
         return;
     }
+    let desired = match answer {
+        PeerAnswer::Desired(desired) => desired,
+        PeerAnswer::Silence => return std::thread::sleep(SILENCE),
+    };
     let copy = FleetCopy { desired, ..FleetCopy::default() };
     for packet in frame_bytes(Body::FleetCopy(copy)).chunks(PACKET_BYTES) {
         if stream.write_all(packet).is_err() {
--- a/berylstep_core/tests/fleet_announced.rs
+++ b/berylstep_core/tests/fleet_announced.rs
@@ -1,8 +1,8 @@
-//! Tests of how far a node is behind the versions that others announce.
+//! Tests of how far a node is behind the versions that others announce, and when it reads the store for them.
 
 use std::time::Duration;
 
-use berylstep_core::fleet::announced::{AnnouncedVersions, VersionLag};
+use berylstep_core::fleet::announced::{AnnouncedVersions, CatchUpPlan, VersionLag};
 
 /// What a node observes: second, version held, newest version announced.
 type Observation = (u64, u64, u64);
@@ -73,3 +73,66 @@
     let lag = announced.lag(Duration::from_secs(18_000)).unwrap();
     assert_eq!((lag.version, lag.age), (18_000, Duration::from_secs(17_999)));
 }
+
+/// Node that peers leave behind, asked every 50 ms: seconds from which on it is behind, and since which peers have
+/// delivered nothing.
+struct CatchUpCase {
+    name: &'static str,
+    behind_from: Option<f64>,
+    idle_from: f64,
+    /// Earliest and latest first read, and the number of reads in 30 s.
+    first_read: Option<(f64, f64)>,
+    reads: std::ops::RangeInclusive<usize>,
+}
+
+// Guards against a node that waits for its peers for ever, and against a fleet that reads the store at once and without
+// end.
+#[test]
+fn the_store_is_read_where_peers_do_not_deliver() {
+    let cases = [
+        CatchUpCase {
+            name: "holds the newest",
+            behind_from: None,
+            idle_from: 0.0,
+            first_read: None,
+            reads: 0..=0,
+        },
+        CatchUpCase {
+            name: "peers deliver nothing",
+            behind_from: Some(2.0),
+            idle_from: 0.0,
+            first_read: Some((3.0, 3.6)),
+            reads: 4..=10,
+        },
+        CatchUpCase {
+            name: "peers deliver for ten seconds",
+            behind_from: Some(2.0),
+            idle_from: 10.0,
+            first_read: Some((11.0, 11.6)),
+            reads: 3..=8,
+        },
+    ];
+    for case in cases {
+        for seed in 0..40 {
+            let mut random = fastrand::Rng::with_seed(seed);
+            let mut plan = CatchUpPlan::default();
+            let mut reads = Vec::new();
+            for step in 0..600 {
+                let now = Duration::from_millis(step * 50);
+                let since = |second: f64| now.checked_sub(Duration::from_secs_f64(second));
+                let age = case.behind_from.and_then(since);
+                let idle = since(case.idle_from).unwrap_or_default();
+                if plan.is_read_due(age, idle, now, random.f64()) {
+                    reads.push(now.as_secs_f64());
+                }
+            }
+            let is_in_time = match (case.first_read, reads.first()) {
+                (None, first) => first.is_none(),
+                (Some((earliest, latest)), Some(first)) => (earliest..=latest).contains(first),
+                (Some(_), None) => false,
+            };
+            assert!(is_in_time, "{}: first read at {:?}", case.name, reads.first());
+            assert!(case.reads.contains(&reads.len()), "{}: {} reads", case.name, reads.len());
+        }
+    }
+}
