Answer 503 where a newer desired state may say otherwise

Cause: a node that knew of a newer desired state than it had went on to call routes and keys unknown (404, 401) that may have been added since, and ran requests on routes and with keys that may have been withdrawn, for as long as it could not get the newer one.

Change: while a live node announces a newer version, unknown routes and keys get 503 with Retry-After. Once the newer version is to be in force (`configuration_ms`, from the platform's bound, less the time of two pulses), the node leaves the directory and answers 503 until it has it, or nobody announces it any more: another node serves these callers, which one that can't know what is withdrawn must not. Without a bound nodes serve on.

Weighed: withholding only what the missing pieces may concern (needs the places of routes and keys in the document, for the seconds that a change of several megabytes takes); 503 for all as soon as a version is announced (a refusal of all requests for 0.02 to 0.4 s with each change).

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -317,6 +317,7 @@
             clock: clock.clone(),
             mirror: mirror.clone(),
             peers: peers.clone(),
+            bound: settings.configuration_bound(),
             metrics: metrics.clone(),
             announced: RefCell::default(),
             positions: RefCell::default(),
--- a/berylstep/src/gateway/endpoints.rs
+++ b/berylstep/src/gateway/endpoints.rs
@@ -132,7 +132,7 @@
 
     /// Returns whether the directory may send callers to this node.
     pub(super) fn is_ready(&self) -> bool {
-        self.mirror.is_complete() && !self.stop.is_stopping()
+        self.freshness.is_usable() && !self.stop.is_stopping()
     }
 
     fn readiness(&self) -> Response {
--- a/berylstep/src/gateway/freshness.rs
+++ b/berylstep/src/gateway/freshness.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use berylstep_core::fleet::announced::{AnnouncedVersions, CatchUpPlan, VersionLag};
+use berylstep_core::fleet::announced::{AnnouncedVersions, CatchUpPlan, Freshness, VersionLag};
 use berylstep_core::fleet::position::StorePosition;
 
 use crate::clock::RuntimeClock;
@@ -21,6 +21,8 @@
     pub mirror: Rc<StoreMirror>,
     /// Table of the other nodes.
     pub peers: Rc<PeerTable>,
+    /// Time within which a confirmed desired state is to be in force, if the deployment has a bound.
+    pub bound: Option<Duration>,
     /// Metrics of this gateway.
     pub metrics: Rc<GatewayMetrics>,
     /// Versions of the desired state that peers announce.
@@ -60,6 +62,18 @@
         plan.is_read_due(age, idle, now, fastrand::f64())
     }
 
+    /// Returns whether this node may go by its desired state, as of the latest pulses.
+    pub fn freshness(&self) -> Freshness {
+        let lag = self.announced.borrow().lag(self.clock.now());
+        let lag = lag.filter(|lag| lag.version > self.mirror.desired_version());
+        lag.map_or(Freshness::Current, |lag| lag.freshness(self.bound))
+    }
+
+    /// Returns whether requests may be served by the desired state in force.
+    pub fn is_usable(&self) -> bool {
+        self.mirror.is_complete() && self.freshness() != Freshness::Overdue
+    }
+
     /// Returns how far this node is behind its peers; `None` if it isn't.
     pub fn lag(&self) -> Option<VersionLag<u64>> {
         self.update();
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -155,6 +155,7 @@
         let now = self.clock.now();
         self.usage.observe_own_clock();
         self.peers.expire(now);
+        self.freshness.update();
         self.cold.record_tick();
         self.mirror.expire();
         self.update_peer_loads(now);
@@ -417,7 +418,7 @@
             zone: self.settings.zone.to_string(),
             region: self.settings.region.to_string(),
             caller_address: self.settings.listen.callers.to_string(),
-            ready: self.mirror.is_complete() && !stopping,
+            ready: self.freshness.is_usable() && !stopping,
             leaving: stopping,
             unix_ms: self.clock.unix_ms(),
             desired_version: self.mirror.desired_version(),
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use berylstep_core::collections::{HashMap, SharedName};
+use berylstep_core::fleet::announced::Freshness;
 use berylstep_core::fleet::budget::SharedBudget;
 use berylstep_core::fleet::desired::{DesiredState, OrganisationEntry, RouteEntry, RouteKind};
 use berylstep_core::fleet::engine::EngineSpeed;
@@ -266,14 +267,24 @@
         let Some(desired) = self.mirror.desired().filter(|_| self.mirror.is_complete()) else {
             return Err(LocalReply::refused("not ready", self.retry_after()));
         };
+        let freshness = self.freshness.freshness();
+        let stale_reply = || LocalReply::refused("desired state is outdated", self.retry_after());
+        if freshness == Freshness::Overdue {
+            return Err(stale_reply());
+        }
+        // A newer desired state may have the route or the key.
+        let rejection = |status, reason| match freshness {
+            Freshness::Current => LocalReply::rejected(status, reason),
+            Freshness::Behind | Freshness::Overdue => stale_reply(),
+        };
         let host = message.headers.get("host").unwrap_or_default();
         let Some(route) = desired.route(host, message.path()).cloned() else {
-            return Err(LocalReply::rejected(404, "no such route"));
+            return Err(rejection(404, "no such route"));
         };
         let headers = CallerHeaders::read(&message.headers);
         let holder = headers.key.as_deref().and_then(|key| desired.organisation(key)).cloned();
         if desired.requires_keys && !route.public && holder.is_none() {
-            return Err(LocalReply::rejected(401, "unknown key"));
+            return Err(rejection(401, "unknown key"));
         }
         Ok(AuthorisedRequest { desired, route, headers, holder })
     }
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -102,6 +102,10 @@
     /// Address of the platform's interface for usage and orders, if the deployment has one.
     #[serde(default)]
     pub cloud_address: Option<SocketAddr>,
+    /// Time within which a confirmed desired state is to be in force, in milliseconds; a node that can't get it until
+    /// then serves no requests. Without a bound it serves on by the older one.
+    #[serde(default)]
+    pub configuration_ms: Option<u64>,
     /// Time for which a leaving replica continues to serve, in milliseconds.
     #[serde(default = "default_drain")]
     pub drain_ms: u64,
@@ -448,6 +452,11 @@
         (last > first).then(|| SocketAddr::new(ip, first + 1))
     }
 
+    /// Returns the time within which a confirmed desired state is to be in force, if there is a bound.
+    pub fn configuration_bound(&self) -> Option<Duration> {
+        self.configuration_ms.map(Duration::from_millis)
+    }
+
     /// Returns the time between the signal to stop and the end of the process.
     pub fn stop_grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop_grace_s)
--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -5,6 +5,7 @@
 
 use berylstep_standins::fleet::gateway::{FleetGateway, GatewayConfig};
 use berylstep_standins::fleet::message::respond;
+use berylstep_standins::fleet::peer::{query, FakePeer, PeerAnswer};
 use berylstep_standins::fleet::replica::{entry, FakeReplica};
 use berylstep_standins::fleet::store::{FakeStore, StoreMode};
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
@@ -12,11 +13,6 @@
 use berylstep_wire::FleetQuery;
 use serde_json::{json, Value};
 
-#[path = "support/slow_peer.rs"]
-mod slow_peer;
-
-use slow_peer::{PeerAnswer, SlowPeer};
-
 /// Time within which a confirmed change is in force everywhere.
 const IN_FORCE_TIME: Duration = Duration::from_secs(11);
 
@@ -163,7 +159,7 @@
     let mut state = large_state(2, 1_040_000);
     add_key(&mut state);
     let desired = PeerAnswer::Desired(state.to_string().into_bytes());
-    let _peer = SlowPeer::start(3, port, 2, desired);
+    let _peer = FakePeer::start(3, port, 2, desired);
     let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
     assert!(holds_in_time(is_served), "not in force");
 }
@@ -214,7 +210,7 @@
     config.first_start = false;
     let node = FleetGateway::start_with(&config);
     // As many as a zone has representatives, so that the node leaves it to them to follow the store.
-    let _peers = [3, 4, 5].map(|number| SlowPeer::start(number, port, 2, PeerAnswer::Silence));
+    let _peers = [3, 4, 5].map(|number| FakePeer::start(number, port, 2, PeerAnswer::Silence));
     let follows = || node.metrics().contains("berylstep_gateway_live_peers 3");
     assert!(holds_in_time(follows), "the peers are not known");
     // The feed that the node may still have open ends.
@@ -248,7 +244,7 @@
         store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
         let port = free_address().port();
         let _node = FleetGateway::start(&store, 2, port);
-        let copy = slow_peer::query(port, FleetQuery::default());
+        let copy = query(port, FleetQuery::default());
         assert_eq!(!copy.desired.is_empty(), case.has_desired, "{}", case.name);
         assert!(copy.manifest.is_none() && !copy.has_more, "{}", case.name);
         assert_eq!(copy.replicas.len(), 1, "{}: the list of replicas is left out", case.name);
--- a/berylstep_core/src/fleet/announced.rs
+++ b/berylstep_core/src/fleet/announced.rs
@@ -6,6 +6,9 @@
 /// Largest number of missing versions whose times are kept; the oldest one decides how far a node is behind.
 const MAX_MISSING: usize = 32;
 
+/// Time after its confirmation by which a node hears of a version: until the second pulse.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(500);
+
 /// Time that peers have to deliver a version they announce, and without progress, before the store is read.
 const PEER_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -27,6 +30,28 @@
     pub age: Duration,
 }
 
+/// Whether a node may go by the version that it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It holds the newest announced version.
+    Current,
+    /// A newer version is announced, and may still be on its way: what the held one allows may be done, what it
+    /// doesn't know may be allowed by now.
+    Behind,
+    /// The newer version is to be in force, so that what the held one allows may have been withdrawn.
+    Overdue,
+}
+
+impl<V> VersionLag<V> {
+    /// Returns whether a node with this lag may go by its version, if a confirmed one is to be in force within `bound`.
+    pub fn freshness(&self, bound: Option<Duration>) -> Freshness {
+        match bound {
+            Some(bound) if self.age + ANNOUNCEMENT_DELAY >= bound => Freshness::Overdue,
+            _ => Freshness::Behind,
+        }
+    }
+}
+
 /// Announced versions that are missing here, with the times of their first announcements.
 #[derive(Clone, Debug)]
 pub struct AnnouncedVersions<V> {
--- a/berylstep_core/tests/fleet_announced.rs
+++ b/berylstep_core/tests/fleet_announced.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use berylstep_core::fleet::announced::{AnnouncedVersions, CatchUpPlan, VersionLag};
+use berylstep_core::fleet::announced::{AnnouncedVersions, CatchUpPlan, Freshness, VersionLag};
 
 /// What a node observes: second, version held, newest version announced.
 type Observation = (u64, u64, u64);
@@ -136,3 +136,51 @@
         }
     }
 }
+
+struct FreshnessCase {
+    name: &'static str,
+    age_ms: u64,
+    bound_ms: Option<u64>,
+    freshness: Freshness,
+}
+
+#[test]
+fn a_version_is_overdue_before_the_operator_counts_on_the_next_one() {
+    let cases = [
+        FreshnessCase {
+            name: "just announced",
+            age_ms: 0,
+            bound_ms: Some(3_000),
+            freshness: Freshness::Behind,
+        },
+        FreshnessCase {
+            name: "almost due",
+            age_ms: 2_499,
+            bound_ms: Some(3_000),
+            freshness: Freshness::Behind,
+        },
+        FreshnessCase {
+            name: "announced two pulses late",
+            age_ms: 2_500,
+            bound_ms: Some(3_000),
+            freshness: Freshness::Overdue,
+        },
+        FreshnessCase {
+            name: "a bound below two pulses",
+            age_ms: 0,
+            bound_ms: Some(400),
+            freshness: Freshness::Overdue,
+        },
+        FreshnessCase {
+            name: "no bound",
+            age_ms: 60_000,
+            bound_ms: None,
+            freshness: Freshness::Behind,
+        },
+    ];
+    for case in cases {
+        let lag = VersionLag { version: 2, age: Duration::from_millis(case.age_ms) };
+        let bound = case.bound_ms.map(Duration::from_millis);
+        assert_eq!(lag.freshness(bound), case.freshness, "{}", case.name);
+    }
+}
--- a/berylstep_standins/src/fleet.rs
+++ b/berylstep_standins/src/fleet.rs
@@ -11,6 +11,7 @@
 pub mod cut;
 pub mod gateway;
 pub mod message;
+pub mod peer;
 pub mod replica;
 pub mod store;
 pub mod versions;
--- a/berylstep/tests/support/slow_peer.rs
+++ b/berylstep_standins/src/fleet/peer.rs
@@ -1,4 +1,4 @@
-//! A node of the build before pieces: it announces a desired state in its pulses, and hands it on in one message over a
+//! Stand-in of a node of the build before pieces: it announces a desired state in its pulses, and hands it on in one message over a
 //! link of 10 Mbit/s, or doesn't.
 
 use std::io::{Read, Write};
@@ -25,7 +25,7 @@
 const GATEWAY_IP: [u8; 4] = [127, 0, 0, 2];
 
 /// What a peer answers to queries.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub enum PeerAnswer {
     /// The desired state, at the speed of the link.
     Desired(Vec<u8>),
@@ -34,12 +34,17 @@
 }
 
 /// Announces one desired state until it is dropped.
-pub struct SlowPeer {
+#[derive(Debug)]
+pub struct FakePeer {
     stops: Arc<AtomicBool>,
 }
 
-impl SlowPeer {
+impl FakePeer {
     /// Starts the peer with the number `number`, the last byte of its address; all nodes use the port `peer_port`.
+    ///
+    /// # Panics
+    ///
+    /// If its address is taken.
     pub fn start(number: u8, peer_port: u16, desired_version: u64, answer: PeerAnswer) -> Self {
         let stops = Arc::new(AtomicBool::new(false));
         let address = SocketAddr::from(([127, 0, 0, number], peer_port));
@@ -67,7 +72,7 @@
     }
 }
 
-impl Drop for SlowPeer {
+impl Drop for FakePeer {
     fn drop(&mut self) {
         self.stops.store(true, Ordering::SeqCst);
     }
@@ -75,7 +80,7 @@
 
 fn pulse(number: u8, sequence: u64, desired_version: u64) -> FleetPulse {
     FleetPulse {
-        node: format!("slow-peer-{number}"),
+        node: format!("fake-peer-{number}"),
         incarnation: 1,
         sequence,
         zone: "a".to_owned(),
