Bound the answers to calls of a gateway by who gives them

Cause: one client type calls the store and the replicas. Since reads of the store may be 24 MiB, so might the answer of a faulty replica to the call that asks for the start of its process: 29 MB were read for one call. After the loss of a replica with many streams there are as many calls as streams. Report of another operator: a replica sent bytes without end, the machine that had called it kept them and ran out of memory.

Change: answers of replicas and of the platform's interface for duties have 1 MiB, only those of the store 24 MiB.

Not found here: the same in responses to callers' requests.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -301,7 +301,7 @@
             runs: runs.clone(),
             socket: socket.clone(),
         });
-        let store = Rc::new(PlatformClient::new(settings.store_address, clock.clone()));
+        let store = Rc::new(PlatformClient::of_store(settings.store_address, clock.clone()));
         let origins = OriginDesk::new(OriginContext {
             clock: clock.clone(),
             node: run.node.clone(),
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -34,8 +34,12 @@
 /// node must detect that a connection has gone silent.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Largest body of a response: a row of the largest object that the platform stores, in base64, twice over.
-const MAX_BODY_BYTES: usize = 24 * 1024 * 1024;
+/// Largest body of a response, for receivers that may be faulty.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Largest body of a response of the store: a row of the largest object that the platform stores, in base64, twice
+/// over.
+const MAX_STORE_BODY_BYTES: usize = 24 * 1024 * 1024;
 
 /// Longest time without progress while a body is read.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -95,6 +99,7 @@
     connections: ConnectionPool,
     statement: Cell<ReplicaStatement>,
     newest_era: Cell<u64>,
+    max_body_bytes: usize,
 }
 
 /// What a replica has said about itself in the headers of its latest response.
@@ -129,9 +134,15 @@
             connections,
             statement: Cell::default(),
             newest_era: Cell::default(),
+            max_body_bytes: MAX_BODY_BYTES,
         }
     }
 
+    /// Creates a client of the store at `address`, whose responses may be large.
+    pub fn of_store(address: SocketAddr, clock: RuntimeClock) -> Self {
+        Self { max_body_bytes: MAX_STORE_BODY_BYTES, ..Self::new(address, clock) }
+    }
+
     /// Returns what the receiver said about itself in its latest response, if it is a replica.
     pub fn statement(&self) -> ReplicaStatement {
         self.statement.get()
@@ -199,7 +210,7 @@
     async fn read_body(&self, response: &mut Response) -> Result<Vec<u8>, CallError> {
         let mut body = Vec::new();
         let mut buffer = vec![0; READ_BYTES];
-        while body.len() <= MAX_BODY_BYTES {
+        while body.len() <= self.max_body_bytes {
             let read = self.clock.timeout(BODY_STALL_TIMEOUT, response.read(&mut buffer)).await;
             match read.ok_or_else(timed_out)? {
                 Ok(0) => return Ok(body),
