Answer requests that a planned stop would cut off

Report of another operator: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Cause, found here: for 2.5 s after the signal a stopping node took every request, whatever the grace time and however long the request may take. At the end of the grace the process closed its connections. With a grace of 5 s a request that arrived after 1.5 s, may take 20 s and may not be repeated was sent to a replica and closed without an answer; so were those in progress at the signal.

Change: fleet::stop decides by what a cut means to the caller. A request that fits into the grace is taken. One that may not fit is taken in the first third of the grace, 2.5 s at most, if it can be repeated, or if it is a stream and has half of its time left; one whose effect would remain unknown is refused with 503, so that another node runs it. 250 ms before the exit each request without a response is answered: 504 if it was sent to a replica or another node, 503 if not. Waiting for the stop costs no timer any more.

Streams that have begun and outlast the grace still break visibly; with a grace of 8 s streams of up to 10 s are taken for 2.5 s as before, since a refusal would cost the caller one of its few tries, and few last that long.

--- a/berylstep/src/gateway/handover.rs
+++ b/berylstep/src/gateway/handover.rs
@@ -83,6 +83,7 @@
         }
         for _ in 0..MAX_OFFERS {
             let target = self.choose_peer(&request.service)?;
+            trace.record_offer();
             let outcome = self.offer(request, &target).await;
             let (result, status) = match &outcome {
                 OfferOutcome::Responded(response) if response.is_refusal() => {
--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -12,6 +12,7 @@
 use berylstep_core::fleet::engine::EngineSpeed;
 use berylstep_core::fleet::origins::VersionPin;
 use berylstep_core::fleet::quarantine::{EvidenceKey, QuarantineVerdict};
+use berylstep_core::fleet::stop::CutRisk;
 use berylstep_http::{MessageStream, RequestMessage};
 use smol::future;
 
@@ -251,7 +252,23 @@
             trace.record_outcome(RequestOutcome::CallerLeft);
             ResponseDelivery::Aborted
         };
-        let delivery = future::or(serving, disconnecting).await;
+        let ending = async {
+            self.stop.wait_last_answers().await;
+            if trace.has_content() {
+                future::pending::<()>().await;
+            }
+            None
+        };
+        // Without optimisation, the state of a request is too large to be moved on the stack once more.
+        let served = Box::pin(async { Some(future::or(serving, disconnecting).await) });
+        let delivery = match future::or(served, ending).await {
+            Some(delivery) => delivery,
+            None => {
+                let reply = self.last_reply(&trace);
+                trace.record_outcome(reply_outcome(&reply));
+                self.send_reply(&mut writer, &reply).await
+            }
+        };
         let headers = CallerHeaders::read(&message.headers);
         // The node that has the caller counts its service level.
         let levels = (source == RequestSource::Caller).then_some(&*self.levels);
@@ -259,6 +276,14 @@
         delivery == ResponseDelivery::Complete && keep_alive
     }
 
+    /// Returns the reply to a request without a response whose node is about to end.
+    fn last_reply(&self, trace: &RequestTrace) -> LocalReply {
+        match trace.is_offered() {
+            true => LocalReply::timed_out(),
+            false => LocalReply::refused("node is stopping", self.retry_after()),
+        }
+    }
+
     /// Finds the route of a request and the organisation of its key, which its head tells.
     pub(super) fn authorise(
         &self,
@@ -302,7 +327,7 @@
             return Err(LocalReply::refused("route has no service", self.retry_after()));
         };
         let timeout = headers.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT).min(route.timeout);
-        if !self.stop.admits(timeout) {
+        if !self.stop.admits(timeout, cut_risk(&route)) {
             return Err(LocalReply::refused("node is stopping", Duration::from_millis(20)));
         }
         let evidence = content_keys(&service, message, body, &headers);
@@ -374,6 +399,7 @@
                 trace.record_outcome(reply_outcome(&reply));
                 return self.send_reply(writer, &reply).await;
             };
+            trace.record_offer();
             let (target, outcome) =
                 self.attempt_until_silent(request, target, &mut history, trace).await;
             trace.record_attempt(request, &target, &outcome, self.clock.now());
@@ -531,6 +557,15 @@
     evidence_keys(&content, &headers.parts)
 }
 
+/// Returns what it means for the caller of a request on `route` that it is cut off.
+fn cut_risk(route: &RouteEntry) -> CutRisk {
+    match route.kind {
+        _ if route.is_retryable() => CutRisk::Repeatable,
+        RouteKind::Stream => CutRisk::BrokenStream,
+        RouteKind::Safe | RouteKind::Unsafe => CutRisk::UnknownEffect,
+    }
+}
+
 pub(super) fn reply_outcome(reply: &LocalReply) -> RequestOutcome {
     match reply.status {
         503 => RequestOutcome::Refused(reply.reason),
--- a/berylstep/src/gateway/stop.rs
+++ b/berylstep/src/gateway/stop.rs
@@ -6,6 +6,9 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use berylstep_core::fleet::stop::{CutRisk, StopSchedule};
+use smol::channel::{bounded, Receiver, Sender};
+
 use crate::clock::RuntimeClock;
 
 /// Lifetime of a directory response. Callers keep it for up to three times as long, so a stopping
@@ -15,12 +18,6 @@
 /// Time from the signal until callers' old address lists have expired.
 const ADDRESS_LIST_EXPIRY: Duration = Duration::from_millis(3 * 1000 + 800);
 
-/// Time from the signal during which requests are admitted even if they may outlast the stop.
-const ADMISSION_PERIOD: Duration = Duration::from_millis(2500);
-
-/// Time before the end of the grace period at which open requests are abandoned.
-const EXIT_MARGIN: Duration = Duration::from_millis(350);
-
 /// Interval at which the number of open requests is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -28,8 +25,11 @@
 #[derive(Debug)]
 pub struct GracefulStop {
     clock: RuntimeClock,
-    grace: Duration,
+    schedule: StopSchedule,
     started_at: Cell<Option<Duration>>,
+    /// Closed when the stop begins, which wakes all who wait for it.
+    signal: Receiver<()>,
+    signal_sender: Sender<()>,
     open: Cell<u32>,
 }
 
@@ -46,13 +46,17 @@
 impl GracefulStop {
     /// Creates the state of a running node. `grace` is the time that a stop may take.
     pub fn new(clock: RuntimeClock, grace: Duration) -> Self {
-        Self { clock, grace, started_at: Cell::new(None), open: Cell::new(0) }
+        let schedule = StopSchedule::new(grace);
+        let (signal_sender, signal) = bounded(1);
+        let (started_at, open) = (Cell::new(None), Cell::new(0));
+        Self { clock, schedule, started_at, signal, signal_sender, open }
     }
 
     /// Starts the stop. Later calls have no effect.
     pub fn begin_stop(&self) {
         if self.started_at.get().is_none() {
             self.started_at.set(Some(self.clock.now()));
+            self.signal_sender.close();
         }
     }
 
@@ -72,24 +76,36 @@
         OpenRequest(self)
     }
 
-    /// Returns whether a request that takes up to `longest` is admitted. While the node stops, this
-    /// requires that it can finish in time or arrives within `ADMISSION_PERIOD` of the signal.
-    pub fn admits(&self, longest: Duration) -> bool {
+    /// Returns whether a request that takes up to `longest` is admitted.
+    pub fn admits(&self, longest: Duration, risk: CutRisk) -> bool {
         let Some(started_at) = self.started_at.get() else { return true };
         let elapsed = self.clock.now().saturating_sub(started_at);
-        elapsed < ADMISSION_PERIOD || elapsed + longest + EXIT_MARGIN < self.grace
+        self.schedule.admits(elapsed, longest, risk)
     }
 
     /// Waits until idle connections may be closed.
     pub async fn wait_idle_close(&self) {
+        let started_at = self.wait_started().await;
+        let close_at = started_at + ADDRESS_LIST_EXPIRY;
+        self.clock.sleep(close_at.saturating_sub(self.clock.now())).await;
+    }
+
+    /// Waits until requests without a response are to be answered, because the process is about to end.
+    pub async fn wait_last_answers(&self) {
+        let started_at = self.wait_started().await;
+        let answer_at = started_at + self.schedule.last_answer_time();
+        self.clock.sleep(answer_at.saturating_sub(self.clock.now())).await;
+    }
+
+    /// Waits for the stop and returns the time of its signal.
+    async fn wait_started(&self) -> Duration {
         loop {
-            match self.started_at.get() {
-                Some(started_at) => {
-                    let remaining =
-                        (started_at + ADDRESS_LIST_EXPIRY).saturating_sub(self.clock.now());
-                    return self.clock.sleep(remaining).await;
-                }
-                None => self.clock.sleep(POLL_INTERVAL * 10).await,
+            if let Some(started_at) = self.started_at.get() {
+                return started_at;
+            }
+            // Nothing is ever sent: the stop closes the channel.
+            if self.signal.recv().await.is_ok() {
+                log::error!("event=unexpected_stop_message");
             }
         }
     }
@@ -102,7 +118,7 @@
             let elapsed = self.clock.now().saturating_sub(started_at);
             let is_drained =
                 elapsed >= ADDRESS_LIST_EXPIRY + POLL_INTERVAL * 4 && self.open.get() == 0;
-            if is_drained || elapsed + EXIT_MARGIN >= self.grace {
+            if is_drained || elapsed >= self.schedule.exit_time() {
                 return;
             }
             self.clock.sleep(POLL_INTERVAL).await;
--- a/berylstep/src/gateway/telemetry.rs
+++ b/berylstep/src/gateway/telemetry.rs
@@ -470,6 +470,7 @@
     arrived: Duration,
     desired_version: u64,
     outcome: Cell<Option<RequestOutcome>>,
+    is_offered: Cell<bool>,
     first_content: Cell<Option<Duration>>,
     attempts: Cell<u32>,
     stream: Cell<Option<StreamReport>>,
@@ -496,6 +497,7 @@
             arrived,
             desired_version,
             outcome: Cell::new(None),
+            is_offered: Cell::new(false),
             first_content: Cell::new(None),
             attempts: Cell::new(0),
             stream: Cell::new(None),
@@ -553,6 +555,21 @@
         );
     }
 
+    /// Records that the request is about to be sent to a replica or another node, where it may run.
+    pub fn record_offer(&self) {
+        self.is_offered.set(true);
+    }
+
+    /// Returns whether the request may have run.
+    pub fn is_offered(&self) -> bool {
+        self.is_offered.get()
+    }
+
+    /// Returns whether content of a response has arrived.
+    pub fn has_content(&self) -> bool {
+        self.first_content.get().is_some()
+    }
+
     /// Counts an attempt whose outcome is not used.
     pub fn count_attempt(&self) {
         self.attempts.set(self.attempts.get() + 1);
--- a/berylstep_core/src/fleet.rs
+++ b/berylstep_core/src/fleet.rs
@@ -30,5 +30,6 @@
 pub mod replica;
 pub mod runs;
 pub mod slots;
+pub mod stop;
 pub mod turns;
 pub mod window;
