Read connections that are opened late in a planned stop

Cause: 3.8 s after the signal, when callers' address lists have expired, idle connections are closed. A connection that was opened after that was closed at once, while the process served on for requests in progress: its caller, whose request follows a round trip later, saw its connection closed with the request unread, and one that may not be repeated was lost to it.

Change: a new connection has 500 ms for its first request, which is served or refused as the stop allows.

Measured: stop_answers::a_connection_that_is_opened_late_in_a_stop_is_read failed before (closed 3.8 s after the signal) and passes.

--- a/berylstep/src/gateway/stop.rs
+++ b/berylstep/src/gateway/stop.rs
@@ -18,6 +18,9 @@
 /// Time from the signal until callers' old address lists have expired.
 const ADDRESS_LIST_EXPIRY: Duration = Duration::from_millis(3 * 1000 + 800);
 
+/// Time that a connection has for its first request when it is opened after all idle ones were closed.
+const FIRST_REQUEST_PATIENCE: Duration = Duration::from_millis(500);
+
 /// Interval at which the number of open requests is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -83,10 +86,12 @@
         self.schedule.admits(elapsed, longest, risk)
     }
 
-    /// Waits until idle connections may be closed.
+    /// Waits until idle connections may be closed. A connection that has just been opened has time for its first
+    /// request, which gets an answer.
     pub async fn wait_idle_close(&self) {
+        let opened_at = self.clock.now();
         let started_at = self.wait_started().await;
-        let close_at = started_at + ADDRESS_LIST_EXPIRY;
+        let close_at = (started_at + ADDRESS_LIST_EXPIRY).max(opened_at + FIRST_REQUEST_PATIENCE);
         self.clock.sleep(close_at.saturating_sub(self.clock.now())).await;
     }
 
--- a/berylstep/tests/stop_answers.rs
+++ b/berylstep/tests/stop_answers.rs
@@ -2,10 +2,10 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use berylstep_standins::fleet::gateway::{wait_until, FleetGateway, GatewayConfig};
-use berylstep_standins::fleet::message::{read_message, request_text, RawMessage};
+use berylstep_standins::fleet::message::{read_message, request_text, respond, RawMessage};
 use berylstep_standins::fleet::replica::FakeReplica;
 use berylstep_standins::fleet::store::FakeStore;
 use berylstep_standins::fleet::{desired_state, KEY_HEADER};
@@ -17,7 +17,7 @@
 /// Time that a request has; more than is left of the grace time for one that arrives late.
 const REQUEST_MS: u64 = 20_000;
 
-/// A gateway before a replica that answers nothing.
+/// A gateway before a replica that answers requests with the header `X-Quick` only.
 struct StopFleet {
     replica: FakeReplica,
     gateway: FleetGateway,
@@ -26,7 +26,10 @@
 
 impl StopFleet {
     fn start() -> Self {
-        let replica = FakeReplica::start("i-1", |_, _, _| {
+        let replica = FakeReplica::start("i-1", |request, _, stream| {
+            if request.header("x-quick").is_some() {
+                return respond(stream, request, 200, "", "answer");
+            }
             std::thread::sleep(2 * GRACE);
             false
         });
@@ -131,3 +134,27 @@
         wait_until("the process ends", || fleet.gateway.process.exit_code() == Some(0));
     }
 }
+
+// Guards against a new connection that is closed unread while the process serves on, so that its caller can't tell whether
+// the request ran.
+#[test]
+fn a_connection_that_is_opened_late_in_a_stop_is_read() {
+    let fleet = StopFleet::start();
+    let _held = fleet.send("safe", REQUEST_MS, "");
+    fleet.wait_received(1);
+    fleet.gateway.process.terminate();
+    let stopped_at = Instant::now();
+    let mut number = 1;
+    while stopped_at.elapsed() < GRACE - Duration::from_millis(900) {
+        let mut stream = fleet.gateway.connect();
+        // A caller's request follows its connection after a round trip.
+        std::thread::sleep(Duration::from_millis(50));
+        let request = request_text("safe", "id-1", 300, &format!("{KEY_HEADER}X-Quick: 1\r\n"));
+        let elapsed = stopped_at.elapsed();
+        assert!(stream.write_all(request.as_bytes()).is_ok(), "{number}: closed at {elapsed:?}");
+        let answer = read_message(&mut stream);
+        let status = answer.as_ref().map(RawMessage::status);
+        assert!(matches!(status, Some(200 | 503)), "{number}: {status:?} at {elapsed:?}");
+        number += 1;
+    }
+}
