Split pulses that are larger than a datagram

A pulse is one datagram. With 10,000 replicas the sums that a representative sends have 110,057 bytes, which is more than a datagram may have: nothing is sent, a debug line is all that shows it, and the representative counts as dead at all nodes. So it is with the usage of 30,000 organisations in a window (270,047 bytes), the limits of all replicas (260,026), 5,000 suspicions (95,022) and the names of 1,000 nodes (74,921). From 48 KiB on the receiver cut a pulse and called it malformed.

Change: a pulse above 32 KiB is sent in several messages: the pulse itself with the first 8 KiB of each list, and messages without a sequence number that continue its lists (peers::parts). A receiver adds them to the pulse that they name. Split counts of a window are final once they add up to the number that their sender tells, since a part may be lost. Datagrams of up to 64 KiB are received.

--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -10,6 +10,7 @@
 
 pub mod node;
 pub mod outbound;
+pub mod parts;
 pub mod sums;
 pub mod view;
 
@@ -114,10 +115,16 @@
 #[derive(Debug)]
 struct SummaryRow {
     summary: ZoneSummary,
+    /// Sender and sequence number of its pulse.
+    source: (SharedName, u64),
     received: Duration,
 }
 
 impl SummaryRow {
+    fn is_from(&self, (node, sequence): (&str, u64)) -> bool {
+        *self.source.0 == *node && self.source.1 == sequence
+    }
+
     fn is_live(&self, now: Duration) -> bool {
         now.saturating_sub(self.received) < LIVE_TIMEOUT
     }
@@ -493,6 +500,7 @@
         let node = KnownNode::from_pulse(&pulse, from);
         let is_regular = is_representative || *pulse.zone == *self.own.zone;
         let gossip = GossipPart::take(&mut pulse);
+        let source = (name.clone(), pulse.sequence);
         let row = PeerRow { pulse, node, is_regular, usage, address: from, received: now };
         let changed = rows.get(&name).is_none_or(|old| old.node != row.node || !old.is_live(now));
         rows.insert(name, row);
@@ -500,13 +508,24 @@
         if changed {
             self.view.invalidate();
         }
-        self.record_gossip(gossip, now);
+        self.record_gossip(gossip, source, now);
         true
     }
 
-    fn record_gossip(&self, part: GossipPart, now: Duration) {
+    fn record_gossip(&self, part: GossipPart, source: (SharedName, u64), now: Duration) {
+        self.record_nodes(&part.nodes, now);
+        if let Some(summary) = part.spoken_for {
+            let row = SummaryRow { summary, source: source.clone(), received: now };
+            self.follower_summaries.borrow_mut().insert((&*row.summary.zone).into(), row);
+        }
+        if let Some(summary) = part.fleet {
+            *self.fleet_total.borrow_mut() = Some(SummaryRow { summary, source, received: now });
+        }
+    }
+
+    fn record_nodes(&self, nodes: &[NodeEntry], now: Duration) {
         let mut gossip = self.gossip.borrow_mut();
-        for node in part.nodes.iter().filter_map(KnownNode::from_entry) {
+        for node in nodes.iter().filter_map(KnownNode::from_entry) {
             if node.node != self.own.node {
                 let known = gossip.insert(node.node.clone(), (node.clone(), now));
                 if known.is_none_or(|(known, _)| known != node) {
@@ -514,13 +533,6 @@
                 }
             }
         }
-        if let Some(summary) = part.spoken_for {
-            let row = SummaryRow { summary, received: now };
-            self.follower_summaries.borrow_mut().insert((&*row.summary.zone).into(), row);
-        }
-        if let Some(summary) = part.fleet {
-            *self.fleet_total.borrow_mut() = Some(SummaryRow { summary, received: now });
-        }
     }
 
     /// Removes peers that have been silent for too long, and updates the peak number of live nodes.
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -29,6 +29,7 @@
 use crate::gateway::notifier::ChangeNotifier;
 use crate::gateway::origins::OriginDesk;
 use crate::gateway::pace::PaceWatch;
+use crate::gateway::peers::parts::split_pulse;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::quarantine::CrashWatch;
 use crate::gateway::reach::ReachWatch;
@@ -69,7 +70,7 @@
 const MAX_DELTA_BYTES: usize = 12 * 1024;
 
 /// Maximum size of a received datagram.
-const MAX_DATAGRAM_BYTES: usize = 48 * 1024;
+const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// What the sender of a message is told at once.
 #[derive(Clone, Debug)]
@@ -229,10 +230,16 @@
         if addresses.peek().is_none() {
             return;
         }
-        let bytes = pulse.encode_to_vec();
+        let parts = split_pulse(pulse.clone());
+        let parts: Vec<_> = parts.iter().map(FleetPulse::encode_to_vec).collect();
         for address in addresses {
-            if let Err(err) = self.socket.send_to(&bytes, address).await {
-                log::debug!("event=pulse_not_sent peer={address} error=\"{err}\"");
+            for bytes in &parts {
+                if let Err(err) = self.socket.send_to(bytes, address).await {
+                    log::debug!(
+                        "event=pulse_not_sent peer={address} bytes={} error=\"{err}\"",
+                        bytes.len()
+                    );
+                }
             }
         }
     }
@@ -332,6 +339,9 @@
         let forwarded = pulse.spoken_for.iter().flat_map(|summary| &summary.usage);
         forwarded.for_each(|usage| self.merge_run(usage));
         if pulse.sequence == 0 {
+            if pulse.continues > 0 {
+                self.receive_part(pulse);
+            }
             return None;
         }
         self.limits.apply(&pulse.replica_limits);
@@ -363,6 +373,14 @@
         (is_newer && is_new).then_some(PulseReply::State)
     }
 
+    /// Applies a further part of a pulse.
+    fn receive_part(&self, part: FleetPulse) {
+        self.limits.apply(&part.replica_limits);
+        self.brittle.apply(&part.brittle_replicas);
+        self.crashes.apply(&part.suspicions, &part.clearances);
+        self.peers.record_part(part, self.clock.now());
+    }
+
     /// Applies changes of the replica list if no earlier ones are missing here.
     fn apply_delta(&self, delta: &ReplicaDelta, revision: u64) {
         let known = self.mirror.replica_revision();
@@ -392,7 +410,7 @@
             .filter_map(|(hash, requests)| Some((self.usage.organisation_name(*hash)?, *requests)));
         let counts: WindowCounts = counts.collect();
         self.usage.merge(run, window.window, &counts);
-        if window.ended {
+        if window.ended || self.usage.has_counted(run, window.window, window.final_requests) {
             self.usage.record_finished(run, window.window);
         }
     }
@@ -456,6 +474,7 @@
             states_pace: self.pace.has_statements(),
             paces: self.pace.reports(),
             piece_slots: self.settings.piece_slots(),
+            continues: 0,
         }
     }
 
@@ -501,5 +520,5 @@
 fn window_message(window: u64, ended: bool, counts: WindowCounts) -> WindowUsage {
     let (organisations, requests) =
         counts.iter().map(|(name, requests)| (organisation_hash(name), *requests)).unzip();
-    WindowUsage { window, organisations, requests, ended }
+    WindowUsage { window, organisations, requests, ended, final_requests: 0 }
 }
--- a/berylstep/src/gateway/usage.rs
+++ b/berylstep/src/gateway/usage.rs
@@ -172,6 +172,15 @@
         counts.map(|(_, counts)| counts.clone()).unwrap_or_default()
     }
 
+    /// Returns whether the counts of a run in a window add up to `final_requests`, the number that it has told; 0 if it
+    /// has told none.
+    pub fn has_counted(&self, run: &NodeRun, window: u64, final_requests: u64) -> bool {
+        let windows = self.windows.borrow();
+        let counts = windows.of_run(run).find(|(counted, _)| *counted == window);
+        let counted = counts.map_or(0, |(_, counts)| counts.values().sum::<u64>());
+        final_requests > 0 && counted >= final_requests
+    }
+
     /// Records that another node has reported its final counts of a window.
     pub fn record_finished(&self, run: &NodeRun, window: u64) {
         self.windows.borrow_mut().record_finished(run, window);
--- a/berylstep/tests/peer_table.rs
+++ b/berylstep/tests/peer_table.rs
@@ -372,6 +372,7 @@
         organisations: organisations.clone().collect(),
         requests: vec![3; 21],
         ended: window < 2,
+        ..WindowUsage::default()
     });
     FleetPulse { work: work.collect(), usage: usage.collect(), ..pulse(node, sequence) }
 }
--- a/berylstep_wire/src/generated.rs
+++ b/berylstep_wire/src/generated.rs
@@ -560,6 +560,10 @@
     /// Number of queries for pieces that the sender answers at once; 0 if it answers none.
     #[prost(uint32, tag = "46")]
     pub piece_slots: u32,
+    /// Sequence number of the sender's pulse whose lists this message continues. Such a message has no sequence
+    /// number of its own; it is sent where a pulse would be larger than a datagram.
+    #[prost(uint64, tag = "47")]
+    pub continues: u64,
 }
 /// A cold replica at which a turn is asked for.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -932,6 +936,9 @@
     pub organisations: ::prost::alloc::vec::Vec<u64>,
     #[prost(uint64, repeated, tag = "5")]
     pub requests: ::prost::alloc::vec::Vec<u64>,
+    /// Where the counts are split over several messages and final: number of requests of all organisations.
+    #[prost(uint64, tag = "6")]
+    pub final_requests: u64,
 }
 /// Recent demand of one service at the sender.
 #[derive(Clone, PartialEq, ::prost::Message)]
