Let the soak change large desired states

A third of the seeds have 1,000 to 6,000 routes without requests, so that each change goes from node to node in pieces, beside the seed's other faults. The draw comes last, so that seeds keep their plans.

--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -8,7 +8,7 @@
 use berylstep_standins::fleet::peer::{query, FakePeer, PeerAnswer};
 use berylstep_standins::fleet::replica::{entry, FakeReplica};
 use berylstep_standins::fleet::store::{FakeStore, StoreMode};
-use berylstep_standins::fleet::{desired_state, KEY_HEADER};
+use berylstep_standins::fleet::{add_routes, desired_state, KEY_HEADER};
 use berylstep_standins::process::free_address;
 use berylstep_wire::FleetQuery;
 use serde_json::{json, Value};
@@ -25,18 +25,10 @@
 /// Returns a desired state of about `bytes` bytes, whose routes have different hosts.
 fn large_state(version: u64, bytes: usize) -> Value {
     let mut state = desired_state(version);
-    let mut added = state["Routes"][0].clone();
-    let routes = state["Routes"].as_array_mut().unwrap();
-    let mut size = 0;
-    for number in 0.. {
-        added["Name"] = json!(format!("added-{number}"));
-        added["Host"] = json!(format!("h{number}.example"));
-        size += added.to_string().len() + 1;
-        if size > bytes {
-            break;
-        }
-        routes.push(added.clone());
-    }
+    add_routes(&mut state, 1_000);
+    let route_bytes = (state.to_string().len() - desired_state(version).to_string().len()) / 1_000;
+    state = desired_state(version);
+    add_routes(&mut state, bytes / route_bytes);
     state
 }
 
@@ -156,9 +148,12 @@
     let port = free_address().port();
     let node = FleetGateway::start(&store, 2, port);
     store.set_mode(StoreMode::Down);
-    let mut state = large_state(2, 1_040_000);
+    let mut state = large_state(2, 1_025_000);
     add_key(&mut state);
-    let desired = PeerAnswer::Desired(state.to_string().into_bytes());
+    let content = state.to_string().into_bytes();
+    // Longer than a query took at most on the link, and below a frame.
+    assert!((1_005_000..1_048_000).contains(&content.len()), "{} bytes", content.len());
+    let desired = PeerAnswer::Desired(content);
     let _peer = FakePeer::start(3, port, 2, desired);
     let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
     assert!(holds_in_time(is_served), "not in force");
--- a/berylstep_standins/src/fleet.rs
+++ b/berylstep_standins/src/fleet.rs
@@ -47,6 +47,18 @@
     })
 }
 
+/// Adds `count` routes with hosts of their own, of about 250 bytes each, to a desired state.
+pub fn add_routes(state: &mut Value, count: usize) {
+    let mut added = state["Routes"][0].clone();
+    if let Some(routes) = state["Routes"].as_array_mut() {
+        for number in 0..count {
+            added["Name"] = json!(format!("added-{number}"));
+            added["Host"] = json!(format!("h{number}.example"));
+            routes.push(added.clone());
+        }
+    }
+}
+
 /// Listens on a free loopback port and serves each connection on its own thread.
 fn listen(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
--- a/berylstep_standins/src/soak/plan.rs
+++ b/berylstep_standins/src/soak/plan.rs
@@ -27,6 +27,9 @@
 /// Maximum number of changes of the desired state in one burst.
 const MAX_CHANGES: u32 = 6;
 
+/// Number of routes without requests, where there are any: a desired state of 0.25 to 1.5 MB.
+const IDLE_ROUTES: Range<usize> = 1_000..6_000;
+
 /// Interval between the changes of a burst.
 pub const CHANGE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -102,6 +105,8 @@
     pub faults: Vec<PlannedFault>,
     /// A limit that one replica names; `None` if no replica does.
     pub limit: Option<PlannedLimit>,
+    /// Number of routes without requests in the desired state, which make it large.
+    pub idle_routes: usize,
 }
 
 impl SoakPlan {
@@ -129,7 +134,19 @@
             .collect();
         faults.sort_by_key(|fault| fault.at);
         let limit = rng.bool().then(|| draw_limit(&mut rng, replicas, length));
-        Self { seed, gateways, replicas, organisations, callers, length, faults, limit }
+        let is_large = rng.u32(0..3) == 0;
+        let idle_routes = if is_large { rng.usize(IDLE_ROUTES) } else { 0 };
+        Self {
+            seed,
+            gateways,
+            replicas,
+            organisations,
+            callers,
+            length,
+            faults,
+            limit,
+            idle_routes,
+        }
     }
 }
 
@@ -194,6 +211,9 @@
             "seed {}: {} gateways, 4 services of {} replicas, {} organisations, {} callers, {:?}",
             self.seed, self.gateways, self.replicas, self.organisations, self.callers, self.length
         )?;
+        if self.idle_routes > 0 {
+            writeln!(formatter, "  {} idle routes", self.idle_routes)?;
+        }
         for fault in &self.faults {
             writeln!(formatter, "  {:?} for {:?}: {:?}", fault.at, fault.lasts, fault.fault)?;
         }
--- a/berylstep_standins/src/soak/site.rs
+++ b/berylstep_standins/src/soak/site.rs
@@ -17,7 +17,7 @@
 use super::replicas::{ReplicaIdentity, SoakReplica};
 use crate::fleet::gateway::{wait_until, FleetGateway, GatewayConfig};
 use crate::fleet::store::{FakeStore, StoreMode};
-use crate::fleet::{desired_state_for, lock};
+use crate::fleet::{add_routes, desired_state_for, lock};
 use crate::process::free_address;
 use crate::relay::{RelayMode, TcpRelay};
 
@@ -373,7 +373,9 @@
             .collect();
         // Recorded before the write because a gateway may act on it at once.
         state.changes.push(StateChange { version, at: Duration::MAX, allowed });
-        self.store.put("op", "config", Some(desired_state_for(version, &json!(organisations))));
+        let mut desired = desired_state_for(version, &json!(organisations));
+        add_routes(&mut desired, self.plan.idle_routes);
+        self.store.put("op", "config", Some(desired));
         let at = self.start.elapsed();
         if let Some(change) = state.changes.last_mut() {
             change.at = at;
