--- a/berylstep_core/tests/fleet_document.rs
+++ b/berylstep_core/tests/fleet_document.rs
@@ -5,6 +5,7 @@
 
 use berylstep_core::fleet::document::{
     DocumentAssembly, DocumentManifest, PieceDigest, PieceEntry, PieceReceipt, PiecedDocument,
+    DIGEST_BYTES,
 };
 use proptest::prelude::*;
 
@@ -153,3 +154,38 @@
         }
     }
 }
+
+/// Bytes per second that a node may spend on control.
+const CONTROL_BYTES_PER_SECOND: f64 = 19.0 * 1024.0;
+
+/// Changes per day, and seconds of a day.
+const CHANGES: f64 = 18_000.0;
+const DAY_SECONDS: f64 = 86_400.0;
+
+// Guards against changes that cost each node more than its budget at the size that the fleet grows to.
+#[test]
+fn changes_of_single_keys_fit_into_the_budget_for_control() {
+    let document = |version: u64, changed: usize| {
+        let organisation = |number: usize| {
+            let key = if number == changed { version } else { 1 };
+            let hash = number.wrapping_mul(2_654_435_761) % 1_000_000_007;
+            format!(
+                "{{\"Name\":\"org-{hash}\",\"Keys\":[\"key-{hash}-{number}-{key}\"],\"Priority\":1}},"
+            )
+        };
+        let text: String = (0..30_000).map(organisation).collect();
+        let content = format!("{{\"Version\":{version},\"Tenants\":[{text}]}}");
+        PiecedDocument::split(version, Arc::from(content.as_bytes()))
+    };
+    let known = document(1, 0);
+    let mut costs = Vec::new();
+    for (version, changed) in [(2, 7), (3, 15_000), (4, 29_999)] {
+        let target = document(version, changed);
+        let assembly = DocumentAssembly::new(target.manifest().clone(), Some(&known));
+        let listed = target.manifest().pieces.len() * (DIGEST_BYTES + 3);
+        costs.push(listed + assembly.missing_bytes());
+    }
+    let mean = costs.iter().sum::<usize>() as f64 / costs.len() as f64;
+    let per_second = mean * CHANGES / DAY_SECONDS;
+    assert!(per_second <= CONTROL_BYTES_PER_SECOND, "{per_second} bytes a second, {costs:?}");
+}
