Ask another peer where the furthest does not answer

Cause: a node asks one of the peers that are furthest ahead. The one that follows the store usually is, by a position of the list of replicas; where it accepted connections and didn't answer, a node asked it again for as long as it was ahead.

Change: a peer that failed to answer is asked after all others for two seconds. Code of the peer table and of the mirror about announcements and pages is in files of its own.

--- a/berylstep/src/gateway.rs
+++ b/berylstep/src/gateway.rs
@@ -421,6 +421,7 @@
             mirror: self.mirror.clone(),
             peer_ahead: self.peer_ahead.clone(),
             pages: RefCell::default(),
+            failed_at: RefCell::default(),
             fetcher: fetcher.clone(),
             freshness: self.freshness.clone(),
             metrics: self.metrics.clone(),
--- a/berylstep/src/gateway/freshness.rs
+++ b/berylstep/src/gateway/freshness.rs
@@ -21,7 +21,7 @@
     pub mirror: Rc<StoreMirror>,
     /// Table of the other nodes.
     pub peers: Rc<PeerTable>,
-    /// Time within which a confirmed desired state is to be in force, if the deployment has a bound.
+    /// Time within which an accepted desired state is to be in force, if the deployment has a bound.
     pub bound: Option<Duration>,
     /// Metrics of this gateway.
     pub metrics: Rc<GatewayMetrics>,
@@ -36,7 +36,14 @@
 }
 
 impl FreshnessWatch {
-    /// Takes note of what peers announce now.
+    /// Takes note of what one peer announces.
+    pub fn record_announcement(&self, desired: u64, position: StorePosition) {
+        let now = self.clock.now();
+        self.announced.borrow_mut().announce(self.mirror.desired_version(), desired, now);
+        self.positions.borrow_mut().announce(self.mirror.position(), position, now);
+    }
+
+    /// Takes note of what all live peers announce, and forgets what only others did.
     pub fn update(&self) {
         let now = self.clock.now();
         let (held, announced) = (self.mirror.desired_version(), self.peers.newest_desired(now));
--- a/berylstep/src/gateway/peers.rs
+++ b/berylstep/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 //! while that of a follower stays constant. In a small zone every node is a representative, and all
 //! of them hear each other directly.
 
+pub mod announcements;
 pub mod node;
 pub mod outbound;
 pub mod parts;
@@ -22,13 +23,13 @@
 
 use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::pace::PaceSum;
-use berylstep_core::fleet::position::StorePosition;
 use berylstep_core::fleet::replica::ReplicaLoad;
 use berylstep_core::rendezvous;
 use berylstep_wire::{
     ClassDemand, FleetPulse, NodeEntry, ReplicaPace, ReplicaWork, RunUsage, ZoneSummary,
 };
 
+pub use announcements::DocumentHolder;
 pub use node::KnownNode;
 use sums::{PaceReports, SummaryBuilder};
 use view::{FleetView, ViewCache};
@@ -100,17 +101,6 @@
     }
 }
 
-/// A peer that has a desired state and hands it on in pieces.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DocumentHolder {
-    /// Address for queries.
-    pub address: SocketAddr,
-    /// Number of queries that it answers at once.
-    pub slots: u32,
-    /// Whether it is in this node's availability zone.
-    pub is_local: bool,
-}
-
 /// A summary and the time of its arrival.
 #[derive(Debug)]
 struct SummaryRow {
@@ -368,53 +358,6 @@
         direct.max(summarised)
     }
 
-    /// Returns the newest version of the desired state that a live peer announces; 0 if there is none.
-    pub fn newest_desired(&self, now: Duration) -> u64 {
-        let rows = self.rows.borrow();
-        live(&rows, now).map(|row| row.pulse.desired_version).max().unwrap_or_default()
-    }
-
-    /// Returns the newest position of the list of replicas that a live peer announces.
-    pub fn newest_position(&self, now: Duration) -> StorePosition {
-        let rows = self.rows.borrow();
-        let positions = live(&rows, now)
-            .map(|row| StorePosition::new(row.pulse.store_era, row.pulse.replica_revision));
-        positions.max().unwrap_or_default()
-    }
-
-    /// Returns the live peers that announce the version `desired` of the desired state or a newer one and answer
-    /// queries for its pieces.
-    pub fn document_holders(&self, desired: u64, now: Duration) -> Vec<DocumentHolder> {
-        let rows = self.rows.borrow();
-        let holders = live(&rows, now)
-            .filter(|row| row.pulse.desired_version >= desired && row.pulse.piece_slots > 0);
-        let holder = |row: &PeerRow| DocumentHolder {
-            address: row.address,
-            slots: row.pulse.piece_slots,
-            is_local: *row.pulse.zone == *self.own.zone,
-        };
-        holders.map(holder).collect()
-    }
-
-    /// Returns the name and address of the peer furthest ahead of the desired-state version
-    /// `desired` or the position `replicas` of the list of replicas.
-    pub fn most_advanced(
-        &self,
-        desired: u64,
-        replicas: StorePosition,
-        now: Duration,
-    ) -> Option<(SharedName, SocketAddr)> {
-        let position =
-            |row: &PeerRow| StorePosition::new(row.pulse.store_era, row.pulse.replica_revision);
-        let rows = self.rows.borrow();
-        let ahead = live(&rows, now)
-            .filter(|row| row.pulse.desired_version > desired || position(row) > replicas);
-        // Nodes that are behind at the same time ask different ones of those that are equally far.
-        let furthest = ahead
-            .max_by_key(|row| (row.pulse.desired_version, position(row), fastrand::u32(..)))?;
-        Some(((&*furthest.pulse.node).into(), furthest.address))
-    }
-
     /// Returns the work in progress at the other nodes, by replica hash.
     pub fn loads(&self, now: Duration) -> HashMap<u32, ReplicaLoad> {
         let mut builder = SummaryBuilder::default();
--- a/berylstep/src/gateway/pulse.rs
+++ b/berylstep/src/gateway/pulse.rs
@@ -365,8 +365,11 @@
         }
         let has_totals = pulse.fleet.is_some();
         let now = self.clock.now();
+        let desired_version = pulse.desired_version;
         let is_newer = self.peers.record_pulse(pulse, from, now);
-        self.freshness.update();
+        if is_newer {
+            self.freshness.record_announcement(desired_version, position);
+        }
         if is_newer && has_totals && self.pace.is_uneven() {
             self.pace.refresh(self.peers.paces(now));
         }
--- a/berylstep/src/gateway/settings.rs
+++ b/berylstep/src/gateway/settings.rs
@@ -102,7 +102,7 @@
     /// Address of the platform's interface for usage and orders, if the deployment has one.
     #[serde(default)]
     pub cloud_address: Option<SocketAddr>,
-    /// Time within which a confirmed desired state is to be in force, in milliseconds; a node that can't get it until
+    /// Time within which an accepted desired state is to be in force, in milliseconds; a node that can't get it until
     /// then serves no requests. Without a bound it serves on by the older one.
     #[serde(default)]
     pub configuration_ms: Option<u64>,
@@ -452,7 +452,7 @@
         (last > first).then(|| SocketAddr::new(ip, first + 1))
     }
 
-    /// Returns the time within which a confirmed desired state is to be in force, if there is a bound.
+    /// Returns the time within which an accepted desired state is to be in force, if there is a bound.
     pub fn configuration_bound(&self) -> Option<Duration> {
         self.configuration_ms.map(Duration::from_millis)
     }
--- a/berylstep/src/gateway/state_transfer.rs
+++ b/berylstep/src/gateway/state_transfer.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylstep_core::collections::{HashMap, SharedName};
 use berylstep_core::fleet::list_pages::{CompleteList, ListAssembly, ListPage};
 use berylstep_core::fleet::position::StorePosition;
 use berylstep_wire::frame::Body;
@@ -43,6 +44,9 @@
 /// its way from the store.
 const POLLS_BEHIND: u32 = 2;
 
+/// Time for which a peer that failed to answer is asked after all others.
+const FAILED_PEER_PAUSE: Duration = Duration::from_secs(2);
+
 /// How much of its newer state a peer has told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CopyExtent {
@@ -64,6 +68,8 @@
     pub peer_ahead: Rc<ChangeNotifier>,
     /// Pages of the list of replicas that have arrived.
     pub pages: RefCell<ListAssembly<StoredCopy>>,
+    /// Times at which peers failed to answer.
+    pub failed_at: RefCell<HashMap<SharedName, Duration>>,
     /// Fetches large desired states.
     pub fetcher: Rc<DocumentFetcher>,
     /// Whether this node is behind the desired state of its peers.
@@ -87,7 +93,9 @@
             }
             let now = self.clock.now();
             let (desired, replicas) = (self.fetcher.known_version(), self.mirror.position());
-            let Some((peer, address)) = self.peers.most_advanced(desired, replicas, now) else {
+            let furthest =
+                self.peers.most_advanced(desired, replicas, |peer| self.is_avoided(peer), now);
+            let Some((peer, address)) = furthest else {
                 polls_behind = 0;
                 continue;
             };
@@ -99,6 +107,19 @@
         }
     }
 
+    /// Returns whether a peer has just failed to answer, so that others are asked first.
+    fn is_avoided(&self, peer: &str) -> bool {
+        let now = self.clock.now();
+        self.failed_at.borrow().get(peer).is_some_and(|at| now < *at + FAILED_PEER_PAUSE)
+    }
+
+    fn record_failure(&self, peer: &str) {
+        let now = self.clock.now();
+        let mut failed_at = self.failed_at.borrow_mut();
+        failed_at.retain(|_, at| now < *at + FAILED_PEER_PAUSE);
+        failed_at.insert(peer.into(), now);
+    }
+
     async fn query(&self, peer: &str, address: SocketAddr) -> CopyExtent {
         let query = FleetQuery {
             desired_version: self.fetcher.known_version(),
@@ -131,8 +152,14 @@
                     return CopyExtent::Partial;
                 }
             }
-            Ok(None) => log::warn!("event=handon_empty peer={peer} ms={ms}"),
-            Err(err) => log::warn!("event=handon_failed peer={peer} ms={ms} error=\"{err}\""),
+            Ok(None) => {
+                self.record_failure(peer);
+                log::warn!("event=handon_empty peer={peer} ms={ms}");
+            }
+            Err(err) => {
+                self.record_failure(peer);
+                log::warn!("event=handon_failed peer={peer} ms={ms} error=\"{err}\"");
+            }
         }
         CopyExtent::Whole
     }
--- a/berylstep/src/gateway/state_transfer/server.rs
+++ b/berylstep/src/gateway/state_transfer/server.rs
@@ -19,7 +19,8 @@
 use super::messages::{holder_message, manifest_message, read_digests};
 use crate::clock::RuntimeClock;
 use crate::gateway::connection_quota::ConnectionQuota;
-use crate::gateway::mirror::{ReplicaPage, StoreMirror};
+use crate::gateway::mirror::pages::ReplicaPage;
+use crate::gateway::mirror::StoreMirror;
 use crate::gateway::peers::PeerTable;
 use crate::gateway::telemetry::GatewayMetrics;
 
--- a/berylstep/tests/large_documents.rs
+++ b/berylstep/tests/large_documents.rs
@@ -217,6 +217,26 @@
     assert!(holds_in_time(is_served), "not in force");
 }
 
+// Guards against a node that goes on asking the one peer which is furthest and doesn't answer.
+#[test]
+fn a_node_asks_another_peer_where_the_furthest_does_not_answer() {
+    let replica =
+        FakeReplica::start("i-1", |request, _, stream| respond(stream, request, 200, "", "answer"));
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired_state(1)));
+    store.put("servers", "i-1", Some(replica.entry("safe", "ready")));
+    let port = free_address().port();
+    let node = FleetGateway::start(&store, 2, port);
+    store.set_mode(StoreMode::Down);
+    let mut state = desired_state(2);
+    add_key(&mut state);
+    let desired = PeerAnswer::Desired(state.to_string().into_bytes());
+    let _silent = FakePeer::start(3, port, 2, PeerAnswer::Silence);
+    let _other = FakePeer::start(4, port, 2, desired);
+    let is_served = || node.send("safe", ADDED_KEY_HEADER).unwrap().status() == 200;
+    assert!(holds_in_time(is_served), "not in force");
+}
+
 struct EarlierQueryCase {
     name: &'static str,
     bytes: usize,
--- a/berylstep_core/src/fleet/announced.rs
+++ b/berylstep_core/src/fleet/announced.rs
@@ -6,7 +6,7 @@
 /// Largest number of missing versions whose times are kept; the oldest one decides how far a node is behind.
 const MAX_MISSING: usize = 32;
 
-/// Time after its confirmation by which a node hears of a version: until the second pulse.
+/// Time after the store has accepted a version by which a node hears of it: until the second pulse.
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(500);
 
 /// Time that peers have to deliver a version they announce, and without progress, before the store is read.
@@ -43,7 +43,7 @@
 }
 
 impl<V> VersionLag<V> {
-    /// Returns whether a node with this lag may go by its version, if a confirmed one is to be in force within `bound`.
+    /// Returns whether a node with this lag may go by its version, if an accepted one is to be in force within `bound`.
     pub fn freshness(&self, bound: Option<Duration>) -> Freshness {
         match bound {
             Some(bound) if self.age + ANNOUNCEMENT_DELAY >= bound => Freshness::Overdue,
@@ -70,7 +70,12 @@
     /// Versions above `announced` are dropped: nobody that is live has them.
     pub fn observe(&mut self, held: V, announced: V, now: Duration) {
         self.missing.retain(|(version, _)| *version > held && *version <= announced);
-        let newest = self.missing.back().map_or(held, |(version, _)| *version);
+        self.announce(held, announced, now);
+    }
+
+    /// Records a version that one node announces, and the version `held` here.
+    pub fn announce(&mut self, held: V, announced: V, now: Duration) {
+        let newest = self.missing.back().map_or(held, |(version, _)| held.max(*version));
         if announced <= newest {
             return;
         }
--- a/berylstep_standins/src/fleet/peer.rs
+++ b/berylstep_standins/src/fleet/peer.rs
@@ -51,13 +51,19 @@
         let socket = UdpSocket::bind(address).expect("the peer address is free");
         let listener = TcpListener::bind(address).expect("the peer address is free");
         let is_stopped = stops.clone();
+        let is_silent = matches!(answer, PeerAnswer::Silence);
         std::thread::spawn(move || {
             let gateway = SocketAddr::from((GATEWAY_IP, peer_port));
             for sequence in 1.. {
                 if is_stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let pulse = pulse(number, sequence, desired_version).encode_to_vec();
+                let mut pulse = pulse(number, sequence, desired_version);
+                if is_silent {
+                    // Further than all others.
+                    pulse.replica_revision = u64::MAX / 2;
+                }
+                let pulse = pulse.encode_to_vec();
                 let _ = socket.send_to(&pulse, gateway);
                 std::thread::sleep(PULSE_INTERVAL);
             }
