Keep calls out of the state of requests

Cause: a request holds the state of all that it may wait for.

Change: the state of a request, and that of a call to the platform or a replica, have memory of their own while they run.

--- a/berylstep/src/gateway/request.rs
+++ b/berylstep/src/gateway/request.rs
@@ -224,7 +224,8 @@
         let mut writer = ResponseWriter::new(caller.stream.clone(), &message.method, keep_alive)
             .holding(hold, body.len());
         let trace = RequestTrace::new(arrived, self.mirror.desired_version());
-        let serving = async {
+        // The state of a request is large, and futures that contain it by value hold it more than once.
+        let serving = Box::pin(async {
             let mut request = match self.resolve(message, body, arrived, hold) {
                 Ok(request) => request,
                 Err(reply) => {
@@ -246,7 +247,7 @@
                     self.send_reply(&mut writer, &reply).await
                 }
             }
-        };
+        });
         let disconnecting = async {
             caller_disconnects(caller).await;
             trace.record_outcome(RequestOutcome::CallerLeft);
@@ -259,8 +260,7 @@
             }
             None
         };
-        // Without optimisation, the state of a request is too large to be moved on the stack once more.
-        let served = Box::pin(async { Some(future::or(serving, disconnecting).await) });
+        let served = async { Some(future::or(serving, disconnecting).await) };
         let delivery = match future::or(served, ending).await {
             Some(delivery) => delivery,
             None => {
--- a/berylstep/src/platform.rs
+++ b/berylstep/src/platform.rs
@@ -183,7 +183,8 @@
         request: Request,
         timeout: Duration,
     ) -> Result<StoreResponse, CallError> {
-        match self.exchange(request, timeout).await? {
+        // Calls are part of the state of requests, which is to stay small while none is made.
+        match Box::pin(self.exchange(request, timeout)).await? {
             (status @ (TOO_MANY_REQUESTS | UNAVAILABLE), ..) => Err(CallError::Refused(status)),
             answer => Ok(answer),
         }
--- a/berylstep/src/platform/engines.rs
+++ b/berylstep/src/platform/engines.rs
@@ -99,8 +99,8 @@
         let last = phase == MovePhase::Stop;
         request.set_body(encode(&MoveBody { id: request_id, to, last })?);
         request.set_content_type(http_types::mime::JSON);
-        let exchanged =
-            self.clock.timeout(MOVE_TIMEOUT, self.exchange(request, MOVE_TIMEOUT)).await;
+        let exchanging = Box::pin(self.exchange(request, MOVE_TIMEOUT));
+        let exchanged = self.clock.timeout(MOVE_TIMEOUT, exchanging).await;
         let Some(exchanged) = exchanged else {
             return Err(CallError::AnswerLost("timeout".to_owned()));
         };
