--- a/berylstep/tests/stale_nodes.rs
+++ b/berylstep/tests/stale_nodes.rs
@@ -48,6 +48,11 @@
         let peer = FakePeer::start(3, port, 2, PeerAnswer::Silence);
         wait_until("the newer version is known", || status("none", KEY_HEADER) == 503);
         let known_at = Instant::now();
+        let metrics = node.metrics();
+        let tells = |line: &str| metrics.lines().any(|told| told == line);
+        assert!(tells("berylstep_gateway_desired_version 1"), "{}", case.name);
+        assert!(tells("berylstep_gateway_desired_announced_version 2"), "{}", case.name);
+        assert!(!tells("berylstep_gateway_desired_lag_milliseconds 0"), "{}", case.name);
         assert_eq!(status("safe", ""), 503, "{}: an unknown key", case.name);
         assert_eq!(status("safe", KEY_HEADER), 200, "{}: within the bound", case.name);
         std::thread::sleep(BOUND.saturating_sub(known_at.elapsed()));
