--- a/berylstep/src/gateway/peers/announcements.rs
+++ b/berylstep/src/gateway/peers/announcements.rs
@@ -65,7 +65,6 @@
         let rows = self.rows.borrow();
         let ahead = live(&rows, now)
             .filter(|row| row.pulse.desired_version > desired || row.position() > replicas);
-        // Nodes that are behind at the same time ask different ones of those that are equally far.
         let furthest = ahead.max_by_key(|row| {
             let is_preferred = !avoided(&row.pulse.node);
             // Nodes that are behind at the same time ask different ones of those that are equally far.
--- a/berylstep/src/gateway/peers/parts.rs
+++ b/berylstep/src/gateway/peers/parts.rs
@@ -153,13 +153,15 @@
         let source = (&*part.node, part.continues);
         if let Some(summary) = part.spoken_for {
             let mut rows = self.follower_summaries.borrow_mut();
-            let row = rows.get_mut(&*summary.zone).filter(|row| row.is_from(source));
-            row.into_iter().for_each(|row| extend_summary(&mut row.summary, summary.clone()));
+            if let Some(row) = rows.get_mut(&*summary.zone).filter(|row| row.is_from(source)) {
+                extend_summary(&mut row.summary, summary);
+            }
         }
         if let Some(summary) = part.fleet {
             let mut total = self.fleet_total.borrow_mut();
-            let row = total.as_mut().filter(|row| row.is_from(source));
-            row.into_iter().for_each(|row| extend_summary(&mut row.summary, summary.clone()));
+            if let Some(row) = total.as_mut().filter(|row| row.is_from(source)) {
+                extend_summary(&mut row.summary, summary);
+            }
         }
     }
 }
