--- a/review/standins-2/src/bin/drained_stream.rs
+++ b/review/standins-2/src/bin/drained_stream.rs
@@ -16,6 +16,9 @@
 use review_standins_2::record::{has_trouble, Record, BROKEN, CANNOT_RUN, HELD};
 use review_standins_2::store::Store;
 
+/// The replicas. The first one is drained: a third of them, where `release` takes up to 0.45 on the site.
+const REPLICAS: [&str; 3] = ["m-1", "m-2", "m-3"];
+
 /// Events of a stream, and the pause between them.
 const EVENTS: u32 = 80;
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
@@ -81,17 +84,21 @@
     let trouble = has_trouble();
     let store = Store::start().map_err(|err| err.to_string())?;
     store.put("op", "config", Some(&desired_state(1, &[("model", "stream", false, 15_000)])));
-    let mut replicas = [start_replica(record, "m-1")?, start_replica(record, "m-2")?];
-    let addresses = [replicas[0].address, replicas[1].address];
+    let mut replicas =
+        REPLICAS.iter().map(|id| start_replica(record, id)).collect::<Result<Vec<_>, _>>()?;
+    let addresses: Vec<_> = replicas.iter().map(|replica| replica.address).collect();
     let put = |index: usize, state: &str, beat: u64| {
         let entry = replica_entry(addresses[index], "model", state, 0, beat);
-        store.put("servers", ["m-1", "m-2"][index], Some(&entry));
+        store.put("servers", REPLICAS[index], Some(&entry));
     };
-    (0..2).for_each(|index| put(index, "ready", 1));
+    (0..REPLICAS.len()).for_each(|index| put(index, "ready", 1));
     let gateway = Gateway::start(&store, 2, free_port("127.0.0.2"))?;
     record.line(&format!("gateway pid={} ready trouble={trouble}", gateway.process.id()));
-    let (short, broken_off, whole) =
-        (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (short, broken_off, whole) = (
+        Arc::new(AtomicUsize::new(0)),
+        Arc::new(AtomicUsize::new(0)),
+        Arc::new(AtomicUsize::new(0)),
+    );
     let callers: Vec<_> = (0..STREAMS)
         .map(|number| {
             let (record, address) = (record.clone(), gateway.callers);
@@ -109,7 +116,7 @@
         record.line("store: m-1 is draining");
     }
     std::thread::sleep(BEAT_INTERVAL);
-    put(1, "ready", 2);
+    (1..REPLICAS.len()).for_each(|index| put(index, "ready", 2));
     std::thread::sleep(DRAIN_TIME + DRAIN_EXTRA - BEAT_INTERVAL);
     if trouble {
         // The replica exits by itself.
