--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -5,6 +5,7 @@
 folder=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.." || exit 2
 program=target/review-2/release/$2
+[ -x "$program" ] || program=target/review-3/release/$2
 if [ ! -x "$program" ] || [ ! -x target/release/berylstep ]; then
     echo "not built: run the build of the deploy file and review/build-2.sh"
     exit 2
--- a/review/standins-3/src/bin/memory_flood.rs
+++ b/review/standins-3/src/bin/memory_flood.rs
@@ -23,7 +23,7 @@
 const ORDINARY: usize = 48;
 const WORK: Duration = Duration::from_millis(300);
 const CALM: Duration = Duration::from_secs(4);
-const LENGTH: Duration = Duration::from_secs(40);
+const LENGTH: Duration = Duration::from_secs(75);
 /// Time that a client gives a connection.
 const CONNECT_PATIENCE: Duration = Duration::from_secs(3);
 /// A connection is being opened (Linux).
--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::{BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -28,7 +29,7 @@
 /// Time after which a case that hasn't ended is given up.
 const CASE_LIMIT: Duration = Duration::from_secs(112);
 
-/// Record of a case: `record.txt` in its folder.
+/// Record of a case, at the path in the environment variable `RECORD`.
 #[derive(Clone)]
 pub struct Record {
     start: Instant,
@@ -54,10 +55,10 @@
     }
 }
 
-/// Starts the record in the folder that the first argument names, and a watchdog.
+/// Starts the record.
 pub fn begin() -> Record {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
-    let file = File::create(folder.join("record.txt"));
+    let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
+    let file = File::create(path);
     let file = Arc::new(Mutex::new(file.unwrap_or_else(|err| give_up(&format!("record: {err}")))));
     Record { start: Instant::now(), file }
 }
@@ -116,7 +117,6 @@
     pub gateways: Vec<Gateway>,
     /// The platform's store.
     pub store: FakeStore,
-    folder: PathBuf,
 }
 
 /// A gateway process and its addresses.
@@ -132,9 +132,6 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.gateways.clear();
-        if let Err(err) = std::fs::remove_dir_all(&self.folder) {
-            eprintln!("{}: {err}", self.folder.display());
-        }
     }
 }
 
@@ -151,8 +148,7 @@
 impl Deployment {
     /// Starts a deployment and waits until all its gateways are ready.
     pub fn start(plan: Plan, record: &Record) -> Self {
-        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap_or_else(|err| give_up(&format!("folder: {err}")));
+        let folder = std::env::var("WORK").map_or_else(|_| std::env::temp_dir(), PathBuf::from);
         let store = FakeStore::start();
         store.put("op", "config", Some(plan.desired));
         check_in(&store, &plan.replicas, 1);
@@ -172,7 +168,7 @@
             .enumerate()
             .map(|(index, ip)| start_gateway(index, *ip, &ips, peer_port, &store, &folder))
             .collect();
-        let deployment = Self { gateways, store, folder };
+        let deployment = Self { gateways, store };
         let end = Instant::now() + Duration::from_secs(20);
         while !deployment.gateways.iter().all(Gateway::is_ready) {
             if Instant::now() > end {
@@ -206,6 +202,24 @@
     }
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+extern "C" {
+    fn prctl(option: i32, value: u64, ...) -> i32;
+}
+
+/// Makes a process end with the one that starts it, also if that is killed.
+fn end_with_parent(command: &mut Command) -> &mut Command {
+    // SAFETY: `prctl` is called in the child before its program starts, and allocates nothing.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        })
+    }
+}
+
 /// Starts a gateway with the command of the deploy file and the settings of a machine of the small deployment.
 fn start_gateway(
     index: usize,
@@ -227,7 +241,7 @@
                         "tenants", "leader", "platform"],
         "memory_mb": 260, "core_share": 0.25, "link_mbps": 1000.0, "file_descriptors": 4100,
         "configuration_ms": 2000, "drain_ms": 2000, "stop_grace_s": 8, "retry_ratio": 0.2,
-        "retry_extra": 58, "retry_window_s": 10, "receiver_checks_fencing": true,
+        "retry_extra": 56, "retry_window_s": 10, "receiver_checks_fencing": true,
         "usage_window_s": 5, "directory_ttl_max_s": 5, "replica_heartbeat_ms": 1200,
     });
     let path = folder.join(format!("settings-{index}.json"));
@@ -236,7 +250,7 @@
     let (Ok(log), Ok(())) = (log, written) else { give_up("settings can't be written") };
     let mut command = Command::new("target/release/berylstep");
     command.arg("gateway").env("BERYLSTEP_SETTINGS", &path).stdout(log).stderr(Stdio::null());
-    let process = ChildProcess::start(&mut command);
+    let process = ChildProcess::start(end_with_parent(&mut command));
     let process = process.unwrap_or_else(|err| give_up(&format!("gateway: {err}")));
     Gateway { process, callers, readiness }
 }
