--- a/review/standins-3/src/bin/extra_replica.rs
+++ b/review/standins-3/src/bin/extra_replica.rs
@@ -46,7 +46,7 @@
     }]);
     let services = json!([{"Name": "desk", "ConnectionLimit": 110}]);
     let desired = desired_state(routes, services);
-    let plan = Plan { gateways: GATEWAYS, desired, replicas: replicas.collect() };
+    let plan = Plan { gateways: GATEWAYS, desired, replicas: replicas.collect(), binds_upstreams: false };
     let deployment = Deployment::start(plan, &record);
     std::thread::sleep(Duration::from_secs(2));
     let target = deployment.gateways[0].callers;
--- a/review/standins-3/src/bin/late_part.rs
+++ b/review/standins-3/src/bin/late_part.rs
@@ -68,7 +68,7 @@
     let services = json!([{"Name": "model", "ConnectionLimit": 250,
                            "Engine": {"Slots": 16, "KvCacheTokens": 400000, "Stride": 5}}]);
     let desired = desired_state(routes, services);
-    let deployment = Deployment::start(Plan { gateways: 3, desired, replicas: entries }, &record);
+    let deployment = Deployment::start(Plan { gateways: 3, desired, replicas: entries, binds_upstreams: false }, &record);
     let callers: Vec<_> = deployment.gateways.iter().map(|gateway| gateway.callers).collect();
     let end = Instant::now() + LENGTH;
     std::thread::scope(|scope| {
--- a/review/standins-3/src/bin/memory_flood.rs
+++ b/review/standins-3/src/bin/memory_flood.rs
@@ -48,7 +48,7 @@
     }]);
     let services = json!([{"Name": "desk", "ConnectionLimit": 110}]);
     let desired = desired_state(routes, services);
-    let plan = Plan { gateways: 3, desired, replicas: replicas.collect() };
+    let plan = Plan { gateways: 3, desired, replicas: replicas.collect(), binds_upstreams: false };
     let mut deployment = Deployment::start(plan, &record);
     let (target, pid) = (deployment.gateways[0].callers, deployment.gateways[0].process.id());
     let (stop, killed_at) = (AtomicBool::new(false), AtomicU64::new(0));
--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -143,6 +143,8 @@
     pub desired: Value,
     /// Replicas, which check in.
     pub replicas: Vec<ReplicaEntry>,
+    /// Whether gateways connect to replicas from their own addresses, by which replicas tell them apart.
+    pub binds_upstreams: bool,
 }
 
 impl Deployment {
@@ -166,7 +168,7 @@
         let gateways: Vec<_> = ips
             .iter()
             .enumerate()
-            .map(|(index, ip)| start_gateway(index, *ip, &ips, peer_port, &store, &folder))
+            .map(|(index, ip)| start_gateway(index, *ip, &ips, peer_port, &store, &folder, plan.binds_upstreams))
             .collect();
         let deployment = Self { gateways, store };
         let end = Instant::now() + Duration::from_secs(20);
@@ -228,6 +230,7 @@
     peer_port: u16,
     store: &FakeStore,
     folder: &Path,
+    binds_upstreams: bool,
 ) -> Gateway {
     let listen = || SocketAddr::new(IpAddr::V4(ip), free_address().port());
     let (callers, readiness, directory) = (listen(), listen(), listen());
@@ -243,6 +246,7 @@
         "configuration_ms": 2000, "drain_ms": 2000, "stop_grace_s": 8, "retry_ratio": 0.2,
         "retry_extra": 56, "retry_window_s": 10, "receiver_checks_fencing": true,
         "usage_window_s": 5, "directory_ttl_max_s": 5, "replica_heartbeat_ms": 1200,
+        "upstream_source": binds_upstreams.then_some(ip),
     });
     let path = folder.join(format!("settings-{index}.json"));
     let log = File::create(folder.join(format!("log-{index}.txt")));
