Fail the reads of a connection whose failure a write has reported

What callers saw: a replica answered a long upload at once with a 200 without length or chunks, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system reports the failure of a connection to one call only. The request is written while its response is read; if the write got the error, the reads after it returned the part and then an end of file, and an end of file completes a response that extends to the end of its connection.

Evidence: system calls of a gateway on the code before. All 24 uploads of four cases were told as whole. In 23 the write took the reset: sendto(22, …, 1572864) = -1 ECONNRESET recvfrom(22, "HTTP/1.1 200 OK…") = 179 recvfrom(22, "") = 0 sendto(21, "HTTP/1.1 200 OK…") = 200 In one the replica closed before any of the body had arrived, so that its end of file came first, and the write got EPIPE. Ruled out: that the attempt ends at the first of both (it goes on to read after a failed write), and that the part is read before the reset (the read then gets the error, and the answer is broken off, as in the uploads that held).

Change: a MessageStream hands out a writer that shares its first failure, and a read that finds the end of the connection returns it. The fix adds no wait, and holds for every request that is written while its response is read: first attempts, offers to a second replica, hedges and resumed streams, also behind a handover. EPIPE counts too: a peer that closes with the request unread can't be told from one that broke off. One that ends its direction and reads on is served as before, since a gateway stops to write once it has the head.

--- a/berylstep/src/gateway/attempt.rs
+++ b/berylstep/src/gateway/attempt.rs
@@ -13,7 +13,6 @@
 use berylstep_core::fleet::replica::ReplicaRow;
 use berylstep_http::{BodyDecoder, BodyError, BodyFraming, MessageStream, ResponseMessage};
 use futures_util::future::{select, Either};
-use smol::io::AsyncWriteExt;
 
 use crate::body_buffer::BodyBuffer;
 use crate::gateway::limits::process_of;
@@ -494,7 +493,7 @@
     request: &RoutedRequest<'_>,
     reused: bool,
 ) -> Result<(ResponseMessage, ResponseHeaders, bool), &'static str> {
-    let mut writer = stream.stream.clone();
+    let mut writer = stream.writer();
     let writing = Box::pin(async move {
         writer.write_all(parts[0]).await?;
         writer.write_all(parts[1]).await
--- a/berylstep_http/src/lib.rs
+++ b/berylstep_http/src/lib.rs
@@ -18,5 +18,5 @@
 pub use client::{ClientConnection, ClientResponse, ExchangeError, SendTerms};
 pub use decoder::{BodyDecoder, BodyError};
 pub use head::{BodyFraming, HeadError};
-pub use message::{HeaderList, MessageStream, RequestMessage, ResponseMessage};
+pub use message::{HeaderList, MessageStream, MessageWriter, RequestMessage, ResponseMessage};
 pub use server::{ReceiveError, ReceivedRequest, ServerConnection};
--- a/berylstep_http/src/message.rs
+++ b/berylstep_http/src/message.rs
@@ -5,10 +5,12 @@
 //! their framing.
 
 use std::future::poll_fn;
+use std::io::ErrorKind;
 use std::pin::Pin;
+use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 
-use smol::io::AsyncRead;
+use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
 
 use crate::decoder::{BodyDecoder, BodyError};
@@ -174,19 +176,69 @@
     }
 }
 
+/// First failure of a connection, shared by its two directions.
+///
+/// The system reports the failure of a connection to one call only, a read or a write. Later reads return
+/// what had arrived and then an end of file, as if the peer had closed the connection in order.
+#[derive(Clone, Debug, Default)]
+struct ConnectionFailure(Arc<OnceLock<ErrorKind>>);
+
+impl ConnectionFailure {
+    fn record(&self, err: &std::io::Error) {
+        self.0.get_or_init(|| err.kind());
+    }
+
+    /// Returns the failure as the error of a read that found the end of the connection.
+    fn error(&self) -> Option<std::io::Error> {
+        self.0.get().map(|kind| (*kind).into())
+    }
+}
+
+/// Writing half of a [`MessageStream`].
+#[derive(Debug)]
+pub struct MessageWriter {
+    stream: TcpStream,
+    failure: ConnectionFailure,
+}
+
+impl MessageWriter {
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails. Reads of the stream then fail as well, once they have returned
+    /// what arrived before.
+    pub async fn write_all(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        let written = self.stream.write_all(bytes).await;
+        written.inspect_err(|err| self.failure.record(err))
+    }
+}
+
 /// A connection and the bytes that were received on it but not yet parsed.
 #[derive(Debug)]
 pub struct MessageStream {
-    /// Underlying TCP connection, for writes and socket options; reads go through the buffer.
+    /// Underlying TCP connection, for socket options; reads go through the buffer. Where a message is
+    /// written while another is read, a [`MessageWriter`] writes it.
     pub stream: TcpStream,
     buffer: Vec<u8>,
     turn: ReadTurn,
+    failure: ConnectionFailure,
 }
 
 impl MessageStream {
     /// Creates a message stream with an empty buffer.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new(), turn: ReadTurn::default() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+            turn: ReadTurn::default(),
+            failure: ConnectionFailure::default(),
+        }
+    }
+
+    /// Returns a writer whose failures the reads of this stream learn of.
+    pub fn writer(&self) -> MessageWriter {
+        MessageWriter { stream: self.stream.clone(), failure: self.failure.clone() }
     }
 
     /// Returns whether bytes have been received beyond the messages read so far.
@@ -199,10 +251,14 @@
         self.buffer.len()
     }
 
-    /// Reads more bytes into the buffer; returns `false` if the peer closed the connection.
+    /// Reads more bytes into the buffer; returns `false` if the peer closed the connection in order.
     ///
     /// The read is cancel-safe, and a connection without buffered bytes holds no memory for them
     /// while it waits.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails, or has failed at a write of a [`MessageWriter`].
     pub async fn fill(&mut self) -> std::io::Result<bool> {
         let (stream, buffer, turn) = (&mut self.stream, &mut self.buffer, &mut self.turn);
         let reading = poll_fn(|cx| {
@@ -223,7 +279,10 @@
             }
             polled
         });
-        Ok(reading.await? > 0)
+        if reading.await? > 0 {
+            return Ok(true);
+        }
+        self.failure.error().map_or(Ok(false), Err)
     }
 
     /// Reads a head of at most `max_bytes` bytes, up to and including its blank line.
--- a/berylstep_http/tests/message_cases.rs
+++ b/berylstep_http/tests/message_cases.rs
@@ -1,6 +1,6 @@
 //! Forwarded messages: heads, bodies that arrive in pieces, and cancelled reads.
 
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::time::Duration;
 
 use berylstep_http::{BodyDecoder, BodyError, MessageStream, RequestMessage, ResponseMessage};
@@ -222,3 +222,48 @@
     writer.join().unwrap();
     assert!(has_run.get(), "{received} bytes were read in one go");
 }
+
+struct ResetCase {
+    name: &'static str,
+    /// Whether the peer ends its own direction before it resets the connection.
+    ends_direction: bool,
+    /// What the write reports.
+    error: ErrorKind,
+}
+
+// Guards against the end of a connection that looks orderly to the reader, because the writer got the error.
+#[test]
+fn a_reset_that_a_write_reports_fails_the_reads_after_it() {
+    let cases = [
+        ResetCase { name: "reset", ends_direction: false, error: ErrorKind::ConnectionReset },
+        ResetCase { name: "end, then reset", ends_direction: true, error: ErrorKind::BrokenPipe },
+    ];
+    for case in cases {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut stream = MessageStream::new(
+            smol::block_on(TcpStream::connect(listener.local_addr().unwrap())).unwrap(),
+        );
+        let mut writer = stream.writer();
+        smol::block_on(writer.write_all(b"request")).unwrap();
+        let (mut peer, _) = listener.accept().unwrap();
+        peer.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").unwrap();
+        if case.ends_direction {
+            peer.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        // The request is unread, so that the connection is reset.
+        drop(peer);
+        let (content, end) = smol::block_on(async {
+            smol::Timer::after(Duration::from_millis(50)).await;
+            let err = writer.write_all(b"rest").await.expect_err("the connection is closed");
+            assert_eq!(err.kind(), case.error, "{}", case.name);
+            let head = stream.read_head(1024).await.unwrap().unwrap();
+            let response = ResponseMessage::parse(&head).unwrap();
+            let (mut decoder, mut content) = (BodyDecoder::response(&response, "GET"), Vec::new());
+            stream.read_content(&mut decoder, &mut content).await.unwrap();
+            let end = stream.read_content(&mut decoder, &mut content).await;
+            (content, end)
+        });
+        assert_eq!(content, b"part", "{}", case.name);
+        assert!(end.is_err(), "{}: the body looks complete", case.name);
+    }
+}
--- a/berylstep_standins/src/fleet.rs
+++ b/berylstep_standins/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod brittle;
 pub mod crash;
 pub mod cut;
+pub mod early;
 pub mod gateway;
 pub mod message;
 pub mod peer;
--- a/berylstep_standins/src/fleet/message.rs
+++ b/berylstep_standins/src/fleet/message.rs
@@ -44,6 +44,11 @@
     Some(message)
 }
 
+/// Reads the head of a request and leaves its body unread.
+pub fn read_unread_request(stream: &mut impl Read) -> Option<RawMessage> {
+    Some(RawMessage { head: read_head(stream)?, body: String::new() })
+}
+
 fn read_head(stream: &mut impl Read) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0; 1];
