Remember the failure of a connection for the reads after it

What callers saw: a resumable stream without length or chunks whose replica fell silent and reset the connection a moment later ended as complete after the events that had arrived. Found by looking for other calls that take the error of a connection whose response is still read.

Cause: while another replica is asked to go on with a stalled stream, the silent one is read too, so that it may recover. That read got the reset and left the matter to the search. If the search found no substitute, the next read returned an end of file, which completes such a response.

Change: MessageStream::fill records the error of a read as it does that of a write. Every later read that finds the end of the connection returns it.

--- a/berylstep/tests/stalled_streams.rs
+++ b/berylstep/tests/stalled_streams.rs
@@ -7,9 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use berylstep_standins::fleet::early::reset_on_close;
 use berylstep_standins::fleet::gateway::{wait_until, FleetGateway};
 use berylstep_standins::fleet::message::{
-    begin_events, end_events, read_message, request_text, respond, write_event, RawMessage,
+    begin_events, begin_unframed_events, end_events, read_message, request_text, respond,
+    write_event, RawMessage,
 };
 use berylstep_standins::fleet::replica::FakeReplica;
 use berylstep_standins::fleet::store::FakeStore;
@@ -165,18 +167,29 @@
     }
 }
 
+/// Returns the event with the identifier `number`, as the replicas write it.
+fn event_text(number: u32) -> String {
+    format!("id: {number}\ndata: d{number}\n\n")
+}
+
+/// Starts a gateway before these replicas of a service.
+fn start_gateway(replicas: &[FakeReplica], service: &str) -> (FakeStore, FleetGateway) {
+    let store = FakeStore::start();
+    store.put("op", "config", Some(desired_state(1)));
+    for replica in replicas {
+        store.put("servers", &replica.id, Some(replica.entry(service, "ready")));
+    }
+    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    (store, gateway)
+}
+
 fn receives_whole_stream(case: &'static StallCase, surroundings: &'static Surroundings) -> bool {
     let replicas = ["i-1", "i-2"].map(|id| {
         FakeReplica::start(id, |request, _, stream| {
             serve(case, surroundings.silence, request, stream)
         })
     });
-    let store = FakeStore::start();
-    store.put("op", "config", Some(desired_state(1)));
-    for replica in &replicas {
-        store.put("servers", &replica.id, Some(replica.entry("resumable", "ready")));
-    }
-    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    let (_store, gateway) = start_gateway(&replicas, "resumable");
     let mut stream = gateway.connect();
     let request = request_text("resumable", "id-1", CALLER_TIMEOUT_MS, KEY_HEADER);
     stream.write_all(request.as_bytes()).expect("the gateway reads");
@@ -188,11 +201,79 @@
         gateway.process.terminate();
     }
     let answer = read_message(&mut std::io::BufReader::new(stream));
-    let whole: String =
-        (1..=ALL_EVENTS).map(|number| format!("id: {number}\ndata: d{number}\n\n")).collect();
+    let whole: String = (1..=ALL_EVENTS).map(event_text).collect();
     answer.is_some_and(|answer| answer.body == whole)
 }
 
+/// Time after which a silent replica resets its stream, while the gateway still asks another one.
+const RESET_TIME: Duration = Duration::from_millis(1000);
+
+struct ResetCase {
+    name: &'static str,
+    /// What the other replica does when it is asked to go on.
+    other: ReplicaScript,
+    /// Whether the caller gets the whole stream.
+    is_whole: bool,
+}
+
+const RESET_CASES: &[ResetCase] = &[
+    ResetCase { name: "the other rejects before", other: reject, is_whole: false },
+    ResetCase { name: "the other rejects after", other: reject_late, is_whole: false },
+    ResetCase { name: "the other queues", other: stay_silent, is_whole: false },
+    ResetCase {
+        name: "the other goes on after",
+        other: |request, stream| {
+            std::thread::sleep(Duration::from_millis(300));
+            go_on(request, stream)
+        },
+        is_whole: true,
+    },
+];
+
+/// Writes the first events of a stream that ends with its connection, and resets it after a silence.
+fn stall_and_reset(request: &RawMessage, stream: &mut TcpStream) -> bool {
+    let events: String = (1..=EARLY_EVENTS).map(event_text).collect();
+    let is_begun =
+        begin_unframed_events(stream, request) && stream.write_all(events.as_bytes()).is_ok();
+    assert!(is_begun, "the gateway reads");
+    std::thread::sleep(RESET_TIME);
+    reset_on_close(stream);
+    false
+}
+
+// Guards against a stream that ends as complete, because its reset was reported while another replica was asked.
+#[test]
+fn a_reset_of_a_stalled_stream_never_completes_it() {
+    let threads = RESET_CASES.iter().map(|case| {
+        let run = move || {
+            let replicas = ["i-1", "i-2"].map(|id| {
+                FakeReplica::start(id, |request, _, stream| {
+                    match request.header("last-event-id").is_some() {
+                        true => (case.other)(request, stream),
+                        false => stall_and_reset(request, stream),
+                    }
+                })
+            });
+            let (_store, gateway) = start_gateway(&replicas, "resumable");
+            let mut stream = gateway.connect();
+            let request = request_text("resumable", "id-1", CALLER_TIMEOUT_MS, KEY_HEADER);
+            stream.write_all(request.as_bytes()).expect("the gateway reads");
+            read_message(&mut std::io::BufReader::new(stream)).map(|answer| answer.body)
+        };
+        (case, std::thread::spawn(run))
+    });
+    let threads: Vec<_> = threads.collect();
+    let ended = threads.into_iter().map(|(case, thread)| (case, thread.join()));
+    let ended: Vec<_> = ended.collect();
+    let whole: String = (1..=ALL_EVENTS).map(event_text).collect();
+    let failed = ended.iter().filter(|(case, received)| {
+        let expected = case.is_whole.then_some(&*whole);
+        !received.as_ref().is_ok_and(|received| received.as_deref() == expected)
+    });
+    let failed: Vec<_> = failed.map(|(case, _)| case.name).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
 /// Time in which a replica that was silent from the start answers.
 const FIRST_SILENCE: Duration = Duration::from_millis(1000);
 
@@ -242,11 +323,6 @@
             (case.other)(request, stream)
         })
     });
-    let store = FakeStore::start();
-    store.put("op", "config", Some(desired_state(1)));
-    for replica in &replicas {
-        store.put("servers", &replica.id, Some(replica.entry("safe", "ready")));
-    }
-    let gateway = FleetGateway::start(&store, 4, free_address().port());
+    let (_store, gateway) = start_gateway(&replicas, "safe");
     gateway.send("safe", KEY_HEADER).is_some_and(|answer| answer.status() == 200)
 }
--- a/berylstep_http/src/message.rs
+++ b/berylstep_http/src/message.rs
@@ -258,7 +258,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection fails, or has failed at a write of a [`MessageWriter`].
+    /// Returns an error if the connection fails, or has failed at an earlier read or at a write of a
+    /// [`MessageWriter`].
     pub async fn fill(&mut self) -> std::io::Result<bool> {
         let (stream, buffer, turn) = (&mut self.stream, &mut self.buffer, &mut self.turn);
         let reading = poll_fn(|cx| {
@@ -279,7 +280,8 @@
             }
             polled
         });
-        if reading.await? > 0 {
+        let count = reading.await.inspect_err(|err| self.failure.record(err))?;
+        if count > 0 {
             return Ok(true);
         }
         self.failure.error().map_or(Ok(false), Err)
