Reject responses whose status HTTP doesn't have

What callers saw: a replica in trouble answered with a status of 600, 700 or 999, and the caller got it as it came. One that answered 000 to 099 with a body that looks like a response: the caller got that body as the replica's success.

Cause: heads were taken with any three digits for a status. What is below 100 counted as an interim response, after which another head is due, so that the body was read as one. The client for the store, for `serve` and for engines read such heads in the same way.

Change: a status outside 100 to 599 (RFC 9110, section 15) makes a head malformed, where both readers of responses parse it. The attempt counts as lost: a request that may be repeated goes to another replica, the caller of another one gets 502.

A 000 without a body, or with one that is no response, was 502 before, as were the malformed statuses.

--- a/berylstep_http/src/head.rs
+++ b/berylstep_http/src/head.rs
@@ -1,5 +1,7 @@
 //! Reading and validation of HTTP message heads.
 
+use std::ops::RangeInclusive;
+
 use displaydoc::Display;
 use smol::io::{AsyncRead, AsyncReadExt};
 
@@ -10,6 +12,9 @@
 pub(crate) const MAX_HEADERS: usize = 128;
 const READ_CHUNK_BYTES: usize = 4 * 1024;
 
+/// Status codes of HTTP (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Line end and blank line at the end of a head.
 pub(crate) const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -185,9 +190,12 @@
 ) -> Result<httparse::Response<'h, 'b>, HeadError> {
     let mut response = httparse::Response::new(headers);
     let status = response.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
-    match status.is_partial() {
-        true => Err(HeadError::Malformed("incomplete")),
-        false => Ok(response),
+    if status.is_partial() {
+        return Err(HeadError::Malformed("incomplete"));
+    }
+    match response.code {
+        Some(code) if STATUS_CODES.contains(&code) => Ok(response),
+        _ => Err(HeadError::Malformed("status code is out of range")),
     }
 }
 
--- a/berylstep_http/tests/client_cases.rs
+++ b/berylstep_http/tests/client_cases.rs
@@ -145,6 +145,18 @@
             false,
             whole("ok", true),
         ),
+        client_case(
+            "status below 100 before an answer",
+            "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+            false,
+            ExchangeEnd::NoHead,
+        ),
+        client_case(
+            "status above 599",
+            "HTTP/1.1 600 X\r\ncontent-length: 2\r\n\r\nok",
+            false,
+            ExchangeEnd::NoHead,
+        ),
         client_case("closed without an answer", "", true, ExchangeEnd::NoHead),
         client_case("closed inside the head", "HTTP/1.1 200 O", true, ExchangeEnd::NoHead),
     ];
