Reject heads that the parser ends before their blank line

What callers saw: a replica in trouble sent a line feed where the name of a header is due. The caller got a success without the headers after it, and with a body that was not the replica's: of a chunked response the chunks with their sizes and ends.

Cause: a head is read up to its blank line and then parsed. The parser accepts a line feed alone as the end of a line, so it ends the head where one stands at the start of a line, and says how far it came; that was not compared with the length of the head. What followed was dropped: the framing, or any other header.

Change: a head that the parser doesn't use up is malformed. Requests are parsed by the same function and had the same fault: a Content-Length behind such a line was lost, and the body would have been read as the next request.

--- a/berylstep/tests/broken_heads.rs
+++ b/berylstep/tests/broken_heads.rs
@@ -77,6 +77,47 @@
     status_case("HTTP/2.0 200", CONTENT),
 ];
 
+const fn line_case(name: &'static str, lines: &'static [u8]) -> HeadCase {
+    let start = "HTTP/1.1 200";
+    HeadCase { name, start, lines, content: CONTENT, answer: CallerAnswer::Failure }
+}
+
+const LINE_CASES: &[HeadCase] = &[
+    HeadCase { answer: CallerAnswer::Response, ..line_case("sound", b"X-Sound_1: a\r\n") },
+    line_case("blank inside", b"X Broken: a\r\n"),
+    line_case("blank before", b" X-Broken: a\r\n"),
+    line_case("blank after", b"X-Broken : a\r\n"),
+    line_case("tab inside", b"X\tBroken: a\r\n"),
+    line_case("tab before", b"\tX-Broken: a\r\n"),
+    line_case("tab after", b"X-Broken\t: a\r\n"),
+    line_case("line feed inside", b"X\nBroken: a\r\n"),
+    line_case("line feed before", b"\nX-Broken: a\r\n"),
+    line_case("line feed after", b"X-Broken\n: a\r\n"),
+    line_case("line feeds before", b"\n\nX-Broken: a\r\n"),
+    line_case("line feed alone", b"\n"),
+    line_case("line feed after a line", b"X-Sound: a\r\n\nX-Broken: a\r\n"),
+    line_case("two line feeds after a value", b"X-Sound: a\n\nX-Broken: a\r\n"),
+    line_case("carriage return inside", b"X\rBroken: a\r\n"),
+    line_case("carriage return before", b"\rX-Broken: a\r\n"),
+    line_case("carriage return after", b"X-Broken\r: a\r\n"),
+    line_case("null inside", b"X\0Broken: a\r\n"),
+    line_case("null before", b"\0X-Broken: a\r\n"),
+    line_case("bell inside", b"X\x07Broken: a\r\n"),
+    line_case("vertical tab inside", b"X\x0bBroken: a\r\n"),
+    line_case("form feed before", b"\x0cX-Broken: a\r\n"),
+    line_case("escape inside", b"X\x1bBroken: a\r\n"),
+    line_case("unit separator after", b"X-Broken\x1f: a\r\n"),
+    line_case("delete inside", b"X\x7fBroken: a\r\n"),
+    line_case("byte over 127", b"X\x80Broken: a\r\n"),
+    line_case("letter over 127", b"X\xc3\xa9Broken: a\r\n"),
+    line_case("no name", b": a\r\n"),
+    line_case("no colon", b"X-Broken\r\n"),
+    line_case("separator inside", b"X(Broken): a\r\n"),
+    line_case("null in a value", b"X-Broken: a\0b\r\n"),
+    line_case("carriage return in a value", b"X-Broken: a\rb\r\n"),
+    line_case("value that is folded", b"X-Broken: a\r\n b\r\n"),
+];
+
 struct InterimCase {
     name: &'static str,
     /// Bytes before a sound response.
@@ -90,6 +131,16 @@
         interim: b"HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n",
         answer: CallerAnswer::Response,
     },
+    InterimCase {
+        name: "early hints with a broken name",
+        interim: b"HTTP/1.1 103 Early Hints\r\nX Broken: a\r\n\r\n",
+        answer: CallerAnswer::Failure,
+    },
+    InterimCase {
+        name: "early hints with a line feed before a name",
+        interim: b"HTTP/1.1 103 Early Hints\r\n\nX-Broken: a\r\n\r\n",
+        answer: CallerAnswer::Failure,
+    },
     InterimCase {
         name: "status below 100",
         interim: b"HTTP/1.1 000 X\r\n\r\n",
@@ -182,7 +233,14 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
-// Guards against such a status that is taken for an interim one.
+// Guards against a line that ends the head, or is passed on, because of the bytes in its name.
+#[test]
+fn a_malformed_header_never_reaches_a_caller() {
+    let wrong = find_wrong_answers(in_all_framings(LINE_CASES));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+// Guards against the same in a head that is skipped.
 #[test]
 fn a_malformed_interim_response_never_reaches_a_caller() {
     let responses = INTERIM_CASES.iter().map(|case| SentResponse {
--- a/berylstep_http/src/head.rs
+++ b/berylstep_http/src/head.rs
@@ -173,10 +173,7 @@
     headers: &'h mut [httparse::Header<'b>],
 ) -> Result<httparse::Request<'h, 'b>, HeadError> {
     let mut request = httparse::Request::new(headers);
-    let status = request.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
-    if status.is_partial() {
-        return Err(HeadError::Malformed("incomplete"));
-    }
+    check_end(request.parse(bytes), bytes)?;
     match request.version {
         Some(1) => Ok(request),
         _ => Err(HeadError::Version),
@@ -189,16 +186,23 @@
     headers: &'h mut [httparse::Header<'b>],
 ) -> Result<httparse::Response<'h, 'b>, HeadError> {
     let mut response = httparse::Response::new(headers);
-    let status = response.parse(bytes).map_err(|_| HeadError::Malformed("cannot be parsed"))?;
-    if status.is_partial() {
-        return Err(HeadError::Malformed("incomplete"));
-    }
+    check_end(response.parse(bytes), bytes)?;
     match response.code {
         Some(code) if STATUS_CODES.contains(&code) => Ok(response),
         _ => Err(HeadError::Malformed("status code is out of range")),
     }
 }
 
+/// Checks that a head ends with its last byte. The parser also ends one at a line feed where a line is due, and
+/// what follows would be lost.
+fn check_end(parsed: httparse::Result<usize>, bytes: &[u8]) -> Result<(), HeadError> {
+    match parsed.map_err(|_| HeadError::Malformed("cannot be parsed"))? {
+        httparse::Status::Complete(end) if end == bytes.len() => Ok(()),
+        httparse::Status::Complete(_) => Err(HeadError::Malformed("ends before its blank line")),
+        httparse::Status::Partial => Err(HeadError::Malformed("incomplete")),
+    }
+}
+
 /// Returns the offset behind the blank line, searching from offset `from`.
 pub(crate) fn find_head_end(buffer: &[u8], from: usize) -> Option<usize> {
     let found = buffer[from..].windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
--- a/berylstep_http/tests/client_cases.rs
+++ b/berylstep_http/tests/client_cases.rs
@@ -157,6 +157,12 @@
             false,
             ExchangeEnd::NoHead,
         ),
+        client_case(
+            "line feed before a name",
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\nx-broken: a\r\n\r\nok",
+            false,
+            ExchangeEnd::NoHead,
+        ),
         client_case("closed without an answer", "", true, ExchangeEnd::NoHead),
         client_case("closed inside the head", "HTTP/1.1 200 O", true, ExchangeEnd::NoHead),
     ];
--- a/berylstep_http/tests/message_cases.rs
+++ b/berylstep_http/tests/message_cases.rs
@@ -41,6 +41,11 @@
             accepted: false,
         },
         HeadCase { name: "absolute target", head: "GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", accepted: false },
+        HeadCase {
+            name: "line feed before a name",
+            head: "POST / HTTP/1.1\r\nHost: h\r\n\nContent-Length: 3\r\n\r\n",
+            accepted: false,
+        },
         HeadCase { name: "old version", head: "GET / HTTP/1.0\r\nHost: h\r\n\r\n", accepted: false },
     ];
     for case in cases {
