Reject a switch of protocols that no request asked for

What callers saw: a replica answered 101, after which its connection no longer carries HTTP, and sent bytes that look like a response. The caller got them as the replica's success. An upstream of `serve` that answered 101 with a length was taken at its word.

Cause: gateways counted 101 among the interim responses, after which the response is due on the same connection; the client counted it as final. Neither is right: the header Upgrade is never forwarded, and without it a server must not switch (RFC 9110, section 15.2.2).

Change: such a head is malformed for both readers of responses.

Early hints are still skipped.

--- a/berylstep/tests/broken_heads.rs
+++ b/berylstep/tests/broken_heads.rs
@@ -141,6 +141,11 @@
         interim: b"HTTP/1.1 103 Early Hints\r\n\nX-Broken: a\r\n\r\n",
         answer: CallerAnswer::Failure,
     },
+    InterimCase {
+        name: "switch to another protocol",
+        interim: b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\n\r\n",
+        answer: CallerAnswer::Failure,
+    },
     InterimCase {
         name: "status below 100",
         interim: b"HTTP/1.1 000 X\r\n\r\n",
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -25,7 +25,9 @@
 
 /// Buffer for small reads of a response body; larger reads bypass it.
 const BODY_BUFFER_BYTES: usize = 512;
-const SWITCHING_PROTOCOLS: u16 = 101;
+
+/// First status of a final response.
+const FIRST_FINAL_STATUS: u16 = 200;
 
 /// Interim responses that are skipped before the response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
@@ -223,8 +225,7 @@
                 return Err(ExchangeError::Broken(std::io::ErrorKind::UnexpectedEof.into()));
             };
             let head = validate_response(&bytes).map_err(ExchangeError::Head)?;
-            let is_interim = head.status < 200 && head.status != SWITCHING_PROTOCOLS;
-            if !is_interim {
+            if head.status >= FIRST_FINAL_STATUS {
                 return Ok(head);
             }
         }
--- a/berylstep_http/src/head.rs
+++ b/berylstep_http/src/head.rs
@@ -15,6 +15,10 @@
 /// Status codes of HTTP (RFC 9110, section 15).
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
+/// Status after which the connection no longer carries HTTP; allowed only if the request has an `Upgrade` header,
+/// which is never forwarded (RFC 9110, section 15.2.2).
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Line end and blank line at the end of a head.
 pub(crate) const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -188,6 +192,7 @@
     let mut response = httparse::Response::new(headers);
     check_end(response.parse(bytes), bytes)?;
     match response.code {
+        Some(SWITCHING_PROTOCOLS) => Err(HeadError::Malformed("unrequested switch of protocols")),
         Some(code) if STATUS_CODES.contains(&code) => Ok(response),
         _ => Err(HeadError::Malformed("status code is out of range")),
     }
--- a/berylstep_http/tests/client_cases.rs
+++ b/berylstep_http/tests/client_cases.rs
@@ -163,6 +163,12 @@
             false,
             ExchangeEnd::NoHead,
         ),
+        client_case(
+            "switch to another protocol",
+            "HTTP/1.1 101 Switching Protocols\r\ncontent-length: 2\r\n\r\nok",
+            false,
+            ExchangeEnd::NoHead,
+        ),
         client_case("closed without an answer", "", true, ExchangeEnd::NoHead),
         client_case("closed inside the head", "HTTP/1.1 200 O", true, ExchangeEnd::NoHead),
     ];
