Reject chunks whose line has no size

What callers saw: a response in chunks whose replica sent an empty line where the size of the next chunk is due ended as complete after the chunks so far. Found by looking for other places that tell where a response ends.

Cause: the parser of chunk sizes takes a line without digits, also one with only a blank or an extension, for the size 0, which is that of the last chunk. The decoder of `async-h1`, which reads the responses for `serve`, the store and engines, does the same.

Change: a chunk begins with a digit, or the body is malformed. FramedStream, through which `async-h1` reads, checks the chunks that it hands out with the same decoder. That also knows the end of a body with trailers, whose connection can be used again now; it could not before. Requests are read by the same code: such a request is answered 400.

Result: on the code before, the stream case "chunks that end with a line without a size" was told as whole (and not resumed where that is allowed), client_cases, message_cases and server_cases failed in their new lines. After: all pass. Missing last chunks, wrong ends of chunks and truncated trailers held before.

--- a/berylstep/tests/truncated_streams.rs
+++ b/berylstep/tests/truncated_streams.rs
@@ -28,6 +28,8 @@
     Close,
     /// The response ends with its last chunk.
     Chunked,
+    /// The response ends with empty lines where a chunk size is due.
+    ChunkedWithoutSize,
 }
 
 struct EndCase {
@@ -71,6 +73,12 @@
         whole: false,
     },
     EndCase { name: "before the first event", framing: Framing::Close, content: "", whole: false },
+    EndCase {
+        name: "chunks that end with a line without a size",
+        framing: Framing::ChunkedWithoutSize,
+        content: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        whole: false,
+    },
     EndCase {
         name: "chunks that end inside an event",
         framing: Framing::Chunked,
@@ -110,8 +118,9 @@
         Framing::Close => {
             begin_unframed_events(stream, request) && stream.write_all(content.as_bytes()).is_ok()
         }
-        Framing::Chunked => {
-            let chunks = format!("{:x}\r\n{content}\r\n0\r\n\r\n", content.len());
+        Framing::Chunked | Framing::ChunkedWithoutSize => {
+            let last = if framing == Framing::Chunked { "0" } else { "" };
+            let chunks = format!("{:x}\r\n{content}\r\n{last}\r\n\r\n", content.len());
             begin_events(stream, request) && stream.write_all(chunks.as_bytes()).is_ok()
         }
     }
--- a/berylstep_http/src/client.rs
+++ b/berylstep_http/src/client.rs
@@ -239,7 +239,7 @@
     match head.framing {
         _ if bodiless => Ok(MessageEnd::After(head_bytes)),
         BodyFraming::Length(length) => Ok(MessageEnd::After(head_bytes.saturating_add(length))),
-        BodyFraming::Chunked => Ok(MessageEnd::Chunked),
+        BodyFraming::Chunked => Ok(MessageEnd::Chunked { head_bytes: head.bytes.len() }),
         BodyFraming::Unframed => Err(ExchangeError::Unframed),
     }
 }
--- a/berylstep_http/src/decoder.rs
+++ b/berylstep_http/src/decoder.rs
@@ -146,6 +146,10 @@
     }
 
     fn parse_chunk_size(&mut self, input: &[u8]) -> Result<usize, BodyError> {
+        // The parser takes a line without digits for the size 0, which ends the body.
+        if input.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+            return Err(BodyError::Malformed);
+        }
         match httparse::parse_chunk_size(input) {
             Ok(httparse::Status::Complete((consumed, size))) => {
                 self.state = match size {
--- a/berylstep_http/src/framed.rs
+++ b/berylstep_http/src/framed.rs
@@ -7,24 +7,26 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use crate::decoder::{BodyDecoder, BodyError};
+use crate::head::BodyFraming;
 use crate::turn::ReadTurn;
 
-/// Last bytes of a chunked body without trailers.
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-
 /// Where the message ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MessageEnd {
     /// After this number of further bytes.
     After(u64),
-    /// Where the decoder of the chunked body stops reading.
-    Chunked,
+    /// After the last chunk and the trailers of a body that follows a head of `head_bytes` bytes.
+    Chunked {
+        /// Length of the head.
+        head_bytes: usize,
+    },
 }
 
 /// Stream that reads one message from buffered bytes and then from the socket.
 ///
 /// If the peer closes the connection before the end of the message, reading fails with
-/// `UnexpectedEof` in place of an end of file.
+/// `UnexpectedEof` in place of an end of file. Malformed chunks fail with `InvalidData`.
 #[derive(Clone, Debug)]
 pub struct FramedStream {
     state: Arc<Mutex<FrameState>>,
@@ -35,25 +37,68 @@
 struct FrameState {
     prefix: Vec<u8>,
     position: usize,
-    end: MessageEnd,
-    tail: Vec<u8>,
+    end: FrameEnd,
     turn: ReadTurn,
 }
 
+#[derive(Debug)]
+enum FrameEnd {
+    /// After this number of further bytes.
+    After(u64),
+    /// Where the check of the chunks says.
+    Chunked(ChunkCheck),
+}
+
+/// Checks the chunks that are handed to the reader, whose own decoder takes a line without a chunk size for the
+/// last chunk.
+#[derive(Debug)]
+struct ChunkCheck {
+    /// Bytes of the head that have not been handed to the reader yet.
+    head_bytes: usize,
+    decoder: BodyDecoder,
+    /// Bytes that the decoder has not used up.
+    input: Vec<u8>,
+    content: Vec<u8>,
+}
+
+impl ChunkCheck {
+    fn new(head_bytes: usize) -> Self {
+        let decoder = BodyDecoder::request(BodyFraming::Chunked);
+        Self { head_bytes, decoder, input: Vec::new(), content: Vec::new() }
+    }
+
+    /// Returns whether the body, and nothing beyond it, has been handed to the reader.
+    fn is_complete(&self) -> bool {
+        self.decoder.is_complete() && self.input.is_empty()
+    }
+
+    fn record_read(&mut self, bytes: &[u8]) -> Result<(), BodyError> {
+        let head_bytes = self.head_bytes.min(bytes.len());
+        self.head_bytes -= head_bytes;
+        self.input.extend_from_slice(&bytes[head_bytes..]);
+        self.decoder.decode(&mut self.input, &mut self.content)?;
+        self.content.clear();
+        Ok(())
+    }
+}
+
 impl FramedStream {
     /// Creates a stream of `prefix` and the socket's bytes up to `end`, which includes the prefix.
     pub fn new(prefix: Vec<u8>, end: MessageEnd, stream: TcpStream) -> Self {
-        let state =
-            FrameState { prefix, position: 0, end, tail: Vec::new(), turn: ReadTurn::default() };
+        let end = match end {
+            MessageEnd::After(bytes) => FrameEnd::After(bytes),
+            MessageEnd::Chunked { head_bytes } => FrameEnd::Chunked(ChunkCheck::new(head_bytes)),
+        };
+        let state = FrameState { prefix, position: 0, end, turn: ReadTurn::default() };
         Self { state: Arc::new(Mutex::new(state)), stream }
     }
 
     /// Returns whether the message, and nothing beyond it, has been read.
     pub fn is_complete(&self) -> bool {
         let state = self.lock();
-        match state.end {
-            MessageEnd::After(remaining) => remaining == 0 && state.position == state.prefix.len(),
-            MessageEnd::Chunked => state.tail == LAST_CHUNK,
+        match &state.end {
+            FrameEnd::After(remaining) => *remaining == 0 && state.position == state.prefix.len(),
+            FrameEnd::Chunked(check) => check.is_complete(),
         }
     }
 
@@ -66,8 +111,8 @@
     /// Returns how many of `wanted` bytes may be read before the end of the message.
     fn limit_read(&self, wanted: usize) -> usize {
         match self.end {
-            MessageEnd::After(bytes) => wanted.min(usize::try_from(bytes).unwrap_or(usize::MAX)),
-            MessageEnd::Chunked => wanted,
+            FrameEnd::After(bytes) => wanted.min(usize::try_from(bytes).unwrap_or(usize::MAX)),
+            FrameEnd::Chunked(_) => wanted,
         }
     }
 
@@ -79,17 +124,15 @@
         count
     }
 
-    /// Records bytes that were handed to the reader.
-    fn record_read(&mut self, bytes: &[u8]) {
+    /// Records bytes that are handed to the reader; fails if they are no chunks where these are due.
+    fn record_read(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         match &mut self.end {
-            MessageEnd::After(remaining) => *remaining -= bytes.len() as u64,
-            MessageEnd::Chunked => {
-                let kept = &bytes[bytes.len().saturating_sub(LAST_CHUNK.len())..];
-                self.tail.extend_from_slice(kept);
-                let excess = self.tail.len().saturating_sub(LAST_CHUNK.len());
-                self.tail.drain(..excess);
-            }
+            FrameEnd::After(remaining) => *remaining -= bytes.len() as u64,
+            FrameEnd::Chunked(check) => check
+                .record_read(bytes)
+                .map_err(|err| std::io::Error::new(std::io::ErrorKind::InvalidData, err))?,
         }
+        Ok(())
     }
 }
 
@@ -105,7 +148,7 @@
             let allowed = state.limit_read(buf.len());
             let count = state.read_prefix(&mut buf[..allowed]);
             if allowed == 0 || count > 0 {
-                state.record_read(&buf[..count]);
+                state.record_read(&buf[..count])?;
                 return Poll::Ready(Ok(count));
             }
             if !state.turn.begin_read(cx) {
@@ -122,7 +165,7 @@
         if count == 0 {
             return Poll::Ready(Err(std::io::ErrorKind::UnexpectedEof.into()));
         }
-        this.lock().record_read(&buf[..count]);
+        this.lock().record_read(&buf[..count])?;
         Poll::Ready(Ok(count))
     }
 }
--- a/berylstep_http/src/server.rs
+++ b/berylstep_http/src/server.rs
@@ -137,7 +137,7 @@
             // served.
             BodyFraming::Chunked => {
                 self.reusable = false;
-                MessageEnd::Chunked
+                MessageEnd::Chunked { head_bytes: head.bytes.len() }
             }
         };
         if head.expects_continue {
@@ -182,7 +182,7 @@
     fn take_buffered(&mut self, mut head: Vec<u8>, end: MessageEnd) -> Vec<u8> {
         let max_bytes = match end {
             MessageEnd::After(length) => usize::try_from(length).unwrap_or(usize::MAX) - head.len(),
-            MessageEnd::Chunked => usize::MAX,
+            MessageEnd::Chunked { .. } => usize::MAX,
         };
         head.extend(self.buffer.drain(..max_bytes.min(self.buffer.len())));
         head
--- a/berylstep_http/tests/client_cases.rs
+++ b/berylstep_http/tests/client_cases.rs
@@ -103,6 +103,24 @@
             true,
             ExchangeEnd::BrokenBody,
         ),
+        client_case(
+            "line without a chunk size",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n\r\n\r\n",
+            false,
+            ExchangeEnd::NoHead,
+        ),
+        client_case(
+            "blank before a chunk size",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n 0\r\n\r\n",
+            false,
+            ExchangeEnd::NoHead,
+        ),
+        client_case(
+            "trailer",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx-t: 1\r\n\r\n",
+            false,
+            whole("ok", true),
+        ),
         client_case(
             "neither length nor chunks",
             "HTTP/1.1 200 OK\r\n\r\nok",
--- a/berylstep_http/tests/message_cases.rs
+++ b/berylstep_http/tests/message_cases.rs
@@ -118,6 +118,27 @@
         content: None,
         keep_alive: true,
     },
+    BodyCase {
+        name: "line without a chunk size",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "2\r\nhe\r\n\r\n\r\n",
+        content: None,
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "chunk extension without a size",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "2\r\nhe\r\n;x=y\r\n\r\n",
+        content: None,
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "blank before a chunk size",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "2\r\nhe\r\n 0\r\n\r\n",
+        content: None,
+        keep_alive: true,
+    },
     BodyCase {
         name: "until the connection closes",
         head: "HTTP/1.1 200 OK\r\n\r\n",
--- a/berylstep_http/tests/server_cases.rs
+++ b/berylstep_http/tests/server_cases.rs
@@ -128,6 +128,13 @@
                 0,
             )
         },
+        server_case(
+            "line without a chunk size",
+            "POST / HTTP/1.1\r\nhost: n\r\ntransfer-encoding: chunked\r\n\r\n\
+             4\r\nseat\r\n\r\n\r\n",
+            &[400],
+            0,
+        ),
         ServerCase {
             closes: true,
             ..server_case(
