Write no body after a status that allows none

What callers saw: a replica answered 204 on the route of a stream. The caller got it with Transfer-Encoding and, where the replica had sent a length, with a last chunk, which isn't part of such a response: the next response on the connection began with it. Without a length the connection was closed as if the stream had broken off. Found by following what is read to where it is written.

Cause: only a response to HEAD was written without a body; and one without content counted as a stream without events, whose end by a close isn't whole.

Change: whether a status allows a body is asked of the response, by the decoder, the writer and the relay of streams alike.

Result: gateway::a_response_whose_status_allows_no_body_has_none failed on the code before: "plain, 204" bore Transfer-Encoding, and with a length of 0 the head of the next response was read as "0". After: its five cases pass, and so do truncated_streams, stalled_streams and hedged_requests.

--- a/berylstep/src/gateway/response.rs
+++ b/berylstep/src/gateway/response.rs
@@ -62,6 +62,8 @@
     method: String,
     keep_alive: bool,
     started: bool,
+    /// Whether the response ends with its head.
+    is_bodiless: bool,
     /// What is held for the connection, with the bytes of its request.
     hold: Option<(&'a HoldGuard, usize)>,
 }
@@ -69,7 +71,9 @@
 impl<'a> ResponseWriter<'a> {
     /// Creates a writer for the response to a request with `method`.
     pub fn new(stream: TcpStream, method: &str, keep_alive: bool) -> Self {
-        Self { stream, method: method.to_owned(), keep_alive, started: false, hold: None }
+        let is_bodiless = method == "HEAD";
+        let method = method.to_owned();
+        Self { stream, method, keep_alive, started: false, is_bodiless, hold: None }
     }
 
     /// Counts what waits to be read by the caller towards `hold`, beside a request of `request_bytes`.
@@ -100,7 +104,7 @@
         }
         write_header("Content-Type", b"text/plain", &mut bytes);
         self.end_head(Some(reply.reason.len()), &mut bytes);
-        if !self.is_bodiless() {
+        if !self.is_bodiless {
             bytes.extend_from_slice(reply.reason.as_bytes());
         }
         self.write(&bytes).await
@@ -117,10 +121,10 @@
         body: &[u8],
     ) -> std::io::Result<()> {
         let mut bytes = self.replica_head(response);
-        let length = match (self.method.as_str(), response.status) {
+        let length = match self.method.as_str() {
             // The response to HEAD has no body, so its length comes from the replica.
-            ("HEAD", _) => response.headers.get("content-length").and_then(|len| len.parse().ok()),
-            (_, 204 | 304) => None,
+            "HEAD" => response.headers.get("content-length").and_then(|len| len.parse().ok()),
+            _ if response.is_bodiless() => None,
             _ => Some(body.len()),
         };
         self.end_head(length, &mut bytes);
@@ -143,9 +147,13 @@
         content: &[u8],
     ) -> std::io::Result<()> {
         let mut bytes = self.replica_head(response);
-        write_header("Transfer-Encoding", b"chunked", &mut bytes);
+        if response.is_bodiless() {
+            self.is_bodiless = true;
+        } else {
+            write_header("Transfer-Encoding", b"chunked", &mut bytes);
+        }
         self.end_head(None, &mut bytes);
-        match self.is_bodiless() {
+        match self.is_bodiless {
             true => self.write(&bytes).await,
             false => self.write_chunk(bytes, content).await,
         }
@@ -157,7 +165,7 @@
     ///
     /// Returns an error if the connection to the caller fails.
     pub async fn write_content(&mut self, content: &[u8]) -> std::io::Result<()> {
-        if content.is_empty() || self.is_bodiless() {
+        if content.is_empty() || self.is_bodiless {
             return Ok(());
         }
         self.write_chunk(Vec::new(), content).await
@@ -169,7 +177,7 @@
     ///
     /// Returns an error if the connection to the caller fails.
     pub async fn end_stream(&mut self, content: &[u8]) -> std::io::Result<()> {
-        if self.is_bodiless() {
+        if self.is_bodiless {
             return Ok(());
         }
         let mut bytes = Vec::new();
@@ -178,11 +186,6 @@
         self.write(&bytes).await
     }
 
-    /// Returns whether the response ends with its head.
-    fn is_bodiless(&self) -> bool {
-        self.method == "HEAD"
-    }
-
     fn replica_head(&self, response: &ResponseMessage) -> Vec<u8> {
         let mut bytes = status_line(response.status, &response.reason);
         for field in response.headers.end_to_end() {
--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -97,7 +97,10 @@
 fn is_event_stream(kind: RouteKind, head: &ResponseMessage) -> bool {
     let content_type = head.headers.get("content-type").unwrap_or(EVENT_STREAM);
     let media_type = content_type.split(';').next().unwrap_or_default().trim();
-    kind == RouteKind::Stream && head.status < 300 && media_type.eq_ignore_ascii_case(EVENT_STREAM)
+    kind == RouteKind::Stream
+        && head.status < 300
+        && !head.is_bodiless()
+        && media_type.eq_ignore_ascii_case(EVENT_STREAM)
 }
 
 /// Returns whether a response goes on with the events of a stream that began with `status`. Any other success
--- a/berylstep/tests/gateway.rs
+++ b/berylstep/tests/gateway.rs
@@ -10,7 +10,7 @@
 
 use berylstep_standins::fleet::gateway::{wait_until, write_request, FleetGateway};
 use berylstep_standins::fleet::message::{
-    begin_events, end_events, read_message, respond, write_event, RawMessage,
+    begin_events, end_events, read_message, read_message_head, respond, write_event, RawMessage,
 };
 use berylstep_standins::fleet::replica::FakeReplica;
 use berylstep_standins::fleet::store::{FakeStore, StoreMode};
@@ -491,3 +491,44 @@
     let answer = read_message(&mut caller).expect("the answer to the next request");
     assert_eq!((answer.status(), &*answer.body), (200, "id: 1\ndata: d1\n\n"));
 }
+
+struct BodilessCase {
+    route: &'static str,
+    /// Start line and headers of the replica's response, whose status allows no body.
+    response: &'static str,
+}
+
+// Guards against the framing of a body after a response without one, which the next response is taken for.
+#[test]
+fn a_response_whose_status_allows_no_body_has_none() {
+    let cases = [
+        BodilessCase { route: "unsafe", response: "204 No Content\r\n" },
+        BodilessCase { route: "plain", response: "204 No Content\r\n" },
+        BodilessCase { route: "plain", response: "204 No Content\r\nContent-Length: 0\r\n" },
+        BodilessCase { route: "resumable", response: "204 No Content\r\n" },
+        BodilessCase { route: "plain", response: "304 Not Modified\r\nContent-Length: 9\r\n" },
+    ];
+    for case in cases {
+        let replica = FakeReplica::start("i-1", move |request, index, stream| {
+            let id = request.header("berylstep-attempt-id").unwrap_or("-");
+            let response = format!(
+                "HTTP/1.1 {}Berylstep-Attempt-Id: {id}\r\nBerylstep-Replica-Signature: s\r\n\r\n",
+                case.response
+            );
+            match index {
+                0 => stream.write_all(response.as_bytes()).is_ok(),
+                _ => respond(stream, request, 200, "Content-Type: text/plain\r\n", "next"),
+            }
+        });
+        let fleet = start_fleet(case.route, &[&replica]);
+        let mut caller = fleet.gateway.connect();
+        write_request(&mut caller, case.route, KEY_HEADER);
+        let first = read_message_head(&mut caller).expect("a head");
+        let name = format!("{}, {}", case.route, first.head);
+        assert!(case.response.starts_with(&first.status().to_string()), "{name}");
+        assert!(first.header("transfer-encoding").is_none(), "{name}");
+        write_request(&mut caller, case.route, KEY_HEADER);
+        let next = read_message(&mut caller).map(|next| (next.status(), next.body));
+        assert_eq!(next, Some((200, "next".to_owned())), "{name}");
+    }
+}
--- a/berylstep_http/src/decoder.rs
+++ b/berylstep_http/src/decoder.rs
@@ -56,8 +56,7 @@
     /// Creates a decoder for the body of a response to `method`; an unframed one extends to the end
     /// of the connection.
     pub fn response(message: &ResponseMessage, method: &str) -> Self {
-        let bodiless = method == "HEAD" || matches!(message.status, 100..=199 | 204 | 304);
-        match bodiless {
+        match method == "HEAD" || message.is_bodiless() {
             true => Self::in_state(DecoderState::Complete),
             false => Self::from_framing(message.framing),
         }
--- a/berylstep_http/src/message.rs
+++ b/berylstep_http/src/message.rs
@@ -174,6 +174,11 @@
             keep_alive: response.version == Some(1) && !closes && framing != BodyFraming::Unframed,
         })
     }
+
+    /// Returns whether the status allows no body, whatever the headers say (RFC 9112, section 6.3).
+    pub fn is_bodiless(&self) -> bool {
+        matches!(self.status, 100..=199 | 204 | 304)
+    }
 }
 
 /// First failure of a connection, shared by its two directions.
--- a/berylstep_standins/src/fleet/early.rs
+++ b/berylstep_standins/src/fleet/early.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use socket2::SockRef;
 
-use super::message::{read_unread_request, RawMessage};
+use super::message::{read_message_head, RawMessage};
 use super::replica::entry;
 use super::{listen, lock};
 
@@ -42,7 +42,7 @@
             if cut.is_some() && stream.peer_addr().ok().map(|source| source.ip()) == cut {
                 return reset_on_close(&stream);
             }
-            if let Some(request) = read_unread_request(&mut stream) {
+            if let Some(request) = read_message_head(&mut stream) {
                 lock(&messages).push(request.clone());
                 script(&request, &mut stream);
             }
--- a/berylstep_standins/src/fleet/message.rs
+++ b/berylstep_standins/src/fleet/message.rs
@@ -44,8 +44,8 @@
     Some(message)
 }
 
-/// Reads the head of a request and leaves its body unread.
-pub fn read_unread_request(stream: &mut impl Read) -> Option<RawMessage> {
+/// Reads the head of a message and leaves its body unread.
+pub fn read_message_head(stream: &mut impl Read) -> Option<RawMessage> {
     Some(RawMessage { head: read_head(stream)?, body: String::new() })
 }
 
