Test resets and trailers at the readers that held

Cause: of the places that read responses, two held and had no test. Change: a reset while the client for the store, for `serve` and for engines writes a request, in three framings; and trailers that are malformed or cut short. Result: no product code changed.

--- a/berylstep_http/tests/client_cases.rs
+++ b/berylstep_http/tests/client_cases.rs
@@ -218,3 +218,31 @@
     assert!(matches!(err, ExchangeError::Connect(_)), "{err}");
     assert!(!err.may_have_run());
 }
+
+// A request is written whole before its response is read, so that a failed write ends the exchange.
+#[test]
+fn a_reset_during_a_request_never_completes_its_response() {
+    const UPLOAD_BYTES: usize = 3 << 20;
+    for framing in ["", "content-length: 9\r\n", "transfer-encoding: chunked\r\n"] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let upstream = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            assert!(stream.read(&mut [0; 64]).is_ok_and(|count| count > 0));
+            write!(stream, "HTTP/1.1 200 OK\r\n{framing}\r\n2\r\nok\r\n").unwrap();
+            // The rest of the request is unread, so that the close resets the connection.
+            stream.peek(&mut [0]).unwrap();
+        });
+        let url = Url::parse(&format!("http://{address}/")).unwrap();
+        let mut request = Request::new(Method::Post, url);
+        request.set_body(vec![b'x'; UPLOAD_BYTES]);
+        let body = smol::block_on(async {
+            let connection = ClientConnection::connect(address).await.unwrap();
+            // The buffers of the connection may hold the whole request; then the body breaks off.
+            let mut answer = connection.exchange(request).await.ok()?;
+            answer.response.body_string().await.ok()
+        });
+        upstream.join().unwrap();
+        assert_eq!(body, None, "{framing:?}");
+    }
+}
--- a/berylstep_http/tests/message_cases.rs
+++ b/berylstep_http/tests/message_cases.rs
@@ -104,6 +104,20 @@
         content: Some("hello"),
         keep_alive: true,
     },
+    BodyCase {
+        name: "chunks with a malformed trailer",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "5\r\nhello\r\n0\r\nX Broken\x07: 1\r\n\r\n",
+        content: Some("hello"),
+        keep_alive: true,
+    },
+    BodyCase {
+        name: "trailers without their end",
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "5\r\nhello\r\n0\r\nX-T: 1\r\n",
+        content: None,
+        keep_alive: true,
+    },
     BodyCase {
         name: "chunks without the last",
         head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
