--- a/berylstep/src/gateway/stream.rs
+++ b/berylstep/src/gateway/stream.rs
@@ -93,7 +93,7 @@
 }
 
 /// Returns whether a response consists of events. On the route of a stream, one without a content
-/// type does.
+/// type does if its status allows a body.
 fn is_event_stream(kind: RouteKind, head: &ResponseMessage) -> bool {
     let content_type = head.headers.get("content-type").unwrap_or(EVENT_STREAM);
     let media_type = content_type.split(';').next().unwrap_or_default().trim();
--- a/berylstep_http/src/message.rs
+++ b/berylstep_http/src/message.rs
@@ -222,8 +222,8 @@
 /// A connection and the bytes that were received on it but not yet parsed.
 #[derive(Debug)]
 pub struct MessageStream {
-    /// Underlying TCP connection, for socket options; reads go through the buffer. Where a message is
-    /// written while another is read, a [`MessageWriter`] writes it.
+    /// Underlying TCP connection, for socket options and for writes while nothing is read; other writes go
+    /// through a [`MessageWriter`], and reads through the buffer.
     pub stream: TcpStream,
     buffer: Vec<u8>,
     turn: ReadTurn,
