Keep the connections of sound responses open in a test

Its stand-in closed each connection, also after a response that lets it be used again; a gateway that had not seen the close yet sent the next request on it, which was lost (502). Change: the stand-in keeps them open, so that malformed heads come on used connections too. No check changed.

--- a/berylstep/tests/broken_heads.rs
+++ b/berylstep/tests/broken_heads.rs
@@ -24,7 +24,7 @@
                               id: 9\ndata: x\n\n";
 
 /// Framing of a response.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BodyKind {
     Length,
     Chunked,
@@ -177,16 +177,20 @@
     bytes: Vec<u8>,
     content: &'static str,
     answer: CallerAnswer,
+    /// Whether its connection can be used again.
+    keeps_open: bool,
 }
 
 /// Sends a request for each response on each route, and returns those whose caller got something else.
 fn find_wrong_answers(responses: Vec<SentResponse>) -> Vec<String> {
-    let bytes: Vec<_> = responses.iter().map(|response| response.bytes.clone()).collect();
+    let sent: Vec<_> =
+        responses.iter().map(|response| (response.bytes.clone(), response.keeps_open)).collect();
     let replica = FakeReplica::start("i-1", move |request, _, stream| {
         let number = request.target().rsplit('/').next().and_then(|text| text.parse().ok());
         let number: usize = number.expect("the target names a response");
-        stream.write_all(&bytes[number]).expect("the gateway reads");
-        false
+        let (bytes, keeps_open) = &sent[number];
+        stream.write_all(bytes).expect("the gateway reads");
+        *keeps_open
     });
     let store = FakeStore::start();
     store.put("op", "config", Some(desired_state(1)));
@@ -227,6 +231,7 @@
         bytes: encode(case, kind),
         content: case.content,
         answer: case.answer,
+        keeps_open: case.answer == CallerAnswer::Response && kind != BodyKind::Close,
     });
     responses.collect()
 }
@@ -253,6 +258,7 @@
         bytes: [case.interim, SOUND_RESPONSE.as_bytes()].concat(),
         content: "id: 9\ndata: x\n\n",
         answer: case.answer,
+        keeps_open: case.answer == CallerAnswer::Response,
     });
     let wrong = find_wrong_answers(responses.collect());
     assert!(wrong.is_empty(), "{wrong:#?}");
