--- a/berylstep/tests/upload_resets.rs
+++ b/berylstep/tests/upload_resets.rs
@@ -54,13 +54,63 @@
     Orderly,
 }
 
-struct UploadCase {
-    name: &'static str,
-    route: &'static str,
+/// What a replica sends as soon as it has the head of a request.
+#[derive(Clone, Copy, Debug)]
+struct EarlyResponse {
     framing: PartFraming,
     /// What arrives of the body.
     content: &'static str,
     end: ConnectionEnd,
+}
+
+impl EarlyResponse {
+    const fn new(framing: PartFraming, content: &'static str, end: ConnectionEnd) -> Self {
+        Self { framing, content, end }
+    }
+
+    /// Writes the head of a success and what arrives of its body, and prepares the end of the connection.
+    fn write(&self, request: &RawMessage, stream: &mut TcpStream) {
+        let id = request.header("berylstep-attempt-id").unwrap_or("-");
+        let content = self.content;
+        let content_type = match content.starts_with("id: ") {
+            true => "text/event-stream",
+            false => "text/plain",
+        };
+        let (header, body) = match self.framing {
+            PartFraming::Close => (String::new(), content.to_owned()),
+            PartFraming::Length => {
+                (format!("Content-Length: {}\r\n", content.len() + 1), content.to_owned())
+            }
+            PartFraming::Chunked => (
+                "Transfer-Encoding: chunked\r\n".to_owned(),
+                format!("{:x}\r\n{content}\r\n", content.len()),
+            ),
+        };
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nBerylstep-Attempt-Id: {id}\r\nBerylstep-Replica-Signature: s\r\n\
+             Content-Type: {content_type}\r\n{header}\r\n{body}"
+        );
+        stream.write_all(response.as_bytes()).expect("the gateway reads");
+        match self.end {
+            ConnectionEnd::Reset => reset_on_close(stream),
+            ConnectionEnd::CloseUnread => {
+                // Without unread bytes, the close would be an orderly one.
+                let peeked = stream.peek(&mut [0]).expect("the gateway sends the body");
+                assert_eq!(peeked, 1, "the gateway has closed the connection");
+            }
+            ConnectionEnd::LateReset => {
+                std::thread::sleep(Duration::from_millis(15));
+                reset_on_close(stream);
+            }
+            ConnectionEnd::Orderly => end_orderly(stream),
+        }
+    }
+}
+
+struct UploadCase {
+    name: &'static str,
+    route: &'static str,
+    response: EarlyResponse,
     /// Whether the caller gets the content as a complete response.
     is_whole: bool,
 }
@@ -72,7 +122,7 @@
     content: &'static str,
     end: ConnectionEnd,
 ) -> UploadCase {
-    UploadCase { name, route, framing, content, end, is_whole: false }
+    UploadCase { name, route, response: EarlyResponse::new(framing, content, end), is_whole: false }
 }
 
 const SHORT_PART: &str = "short part of a body";
@@ -118,64 +168,17 @@
     UploadCase {
         name: "orderly end, unsafe",
         route: "unsafe",
-        framing: PartFraming::Close,
-        content: LONG_PART,
-        end: ConnectionEnd::Orderly,
+        response: EarlyResponse::new(PartFraming::Close, LONG_PART, ConnectionEnd::Orderly),
         is_whole: true,
     },
     UploadCase {
         name: "orderly end, stream",
         route: "plain",
-        framing: PartFraming::Close,
-        content: EVENTS,
-        end: ConnectionEnd::Orderly,
+        response: EarlyResponse::new(PartFraming::Close, EVENTS, ConnectionEnd::Orderly),
         is_whole: true,
     },
 ];
 
-/// Writes the head of a success and what arrives of its body, and prepares the end of the connection.
-fn respond_early(
-    request: &RawMessage,
-    stream: &mut TcpStream,
-    framing: PartFraming,
-    content: &str,
-    end: ConnectionEnd,
-) {
-    let id = request.header("berylstep-attempt-id").unwrap_or("-");
-    let content_type = match content.starts_with("id: ") {
-        true => "text/event-stream",
-        false => "text/plain",
-    };
-    let (header, body) = match framing {
-        PartFraming::Close => (String::new(), content.to_owned()),
-        PartFraming::Length => {
-            (format!("Content-Length: {}\r\n", content.len() + 1), content.to_owned())
-        }
-        PartFraming::Chunked => (
-            "Transfer-Encoding: chunked\r\n".to_owned(),
-            format!("{:x}\r\n{content}\r\n", content.len()),
-        ),
-    };
-    let response = format!(
-        "HTTP/1.1 200 OK\r\nBerylstep-Attempt-Id: {id}\r\nBerylstep-Replica-Signature: s\r\n\
-         Content-Type: {content_type}\r\n{header}\r\n{body}"
-    );
-    stream.write_all(response.as_bytes()).expect("the gateway reads");
-    match end {
-        ConnectionEnd::Reset => reset_on_close(stream),
-        ConnectionEnd::CloseUnread => {
-            // Without unread bytes, the close would be an orderly one.
-            let peeked = stream.peek(&mut [0]).expect("the gateway sends the body");
-            assert_eq!(peeked, 1, "the gateway has closed the connection");
-        }
-        ConnectionEnd::LateReset => {
-            std::thread::sleep(Duration::from_millis(15));
-            reset_on_close(stream);
-        }
-        ConnectionEnd::Orderly => end_orderly(stream),
-    }
-}
-
 /// Ends the replica's direction, and reads until the gateway closes the connection.
 fn end_orderly(stream: &mut TcpStream) {
     stream.shutdown(Shutdown::Write).expect("the connection is open");
@@ -225,11 +228,11 @@
 /// Returns how many of the uploads of a case did not end as the case says.
 fn count_wrong_uploads(case: &'static UploadCase) -> usize {
     let replica = EarlyReplica::start("i-1", |request, stream| {
-        respond_early(request, stream, case.framing, case.content, case.end);
+        case.response.write(request, stream);
     });
     let store = start_store(&[(&replica, case.route)]);
     let gateway = FleetGateway::start(&store, 4, free_address().port());
-    let expected = case.is_whole.then(|| case.content.to_owned());
+    let expected = case.is_whole.then(|| case.response.content.to_owned());
     let completed = (0..UPLOADS)
         .map(|number| complete_success(upload(&gateway, case.route, &format!("id-{number}"))));
     let wrong = completed.filter(|body| *body != expected).count();
@@ -242,23 +245,16 @@
 fn a_stream_that_was_reset_during_its_upload_goes_on_at_another_replica() {
     let gateways = (0..UPLOADS).map(|number| {
         let replicas = ["i-1", "i-2"].map(|id| {
-            EarlyReplica::start(id, |request, stream| match request.header("last-event-id") {
-                Some(_) => {
-                    respond_early(
-                        request,
-                        stream,
-                        PartFraming::Close,
-                        LATER_EVENTS,
-                        ConnectionEnd::Orderly,
-                    );
-                }
-                None => respond_early(
-                    request,
-                    stream,
-                    PartFraming::Close,
-                    EVENTS,
-                    ConnectionEnd::CloseUnread,
-                ),
+            EarlyReplica::start(id, |request, stream| {
+                let response = match request.header("last-event-id") {
+                    Some(_) => {
+                        EarlyResponse::new(PartFraming::Close, LATER_EVENTS, ConnectionEnd::Orderly)
+                    }
+                    None => {
+                        EarlyResponse::new(PartFraming::Close, EVENTS, ConnectionEnd::CloseUnread)
+                    }
+                };
+                response.write(request, stream);
             })
         });
         let services = replicas.each_ref().map(|replica| (replica, "resumable"));
@@ -274,6 +270,8 @@
 // Guards against the same at the replica that a request is offered to while the first one is silent.
 #[test]
 fn a_reset_at_a_second_replica_never_completes_a_response() {
+    const RESPONSE: EarlyResponse =
+        EarlyResponse::new(PartFraming::Close, SHORT_PART, ConnectionEnd::Reset);
     for number in 0..UPLOADS {
         let is_first = Arc::new(AtomicBool::new(true));
         let replicas = ["i-1", "i-2"].map(|id| {
@@ -281,15 +279,7 @@
             EarlyReplica::start(id, move |request, stream| {
                 match is_first.swap(false, Ordering::SeqCst) {
                     true => std::thread::sleep(SILENCE),
-                    false => {
-                        respond_early(
-                            request,
-                            stream,
-                            PartFraming::Close,
-                            SHORT_PART,
-                            ConnectionEnd::Reset,
-                        );
-                    }
+                    false => RESPONSE.write(request, stream),
                 }
             })
         });
@@ -308,14 +298,10 @@
     const CUT_OFF: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
     for (route, content) in [("safe", SHORT_PART), ("plain", EVENTS)] {
         let replicas = ["i-1", "i-2"].map(|id| {
+            let response =
+                EarlyResponse::new(PartFraming::Close, content, ConnectionEnd::CloseUnread);
             EarlyReplica::start_beyond(Some(CUT_OFF), id, move |request, stream| {
-                respond_early(
-                    request,
-                    stream,
-                    PartFraming::Close,
-                    content,
-                    ConnectionEnd::CloseUnread,
-                );
+                response.write(request, stream);
             })
         });
         let services = replicas.each_ref().map(|replica| (replica, route));
